--- /dev/null
+++ b/code/table_test.go
@@ -0,0 +1,53 @@
+package code
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+)
+
+func markdown() string {
+	var b strings.Builder
+	b.WriteString("| number | name | status | outcome | meaning | action |\n|---|---|---|---|---|---|\n")
+	for _, d := range All() {
+		fmt.Fprintf(&b, "| %d | `%s` | %d | `%s` | %s | %s |\n", d.Number, d.Name, d.Status, d.Outcome, d.Meaning, d.Action)
+	}
+	return b.String()
+}
+
+// TestDocumentedTable holds docs/ERRORS.md to the table. Set UPDATE_DOCS=1 to
+// write the page anew.
+func TestDocumentedTable(t *testing.T) {
+	const page = "../docs/ERRORS.md"
+	const mark = "<!-- table -->\n"
+	text, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	head, _, ok := strings.Cut(string(text), mark)
+	if !ok {
+		t.Fatalf("%s has no line %q", page, mark)
+	}
+	want := head + mark + markdown()
+	if os.Getenv("UPDATE_DOCS") != "" {
+		if err := os.WriteFile(page, []byte(want), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if string(text) != want {
+		t.Errorf("%s differs from the code table; run UPDATE_DOCS=1 go test ./code", page)
+	}
+}
+
+func TestOutcomeFollowsTable(t *testing.T) {
+	for _, d := range All() {
+		if e := New(d.Number, "x"); e.Outcome != d.Outcome {
+			t.Errorf("%d: outcome %s, want %s", d.Number, e.Outcome, d.Outcome)
+		}
+		if d.Name == "" || d.Status == 0 || d.Meaning == "" || d.Action == "" {
+			t.Errorf("%d: row is not complete", d.Number)
+		}
+	}
+}
