--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,37 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestWaitStaysWithinLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := Backoff{Min: time.Millisecond, Max: time.Second}
+		attempt := rapid.IntRange(0, 1000).Draw(t, "attempt")
+		if w := b.Wait(attempt); w < 0 || w >= b.Max {
+			t.Fatalf("attempt %d waits %v", attempt, w)
+		}
+	})
+}
+
+func TestBudgetBoundsRetriesToShare(t *testing.T) {
+	const share, reserve = 0.1, 5
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBudget(share, reserve)
+		firsts, retries := 0, 0
+		for _, first := range rapid.SliceOf(rapid.Bool()).Draw(t, "attempts") {
+			if first {
+				b.Earn()
+				firsts++
+			} else if b.Spend() {
+				retries++
+			}
+		}
+		if float64(retries) > reserve+share*float64(firsts)+1e-9 {
+			t.Fatalf("%d retries for %d first attempts", retries, firsts)
+		}
+	})
+}
