Claim calls before they run and keep their answers

Cause: a call that may not be repeated must survive lost answers, outages, races and the loss of its instance without a second run, and its answer must stay readable. Change: insert-if-absent rows with a unique claim id, committed in groups by the owner of a group of keys and directly where the owner does not; conflicts drop out of a transaction, lost answers are resolved by sending the same conditioned transaction again. Answers are inline or packed into shared objects, and durable before the caller is told. A refused claim that landed is released, a claim past its deadline reads as unknown, old ones are removed.

--- /dev/null
+++ b/claim/fleet_test.go
@@ -0,0 +1,199 @@
+package claim_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+
+	"github.com/daisylb/daisylb/claim"
+	"github.com/daisylb/daisylb/claim/claimpb/claimpbconnect"
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/platform/memory"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+// fleet is a number of instances in one process: they share a store, and call
+// each other without sockets.
+type fleet struct {
+	store   *memory.Store
+	members []*member
+
+	mu   sync.Mutex
+	cut  map[string]bool
+	lose int
+	runs map[string]int
+}
+
+// member is one instance.
+type member struct {
+	*claim.Service
+	id      string
+	handler http.Handler
+	view    *view
+	cancel  context.CancelFunc
+	done    chan struct{}
+}
+
+// view is a live view that a test sets.
+type view struct {
+	mu   sync.Mutex
+	live []claim.Peer
+}
+
+func (v *view) Live() []claim.Peer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.live
+}
+
+func (v *view) set(live []claim.Peer) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.live = live
+}
+
+func newFleet(size int, adjust func(*claim.Options)) *fleet {
+	f := &fleet{store: memory.New(), cut: map[string]bool{}, runs: map[string]int{}}
+	var live []claim.Peer
+	for i := range size {
+		id := "i" + strconv.Itoa(i)
+		live = append(live, claim.Peer{ID: id, Address: id})
+	}
+	for _, p := range live {
+		f.members = append(f.members, f.start(p.ID, live, adjust))
+	}
+	return f
+}
+
+func (f *fleet) start(id string, live []claim.Peer, adjust func(*claim.Options)) *member {
+	m := &member{id: id, view: &view{live: live}, done: make(chan struct{})}
+	o := claim.Options{
+		InstanceID: id,
+		Table:      f.store,
+		Objects:    f.store,
+		View:       m.view,
+		Dial: func(address string) claimpbconnect.ClaimsClient {
+			return claimpbconnect.NewClaimsClient(&http.Client{Transport: wire{f, address}}, "http://"+address)
+		},
+	}
+	if adjust != nil {
+		adjust(&o)
+	}
+	service, err := claim.New(o)
+	if err != nil {
+		panic(err)
+	}
+	m.Service = service
+	_, m.handler = service.Handler()
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	go func() {
+		defer close(m.done)
+		_ = service.Run(ctx)
+	}()
+	return m
+}
+
+// kill ends an instance with all that it holds.
+func (f *fleet) kill(i int) {
+	f.disconnect(f.members[i].id, true)
+	f.members[i].cancel()
+}
+
+func (f *fleet) stop() {
+	for _, m := range f.members {
+		m.cancel()
+		<-m.done
+	}
+}
+
+func (f *fleet) disconnect(id string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[id] = cut
+}
+
+// loseForwards loses the next n answers between instances.
+func (f *fleet) loseForwards(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lose = n
+}
+
+// wire carries the calls to one instance.
+type wire struct {
+	fleet *fleet
+	id    string
+}
+
+// RoundTrip implements http.RoundTripper.
+func (w wire) RoundTrip(r *http.Request) (*http.Response, error) {
+	w.fleet.mu.Lock()
+	cut := w.fleet.cut[w.id]
+	lost := !cut && w.fleet.lose > 0
+	if lost {
+		w.fleet.lose--
+	}
+	w.fleet.mu.Unlock()
+	if cut {
+		return nil, errors.New("connection refused")
+	}
+	recorder := httptest.NewRecorder()
+	for _, m := range w.fleet.members {
+		if m.id == w.id {
+			m.handler.ServeHTTP(recorder, r)
+		}
+	}
+	if lost {
+		return nil, errors.New("connection reset")
+	}
+	return recorder.Result(), nil
+}
+
+// run counts a run and gives an answer that names it.
+func (f *fleet) run(key string) contract.PlainAnswer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runs[key]++
+	return contract.PlainAnswer{Status: http.StatusOK, Body: []byte(key + " run " + strconv.Itoa(f.runs[key]))}
+}
+
+func (f *fleet) runsOf(key string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[key]
+}
+
+func params(key string) claim.Params {
+	return claim.Params{Account: "a", Service: "s", Key: key, Content: []byte("content of " + key)}
+}
+
+// do runs a call that succeeds.
+func (f *fleet) do(ctx context.Context, i int, key string) (contract.PlainAnswer, error) {
+	return f.members[i].Do(ctx, params(key), func(context.Context) (contract.PlainAnswer, error) {
+		return f.run(key), nil
+	})
+}
+
+// bubble runs f in virtual time.
+func bubble(t *testing.T, size int, adjust func(*claim.Options), f func(t *testing.T, fleet *fleet)) {
+	t.Helper()
+	inBubble(t, func(t *testing.T) {
+		fleet := newFleet(size, adjust)
+		defer fleet.stop()
+		f(t, fleet)
+	})
+}
--- /dev/null
+++ b/claim/naive_test.go
@@ -0,0 +1,71 @@
+package claim_test
+
+import (
+	"context"
+	"time"
+
+	"github.com/daisylb/daisylb/claim"
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/platform"
+)
+
+// claimAfterDispatch looks for an answer, runs, and stores the answer.
+func claimAfterDispatch(ctx context.Context, f *fleet, _ int, p claim.Params, run claim.Run) (contract.PlainAnswer, error) {
+	row, err := f.store.Get(ctx, p.Key)
+	if err != nil {
+		return contract.PlainAnswer{}, code.New(code.ClaimUnavailable, "no table")
+	}
+	if row.Exists() {
+		return contract.PlainAnswer{Body: row.Value}, nil
+	}
+	answer, err := run(ctx)
+	if err != nil {
+		return answer, err
+	}
+	_, err = f.store.Apply(ctx, insert(p.Key, answer.Body))
+	return answer, err
+}
+
+// runAgainOnUnknown claims before it runs, but takes a call for not run when
+// the answer of the store is lost or a claim is old, and claims it anew.
+func runAgainOnUnknown(ctx context.Context, f *fleet, _ int, p claim.Params, run claim.Run) (contract.PlainAnswer, error) {
+	const lease = 2 * time.Second
+	row, err := f.store.Get(ctx, p.Key)
+	if err != nil {
+		return contract.PlainAnswer{}, code.New(code.ClaimUnavailable, "no table")
+	}
+	if row.Exists() && len(row.Value) < 30 {
+		return contract.PlainAnswer{Body: row.Value}, nil
+	}
+	t := insert(p.Key, []byte(time.Now().Add(lease).Format("claimed until 2006-01-02T15:04:05.000000000Z07:00")))
+	if row.Exists() {
+		until, err := time.Parse("claimed until 2006-01-02T15:04:05.000000000Z07:00", string(row.Value))
+		if err == nil && time.Now().Before(until) {
+			return contract.PlainAnswer{}, code.New(code.ResultPending, "running")
+		}
+		t.Conditions[0].Version = row.Version
+	}
+	applied, err := f.store.Apply(ctx, t)
+	if err != nil && code.Of(err) != code.StoreUnknown {
+		return contract.PlainAnswer{}, code.New(code.ClaimUnavailable, "not claimed")
+	}
+	answer, err := run(ctx)
+	if err != nil {
+		return answer, err
+	}
+	finish := insert(p.Key, answer.Body)
+	finish.Conditions = nil
+	if len(applied.Versions) > 0 {
+		finish.Conditions = []platform.Condition{{Key: p.Key, Version: applied.Versions[0]}}
+	}
+	_, err = f.store.Apply(ctx, finish)
+	return answer, err
+}
+
+func insert(key string, value []byte) platform.Transaction {
+	return platform.Transaction{
+		Conditions: []platform.Condition{{Key: key}},
+		Writes:     []platform.Write{{Key: key, Value: value}},
+	}
+}
--- /dev/null
+++ b/claim/options.go
@@ -0,0 +1,154 @@
+package claim
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/claim/claimpb/claimpbconnect"
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/platform"
+)
+
+// Defaults of Options.
+const (
+	defaultGroups         = 4
+	defaultCommitInterval = 50 * time.Millisecond
+	defaultInlineBytes    = 4 << 10
+	defaultPackBytes      = 1 << 20
+	defaultClaimTimeout   = 3 * time.Second
+	defaultOwnerTimeout   = time.Second
+	defaultMaxRun         = 10 * time.Minute
+	defaultMargin         = 15 * time.Second
+	defaultMaxHeldBytes   = 32 << 20
+	defaultRetention      = 24 * time.Hour
+	defaultSweepInterval  = time.Second
+	maxGroups             = 256
+)
+
+// Peer is a live instance.
+type Peer struct {
+	ID string
+	// Address is IP:port of the peers' listener.
+	Address string
+}
+
+// View tells which instances are live. Views of two instances may differ; that
+// costs writes and never correctness.
+type View interface {
+	// Live returns the live instances. The result must not be changed by either
+	// side.
+	Live() []Peer
+}
+
+// Options configure a Service. Zero values select the defaults named.
+type Options struct {
+	// InstanceID names this process; required and unique to it.
+	InstanceID string
+	// Table and Objects are the platform; required. Table carries commits that
+	// this instance makes in place of an owner.
+	Table   platform.Table
+	Objects platform.Objects
+	// OwnerTable carries group commits; Table when nil.
+	OwnerTable platform.Table
+	// SweepTable and SweepObjects carry the removal of old claims; Table and
+	// Objects when nil.
+	SweepTable   platform.Table
+	SweepObjects platform.Objects
+	// View is the live view; required.
+	View View
+	// Dial returns the Claims service of a peer; plain HTTP when nil.
+	Dial func(address string) claimpbconnect.ClaimsClient
+	// Groups is the number of groups of keys, 1 to 256; 4. All instances should
+	// have the same.
+	Groups int
+	// CommitInterval is the shortest time between the starts of two commits of
+	// a group; 50 ms.
+	CommitInterval time.Duration
+	// InlineBytes is the largest answer that is kept in the row; 4 KiB.
+	InlineBytes int
+	// PackBytes is the size at which an object of answers is full; 1 MiB.
+	PackBytes int
+	// ClaimTimeout bounds one Claim; 3 s.
+	ClaimTimeout time.Duration
+	// OwnerTimeout bounds the part of it that waits for the owner; 1 s.
+	OwnerTimeout time.Duration
+	// MaxRun bounds the run of a call without an earlier deadline; 10 min.
+	MaxRun time.Duration
+	// Margin is how long after its deadline a call still counts as running; it
+	// covers the time to store the answer and the difference of clocks; 15 s.
+	Margin time.Duration
+	// MaxHeldBytes bounds the answers that wait for the store: new claims are
+	// refused over it; 32 MiB.
+	MaxHeldBytes int64
+	// Retention is how long a claim is kept; 24 h.
+	Retention time.Duration
+	// SweepInterval is the time between two pages of the removal of old claims
+	// by an owner; 1 s.
+	SweepInterval time.Duration
+	// Registerer receives the metrics; nil means none.
+	Registerer prometheus.Registerer
+	// Logger receives events; nil means none.
+	Logger *zap.Logger
+}
+
+func (o Options) withDefaults() Options {
+	if o.OwnerTable == nil {
+		o.OwnerTable = o.Table
+	}
+	if o.SweepTable == nil {
+		o.SweepTable = o.Table
+	}
+	if o.SweepObjects == nil {
+		o.SweepObjects = o.Objects
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	if o.Dial == nil {
+		o.Dial = func(address string) claimpbconnect.ClaimsClient {
+			return claimpbconnect.NewClaimsClient(http.DefaultClient, "http://"+address)
+		}
+	}
+	setDefault(&o.Groups, defaultGroups)
+	setDefault(&o.CommitInterval, defaultCommitInterval)
+	setDefault(&o.InlineBytes, defaultInlineBytes)
+	setDefault(&o.PackBytes, defaultPackBytes)
+	setDefault(&o.ClaimTimeout, defaultClaimTimeout)
+	setDefault(&o.OwnerTimeout, defaultOwnerTimeout)
+	setDefault(&o.MaxRun, defaultMaxRun)
+	setDefault(&o.Margin, defaultMargin)
+	setDefault(&o.MaxHeldBytes, defaultMaxHeldBytes)
+	setDefault(&o.Retention, defaultRetention)
+	setDefault(&o.SweepInterval, defaultSweepInterval)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (o Options) check() error {
+	switch {
+	case o.InstanceID == "":
+		return code.New(code.InvalidSettings, "claims need an instance id")
+	case o.Table == nil || o.Objects == nil || o.View == nil:
+		return code.New(code.InvalidSettings, "claims need a table, objects and a view")
+	case o.Groups < 1 || o.Groups > maxGroups:
+		return code.New(code.InvalidSettings, "%d claim groups, 1 to %d are allowed", o.Groups, maxGroups)
+	case o.InlineBytes < 0 || o.InlineBytes > platform.MaxValueBytes/2:
+		return code.New(code.InvalidSettings, "%d inline bytes, 0 to %d are allowed", o.InlineBytes, platform.MaxValueBytes/2)
+	case o.PackBytes < 0 || o.MaxHeldBytes < 0:
+		return code.New(code.InvalidSettings, "sizes of claims must not be negative")
+	case min(o.CommitInterval, o.ClaimTimeout, o.OwnerTimeout, o.MaxRun, o.Margin, o.Retention, o.SweepInterval) < 0:
+		return code.New(code.InvalidSettings, "times of claims must not be negative")
+	case o.Retention < o.MaxRun+o.Margin:
+		return code.New(code.InvalidSettings, "retention %s is shorter than the longest run and its margin", o.Retention)
+	}
+	return nil
+}
