Prove claims over sockets with the service as witness

Cause: the drawn histories call instances without sockets and count runs in the test, which does not see what the wire or a library repeats. Ruled out: processes started by this test; the scenarios do that. Change: a test with guard, adapter, peers and both stand-ins over loopback. The test of lost answers now checks on every instance that answers were lost. Before, nothing tested the parts together.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -97,14 +97,19 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			bubble(t, 3, nil, func(t *testing.T, f *fleet) {
-				inject(f)
-				answer, err := f.members[0].Do(t.Context(), params("k"), func(context.Context) (contract.PlainAnswer, error) {
+				for i, key := range []string{"a", "b", "c"} {
 					inject(f)
-					return f.run("k"), nil
-				})
-				f.store.ReleaseHeld()
-				expect(t, "first", err, 0, "")
-				expectAgreement(t, f, "k", answer, 0, 1, 2)
+					answer, err := f.members[i].Do(t.Context(), params(key), func(context.Context) (contract.PlainAnswer, error) {
+						inject(f)
+						return f.run(key), nil
+					})
+					f.store.ReleaseHeld()
+					expect(t, "first", err, 0, "")
+					expectAgreement(t, f, key, answer, 0, 1, 2)
+				}
+				if f.injected() < 3 {
+					t.Errorf("%d answers were lost, want at least 3", f.injected())
+				}
 			})
 		})
 	}
--- a/claim/fleet_test.go
+++ b/claim/fleet_test.go
@@ -34,6 +34,8 @@
 	mu   sync.Mutex
 	cut  map[string]bool
 	lose int
+	// lost counts answers between instances that were lost.
+	lost int
 	runs map[string]int
 }
 
@@ -126,6 +128,13 @@
 	f.cut[id] = cut
 }
 
+// injected counts the answers lost so far, of the store and between instances.
+func (f *fleet) injected() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.store.Faults().Counts().Lost + int64(f.lost)
+}
+
 // loseForwards loses the next n answers between instances.
 func (f *fleet) loseForwards(n int) {
 	f.mu.Lock()
@@ -146,6 +155,7 @@
 	lost := !cut && w.fleet.lose > 0
 	if lost {
 		w.fleet.lose--
+		w.fleet.lost++
 	}
 	w.fleet.mu.Unlock()
 	if cut {
--- /dev/null
+++ b/claim/wire_test.go
@@ -0,0 +1,163 @@
+package claim_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/daisylb/daisylb/claim"
+	"github.com/daisylb/daisylb/claim/claimpb/claimpbconnect"
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/platform/guard"
+	"github.com/daisylb/daisylb/platform/httpstore"
+	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/retry"
+	platformstandin "github.com/daisylb/daisylb/standin/platform"
+	"github.com/daisylb/daisylb/standin/service"
+)
+
+// wired is a fleet on sockets: instances, a platform and a plain service.
+type wired struct {
+	platform *memory.Store
+	service  *service.Service
+	url      string
+	members  []*claim.Service
+	calls    *http.Client
+}
+
+func newWired(t *testing.T, instances int) *wired {
+	t.Helper()
+	w := &wired{platform: memory.New(), service: service.New()}
+	transport := &http.Transport{}
+	w.calls = &http.Client{Transport: transport}
+	platformServer := httptest.NewServer(platformstandin.New(w.platform))
+	serviceServer := httptest.NewServer(w.service)
+	w.url = serviceServer.URL
+	all := &view{}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	closers := []func(){transport.CloseIdleConnections, platformServer.Close, serviceServer.Close}
+	var live []claim.Peer
+	for i := range instances {
+		store, err := httpstore.New(httpstore.Options{URL: platformServer.URL})
+		if err != nil {
+			t.Fatal(err)
+		}
+		guarded, err := guard.New(guard.Options{Store: store, Live: func() int { return instances }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		id := strconv.Itoa(i)
+		member, err := claim.New(claim.Options{
+			InstanceID: id, View: all, InlineBytes: 16,
+			Table: guarded.View(guard.Urgent), Objects: guarded.View(guard.Urgent), OwnerTable: guarded.View(guard.Owner),
+			SweepTable: guarded.View(guard.Poll), SweepObjects: guarded.View(guard.Poll),
+			Dial: func(address string) claimpbconnect.ClaimsClient {
+				return claimpbconnect.NewClaimsClient(w.calls, "http://"+address)
+			},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, handler := member.Handler()
+		server := httptest.NewServer(handler)
+		closers = append(closers, func() { _ = store.Close() }, server.Close)
+		live = append(live, claim.Peer{ID: id, Address: server.Listener.Addr().String()})
+		w.members = append(w.members, member)
+		running.Go(func() { _ = member.Run(ctx) })
+	}
+	all.set(live)
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+		for _, c := range closers {
+			c()
+		}
+	})
+	return w
+}
+
+// dispatch calls the plain service once.
+func (w *wired) dispatch(ctx context.Context, key string) (contract.PlainAnswer, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, w.url+"/confirm", nil)
+	if err != nil {
+		return contract.PlainAnswer{}, code.Wrap(code.Internal, err, "no request").WithOutcome(code.NotRun)
+	}
+	// Under its canonical name net/http would repeat the call.
+	request.Header["idempotency-key"] = []string{key}
+	response, err := w.calls.Do(request)
+	if err != nil {
+		return contract.PlainAnswer{}, code.Wrap(code.UpstreamFailed, err, "no answer")
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusServiceUnavailable {
+		return contract.PlainAnswer{}, code.New(code.UpstreamRefused, "refused")
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return contract.PlainAnswer{}, code.Wrap(code.UpstreamFailed, err, "no whole answer")
+	}
+	return contract.PlainAnswer{Status: response.StatusCode, Body: body}, nil
+}
+
+// resendBackoff is the wait between two resends of a call.
+var resendBackoff = retry.Backoff{Min: 20 * time.Millisecond, Max: 100 * time.Millisecond}
+
+// resolve resends a call until its outcome is settled.
+func (w *wired) resolve(ctx context.Context, instance int, key string) (contract.PlainAnswer, code.Number) {
+	for attempt := 0; ; attempt++ {
+		answer, err := w.members[instance].Do(ctx, params(key), func(ctx context.Context) (contract.PlainAnswer, error) {
+			return w.dispatch(ctx, key)
+		})
+		switch number := code.Of(err); number {
+		case 0, code.OutcomeUnknown:
+			return answer, number
+		}
+		if resendBackoff.Sleep(ctx, attempt) != nil {
+			return answer, code.Of(err)
+		}
+	}
+}
+
+// TestCallsOverSocketsRunOnce sends every call to all instances at once, with a
+// store that loses one answer in five and a service that loses, refuses and
+// garbles: the service witnesses at most one run, and all instances agree.
+func TestCallsOverSocketsRunOnce(t *testing.T) {
+	goleak.VerifyNone(t)
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	const instances, keys = 3, 12
+	w := newWired(t, instances)
+	w.platform.Faults().Set(memory.FaultSettings{LoseShare: 0.2, Seed: 1})
+	modes := []service.Mode{service.ModeNone, service.ModeLost, service.ModeRefuse, service.ModeGarbage}
+	for i := range keys {
+		key := strconv.Itoa(i)
+		w.service.SetFaults(service.Faults{Mode: modes[i%len(modes)], Next: 1})
+		var answers [instances]contract.PlainAnswer
+		var numbers [instances]code.Number
+		var racing sync.WaitGroup
+		for instance := range instances {
+			racing.Go(func() { answers[instance], numbers[instance] = w.resolve(t.Context(), instance, key) })
+		}
+		racing.Wait()
+		for instance := range instances {
+			if numbers[instance] != numbers[0] || !bytes.Equal(answers[instance].Body, answers[0].Body) {
+				t.Errorf("key %s: instance %d says %d %s, instance 0 %d %s", key, instance, numbers[instance], answers[instance].Body, numbers[0], answers[0].Body)
+			}
+		}
+		if runs := w.service.Runs()[key]; runs != 1 {
+			t.Errorf("key %s: %d runs, want 1", key, runs)
+		}
+	}
+	if w.platform.Faults().Counts().Lost == 0 {
+		t.Error("no answer of the store was lost")
+	}
+}
