Add the callers' listener

Cause: callers need one entry that identifies them, bounds their requests and numbers every failure. Ruled out: writing upstream bytes through unread, since a broken answer could then end silently short.

--- /dev/null
+++ b/caller/account.go
@@ -0,0 +1,106 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+)
+
+// accountIndex maps key hashes to accounts for one version of the document.
+type accountIndex struct {
+	document *contract.Document
+	byHash   map[string]string
+}
+
+// accounts identifies callers and counts their requests in flight. It is safe
+// for concurrent use.
+type accounts struct {
+	document func() *contract.Document
+	index    atomic.Pointer[accountIndex]
+	inFlight sync.Map // account id to *atomic.Int64
+}
+
+// current returns the document in force with its index. The document is nil
+// before the first configuration.
+func (a *accounts) current() *accountIndex {
+	document := a.document()
+	index := a.index.Load()
+	if index != nil && index.document == document {
+		return index
+	}
+	index = newAccountIndex(document)
+	a.index.Store(index)
+	return index
+}
+
+func newAccountIndex(document *contract.Document) *accountIndex {
+	index := &accountIndex{document: document, byHash: map[string]string{}}
+	if document == nil {
+		return index
+	}
+	for id, account := range document.Accounts {
+		for _, hash := range account.KeyHashes {
+			index.byHash[hash] = id
+		}
+	}
+	return index
+}
+
+// identify returns the account of the request's key.
+func (x *accountIndex) identify(r *http.Request) (string, error) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return "", code.New(code.Unauthenticated, "no bearer key in the Authorization header")
+	}
+	sum := sha256.Sum256([]byte(key))
+	id, ok := x.byHash[hex.EncodeToString(sum[:])]
+	if !ok {
+		return "", code.New(code.Unauthenticated, "the key is not accepted")
+	}
+	return id, nil
+}
+
+// service returns a service that the account may use. A service that is not
+// the account's own reads as unknown.
+func (x *accountIndex) service(account, name string) (contract.Service, error) {
+	service, ok := x.document.Services[name]
+	if !ok || !mayUse(service, account) {
+		return contract.Service{}, code.New(code.UnknownService, "no service %q", truncate(name))
+	}
+	return service, nil
+}
+
+func mayUse(service contract.Service, account string) bool {
+	return len(service.Accounts) == 0 || slices.Contains(service.Accounts, account)
+}
+
+// enter takes one of the account's places; leave gives it back.
+func (a *accounts) enter(document *contract.Document, account string) (leave func(), err error) {
+	value, ok := a.inFlight.Load(account)
+	if !ok {
+		value, _ = a.inFlight.LoadOrStore(account, new(atomic.Int64))
+	}
+	count := value.(*atomic.Int64)
+	limit := document.Accounts[account].MaxInFlight
+	if n := count.Add(1); limit > 0 && n > int64(limit) {
+		count.Add(-1)
+		return nil, code.New(code.AccountLimit, "the account has %d requests in flight on this instance", limit).WithRetryAfter(retryHint)
+	}
+	return func() { count.Add(-1) }, nil
+}
+
+// truncate bounds a caller's text for use in a message.
+func truncate(s string) string {
+	const limit = 64
+	if len(s) > limit {
+		return s[:limit] + "…"
+	}
+	return s
+}
--- /dev/null
+++ b/caller/chat.go
@@ -0,0 +1,171 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+)
+
+type chatAnswer struct {
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Created int64           `json:"created"`
+	Model   string          `json:"model"`
+	Choices []chatChoice    `json:"choices"`
+	Usage   *contract.Usage `json:"usage,omitempty"`
+}
+
+type chatChoice struct {
+	Index        int         `json:"index"`
+	Message      chatMessage `json:"message"`
+	FinishReason string      `json:"finish_reason"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// chat answers POST /v1/chat/completions.
+func (l *Listener) chat(w http.ResponseWriter, r *http.Request) error {
+	id := IdentityOf(r)
+	body, err := readBody(w, r, id.index.document.Limits.MaxBodyBytes)
+	if err != nil {
+		return err
+	}
+	var chat contract.ChatRequest
+	if err := json.Unmarshal(body, &chat); err != nil {
+		return malformed(err)
+	}
+	service, err := l.modelService(id, chat.Model, int64(len(body)))
+	if err != nil {
+		return err
+	}
+	until, err := deadline(r, id.index.document, service, time.Now())
+	if err != nil {
+		return err
+	}
+	key, err := idempotencyKey(r, service)
+	if err != nil {
+		return err
+	}
+	call := &contract.Completion{
+		RequestID: id.RequestID,
+		Account:   id.Account,
+		Service:   chat.Model,
+		Class:     contract.Online,
+		Deadline:  until,
+		Chat:      chat,
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), until)
+	defer cancel()
+	switch {
+	case key != "":
+		return l.chatOnce(ctx, w, call, key, body)
+	case chat.Stream:
+		return l.chatStream(ctx, w, call)
+	default:
+		return l.chatWhole(ctx, w, call)
+	}
+}
+
+// malformed keeps a numbered error and numbers any other as MalformedBody.
+func malformed(err error) error {
+	if code.Of(err) != code.Internal {
+		return err
+	}
+	return code.Wrap(code.MalformedBody, err, "the body is not valid JSON")
+}
+
+func (l *Listener) modelService(id Identity, name string, size int64) (contract.Service, error) {
+	service, err := id.index.service(id.Account, name)
+	if err != nil {
+		return service, err
+	}
+	if service.Kind != contract.KindModel {
+		return service, code.New(code.UnknownService, "service %q is not a model service; use /s/%s/", truncate(name), truncate(name))
+	}
+	if limit := bodyLimit(id.index.document, service); size > limit {
+		return service, tooLarge(limit)
+	}
+	if !id.index.document.Active().AdmitOnline {
+		return service, code.New(code.MaintenanceRefusal, "preset %q does not admit online requests", id.index.document.Preset).WithRetryAfter(retryHint)
+	}
+	return service, nil
+}
+
+// collect runs a call and returns its whole answer.
+func (l *Listener) collect(ctx context.Context, call *contract.Completion) (chatAnswer, error) {
+	var text strings.Builder
+	answer := newChatAnswer(call, time.Now())
+	choice := &answer.Choices[0]
+	err := l.dispatcher.Complete(ctx, call, func(c contract.Chunk) error {
+		text.WriteString(c.Text)
+		if c.FinishReason != "" {
+			choice.FinishReason = c.FinishReason
+		}
+		if c.Usage != nil {
+			answer.Usage = c.Usage
+		}
+		return nil
+	})
+	choice.Message.Content = text.String()
+	return answer, err
+}
+
+func newChatAnswer(call *contract.Completion, now time.Time) chatAnswer {
+	return chatAnswer{
+		ID:      completionID(call),
+		Object:  "chat.completion",
+		Created: now.Unix(),
+		Model:   call.Service,
+		Choices: []chatChoice{{Message: chatMessage{Role: "assistant"}}},
+	}
+}
+
+func completionID(call *contract.Completion) string { return "chatcmpl-" + call.RequestID }
+
+func (l *Listener) chatWhole(ctx context.Context, w http.ResponseWriter, call *contract.Completion) error {
+	answer, err := l.collect(ctx, call)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, answer)
+	return nil
+}
+
+// chatOnce runs a call under a claim, so that a resend gets the same answer.
+// The answer is stored before the caller sees any of it; a stream therefore
+// starts when the answer is whole.
+func (l *Listener) chatOnce(ctx context.Context, w http.ResponseWriter, call *contract.Completion, key string, content []byte) error {
+	if l.claims == nil {
+		return code.New(code.ClaimUnavailable, "this instance keeps no claims")
+	}
+	claim := Claim{Account: call.Account, Service: call.Service, Key: key, Content: content, Deadline: call.Deadline}
+	stored, err := l.claims.Do(ctx, claim, func(ctx context.Context) (contract.PlainAnswer, error) {
+		answer, err := l.collect(ctx, call)
+		if err != nil {
+			return contract.PlainAnswer{}, err
+		}
+		body, err := json.Marshal(answer)
+		if err != nil {
+			return contract.PlainAnswer{}, code.Wrap(code.Internal, err, "the answer could not be encoded")
+		}
+		return contract.PlainAnswer{Status: http.StatusOK, Body: body}, nil
+	})
+	if err != nil {
+		return err
+	}
+	if !call.Chat.Stream {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(stored.Status)
+		_, _ = w.Write(stored.Body)
+		return nil
+	}
+	return replay(w, call, stored.Body)
+}
--- /dev/null
+++ b/caller/listener.go
@@ -0,0 +1,239 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"runtime/debug"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+)
+
+// Options of a Listener. Document and Dispatcher are required.
+type Options struct {
+	// Document returns the configuration in force, or nil before the first.
+	Document func() *contract.Document
+	// Dispatcher runs the calls.
+	Dispatcher Dispatcher
+	// Claims keeps work that may run at most once; nil refuses such work.
+	Claims Claims
+	// Endpoints answers GET /v1/endpoints; nil answers NotFound.
+	Endpoints http.Handler
+	// Batches answers /v1/batches and everything below; nil answers NotFound.
+	Batches http.Handler
+	// Stopped reports whether the instance takes no more requests.
+	Stopped func() bool
+	// Logger may be nil.
+	Logger *zap.Logger
+	// Registerer may be nil.
+	Registerer prometheus.Registerer
+}
+
+// Listener answers callers. It is safe for concurrent use.
+type Listener struct {
+	dispatcher Dispatcher
+	claims     Claims
+	accounts   *accounts
+	stopped    func() bool
+	log        *zap.Logger
+	metrics    *metrics
+	inFlight   atomic.Int64
+	mux        *http.ServeMux
+}
+
+// handler answers a request or returns the error to write.
+type handler func(w http.ResponseWriter, r *http.Request) error
+
+// NewListener returns a Listener with all its routes.
+func NewListener(o Options) *Listener {
+	l := &Listener{
+		dispatcher: o.Dispatcher,
+		claims:     o.Claims,
+		accounts:   &accounts{document: o.Document},
+		stopped:    o.Stopped,
+		log:        o.Logger,
+		metrics:    newMetrics(o.Registerer),
+		mux:        http.NewServeMux(),
+	}
+	if l.log == nil {
+		l.log = zap.NewNop()
+	}
+	if l.stopped == nil {
+		l.stopped = func() bool { return false }
+	}
+	l.routes(o)
+	return l
+}
+
+func (l *Listener) routes(o Options) {
+	l.handle("POST /v1/chat/completions", "chat", l.counted(l.chat))
+	l.handle("GET /v1/models", "models", l.models)
+	l.handle("GET /v1/models/{model}", "models", l.model)
+	l.handle("GET /v1/results/{service}/{key}", "results", l.result)
+	l.handle("/s/{service}/", "plain", l.counted(l.plain))
+	l.mount("/v1/endpoints", "endpoints", o.Endpoints)
+	l.mount("/v1/batches", "batches", o.Batches)
+	l.mount("/v1/batches/", "batches", o.Batches)
+	l.handle("/v1/chat/completions", "chat", methodNotAllowed(http.MethodPost))
+	l.handle("/v1/models", "models", methodNotAllowed(http.MethodGet))
+	l.handle("/", "other", func(http.ResponseWriter, *http.Request) error {
+		return code.New(code.NotFound, "no such path")
+	})
+}
+
+// mount adds a handler of another part behind the checks of this one.
+func (l *Listener) mount(pattern, route string, h http.Handler) {
+	if h == nil {
+		return
+	}
+	l.handle(pattern, route, func(w http.ResponseWriter, r *http.Request) error {
+		h.ServeHTTP(w, r)
+		return nil
+	})
+}
+
+func methodNotAllowed(allowed string) handler {
+	return func(w http.ResponseWriter, r *http.Request) error {
+		w.Header().Set("Allow", allowed)
+		return code.New(code.MethodNotAllowed, "use %s", allowed)
+	}
+}
+
+// handle adds a route behind identification and error reporting.
+func (l *Listener) handle(pattern, route string, h handler) {
+	l.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		start := time.Now()
+		id := &Identity{RequestID: requestID(r)}
+		r = withIdentity(r, id)
+		w.Header().Set(HeaderRequestID, id.RequestID)
+		err := l.admit(w, r, id, h)
+		l.finish(w, r, route, start, err)
+	})
+}
+
+func (l *Listener) admit(w http.ResponseWriter, r *http.Request, id *Identity, h handler) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			l.log.Error("panic in handler", zap.String("request_id", id.RequestID), zap.Any("panic", p), zap.ByteString("stack", debug.Stack()))
+			err = code.New(code.Internal, "internal error")
+		}
+	}()
+	if l.stopped() {
+		return code.New(code.Draining, "the instance is stopping").WithRetryAfter(retryHint)
+	}
+	if err := checkHeaders(r.Header); err != nil {
+		return err
+	}
+	id.index = l.accounts.current()
+	if id.index.document == nil {
+		return code.New(code.NoConfiguration, "the instance has no configuration yet").WithRetryAfter(retryHint)
+	}
+	id.Account, err = id.index.identify(r)
+	if err != nil {
+		return err
+	}
+	return h(w, r)
+}
+
+// counted bounds the requests in flight of an account.
+func (l *Listener) counted(h handler) handler {
+	return func(w http.ResponseWriter, r *http.Request) error {
+		id := IdentityOf(r)
+		leave, err := l.accounts.enter(id.index.document, id.Account)
+		if err != nil {
+			return err
+		}
+		defer leave()
+		l.inFlight.Add(1)
+		defer l.inFlight.Add(-1)
+		return h(w, r)
+	}
+}
+
+// finish writes and records the result of a request.
+func (l *Listener) finish(w http.ResponseWriter, r *http.Request, route string, start time.Time, err error) {
+	err = classify(r.Context(), err)
+	number := code.Of(err)
+	l.metrics.observe(route, number, time.Since(start))
+	l.logRequest(r, route, start, err)
+	var sent *sentError
+	if err == nil || errors.As(err, &sent) {
+		return
+	}
+	WriteError(w, r, err)
+}
+
+// classify gives context errors their numbers.
+func classify(ctx context.Context, err error) error {
+	if err == nil || code.Of(err) != code.Internal {
+		return err
+	}
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return code.Wrap(code.DeadlineExceeded, err, "the answer was not whole at the deadline")
+	case ctx.Err() != nil:
+		return code.Wrap(code.CallerGone, err, "the caller closed the connection")
+	}
+	return err
+}
+
+func (l *Listener) logRequest(r *http.Request, route string, start time.Time, err error) {
+	level := zap.DebugLevel
+	if code.Of(err) == code.Internal {
+		level = zap.ErrorLevel
+	}
+	entry := l.log.Check(level, "request")
+	if entry == nil {
+		return
+	}
+	id := IdentityOf(r)
+	entry.Write(
+		zap.String("request_id", id.RequestID),
+		zap.String("account", id.Account),
+		zap.String("route", route),
+		zap.Int("number", int(code.Of(err))),
+		zap.Duration("took", time.Since(start)),
+		zap.Error(err),
+	)
+}
+
+// ServeHTTP implements http.Handler.
+func (l *Listener) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.mux.ServeHTTP(w, r) }
+
+// InFlight returns the number of calls that have not been answered.
+func (l *Listener) InFlight() int { return int(l.inFlight.Load()) }
+
+// AccountState is one account in the state dump.
+type AccountState struct {
+	Account  string `json:"account"`
+	InFlight int64  `json:"in_flight"`
+}
+
+// State is the listener's part of the state dump.
+type State struct {
+	InFlight int64          `json:"in_flight"`
+	Accounts []AccountState `json:"accounts"`
+}
+
+// State returns a snapshot for the state dump, accounts in order of their ids.
+func (l *Listener) State() State {
+	s := State{InFlight: l.inFlight.Load(), Accounts: []AccountState{}}
+	l.accounts.inFlight.Range(func(id, count any) bool {
+		s.Accounts = append(s.Accounts, AccountState{Account: id.(string), InFlight: count.(*atomic.Int64).Load()})
+		return true
+	})
+	slices.SortFunc(s.Accounts, func(a, b AccountState) int {
+		if a.Account < b.Account {
+			return -1
+		}
+		return 1
+	})
+	return s
+}
