Hold the callers' listener to numbered errors, and add the operators' listener

Cause: bad input, slow senders and broken streams must each end in a numbered error, and operators need a listener of their own.

--- a/caller/listener.go
+++ b/caller/listener.go
@@ -167,7 +167,7 @@
 	if err == nil || errors.As(err, &sent) {
 		return
 	}
-	WriteError(w, r, err)
+	code.WriteHTTP(w, IdentityOf(r).RequestID, err)
 }
 
 // classify gives context errors their numbers.
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -106,7 +106,7 @@
 
 // fail ends a started stream with a numbered error and without the end mark.
 func (s *eventStream) fail(requestID string, err error) {
-	_ = sendEvent(s, newErrorBody(requestID, code.From(err)))
+	_ = sendEvent(s, code.NewBody(requestID, code.From(err)))
 }
 
 func sendEvent[T any](s *eventStream, body T) error {
--- /dev/null
+++ b/operator/operator.go
@@ -0,0 +1,148 @@
+// Package operator is the listener for operators: identification by named
+// keys, liveness and readiness, metrics, the state dump, and the mounted
+// handlers of the parts that operators control. It never answers callers.
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/code"
+)
+
+// Key lets one operator in.
+type Key struct {
+	// Name is recorded with every change that the operator makes.
+	Name string `json:"name"`
+	// SHA256 is the lower-case hexadecimal sum of the key.
+	SHA256 string `json:"sha256"`
+}
+
+// Options of a Listener.
+type Options struct {
+	// Keys of the operators; without any, only liveness and readiness answer.
+	Keys []Key
+	// Ready returns nil when the instance serves callers.
+	Ready func() error
+	// State writes the state dump as JSON.
+	State func() ([]byte, error)
+	// Gatherer supplies the metrics.
+	Gatherer prometheus.Gatherer
+	// Mounts are further handlers by pattern, behind identification.
+	Mounts map[string]http.Handler
+	// Logger may be nil.
+	Logger *zap.Logger
+}
+
+// Listener answers operators. It is safe for concurrent use.
+type Listener struct {
+	options Options
+	log     *zap.Logger
+	mux     *http.ServeMux
+}
+
+type contextKey int
+
+const nameKey contextKey = 0
+
+// NameOf returns the name of the operator whose key came with the request.
+func NameOf(r *http.Request) string {
+	name, _ := r.Context().Value(nameKey).(string)
+	return name
+}
+
+// NewListener returns a Listener with all its routes.
+func NewListener(o Options) *Listener {
+	l := &Listener{options: o, log: o.Logger, mux: http.NewServeMux()}
+	if l.log == nil {
+		l.log = zap.NewNop()
+	}
+	l.mux.HandleFunc("GET /livez", l.live)
+	l.mux.HandleFunc("GET /readyz", l.ready)
+	l.mux.Handle("GET /metrics", l.identified(promhttp.HandlerFor(o.Gatherer, promhttp.HandlerOpts{})))
+	l.mux.Handle("GET /debug/state", l.identified(http.HandlerFunc(l.dump)))
+	for pattern, h := range o.Mounts {
+		l.mux.Handle(pattern, l.identified(h))
+	}
+	l.mux.Handle("/", l.identified(http.HandlerFunc(notFound)))
+	return l
+}
+
+// ServeHTTP implements http.Handler.
+func (l *Listener) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.mux.ServeHTTP(w, r) }
+
+func (l *Listener) live(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("live\n")) }
+
+func (l *Listener) ready(w http.ResponseWriter, r *http.Request) {
+	if err := l.options.Ready(); err != nil {
+		code.WriteHTTP(w, "", err)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (l *Listener) dump(w http.ResponseWriter, r *http.Request) {
+	state, err := l.options.State()
+	if err != nil {
+		code.WriteHTTP(w, "", err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(state)
+}
+
+func notFound(w http.ResponseWriter, _ *http.Request) {
+	code.WriteHTTP(w, "", code.New(code.NotFound, "no such path"))
+}
+
+// identified lets a request pass when its key is known, and logs what changes
+// something.
+func (l *Listener) identified(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		requestID := uuid.NewString()
+		w.Header().Set("X-Request-ID", requestID)
+		name, ok := l.identify(r)
+		if !ok {
+			code.WriteHTTP(w, requestID, code.New(code.PeerUnauthenticated, "the operator key is missing or not accepted"))
+			return
+		}
+		if r.Method != http.MethodGet {
+			l.log.Info("operator request", zap.String("operator", name), zap.String("method", r.Method), zap.String("path", r.URL.Path), zap.String("request_id", requestID))
+		}
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), nameKey, name)))
+	})
+}
+
+// identify compares with every key, so that the time taken tells nothing.
+func (l *Listener) identify(r *http.Request) (name string, ok bool) {
+	key, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !found {
+		return "", false
+	}
+	sum := sha256.Sum256([]byte(key))
+	given := []byte(hex.EncodeToString(sum[:]))
+	for _, k := range l.options.Keys {
+		if subtle.ConstantTimeCompare(given, []byte(k.SHA256)) == 1 {
+			name, ok = k.Name, true
+		}
+	}
+	return name, ok
+}
+
+// JSON returns a handler that answers GET with the value of get.
+func JSON[T any](get func() T) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(get())
+	})
+}
