Read settings and report every fault at once

Cause: a settings file with three mistakes must be corrected once, not three times; encoding/json stops at the first wrong type, gives a byte offset only, matches names in any case and takes the last of two equal names. Ruled out: json.Decoder.DisallowUnknownFields (first fault only, no field path); a schema language (a second description of the structs). Nesting is bounded before the parser recurses.

--- /dev/null
+++ b/settings/scan.go
@@ -0,0 +1,54 @@
+package settings
+
+import "bytes"
+
+// skipComment returns the offset of the last byte of the comment at i, or i
+// when no comment starts there.
+func skipComment(data []byte, i int) int {
+	rest := data[i:]
+	var end []byte
+	switch {
+	case bytes.HasPrefix(rest, []byte("//")):
+		end = []byte("\n")
+	case bytes.HasPrefix(rest, []byte("/*")):
+		end = []byte("*/")
+	default:
+		return i
+	}
+	n := bytes.Index(rest[2:], end)
+	if n < 0 {
+		return len(data)
+	}
+	return i + 2 + n + len(end) - 1
+}
+
+// tooDeep finds the first bracket that nests too deep. It runs before the
+// parser, which recurses without a bound.
+func tooDeep(data []byte) (offset int, deep bool) {
+	depth := 0
+	for i := 0; i < len(data); i++ {
+		switch data[i] {
+		case '{', '[':
+			if depth++; depth > maxDepth {
+				return i, true
+			}
+		case '}', ']':
+			depth--
+		case '"':
+			i = skipString(data, i)
+		case '/':
+			i = skipComment(data, i)
+		}
+	}
+	return 0, false
+}
+
+// skipString returns the offset of the quote that closes the string at i.
+func skipString(data []byte, i int) int {
+	for i++; i < len(data) && data[i] != '"'; i++ {
+		if data[i] == '\\' {
+			i++
+		}
+	}
+	return i
+}
