Add connections between peers with key, numbered errors and TLS reload

Cause: every peer service needs the same client, key check and certificates.

Ruled out: the default http.Client, which has no bound on a request, follows proxies, and holds a connection whose peer is gone until TCP gives up; and InsecureSkipVerify with a check of our own, since the TLS configuration can be asked for on every dial instead.

Change: link.NewTransport, Authenticate, URL, ServerProtocols, Certificates, Encode and Decode of numbered errors, connect options for both sides.

--- /dev/null
+++ b/link/errors.go
@@ -0,0 +1,148 @@
+package link
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/daisylb/daisylb/code"
+)
+
+// Metadata of an error that carries a number.
+const (
+	numberHeader  = "Daisylb-Number"
+	outcomeHeader = "Daisylb-Outcome"
+	retryHeader   = "Daisylb-Retry-Ms"
+)
+
+// MaxMessageBytes bounds one message between peers.
+const MaxMessageBytes = 4 << 20
+
+// Encode returns err as a connect error that keeps number, outcome and retry
+// hint. The cause stays with the sender.
+func Encode(err error) *connect.Error {
+	e := code.From(err)
+	out := connect.NewError(connectCode(e.Number), errors.New(e.Message))
+	out.Meta().Set(numberHeader, strconv.Itoa(int(e.Number)))
+	out.Meta().Set(outcomeHeader, string(e.Outcome))
+	if e.RetryAfter > 0 {
+		out.Meta().Set(retryHeader, strconv.FormatInt(e.RetryAfter.Milliseconds(), 10))
+	}
+	return out
+}
+
+// Decode returns the numbered error that a peer sent. An error without a
+// number, such as a broken connection, becomes code.PeerUnreachable, whose
+// outcome is unknown. It returns nil for nil.
+func Decode(err error) error {
+	if err == nil {
+		return nil
+	}
+	var numbered *code.Error
+	if errors.As(err, &numbered) {
+		return err
+	}
+	var remote *connect.Error
+	if !errors.As(err, &remote) {
+		return code.Wrap(code.PeerUnreachable, err, "the peer did not answer")
+	}
+	number, parseErr := strconv.Atoi(remote.Meta().Get(numberHeader))
+	if parseErr != nil {
+		return code.Wrap(code.PeerUnreachable, err, "the peer did not answer")
+	}
+	e := code.Wrap(code.Number(number), err, "%s", remote.Message())
+	if o := remote.Meta().Get(outcomeHeader); o != "" {
+		e = e.WithOutcome(code.Outcome(o))
+	}
+	if millis, err := strconv.ParseInt(remote.Meta().Get(retryHeader), 10, 64); err == nil {
+		e = e.WithRetryAfter(time.Duration(millis) * time.Millisecond)
+	}
+	return e
+}
+
+func connectCode(n code.Number) connect.Code {
+	switch code.Describe(n).Status {
+	case http.StatusBadRequest:
+		return connect.CodeInvalidArgument
+	case http.StatusUnauthorized:
+		return connect.CodeUnauthenticated
+	case http.StatusForbidden:
+		return connect.CodePermissionDenied
+	case http.StatusNotFound:
+		return connect.CodeNotFound
+	case http.StatusConflict:
+		return connect.CodeAborted
+	case http.StatusTooManyRequests, http.StatusRequestEntityTooLarge:
+		return connect.CodeResourceExhausted
+	case http.StatusServiceUnavailable, http.StatusBadGateway:
+		return connect.CodeUnavailable
+	}
+	return connect.CodeInternal
+}
+
+// ClientOptions and HandlerOptions bound messages and carry numbered errors;
+// every connect client and handler between peers uses them.
+func ClientOptions() connect.ClientOption {
+	return connect.WithClientOptions(
+		connect.WithInterceptors(decoder{}),
+		connect.WithReadMaxBytes(MaxMessageBytes),
+	)
+}
+
+// HandlerOptions is the counterpart of ClientOptions.
+func HandlerOptions() connect.HandlerOption {
+	return connect.WithHandlerOptions(
+		connect.WithInterceptors(encoder{}),
+		connect.WithReadMaxBytes(MaxMessageBytes),
+		connect.WithCompressMinBytes(1<<10),
+	)
+}
+
+// decoder gives clients numbered errors for unary calls. Streams return connect
+// errors, which the caller passes to Decode.
+type decoder struct{}
+
+func (decoder) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+		answer, err := next(ctx, r)
+		return answer, Decode(err)
+	}
+}
+
+func (decoder) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
+	return next
+}
+
+func (decoder) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
+	return next
+}
+
+// encoder sends the numbered errors of handlers.
+type encoder struct{}
+
+func (encoder) WrapUnary(next connect.UnaryFunc) connect.UnaryFunc {
+	return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+		answer, err := next(ctx, r)
+		if err != nil {
+			return nil, Encode(err)
+		}
+		return answer, nil
+	}
+}
+
+func (encoder) WrapStreamingClient(next connect.StreamingClientFunc) connect.StreamingClientFunc {
+	return next
+}
+
+func (encoder) WrapStreamingHandler(next connect.StreamingHandlerFunc) connect.StreamingHandlerFunc {
+	return func(ctx context.Context, c connect.StreamingHandlerConn) error {
+		if err := next(ctx, c); err != nil {
+			return Encode(err)
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,177 @@
+package link
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"io"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/daisylb/daisylb/code"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// serve starts a listener that answers with the protocol of the request.
+func serve(t *testing.T, keys []string, config *tls.Config) string {
+	t.Helper()
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, r.Proto) })
+	s := httptest.NewUnstartedServer(Authenticate(keys, h))
+	s.Config.Protocols = ServerProtocols()
+	s.TLS = config
+	if config != nil {
+		s.EnableHTTP2 = true
+		s.StartTLS()
+	} else {
+		s.Start()
+	}
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+func get(t *testing.T, o Options, address string) (int, string, error) {
+	t.Helper()
+	c, err := NewTransport(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.CloseIdleConnections()
+	r, err := c.Get(URL(address) + "/x")
+	if err != nil {
+		return 0, "", err
+	}
+	defer r.Body.Close()
+	body, err := io.ReadAll(r.Body)
+	return r.StatusCode, string(body), err
+}
+
+func TestKeyDecidesWhoIsServed(t *testing.T) {
+	address := serve(t, []string{"new", "old", ""}, nil)
+	for _, test := range []struct {
+		key    string
+		status int
+		body   string
+	}{
+		{"new", http.StatusOK, "HTTP/2.0"},
+		{"old", http.StatusOK, "HTTP/2.0"},
+		{"ne", http.StatusUnauthorized, `"number":7001`},
+		{"", http.StatusUnauthorized, `"number":7001`},
+	} {
+		status, body, err := get(t, Options{Key: test.key}, address)
+		if err != nil || status != test.status || !strings.Contains(body, test.body) {
+			t.Errorf("key %q: %d %q %v, want %d %q", test.key, status, body, err, test.status, test.body)
+		}
+	}
+	if status, body, err := get(t, Options{Key: "new", HTTP1: true}, address); status != http.StatusOK || body != "HTTP/1.1" {
+		t.Errorf("HTTP/1.1: %d %q %v", status, body, err)
+	}
+}
+
+func TestWithoutKeysNothingIsServed(t *testing.T) {
+	if status, _, err := get(t, Options{}, serve(t, nil, nil)); status != http.StatusUnauthorized {
+		t.Errorf("status %d, %v", status, err)
+	}
+}
+
+func TestNumberedErrorsCrossTheConnection(t *testing.T) {
+	sent := code.New(code.VersionConflict, "version 7 was accepted first").WithRetryAfter(3 * time.Second)
+	got := Decode(Encode(sent))
+	var e *code.Error
+	if !errors.As(got, &e) || e.Number != sent.Number || e.Outcome != sent.Outcome || e.Message != sent.Message || e.RetryAfter != sent.RetryAfter {
+		t.Errorf("got %#v, want %#v", got, sent)
+	}
+	if n := code.Of(Decode(io.ErrUnexpectedEOF)); n != code.PeerUnreachable {
+		t.Errorf("a broken connection gives %d", n)
+	}
+}
+
+// writeCertificate stores a self-signed certificate for 127.0.0.1.
+func writeCertificate(t *testing.T, dir string, serial int64) CertificateOptions {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := CertificateOptions{CertificateFile: filepath.Join(dir, "cert.pem"), KeyFile: filepath.Join(dir, "key.pem"), AuthorityFile: filepath.Join(dir, "cert.pem")}
+	for path, block := range map[string]*pem.Block{
+		o.CertificateFile: {Type: "CERTIFICATE", Bytes: der},
+		o.KeyFile:         {Type: "EC PRIVATE KEY", Bytes: keyDER},
+	} {
+		if err := os.WriteFile(path, pem.EncodeToMemory(block), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return o
+}
+
+func serial(c *Certificates) int64 { return c.current.Load().pair.Leaf.SerialNumber.Int64() }
+
+func TestCertificatesReloadAndServeBothSides(t *testing.T) {
+	dir := t.TempDir()
+	certs, err := NewCertificates(writeCertificate(t, dir, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := serve(t, []string{"k"}, certs.Server())
+	o := Options{Key: "k", TLS: certs.Client}
+	if _, body, err := get(t, o, address); err != nil || body != "HTTP/2.0" {
+		t.Fatalf("first certificate: %q %v", body, err)
+	}
+	stranger, err := NewCertificates(writeCertificate(t, t.TempDir(), 9))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := get(t, Options{Key: "k", TLS: stranger.Client}, address); err == nil {
+		t.Error("a certificate of another authority was accepted")
+	}
+	if err := os.WriteFile(filepath.Join(dir, "key.pem"), []byte("x"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := certs.Reload(); code.Of(err) != code.InvalidSettings || serial(certs) != 1 {
+		t.Errorf("a bad key gave %v, serial %d in use", err, serial(certs))
+	}
+	writeCertificate(t, dir, 2)
+	if err := certs.Reload(); err != nil || serial(certs) != 2 {
+		t.Fatalf("reload: %v, serial %d", err, serial(certs))
+	}
+	if _, body, err := get(t, o, address); err != nil || body != "HTTP/2.0" {
+		t.Errorf("second certificate: %q %v", body, err)
+	}
+}
+
+func TestDialAndRequestAreBounded(t *testing.T) {
+	stuck := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if _, _, err := get(t, Options{Dial: stuck, RequestTimeout: time.Millisecond}, "127.0.0.1:1"); err == nil {
+		t.Error("a request without an answer ended well")
+	}
+}
--- /dev/null
+++ b/link/transport.go
@@ -0,0 +1,190 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/daisylb/daisylb/code"
+)
+
+// Defaults of Options.
+const (
+	DefaultDialTimeout    = 2 * time.Second
+	DefaultRequestTimeout = 10 * time.Second
+	DefaultIdleTimeout    = 90 * time.Second
+	DefaultIdlePerPeer    = 2
+)
+
+const (
+	// maxIdlePeers bounds the idle connections of one client to all peers.
+	maxIdlePeers = 128
+	// tcpKeepAlive is the interval of keep-alive probes on idle connections.
+	tcpKeepAlive = 30 * time.Second
+	// pingAfterSilence and pingTimeout find an HTTP/2 connection whose peer is
+	// gone without closing it.
+	pingAfterSilence = 15 * time.Second
+	pingTimeout      = 5 * time.Second
+	// maxResponseHeaderBytes bounds the header that a peer may answer with.
+	maxResponseHeaderBytes = 16 << 10
+)
+
+// Options of a client for peers.
+type Options struct {
+	// Key is sent with every request; empty sends none.
+	Key string
+	// TLS returns the TLS configuration of a new connection, for example
+	// Certificates.Client. Nil means cleartext.
+	TLS func() *tls.Config
+	// DialTimeout bounds the connecting, RequestTimeout a whole request with its
+	// answer. Zero means the default; a negative RequestTimeout means no bound
+	// but the context's.
+	DialTimeout    time.Duration
+	RequestTimeout time.Duration
+	// IdleTimeout closes connections that carried no request for that long.
+	IdleTimeout time.Duration
+	// IdlePerPeer bounds the idle HTTP/1.1 connections to one peer. HTTP/2 uses
+	// one connection for each peer.
+	IdlePerPeer int
+	// HTTP1 speaks HTTP/1.1; by default the client speaks HTTP/2 only, in
+	// cleartext without prior upgrade when TLS is nil.
+	HTTP1 bool
+	// Dial replaces the dialler; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+func (o *Options) setDefaults() error {
+	if o.DialTimeout < 0 || o.IdleTimeout < 0 || o.IdlePerPeer < 0 {
+		return code.New(code.InvalidSettings, "a time or bound of the peer connections is negative")
+	}
+	if o.DialTimeout == 0 {
+		o.DialTimeout = DefaultDialTimeout
+	}
+	if o.RequestTimeout == 0 {
+		o.RequestTimeout = DefaultRequestTimeout
+	}
+	if o.IdleTimeout == 0 {
+		o.IdleTimeout = DefaultIdleTimeout
+	}
+	if o.IdlePerPeer == 0 {
+		o.IdlePerPeer = DefaultIdlePerPeer
+	}
+	if o.Dial == nil {
+		dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAlive: tcpKeepAlive}
+		o.Dial = dialer.DialContext
+	}
+	return nil
+}
+
+// NewTransport returns an HTTP client for requests to peers. It is safe for
+// concurrent use; CloseIdleConnections releases its connections. It follows no
+// redirects and uses no proxy. Errors: code.InvalidSettings.
+func NewTransport(o Options) (*http.Client, error) {
+	if err := o.setDefaults(); err != nil {
+		return nil, err
+	}
+	client := &http.Client{
+		Transport:     &keyed{key: o.Key, secure: o.TLS != nil, base: newBase(o)},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	if o.RequestTimeout > 0 {
+		client.Timeout = o.RequestTimeout
+	}
+	return client, nil
+}
+
+func newBase(o Options) *http.Transport {
+	t := &http.Transport{
+		DialContext:            o.Dial,
+		IdleConnTimeout:        o.IdleTimeout,
+		MaxIdleConns:           maxIdlePeers,
+		MaxIdleConnsPerHost:    o.IdlePerPeer,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		DisableCompression:     true,
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingAfterSilence, PingTimeout: pingTimeout},
+		Protocols:              clientProtocols(o.HTTP1),
+	}
+	if o.TLS != nil {
+		t.DialTLSContext = dialTLS(o)
+	}
+	return t
+}
+
+func clientProtocols(http1 bool) *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(http1)
+	p.SetHTTP2(!http1)
+	p.SetUnencryptedHTTP2(!http1)
+	return p
+}
+
+// ServerProtocols returns what a peer listener must accept: HTTP/1.1 and
+// HTTP/2, the latter also in cleartext.
+func ServerProtocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetHTTP2(true)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
+// dialTLS asks for the configuration on every dial, so that reloaded
+// certificates take effect on new connections.
+func dialTLS(o Options) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, o.DialTimeout)
+		defer cancel()
+		raw, err := o.Dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		conn := tls.Client(raw, connectionConfig(o.TLS(), address, o.HTTP1))
+		if err := conn.HandshakeContext(ctx); err != nil {
+			raw.Close()
+			return nil, err
+		}
+		return conn, nil
+	}
+}
+
+func connectionConfig(base *tls.Config, address string, http1 bool) *tls.Config {
+	config := base.Clone()
+	if config.ServerName == "" {
+		if host, _, err := net.SplitHostPort(address); err == nil {
+			config.ServerName = host
+		}
+	}
+	config.NextProtos = []string{"h2"}
+	if http1 {
+		config.NextProtos = []string{"http/1.1"}
+	}
+	return config
+}
+
+// URL returns the base URL of the peer at address, which is IP:port. The
+// client of NewTransport encrypts when it has a TLS configuration.
+func URL(address string) string { return "http://" + address }
+
+// keyed adds the peer key and picks the scheme.
+type keyed struct {
+	key    string
+	secure bool
+	base   *http.Transport
+}
+
+// RoundTrip implements http.RoundTripper.
+func (k *keyed) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	if k.key != "" {
+		r.Header.Set(keyHeader, keyScheme+k.key)
+	}
+	if k.secure {
+		r.URL.Scheme = "https"
+	}
+	return k.base.RoundTrip(r)
+}
+
+// CloseIdleConnections releases connections that carry no request.
+func (k *keyed) CloseIdleConnections() { k.base.CloseIdleConnections() }
