--- /dev/null
+++ b/instance/lifecycle_test.go
@@ -0,0 +1,84 @@
+package instance
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/daisylb/daisylb/code"
+)
+
+func TestLifecycleNeverGoesBack(t *testing.T) {
+	l := NewLifecycle(nil)
+	var seen []State
+	l.OnChange(func(_, to State) { seen = append(seen, to) })
+	for _, step := range []func() error{l.Serve, l.StartDrain, l.StartDrain, l.Stop} {
+		if err := step(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, step := range []func() error{l.Serve, l.StartDrain} {
+		if err := step(); code.Of(err) != code.Draining {
+			t.Errorf("a stopped instance changed its state: %v", err)
+		}
+	}
+	if diff := cmp.Diff([]State{Serving, Draining, Stopped}, seen); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestDrainTakesLateCallersAndFinishesThem has a caller that holds an endpoint
+// answer to its last second. The naive stop, which refuses as soon as it
+// drains, fails the first check.
+func TestDrainTakesLateCallersAndFinishesThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const ttl, work = 30 * time.Second, 90 * time.Second
+		l := NewLifecycle(nil)
+		if err := l.Serve(); err != nil {
+			t.Fatal(err)
+		}
+		var open atomic.Int64
+		done := make(chan DrainResult)
+		go func() {
+			result, err := l.Drain(t.Context(), Drain{AnswerTTL: ttl, InFlight: func() int { return int(open.Load()) }})
+			if err != nil {
+				t.Error(err)
+			}
+			done <- result
+		}()
+		time.Sleep(ttl)
+		if l.State() != Draining || !l.Accepting() {
+			t.Fatalf("a late caller is refused in state %s", l.State())
+		}
+		open.Add(1)
+		time.Sleep(DefaultDrainMargin + time.Second)
+		if l.Accepting() || l.State() != Draining {
+			t.Errorf("accepting %v in state %s after the margin", l.Accepting(), l.State())
+		}
+		time.Sleep(work)
+		if l.State() != Draining {
+			t.Errorf("state %s with an open request", l.State())
+		}
+		open.Add(-1)
+		if result := <-done; result.CutOff != 0 || l.State() != Stopped {
+			t.Errorf("%+v in state %s", result, l.State())
+		}
+	})
+}
+
+func TestDrainIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewLifecycle(nil)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		result, err := l.Drain(ctx, Drain{AnswerTTL: time.Hour, Bound: time.Minute, InFlight: func() int { return 2 }})
+		want := DrainResult{Finished: time.Minute, CutOff: 2}
+		if diff := cmp.Diff(want, result); diff != "" || err != nil || l.State() != Stopped {
+			t.Errorf("%v %s %s", err, l.State(), diff)
+		}
+	})
+}
