--- a/contract/document.go
+++ b/contract/document.go
@@ -53,6 +53,9 @@
 	// DistanceMicroseconds is the one-way latency to other data centres by name.
 	// A missing entry counts as DefaultDistance.
 	DistanceMicroseconds map[string]int `json:"distance_us,omitempty"`
+	// CallerPrefixes are the address ranges, in CIDR form, of callers that are
+	// near this data centre.
+	CallerPrefixes []string `json:"caller_prefixes,omitempty"`
 }
 
 // DefaultDistance is the one-way latency between data centres that have no
--- /dev/null
+++ b/datacentre/distance.go
@@ -0,0 +1,64 @@
+package datacentre
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/daisylb/daisylb/contract"
+)
+
+// Distance returns the one-way latency between two data centres: 0 for the
+// same, the entry of either side in the document, else
+// contract.DefaultDistance. The document may be nil.
+func Distance(d *contract.Document, from, to string) time.Duration {
+	if from == to {
+		return 0
+	}
+	if d != nil {
+		if us, ok := d.DataCentres[from].DistanceMicroseconds[to]; ok {
+			return time.Duration(us) * time.Microsecond
+		}
+		if us, ok := d.DataCentres[to].DistanceMicroseconds[from]; ok {
+			return time.Duration(us) * time.Microsecond
+		}
+	}
+	return contract.DefaultDistance
+}
+
+// Nearest returns the names in the order of their distance from a data centre,
+// equal distances in the order of the names. It leaves names unchanged.
+func Nearest(d *contract.Document, from string, names []string) []string {
+	sorted := slices.Clone(names)
+	slices.SortFunc(sorted, func(a, b string) int {
+		if da, db := Distance(d, from, a), Distance(d, from, b); da != db {
+			return int(da - db)
+		}
+		return strings.Compare(a, b)
+	})
+	return sorted
+}
+
+// Locate returns the data centre whose caller prefixes hold the address, the
+// longest prefix first, or "" when none does. Malformed prefixes are skipped;
+// the check of the configuration refuses them. The document may be nil.
+func Locate(d *contract.Document, address netip.Addr) string {
+	if d == nil || !address.IsValid() {
+		return ""
+	}
+	address = address.Unmap()
+	found, bits := "", -1
+	for name, dc := range d.DataCentres {
+		for _, text := range dc.CallerPrefixes {
+			prefix, err := netip.ParsePrefix(text)
+			if err != nil || !prefix.Contains(address) {
+				continue
+			}
+			if prefix.Bits() > bits || prefix.Bits() == bits && name < found {
+				found, bits = name, prefix.Bits()
+			}
+		}
+	}
+	return found
+}
--- a/link/authenticate.go
+++ b/link/authenticate.go
@@ -71,7 +71,8 @@
 	} `json:"error"`
 }
 
-// WriteError answers a plain HTTP request of a peer or operator with err.
+// WriteError answers a plain HTTP request with err in OpenAI's shape, with the
+// number and the outcome.
 func WriteError(w http.ResponseWriter, err error) {
 	e := code.From(err)
 	d := code.Describe(e.Number)
