Add a stand-in for a model engine

Cause: the dispatch of requests can't be tested or measured without an engine whose answers can be verified. Ruled out: recorded answers, since a stream resumed elsewhere must continue exactly; a sleep per request, since online work beside batch work is harmed by the shared decoding step. Tokens are a function of the messages, and a partial answer is resumed at any byte.

--- /dev/null
+++ b/standin/engine/answer.go
@@ -0,0 +1,85 @@
+package engine
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/daisylb/daisylb/contract"
+)
+
+// vocabulary has words of different lengths, some with characters of several
+// bytes.
+var vocabulary = [...]string{
+	" plaza", " permiso", " renovación", " alfombra", " ruta", " sí", " mañana", " €120",
+	" portal", " recoger", " niño", " ഇന്ന്", " carta", " turno", " 靴", " lista",
+}
+
+// bytesPerToken is the length of a prompt token.
+const bytesPerToken = 4
+
+// Token returns token number index of the answer to messages.
+func Token(messages []contract.Message, index int) string {
+	return tokenOf(seed(messages), index)
+}
+
+// Answer returns the first n tokens of the answer to messages.
+func Answer(messages []contract.Message, n int) string {
+	var b strings.Builder
+	s := seed(messages)
+	for i := range n {
+		b.WriteString(tokenOf(s, i))
+	}
+	return b.String()
+}
+
+func tokenOf(seed uint64, index int) string {
+	x := seed + uint64(index)*0x9e3779b97f4a7c15
+	x ^= x >> 31
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 29
+	return vocabulary[x%uint64(len(vocabulary))]
+}
+
+func seed(messages []contract.Message) uint64 {
+	d := xxhash.New()
+	for _, m := range messages {
+		hashMessage(d, m)
+	}
+	return d.Sum64()
+}
+
+func hashMessage(d *xxhash.Digest, m contract.Message) {
+	_, _ = d.WriteString(m.Role)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(m.Content)
+	_, _ = d.Write([]byte{0})
+}
+
+// resumePoint returns the index of the token that follows partial, and the
+// part of that token which partial already has. It reports false when partial
+// is not the beginning of the answer.
+func resumePoint(seed uint64, partial string) (index int, have int, ok bool) {
+	for partial != "" {
+		token := tokenOf(seed, index)
+		if len(partial) < len(token) {
+			return index, len(partial), strings.HasPrefix(token, partial)
+		}
+		if !strings.HasPrefix(partial, token) {
+			return 0, 0, false
+		}
+		partial = partial[len(token):]
+		index++
+	}
+	return index, 0, true
+}
+
+// contentText returns a message's content when it is a plain string.
+func contentText(m contract.Message) (string, bool) {
+	var s string
+	if err := json.Unmarshal(m.Content, &s); err != nil {
+		return "", false
+	}
+	return s, true
+}
