Add a dispatcher that brings back whole answers or numbered errors

Cause: the caller listener and the batch workers need a way to the upstreams. Ruled out: kept connections for calls that may run once: net/http repeats a request that has an Idempotency-Key when a kept connection breaks, unasked. A proxy that copies bytes, since a stream that ends early would look whole. Change: Dispatcher with Complete, Call, Run, State and InFlight. It always streams, checks whose chunk it reads and that the answer has a finish reason and [DONE], resumes a broken stream elsewhere, keeps batch to spare slots and cancels a batch attempt when online needs its slot. Online, batch, reports and calls that may run once use separate connections. A stream killed after 5 of 30 tokens gives the same bytes as an undisturbed one.

--- /dev/null
+++ b/upstream/fleet.go
@@ -0,0 +1,110 @@
+package upstream
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/daisylb/daisylb/contract"
+)
+
+// fleet is the immutable view of one document: which upstreams this instance
+// uses for which service.
+type fleet struct {
+	document *contract.Document
+	pools    map[string]*pool
+	targets  map[string]*target
+}
+
+// pool is one service and the subset of its upstreams that this instance uses.
+// Targets and the fields of the document are immutable; the rest is guarded by
+// the scheduler.
+type pool struct {
+	name    string
+	service contract.Service
+	targets []*target
+}
+
+// buildFleet derives a fleet from a document. Targets and pools that go on
+// keep their identity, and with it what was observed.
+func buildFleet(old *fleet, document *contract.Document, o Options) *fleet {
+	f := &fleet{document: document, pools: map[string]*pool{}, targets: map[string]*target{}}
+	if document == nil {
+		return f
+	}
+	members := map[string][]string{}
+	for id, u := range document.Upstreams {
+		for _, s := range u.Services {
+			members[s] = append(members[s], id)
+		}
+	}
+	for name, service := range document.Services {
+		p := &pool{name: name, service: service}
+		for _, id := range subset(members[name], o.InstanceID, o.SubsetSize) {
+			p.targets = append(p.targets, f.target(old, id, document, o))
+		}
+		f.pools[name] = p
+	}
+	return f
+}
+
+// target returns the target of an upstream; a changed address makes a new one.
+func (f *fleet) target(old *fleet, id string, document *contract.Document, o Options) *target {
+	if t, ok := f.targets[id]; ok {
+		return t
+	}
+	u := document.Upstreams[id]
+	t, ok := old.targets[id]
+	if !ok || t.address != u.Address {
+		t = newTarget(id, u.Address)
+	}
+	f.targets[id] = t
+	t.setContract(&terms{u, distance(document, o.DataCentre, u.DataCentre), servesModel(document, u)})
+	return t
+}
+
+func servesModel(document *contract.Document, u contract.Upstream) bool {
+	return slices.ContainsFunc(u.Services, func(name string) bool {
+		return document.Services[name].Kind == contract.KindModel
+	})
+}
+
+func distance(document *contract.Document, from, to string) time.Duration {
+	if from == to {
+		return 0
+	}
+	if us, ok := document.DataCentres[from].DistanceMicroseconds[to]; ok {
+		return time.Duration(us) * time.Microsecond
+	}
+	return contract.DefaultDistance
+}
+
+// subset returns at most size of the ids by rendezvous hashing, sorted, so
+// that a lost upstream changes one member only.
+func subset(ids []string, instanceID string, size int) []string {
+	type ranked struct {
+		id   string
+		rank uint64
+	}
+	list := make([]ranked, len(ids))
+	for i, id := range ids {
+		list[i] = ranked{id, xxhash.Sum64String(instanceID + "\x00" + id)}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		if a.rank != b.rank {
+			if a.rank < b.rank {
+				return -1
+			}
+			return 1
+		}
+		return 0
+	})
+	list = list[:min(len(list), size)]
+	chosen := make([]string, len(list))
+	for i, r := range list {
+		chosen[i] = r.id
+	}
+	slices.Sort(chosen)
+	return chosen
+}
--- /dev/null
+++ b/upstream/links.go
@@ -0,0 +1,44 @@
+package upstream
+
+import (
+	"net"
+	"net/http"
+	"time"
+)
+
+const (
+	dialTimeout         = 2 * time.Second
+	idleConnTimeout     = 90 * time.Second
+	idleConnsPerAddress = 64
+)
+
+// links holds separate connections for each purpose, so that online work never
+// waits behind batch work for a connection.
+type links struct {
+	online *http.Transport
+	batch  *http.Transport
+	// once opens a connection for each call. A kept connection would let the
+	// HTTP library send a request with an idempotency key a second time.
+	once    *http.Transport
+	reports *http.Transport
+}
+
+func newLinks(template *http.Transport) links {
+	if template == nil {
+		template = &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost: idleConnsPerAddress,
+			IdleConnTimeout:     idleConnTimeout,
+			DisableCompression:  true,
+		}
+	}
+	l := links{template.Clone(), template.Clone(), template.Clone(), template.Clone()}
+	l.once.DisableKeepAlives = true
+	return l
+}
+
+func (l *links) closeIdle() {
+	for _, t := range []*http.Transport{l.online, l.batch, l.once, l.reports} {
+		t.CloseIdleConnections()
+	}
+}
--- /dev/null
+++ b/upstream/upstream_test.go
@@ -0,0 +1,163 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/standin/engine"
+)
+
+// bench is a dispatcher before a few stand-in engines on loopback.
+type bench struct {
+	*Dispatcher
+	document *contract.Document
+	engines  []*engine.Engine
+	stop     func()
+}
+
+// fastEngine has steps as short as the timers allow.
+var fastEngine = engine.Options{MaxRunning: 8, StepBase: time.Millisecond, ReportLag: 10 * time.Millisecond}
+
+func newBench(t testing.TB, n int, eo engine.Options, change func(*Options, *contract.Document)) *bench {
+	t.Helper()
+	b := &bench{document: testDocument()}
+	var servers []*httptest.Server
+	for i := range n {
+		e, err := engine.New(eo)
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := httptest.NewServer(e)
+		servers = append(servers, server)
+		b.engines = append(b.engines, e)
+		b.document.Upstreams[fmt.Sprintf("u%02d", i)] = contract.Upstream{
+			Address: server.Listener.Addr().String(), DataCentre: "a", Services: []string{"chat"}, Slots: eo.MaxRunning,
+		}
+	}
+	o := Options{Document: func() *contract.Document { return b.document }, DataCentre: "a", Seed: 1, PollInterval: 20 * time.Millisecond}
+	if change != nil {
+		change(&o, b.document)
+	}
+	d, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Dispatcher = d
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = d.Run(ctx)
+	}()
+	b.stop = func() {
+		cancel()
+		<-done
+		for i, e := range b.engines {
+			e.Close()
+			servers[i].CloseClientConnections()
+			servers[i].Close()
+		}
+	}
+	t.Cleanup(b.stop)
+	return b
+}
+
+func testDocument() *contract.Document {
+	return &contract.Document{
+		Version:     1,
+		Preset:      "normal",
+		Presets:     map[string]contract.Preset{"normal": {BatchShare: 1, HeadroomSlots: 1, AdmitOnline: true, HedgeShare: 0.05}},
+		DataCentres: map[string]contract.DataCentre{"a": {}},
+		Services:    map[string]contract.Service{"chat": {Kind: contract.KindModel, Model: "m", Idempotent: true}},
+		Upstreams:   map[string]contract.Upstream{},
+		Accounts:    map[string]contract.Account{"acme": {Weight: 1}},
+		Limits:      contract.Limits{MaxAnswerBytes: 1 << 20, RetryShare: 0.1},
+	}
+}
+
+func call(class contract.Class, prompt string, tokens int) *contract.Completion {
+	content, _ := json.Marshal(prompt)
+	return &contract.Completion{
+		RequestID: prompt, Account: "acme", Service: "chat", Class: class,
+		Deadline: time.Now().Add(20 * time.Second),
+		Chat: contract.ChatRequest{
+			Model: "chat", MaxTokens: tokens,
+			Messages: []contract.Message{{Role: "user", Content: content}},
+			Extra:    map[string]json.RawMessage{"ignore_eos": json.RawMessage("true")},
+		},
+	}
+}
+
+// collect returns a sink that gathers the answer.
+func collect(text *strings.Builder) contract.ChunkSink {
+	return func(c contract.Chunk) error {
+		text.WriteString(c.Text)
+		return nil
+	}
+}
+
+// complete runs a call and checks its answer byte by byte.
+func (b *bench) complete(t testing.TB, c *contract.Completion) {
+	t.Helper()
+	var text strings.Builder
+	if err := b.Complete(context.Background(), c, collect(&text)); err != nil {
+		t.Errorf("%s: %v", c.RequestID, err)
+		return
+	}
+	if want := engine.Answer(c.Chat.Messages, c.Chat.MaxTokens); text.String() != want {
+		t.Errorf("%s: got %q, want %q", c.RequestID, text.String(), want)
+	}
+}
+
+func TestKilledStreamIsResumedElsewhereWithTheSameAnswer(t *testing.T) {
+	b := newBench(t, 3, fastEngine, nil)
+	for _, e := range b.engines {
+		e.SetFaults(engine.Faults{KillAfter: 5, KillTimes: 1})
+	}
+	b.complete(t, call(contract.Online, "killed", 30))
+	resumed := int64(0)
+	for _, e := range b.engines {
+		resumed += e.Counts().Resumed
+	}
+	if resumed == 0 {
+		t.Error("no stream was killed and resumed")
+	}
+}
+
+// A kept connection that breaks makes net/http repeat a request which has an
+// idempotency key, so the first call here leaves one behind.
+func TestCallThatIsNotIdempotentIsDispatchedOnce(t *testing.T) {
+	received := make(chan string, 10)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		received <- r.URL.Path
+		if r.URL.Path == "/break" {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	b := newBench(t, 0, fastEngine, func(_ *Options, d *contract.Document) {
+		d.Services["pickup"] = contract.Service{Kind: contract.KindPlain}
+		d.Upstreams["p1"] = contract.Upstream{Address: server.Listener.Addr().String(), Services: []string{"pickup"}, Slots: 4}
+	})
+	ask := func(path string) error {
+		_, err := b.Call(context.Background(), &contract.PlainCall{Service: "pickup", Method: http.MethodPost, Path: path, IdempotencyKey: "k"})
+		return err
+	}
+	if err := ask("/fine"); err != nil {
+		t.Fatal(err)
+	}
+	if err := ask("/break"); code.Of(err) != code.OutcomeUnknown {
+		t.Errorf("got %v, want %d", err, code.OutcomeUnknown)
+	}
+	if n := len(received); n != 2 {
+		t.Errorf("dispatched %d requests, want 2", n)
+	}
+}
