Serve a request end to end with one command

Cause: a newcomer needs an answer without set-up, and every later part stands on the whole path. Ruled out: a mode inside the daemon; dev is a library that embeds the daemon and the stand-ins, so the daemon stays free of scaffolding.

--- /dev/null
+++ b/daemon/log.go
@@ -0,0 +1,23 @@
+package daemon
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/code"
+)
+
+// NewLogger returns the logger that the settings describe; it writes to
+// standard error.
+func NewLogger(s LogSettings) (*zap.Logger, error) {
+	level, err := zap.ParseAtomicLevel(s.Level)
+	if err != nil {
+		return nil, code.Wrap(code.InvalidSettings, err, "log level %q", s.Level)
+	}
+	config := zap.NewProductionConfig()
+	config.Level = level
+	config.Sampling = nil
+	config.Encoding = s.Format
+	config.EncoderConfig.EncodeTime = zap.NewProductionEncoderConfig().EncodeTime
+	config.DisableStacktrace = true
+	return config.Build()
+}
--- /dev/null
+++ b/daemon/settings.go
@@ -0,0 +1,190 @@
+package daemon
+
+import (
+	"encoding/hex"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/operator"
+	"github.com/daisylb/daisylb/settings"
+)
+
+// Settings of one instance, read once at start. What can change while the
+// instance runs is in the configuration document.
+type Settings struct {
+	// ID names the instance in logs and peer messages; empty draws one from the
+	// data centre and a random part.
+	ID string `json:"id"`
+	// DataCentre is a name of the configuration document; required.
+	DataCentre string `json:"data_centre"`
+	// Callers, Peers and Operators are the three listeners; all are required.
+	Callers   ListenerSettings `json:"callers"`
+	Peers     ListenerSettings `json:"peers"`
+	Operators ListenerSettings `json:"operators"`
+	// PeerKeys are accepted from peers; the first is sent to them. At least one.
+	PeerKeys []string `json:"peer_keys"`
+	// OperatorKeys let operators in by name.
+	OperatorKeys []operator.Key `json:"operator_keys"`
+	// Platform is where the table, the objects and the instance list are.
+	Platform PlatformSettings `json:"platform"`
+	// Drain bounds a planned stop.
+	Drain DrainSettings `json:"drain"`
+	// Log is what is written to standard error.
+	Log LogSettings `json:"log"`
+}
+
+// ListenerSettings describe one listener.
+type ListenerSettings struct {
+	// Address is IP:port to listen on.
+	Address string `json:"address"`
+	// Advertise is the IP:port that others are told; empty means Address.
+	Advertise string `json:"advertise"`
+	// TLS is absent for cleartext.
+	TLS *TLSSettings `json:"tls"`
+}
+
+// TLSSettings name PEM files, which are read again when they change.
+type TLSSettings struct {
+	CertificateFile string `json:"certificate_file"`
+	KeyFile         string `json:"key_file"`
+	// AuthorityFile, when named, makes certificates of the other side required.
+	AuthorityFile string `json:"authority_file"`
+}
+
+// PlatformSettings describe the platform's service.
+type PlatformSettings struct {
+	// URL is http:// or https:// with IP and port.
+	URL string `json:"url"`
+	// Timeout bounds one operation; default "5s", at most "1m".
+	Timeout time.Duration `json:"timeout"`
+	// OperationsPerSecond is the rate of the platform's store for all instances
+	// together; default 1500.
+	OperationsPerSecond float64 `json:"operations_per_second"`
+}
+
+// DrainSettings bound a planned stop.
+type DrainSettings struct {
+	// Margin is waited on top of the endpoint answers' lifetime; default "15s".
+	Margin time.Duration `json:"margin"`
+	// Bound is the longest wait for open requests; default "10m".
+	Bound time.Duration `json:"bound"`
+}
+
+// LogSettings describe the log.
+type LogSettings struct {
+	// Level is debug, info, warn or error; default info.
+	Level string `json:"level"`
+	// Format is json or console; default json.
+	Format string `json:"format"`
+}
+
+// Defaults and bounds of Settings.
+const (
+	defaultPlatformTimeout       = 5 * time.Second
+	maxPlatformTimeout           = time.Minute
+	defaultStoreRate             = 1500
+	maxStoreRate                 = 1e6
+	defaultDrainMargin           = 15 * time.Second
+	defaultDrainBound            = 10 * time.Minute
+	maxDrain                     = 24 * time.Hour
+	minPeerKeyBytes              = 16
+	hexBytesOfSHA256             = 64
+	maxSettingsBytes       int64 = 1 << 20
+)
+
+// Default returns the settings before a file is read.
+func Default() Settings {
+	return Settings{
+		Platform: PlatformSettings{Timeout: defaultPlatformTimeout, OperationsPerSecond: defaultStoreRate},
+		Drain:    DrainSettings{Margin: defaultDrainMargin, Bound: defaultDrainBound},
+		Log:      LogSettings{Level: "info", Format: "json"},
+	}
+}
+
+// Load reads a settings file. All faults are reported at once under
+// code.InvalidSettings.
+func Load(path string) (Settings, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return Settings{}, code.Wrap(code.InvalidSettings, err, "%s cannot be read: %v", path, err)
+	}
+	if info.Size() > maxSettingsBytes {
+		return Settings{}, code.New(code.InvalidSettings, "%s has %d bytes, at most %d are allowed", path, info.Size(), maxSettingsBytes)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, code.Wrap(code.InvalidSettings, err, "%s cannot be read: %v", path, err)
+	}
+	return Parse(path, data)
+}
+
+// Parse reads settings from text; name stands for it in faults.
+func Parse(name string, data []byte) (Settings, error) {
+	s := Default()
+	if err := settings.Decode(name, data, &s).Err(); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
+// Check implements settings.Rules.
+func (s *Settings) Check(c *settings.Checker) {
+	c.Field("data_centre").Expect(s.DataCentre != "", "is missing, expected the name of a data centre")
+	seen := map[string]string{}
+	checkListener(c.Field("callers"), s.Callers, "callers", seen)
+	checkListener(c.Field("peers"), s.Peers, "peers", seen)
+	checkListener(c.Field("operators"), s.Operators, "operators", seen)
+	c.Field("peer_keys").Expect(len(s.PeerKeys) > 0, "is missing, expected at least one key")
+	for i, key := range s.PeerKeys {
+		c.Field("peer_keys").Index(i).Expect(len(key) >= minPeerKeyBytes, "has %d characters, expected at least %d", len(key), minPeerKeyBytes)
+	}
+	for i, key := range s.OperatorKeys {
+		checkOperatorKey(c.Field("operator_keys").Index(i), key)
+	}
+	checkPlatform(c.Field("platform"), s.Platform)
+	settings.Between(c.Field("drain").Field("margin"), s.Drain.Margin, 0, maxDrain)
+	settings.Between(c.Field("drain").Field("bound"), s.Drain.Bound, 0, maxDrain)
+	settings.OneOf(c.Field("log").Field("level"), s.Log.Level, "debug", "info", "warn", "error")
+	settings.OneOf(c.Field("log").Field("format"), s.Log.Format, "json", "console")
+}
+
+// checkListener refuses two listeners on one address; seen maps addresses to
+// listeners.
+func checkListener(c *settings.Checker, l ListenerSettings, name string, seen map[string]string) {
+	if checkAddress(c.Field("address"), l.Address) && !ephemeral(l.Address) {
+		other, taken := seen[l.Address]
+		c.Field("address").Expect(!taken, "found %q, which is also the address of %q", l.Address, other)
+		seen[l.Address] = name
+	}
+	if l.Advertise != "" {
+		checkAddress(c.Field("advertise"), l.Advertise)
+	}
+	if l.TLS != nil {
+		c.Field("tls").Field("certificate_file").Expect(l.TLS.CertificateFile != "", "is missing, expected a PEM file")
+		c.Field("tls").Field("key_file").Expect(l.TLS.KeyFile != "", "is missing, expected a PEM file")
+	}
+}
+
+func checkAddress(c *settings.Checker, address string) bool {
+	_, err := netip.ParseAddrPort(address)
+	return c.Expect(err == nil, "found %q, expected IP:port", address)
+}
+
+func ephemeral(address string) bool {
+	a, err := netip.ParseAddrPort(address)
+	return err == nil && a.Port() == 0
+}
+
+func checkOperatorKey(c *settings.Checker, key operator.Key) {
+	c.Field("name").Expect(key.Name != "", "is missing, expected the operator's name")
+	_, err := hex.DecodeString(key.SHA256)
+	c.Field("sha256").Expect(err == nil && len(key.SHA256) == hexBytesOfSHA256, "expected %d hexadecimal digits", hexBytesOfSHA256)
+}
+
+func checkPlatform(c *settings.Checker, p PlatformSettings) {
+	c.Field("url").Expect(p.URL != "", "is missing, expected http://IP:port")
+	settings.Between(c.Field("timeout"), p.Timeout, time.Millisecond, maxPlatformTimeout)
+	settings.Between(c.Field("operations_per_second"), p.OperationsPerSecond, 1, maxStoreRate)
+}
--- /dev/null
+++ b/standin/standin.go
@@ -0,0 +1,172 @@
+// Package standin starts small stand-ins for the platform and the upstreams
+// from one settings file: a platform, model engines and plain services, each on
+// an address of its own. Tests, the dev command and cmd/standin use it; it is
+// not for production.
+package standin
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/daisylb/daisylb/code"
+	store "github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/settings"
+	"github.com/daisylb/daisylb/standin/engine"
+	"github.com/daisylb/daisylb/standin/platform"
+)
+
+// Settings name the stand-ins to start. Addresses are IP:port on the loopback.
+type Settings struct {
+	// Platform is absent when none is to be started.
+	Platform *Platform `json:"platform"`
+	// Engines and Services are upstreams.
+	Engines  []Engine  `json:"engines"`
+	Services []Service `json:"services"`
+}
+
+// Platform is the stand-in of the platform.
+type Platform struct {
+	Address string `json:"address"`
+	// Instances is the platform's instance list.
+	Instances []store.ListedInstance `json:"instances"`
+}
+
+// Engine is the stand-in of a model engine.
+type Engine struct {
+	Address string `json:"address"`
+	// Slots is the size of the running batch; default 16.
+	Slots int `json:"slots"`
+	// Step is the time of a decoding step of an empty batch; default "2ms".
+	Step time.Duration `json:"step"`
+	// AnswerTokens is the length of answers that end by themselves; default 32.
+	AnswerTokens int `json:"answer_tokens"`
+	// ReportLag is the least age of a load report; default "500ms".
+	ReportLag time.Duration `json:"report_lag"`
+}
+
+// Service is the stand-in of a plain service.
+type Service struct {
+	Address string `json:"address"`
+}
+
+// Check implements settings.Rules.
+func (s *Settings) Check(c *settings.Checker) {
+	if s.Platform != nil {
+		checkAddress(c.Field("platform").Field("address"), s.Platform.Address)
+	}
+	for i, e := range s.Engines {
+		checkAddress(c.Field("engines").Index(i).Field("address"), e.Address)
+	}
+	for i, e := range s.Services {
+		checkAddress(c.Field("services").Index(i).Field("address"), e.Address)
+	}
+}
+
+func checkAddress(c *settings.Checker, address string) {
+	a, err := netip.ParseAddrPort(address)
+	c.Expect(err == nil && a.Addr().IsLoopback(), "found %q, expected IP:port on the loopback", address)
+}
+
+// Group is a set of running stand-ins.
+type Group struct {
+	// Store is the platform's memory, or nil.
+	Store *memory.Store
+	// PlatformAddress, EngineAddresses and ServiceAddresses are where the
+	// stand-ins listen, in the order of the settings.
+	PlatformAddress  string
+	EngineAddresses  []string
+	ServiceAddresses []string
+	// Engines are in the order of the settings.
+	Engines []*engine.Engine
+
+	servers []*http.Server
+	failed  chan error
+}
+
+// Start starts every stand-in of the settings.
+func Start(s Settings) (*Group, error) {
+	g := &Group{failed: make(chan error, 1+len(s.Engines)+len(s.Services))}
+	if err := g.start(s); err != nil {
+		g.Close()
+		return nil, err
+	}
+	return g, nil
+}
+
+func (g *Group) start(s Settings) error {
+	if s.Platform != nil {
+		g.Store = memory.New()
+		g.Store.SetInstances(s.Platform.Instances)
+		address, err := g.serve(s.Platform.Address, platform.New(g.Store))
+		if err != nil {
+			return err
+		}
+		g.PlatformAddress = address
+	}
+	for _, e := range s.Engines {
+		if err := g.startEngine(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (g *Group) startEngine(e Engine) error {
+	running, err := engine.New(engine.Options{
+		MaxRunning:   e.Slots,
+		StepBase:     e.Step,
+		AnswerTokens: e.AnswerTokens,
+		ReportLag:    e.ReportLag,
+	})
+	if err != nil {
+		return err
+	}
+	g.Engines = append(g.Engines, running)
+	address, err := g.serve(e.Address, running)
+	if err != nil {
+		return err
+	}
+	g.EngineAddresses = append(g.EngineAddresses, address)
+	return nil
+}
+
+func (g *Group) serve(address string, h http.Handler) (string, error) {
+	socket, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", code.Wrap(code.InvalidSettings, err, "a stand-in cannot use %s: %v", address, err)
+	}
+	server := &http.Server{Handler: h}
+	g.servers = append(g.servers, server)
+	go func() {
+		if err := server.Serve(socket); !errors.Is(err, http.ErrServerClosed) {
+			g.failed <- err
+		}
+	}()
+	return socket.Addr().String(), nil
+}
+
+// Run waits until ctx ends or a stand-in fails, and closes the group.
+func (g *Group) Run(ctx context.Context) error {
+	defer g.Close()
+	select {
+	case <-ctx.Done():
+		return nil
+	case err := <-g.failed:
+		return err
+	}
+}
+
+// Close ends every stand-in at once, with the connections it has.
+func (g *Group) Close() {
+	for _, s := range g.servers {
+		_ = s.Close()
+	}
+	for _, e := range g.Engines {
+		e.Close()
+	}
+}
