Add the decisions of routing as pure functions

Cause: choice, limits, batch admission, preemption, hedging, retries and ejection have to be tested and measured without a network. Change: package route with Choose and its baselines, BatchRoom and Excess, adaptive limits, length estimates, hedge and retry rules, bounded ejection with hysteresis, weighted shares, and rendezvous subsets. Invariants are held by rapid.

--- /dev/null
+++ b/route/eject.go
@@ -0,0 +1,105 @@
+package route
+
+import (
+	"slices"
+	"time"
+)
+
+// Health is what the ejection looks at for one upstream.
+type Health struct {
+	// FirstToken and Spacing are observed averages; 0 when unknown.
+	FirstToken time.Duration
+	Spacing    time.Duration
+	// Stalled is the age of the oldest overdue token or first token.
+	Stalled time.Duration
+	// Errors is the decayed share of attempts that failed, 0 to 1.
+	Errors float64
+	// Ejected is the present state.
+	Ejected bool
+}
+
+const (
+	// ejectFactor and returnFactor are multiples of the median latency; the
+	// distance between them keeps an upstream from toggling.
+	ejectFactor  = 3.0
+	returnFactor = 1.7
+	// ejectErrors and returnErrors are the same for the share of failures.
+	ejectErrors  = 0.5
+	returnErrors = 0.1
+	// maxEjectedShare bounds the ejected upstreams, in hundredths.
+	maxEjectedPercent = 50
+)
+
+// MaxEjected returns how many of n upstreams may be ejected: never half of
+// them or more.
+func MaxEjected(n int) int {
+	return max((n*maxEjectedPercent-1)/100, 0)
+}
+
+// Eject sets Ejected for each upstream: those that are far slower than the
+// median or fail often, the worst first, within MaxEjected. scratch may be nil.
+func Eject(list []Health, scratch []int) {
+	first, spacing := medians(list)
+	worst := scratch[:0]
+	for i := range list {
+		if list[i].badness(first, spacing) >= 1 {
+			worst = append(worst, i)
+		}
+	}
+	slices.SortStableFunc(worst, func(a, b int) int {
+		x, y := list[a].badness(first, spacing), list[b].badness(first, spacing)
+		switch {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		}
+		return a - b
+	})
+	for i := range list {
+		list[i].Ejected = false
+	}
+	for _, i := range worst[:min(len(worst), MaxEjected(len(list)))] {
+		list[i].Ejected = true
+	}
+}
+
+// badness is 1 or more when the upstream should be ejected.
+func (h *Health) badness(first, spacing time.Duration) float64 {
+	factor, errors := ejectFactor, ejectErrors
+	if h.Ejected {
+		factor, errors = returnFactor, returnErrors
+	}
+	worst := h.Errors / errors
+	worst = max(worst, over(h.FirstToken, first, factor))
+	worst = max(worst, over(h.Spacing, spacing, factor))
+	return max(worst, over(h.Stalled, first, factor*stallFirstTokens))
+}
+
+func over(value, reference time.Duration, factor float64) float64 {
+	if reference <= 0 {
+		return 0
+	}
+	return float64(value) / (factor * float64(reference))
+}
+
+// medians returns the lower medians of the known latencies, so that a slowed
+// half doesn't become the reference.
+func medians(list []Health) (first, spacing time.Duration) {
+	return median(list, func(h *Health) time.Duration { return h.FirstToken }),
+		median(list, func(h *Health) time.Duration { return h.Spacing })
+}
+
+func median(list []Health, of func(*Health) time.Duration) time.Duration {
+	known := make([]time.Duration, 0, len(list))
+	for i := range list {
+		if v := of(&list[i]); v > 0 {
+			known = append(known, v)
+		}
+	}
+	if len(known) == 0 {
+		return 0
+	}
+	slices.Sort(known)
+	return known[(len(known)-1)/2]
+}
--- /dev/null
+++ b/route/hedge.go
@@ -0,0 +1,48 @@
+package route
+
+import "time"
+
+// Hedges allows second attempts as a share of the first ones. The zero value
+// allows none. It is a value; its caller stores it.
+type Hedges struct {
+	// Balance is the number of hedges that are allowed now.
+	Balance float64
+}
+
+// hedgeReserve is the number of hedges that may be saved up.
+const hedgeReserve = 10
+
+// Earn returns the budget after a first attempt; share is hedges per attempt.
+func (h Hedges) Earn(share float64) Hedges {
+	h.Balance = min(h.Balance+share, hedgeReserve)
+	return h
+}
+
+const (
+	// hedgeFactor is how many expected times to the first token pass before a
+	// hedge.
+	hedgeFactor = 2.0
+	// minHedgeDelay keeps very fast services from being hedged on jitter.
+	minHedgeDelay = 5 * time.Millisecond
+	// hedgeUse is the share of the slots in use from which hedging stops.
+	hedgeUse = 0.8
+)
+
+// HedgeDelay returns how long to wait for the first token before a hedge, or
+// false when nothing is known yet.
+func HedgeDelay(expected time.Duration) (time.Duration, bool) {
+	if expected == 0 {
+		return 0, false
+	}
+	return max(time.Duration(hedgeFactor*float64(expected)), minHedgeDelay), true
+}
+
+// Spend reports whether a hedge may start. The budget closes under overload:
+// when requests wait or most slots are in use.
+func (h Hedges) Spend(waiting, used, slots int) (Hedges, bool) {
+	if waiting > 0 || float64(used) >= hedgeUse*float64(slots) || h.Balance < 1 {
+		return h, false
+	}
+	h.Balance--
+	return h, true
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,303 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/daisylb/daisylb/contract"
+)
+
+// fixedView is a View over a list.
+type fixedView []Candidate
+
+func (v fixedView) Len() int                  { return len(v) }
+func (v fixedView) Key(i int) uint64          { return v[i].Key }
+func (v fixedView) Candidate(i int) Candidate { return v[i] }
+
+func drawCandidate(t *rapid.T) Candidate {
+	slots := rapid.IntRange(1, 32).Draw(t, "slots")
+	ms := func(name string) time.Duration {
+		return time.Duration(rapid.IntRange(0, 500).Draw(t, name)) * time.Millisecond
+	}
+	return Candidate{
+		Key: rapid.Uint64Min(1).Draw(t, "key"), Slots: slots, Limit: rapid.IntRange(1, slots).Draw(t, "limit"),
+		Online: rapid.IntRange(0, 40).Draw(t, "online"), Batch: rapid.IntRange(0, 40).Draw(t, "batch"),
+		Long:       rapid.IntRange(0, 40).Draw(t, "long"),
+		PeerOnline: rapid.IntRange(0, 40).Draw(t, "peer online"), PeerBatch: rapid.IntRange(0, 40).Draw(t, "peer batch"),
+		FirstToken: ms("first"), Spacing: ms("spacing"), OldestUnanswered: ms("unanswered"), SinceToken: ms("since"),
+		Report: Report{Running: rapid.IntRange(0, 64).Draw(t, "running"), Waiting: rapid.IntRange(0, 9).Draw(t, "waiting"), Age: ms("age"), Known: rapid.Bool().Draw(t, "known")},
+	}
+}
+
+func drawQuery(t *rapid.T) *Query {
+	return &Query{
+		Class: contract.Class(rapid.IntRange(0, 1).Draw(t, "class")), Long: rapid.Bool().Draw(t, "is long"),
+		Affinity: rapid.Uint64().Draw(t, "affinity"), Prior: time.Millisecond,
+		Policy: Policy(rapid.IntRange(0, 3).Draw(t, "policy")), Turn: rapid.Uint64().Draw(t, "turn"),
+		Batch: BatchTerms{
+			Share: rapid.Float64Range(0, 1).Draw(t, "share"), Headroom: rapid.IntRange(0, 4).Draw(t, "headroom"),
+			OnlineWaits: rapid.Bool().Draw(t, "waits"),
+		},
+	}
+}
+
+func TestChooseTakesOnlyUpstreamsWithRoomAndFindsOneIfThereIsAny(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := fixedView(rapid.SliceOfN(rapid.Custom(drawCandidate), 0, 12).Draw(t, "candidates"))
+		q := drawQuery(t)
+		i := Choose(v, q, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)))
+		if i >= 0 {
+			if !Admits(&v[i], q) {
+				t.Fatalf("chose %d, which has no room", i)
+			}
+			return
+		}
+		if slices.ContainsFunc(v, func(c Candidate) bool { return Admits(&c, q) }) {
+			t.Fatal("an upstream has room and none was chosen")
+		}
+	})
+}
+
+func TestBatchIsNeverAdmittedWhileOnlineWaitsNorIntoHeadroom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, q := drawCandidate(t), drawQuery(t)
+		room := BatchRoom(&c, q.Batch)
+		if room > 0 && q.Batch.OnlineWaits {
+			t.Fatal("batch was admitted while online work waits")
+		}
+		if used := c.OnlineTotal() + c.BatchTotal() + room; room > 0 && used+q.Batch.Headroom > c.Slots {
+			t.Fatalf("%d of %d slots used with headroom %d", used, c.Slots, q.Batch.Headroom)
+		}
+	})
+}
+
+func TestAdmittedBatchIsNotCancelledUntilOnlineArrives(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, q := drawCandidate(t), drawQuery(t)
+		if BatchRoom(&c, q.Batch) == 0 {
+			return
+		}
+		c.Batch++
+		if n := Excess(&c, q.Batch); n != 0 {
+			t.Fatalf("%d batch requests are cancelled right after one was admitted", n)
+		}
+	})
+}
+
+func TestExcessOfAllInstancesFreesWhatOnlineNeeds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		own := rapid.SliceOfN(rapid.IntRange(0, 9), 1, 6).Draw(t, "batch by instance")
+		online, slots := rapid.IntRange(0, 20).Draw(t, "online"), rapid.IntRange(1, 20).Draw(t, "slots")
+		terms := BatchTerms{Share: 1, Headroom: 1}
+		total, cancelled := 0, 0
+		for _, n := range own {
+			total += n
+		}
+		for _, n := range own {
+			cancelled += Excess(&Candidate{Slots: slots, Limit: slots, Online: online, Batch: n, PeerBatch: total - n}, terms)
+		}
+		if need := min(online+total+1-slots, total); cancelled < need {
+			t.Fatalf("%d of %d batch requests cancelled, %d needed", cancelled, total, need)
+		}
+	})
+}
+
+func TestEjectionNeverTakesHalfOfTheUpstreams(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Health {
+			return Health{
+				FirstToken: time.Duration(rapid.Int64Range(0, 1e9).Draw(t, "first")),
+				Spacing:    time.Duration(rapid.Int64Range(0, 1e9).Draw(t, "spacing")),
+				Stalled:    time.Duration(rapid.Int64Range(0, 1e10).Draw(t, "stalled")),
+				Errors:     rapid.Float64Range(0, 1).Draw(t, "errors"),
+				Ejected:    rapid.Bool().Draw(t, "ejected"),
+			}
+		}), 1, 40).Draw(t, "health")
+		Eject(list, nil)
+		ejected := 0
+		for _, h := range list {
+			if h.Ejected {
+				ejected++
+			}
+		}
+		if 2*ejected >= len(list) && ejected > 0 {
+			t.Fatalf("%d of %d ejected", ejected, len(list))
+		}
+	})
+}
+
+func TestEjectionHasHysteresis(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		ejected bool
+		first   time.Duration
+		want    bool
+	}{
+		{"a little slow stays in", false, 20 * time.Millisecond, false},
+		{"a little slow stays out", true, 20 * time.Millisecond, true},
+		{"tenfold slow goes out", false, 100 * time.Millisecond, true},
+		{"as fast as others comes back", true, 11 * time.Millisecond, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			list := make([]Health, 10)
+			for i := range list {
+				list[i].FirstToken = 10 * time.Millisecond
+			}
+			list[3] = Health{FirstToken: test.first, Ejected: test.ejected}
+			Eject(list, nil)
+			if list[3].Ejected != test.want {
+				t.Errorf("ejected %v, want %v", list[3].Ejected, test.want)
+			}
+		})
+	}
+}
+
+func TestCallIsNeverRepeatedAfterDispatchUnlessIdempotent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := Outcome{
+			Idempotent: rapid.Bool().Draw(t, "idempotent"), Dispatched: rapid.Bool().Draw(t, "dispatched"),
+			Final: rapid.Bool().Draw(t, "final"), Ended: rapid.Bool().Draw(t, "ended"),
+			Attempts: rapid.IntRange(1, 9).Draw(t, "attempts"),
+		}
+		if MayRepeat(o) && (o.Dispatched && !o.Idempotent || o.Final || o.Ended || o.Attempts >= MaxAttempts) {
+			t.Fatalf("%+v is repeated", o)
+		}
+	})
+}
+
+func TestHedgesStayWithinTheirShareAndCloseUnderOverload(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const share = 0.05
+		var h Hedges
+		requests, hedges := 0, 0
+		for range rapid.IntRange(0, 500).Draw(t, "steps") {
+			requests++
+			h = h.Earn(share)
+			used := rapid.IntRange(0, 100).Draw(t, "used")
+			var ok bool
+			if h, ok = h.Spend(0, used, 100); ok {
+				hedges++
+				if used >= 80 {
+					t.Fatalf("hedged with %d of 100 slots in use", used)
+				}
+			}
+		}
+		if float64(hedges) > share*float64(requests) {
+			t.Fatalf("%d hedges for %d requests", hedges, requests)
+		}
+	})
+}
+
+func TestLimitStaysWithinSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 64).Draw(t, "slots")
+		l, now := NewLimit(slots), time.Unix(0, 0)
+		for range rapid.IntRange(0, 100).Draw(t, "samples") {
+			now = now.Add(time.Second)
+			l = l.Observe(now, Sample{
+				Observed:  time.Duration(rapid.IntRange(0, 1000).Draw(t, "observed")),
+				Reference: time.Duration(rapid.IntRange(0, 1000).Draw(t, "reference")),
+				InFlight:  rapid.IntRange(0, 64).Draw(t, "in flight"),
+			})
+			if a := l.Allowed(); a < 1 || a > slots {
+				t.Fatalf("limit %d of %d slots", a, slots)
+			}
+		}
+	})
+}
+
+func TestFairShareServesByWeightAndShedsTheGreediest(t *testing.T) {
+	tenants := []Tenant{{Weight: 1, Waiting: 1000}, {Weight: 3, Waiting: 1000}}
+	served := make([]int, 2)
+	for range 400 {
+		i := Next(tenants)
+		served[i]++
+		tenants[i].Virtual = tenants[i].Advance(tenants[i].Virtual)
+	}
+	if served[1] < 298 || served[1] > 302 {
+		t.Errorf("weight 3 of 4 was served %d of 400 times", served[1])
+	}
+	if got := Shed([]Tenant{{Weight: 1, Waiting: 50}, {Weight: 1, Waiting: 2}}, 1); got != 0 {
+		t.Errorf("tenant %d was refused for the queue that tenant 0 fills", got)
+	}
+}
+
+func TestStalledUpstreamCostsMoreWithinFewTokenTimes(t *testing.T) {
+	fine := Candidate{Slots: 8, Limit: 8, FirstToken: 10 * time.Millisecond, Spacing: 5 * time.Millisecond, Online: 3}
+	stalled := fine
+	stalled.SinceToken = 9 * stalled.Spacing
+	if stalled.Cost(0) <= 2*fine.Cost(0) {
+		t.Errorf("stalled costs %v, fine %v", stalled.Cost(0), fine.Cost(0))
+	}
+}
+
+func TestOldReportCountsLess(t *testing.T) {
+	c := Candidate{Slots: 8, Report: Report{Running: 8, Known: true}}
+	fresh := c.Occupancy()
+	c.Report.Age = 10 * reportHalfLife
+	if old := c.Occupancy(); old >= fresh/100 {
+		t.Errorf("fresh report gives %v, old one %v", fresh, old)
+	}
+}
+
+func TestSubsetChangesByOneWhenAnUpstreamIsLost(t *testing.T) {
+	var ids []string
+	for i := range 1700 {
+		ids = append(ids, fmt.Sprintf("upstream-%04d", i))
+	}
+	before := Subset(ids, "instance-7", 32)
+	after := Subset(slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return id == before[4] }), "instance-7", 32)
+	kept := 0
+	for _, id := range after {
+		if slices.Contains(before, id) {
+			kept++
+		}
+	}
+	if len(before) != 32 || kept != 31 {
+		t.Errorf("%d members, %d kept", len(before), kept)
+	}
+}
+
+func TestPrefixGoesToOneUpstreamUntilThatIsLoaded(t *testing.T) {
+	v := make(fixedView, 10)
+	for i := range v {
+		v[i] = Candidate{Key: mix(uint64(i + 1)), Slots: 16, Limit: 16, FirstToken: time.Millisecond}
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	q := &Query{Affinity: 42}
+	home := Choose(v, q, random)
+	for range 100 {
+		if got := Choose(v, q, random); got != home {
+			t.Fatalf("idle fleet: chose %d, then %d", home, got)
+		}
+	}
+	v[home].Online = 12
+	if got := Choose(v, q, random); got == home {
+		t.Error("the loaded upstream was chosen for its prefix")
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{10, 32, 100, 1700} {
+		v := make(fixedView, n)
+		for i := range v {
+			v[i] = Candidate{Key: mix(uint64(i + 1)), Slots: 16, Limit: 16, Online: i % 8, FirstToken: 10 * time.Millisecond, Report: Report{Running: 9, Age: time.Second, Known: true}}
+		}
+		for name, affinity := range map[string]uint64{"plain": 0, "prefix": 42} {
+			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
+				b.ReportAllocs()
+				random := rand.New(rand.NewPCG(1, 1))
+				q := &Query{Affinity: affinity, Prior: time.Millisecond}
+				view := View(v)
+				for b.Loop() {
+					Choose(view, q, random)
+				}
+			})
+		}
+	}
+}
--- a/upstream/fleet.go
+++ b/upstream/fleet.go
@@ -4,9 +4,8 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/route"
 )
 
 // fleet is the immutable view of one document: which upstreams this instance
@@ -41,7 +40,7 @@
 	}
 	for name, service := range document.Services {
 		p := &pool{name: name, service: service}
-		for _, id := range subset(members[name], o.InstanceID, o.SubsetSize) {
+		for _, id := range route.Subset(members[name], o.InstanceID, o.SubsetSize) {
 			p.targets = append(p.targets, f.target(old, id, document, o))
 		}
 		f.pools[name] = p
@@ -79,32 +78,3 @@
 	}
 	return contract.DefaultDistance
 }
-
-// subset returns at most size of the ids by rendezvous hashing, sorted, so
-// that a lost upstream changes one member only.
-func subset(ids []string, instanceID string, size int) []string {
-	type ranked struct {
-		id   string
-		rank uint64
-	}
-	list := make([]ranked, len(ids))
-	for i, id := range ids {
-		list[i] = ranked{id, xxhash.Sum64String(instanceID + "\x00" + id)}
-	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		if a.rank != b.rank {
-			if a.rank < b.rank {
-				return -1
-			}
-			return 1
-		}
-		return 0
-	})
-	list = list[:min(len(list), size)]
-	chosen := make([]string, len(list))
-	for i, r := range list {
-		chosen[i] = r.id
-	}
-	slices.Sort(chosen)
-	return chosen
-}
