--- a/standin/standin.go
+++ b/standin/standin.go
@@ -18,6 +18,7 @@
 	"github.com/daisylb/daisylb/settings"
 	"github.com/daisylb/daisylb/standin/engine"
 	"github.com/daisylb/daisylb/standin/platform"
+	"github.com/daisylb/daisylb/standin/service"
 )
 
 // Settings name the stand-ins to start. Addresses are IP:port on the loopback.
@@ -81,8 +82,9 @@
 	PlatformAddress  string
 	EngineAddresses  []string
 	ServiceAddresses []string
-	// Engines are in the order of the settings.
-	Engines []*engine.Engine
+	// Engines and Services are in the order of the settings.
+	Engines  []*engine.Engine
+	Services []*service.Service
 
 	servers []*http.Server
 	failed  chan error
@@ -113,6 +115,22 @@
 			return err
 		}
 	}
+	for _, p := range s.Services {
+		if err := g.startService(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (g *Group) startService(s Service) error {
+	running := service.New()
+	g.Services = append(g.Services, running)
+	address, err := g.serve(s.Address, running)
+	if err != nil {
+		return err
+	}
+	g.ServiceAddresses = append(g.ServiceAddresses, address)
 	return nil
 }
 
