Mount the configuration store and the guarded platform in the daemon

Cause: an instance must take its configuration from the platform and peers, not from a file of its own. Ruled out: a document beside the settings for the dev command; it submits its document as an operator's change instead, so that one path serves both. Change: daemon builds guard, peer transport and configuration in order and refuses readiness without a configuration; rates of the store are settings. Conclusion: configuration is whole in the daemon but for the operators' API.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
-	"hash/fnv"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -20,11 +18,12 @@
 
 	"github.com/daisylb/daisylb/caller"
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/config"
 	"github.com/daisylb/daisylb/datacentre"
 	"github.com/daisylb/daisylb/instance"
-	"github.com/daisylb/daisylb/link"
-	"github.com/daisylb/daisylb/operator"
+	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/platform/guard"
+	"github.com/daisylb/daisylb/platform/httpstore"
 	"github.com/daisylb/daisylb/upstream"
 )
 
@@ -32,8 +31,8 @@
 type Options struct {
 	// Settings of the instance.
 	Settings Settings
-	// Document is the configuration in force, or nil; required.
-	Document func() *contract.Document
+	// Store is the platform; nil means the one that the settings name.
+	Store platform.Store
 	// Logger may be nil.
 	Logger *zap.Logger
 }
@@ -48,7 +47,11 @@
 	identity  instance.Identity
 	lifecycle *instance.Lifecycle
 	view      atomic.Pointer[instance.View]
-	document  func() *contract.Document
+
+	adapter   *httpstore.Store
+	store     *guard.Guard
+	transport *http.Client
+	config    *config.Store
 
 	dispatcher *upstream.Dispatcher
 	endpoints  *datacentre.Handler
@@ -67,7 +70,6 @@
 		log:      o.Logger,
 		registry: prometheus.NewRegistry(),
 		started:  time.Now(),
-		document: o.Document,
 	}
 	if d.log == nil {
 		d.log = zap.NewNop()
@@ -77,7 +79,7 @@
 		d.Close()
 		return nil, err
 	}
-	if err := d.build(); err != nil {
+	if err := d.build(o.Store); err != nil {
 		d.Close()
 		return nil, err
 	}
@@ -109,79 +111,6 @@
 	return nil
 }
 
-func (d *Daemon) build() error {
-	d.lifecycle = instance.NewLifecycle(d.log)
-	d.view.Store(instance.NewView(instance.Member{Identity: d.identity, Health: instance.Alive, State: instance.Serving}))
-	if err := d.buildCallers(); err != nil {
-		return err
-	}
-	d.buildPeers()
-	d.buildOperators()
-	return nil
-}
-
-func (d *Daemon) buildCallers() error {
-	var err error
-	d.dispatcher, err = upstream.New(upstream.Options{
-		Document:   d.document,
-		DataCentre: d.settings.DataCentre,
-		InstanceID: d.identity.ID,
-		Logger:     d.log,
-		Registerer: d.registry,
-	})
-	if err != nil {
-		return err
-	}
-	d.endpoints, err = datacentre.NewHandler(datacentre.Options{
-		View:       d.view.Load,
-		Document:   d.document,
-		Seed:       seedOf(d.identity.ID),
-		Registerer: d.registry,
-	})
-	if err != nil {
-		return err
-	}
-	d.listener = caller.NewListener(caller.Options{
-		Document:   d.document,
-		Dispatcher: d.dispatcher,
-		Endpoints:  d.endpoints,
-		Stopped:    func() bool { return !d.lifecycle.Accepting() },
-		Logger:     d.log,
-		Registerer: d.registry,
-	})
-	d.callers.server = caller.NewHTTPServer(d.listener)
-	return nil
-}
-
-func (d *Daemon) buildPeers() {
-	mux := http.NewServeMux()
-	server := caller.NewHTTPServer(link.Authenticate(d.settings.PeerKeys, mux))
-	server.Protocols = link.ServerProtocols()
-	d.peers.server = server
-}
-
-func (d *Daemon) buildOperators() {
-	l := operator.NewListener(operator.Options{
-		Keys:     d.settings.OperatorKeys,
-		Ready:    d.ready,
-		State:    d.dump,
-		Gatherer: d.registry,
-		Mounts: map[string]http.Handler{
-			"GET /v1/instances": operator.JSON(func() []instance.Member { return d.view.Load().Live() }),
-			"GET /v1/upstreams": operator.JSON(d.dispatcher.State),
-		},
-		Logger: d.log,
-	})
-	d.operators.server = caller.NewHTTPServer(l)
-}
-
-// seedOf makes draws differ between instances.
-func seedOf(id string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id))
-	return h.Sum64()
-}
-
 // CallerAddress, PeerAddress and OperatorAddress are what others are told.
 func (d *Daemon) CallerAddress() string { return d.callers.advertised }
 
@@ -193,8 +122,8 @@
 
 // ready returns nil when callers are served.
 func (d *Daemon) ready() error {
-	if d.document() == nil {
-		return code.New(code.NoConfiguration, "the instance has no configuration yet")
+	if err := d.config.Ready(); err != nil {
+		return err
 	}
 	if state := d.lifecycle.State(); state != instance.Serving {
 		return code.New(code.Draining, "the instance is %s", state)
@@ -235,13 +164,14 @@
 	d.callers.start(ctx, g)
 	d.peers.start(ctx, g)
 	d.operators.start(ctx, g)
+	g.Go(func() error { return ignoreCancel(d.config.Run(ctx)) })
 	g.Go(func() error { return ignoreCancel(d.dispatcher.Run(ctx)) })
 }
 
 // drain takes late callers for as long as they may hold an old answer.
 func (d *Daemon) drain(hurry context.Context) error {
 	result, err := d.lifecycle.Drain(hurry, instance.Drain{
-		AnswerTTL: datacentre.TTL(d.document()),
+		AnswerTTL: datacentre.TTL(d.config.Current()),
 		Margin:    d.settings.Drain.Margin,
 		Bound:     d.settings.Drain.Bound,
 		InFlight:  d.listener.InFlight,
@@ -265,6 +195,9 @@
 	}
 }
 
+// Configuration is the versioned document and its changes.
+func (d *Daemon) Configuration() *config.Store { return d.config }
+
 // Close releases the sockets of a daemon that was not run.
 func (d *Daemon) Close() {
 	for _, l := range []*listener{d.callers, d.peers, d.operators} {
@@ -273,33 +206,3 @@
 		}
 	}
 }
-
-// Dump is the state of one instance.
-type Dump struct {
-	Instance  instance.Identity       `json:"instance"`
-	Started   time.Time               `json:"started"`
-	Lifecycle instance.State          `json:"lifecycle"`
-	Version   uint64                  `json:"configuration_version"`
-	Preset    string                  `json:"preset"`
-	Callers   caller.State            `json:"callers"`
-	Upstreams upstream.State          `json:"upstreams"`
-	Members   []instance.Member       `json:"members"`
-	Endpoints datacentre.HandlerState `json:"endpoints"`
-}
-
-func (d *Daemon) dump() ([]byte, error) {
-	dump := Dump{
-		Instance:  d.identity,
-		Started:   d.started,
-		Lifecycle: d.lifecycle.State(),
-		Callers:   d.listener.State(),
-		Upstreams: d.dispatcher.State(),
-		Members:   d.view.Load().Live(),
-		Endpoints: d.endpoints.State(),
-	}
-	if document := d.document(); document != nil {
-		dump.Version = document.Version
-		dump.Preset = document.Preset
-	}
-	return json.Marshal(dump)
-}
--- /dev/null
+++ b/daemon/dump.go
@@ -0,0 +1,41 @@
+package daemon
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/daisylb/daisylb/caller"
+	"github.com/daisylb/daisylb/config"
+	"github.com/daisylb/daisylb/datacentre"
+	"github.com/daisylb/daisylb/instance"
+	"github.com/daisylb/daisylb/platform/guard"
+	"github.com/daisylb/daisylb/upstream"
+)
+
+// Dump is the state of one instance, part by part.
+type Dump struct {
+	Instance      instance.Identity       `json:"instance"`
+	Started       time.Time               `json:"started"`
+	Lifecycle     instance.State          `json:"lifecycle"`
+	Configuration config.State            `json:"configuration"`
+	Callers       caller.State            `json:"callers"`
+	Upstreams     upstream.State          `json:"upstreams"`
+	Members       []instance.Member       `json:"members"`
+	Endpoints     datacentre.HandlerState `json:"endpoints"`
+	Store         guard.State             `json:"store"`
+}
+
+// dump returns the state as JSON.
+func (d *Daemon) dump() ([]byte, error) {
+	return json.Marshal(Dump{
+		Instance:      d.identity,
+		Started:       d.started,
+		Lifecycle:     d.lifecycle.State(),
+		Configuration: d.config.State(),
+		Callers:       d.listener.State(),
+		Upstreams:     d.dispatcher.State(),
+		Members:       d.view.Load().Live(),
+		Endpoints:     d.endpoints.State(),
+		Store:         d.store.State(),
+	})
+}
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -59,9 +59,10 @@
 	URL string `json:"url"`
 	// Timeout bounds one operation; default "5s", at most "1m".
 	Timeout time.Duration `json:"timeout"`
-	// OperationsPerSecond is the rate of the platform's store for all instances
-	// together; default 1500.
-	OperationsPerSecond float64 `json:"operations_per_second"`
+	// WritesPerSecond and ReadsPerSecond are what the store bears from all
+	// instances together; default 300 and 2000.
+	WritesPerSecond float64 `json:"writes_per_second"`
+	ReadsPerSecond  float64 `json:"reads_per_second"`
 }
 
 // DrainSettings bound a planned stop.
@@ -84,7 +85,8 @@
 const (
 	defaultPlatformTimeout       = 5 * time.Second
 	maxPlatformTimeout           = time.Minute
-	defaultStoreRate             = 1500
+	defaultWriteRate             = 300
+	defaultReadRate              = 2000
 	maxStoreRate                 = 1e6
 	defaultDrainMargin           = 15 * time.Second
 	defaultDrainBound            = 10 * time.Minute
@@ -97,7 +99,7 @@
 // Default returns the settings before a file is read.
 func Default() Settings {
 	return Settings{
-		Platform: PlatformSettings{Timeout: defaultPlatformTimeout, OperationsPerSecond: defaultStoreRate},
+		Platform: PlatformSettings{Timeout: defaultPlatformTimeout, WritesPerSecond: defaultWriteRate, ReadsPerSecond: defaultReadRate},
 		Drain:    DrainSettings{Margin: defaultDrainMargin, Bound: defaultDrainBound},
 		Log:      LogSettings{Level: "info", Format: "json"},
 	}
@@ -186,5 +188,6 @@
 func checkPlatform(c *settings.Checker, p PlatformSettings) {
 	c.Field("url").Expect(p.URL != "", "is missing, expected http://IP:port")
 	settings.Between(c.Field("timeout"), p.Timeout, time.Millisecond, maxPlatformTimeout)
-	settings.Between(c.Field("operations_per_second"), p.OperationsPerSecond, 1, maxStoreRate)
+	settings.Between(c.Field("writes_per_second"), p.WritesPerSecond, 1, maxStoreRate)
+	settings.Between(c.Field("reads_per_second"), p.ReadsPerSecond, 1, maxStoreRate)
 }
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -12,9 +12,12 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/config"
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/daemon"
 	"github.com/daisylb/daisylb/operator"
+	"github.com/daisylb/daisylb/retry"
 	"github.com/daisylb/daisylb/standin"
 )
 
@@ -89,12 +92,7 @@
 	if err != nil {
 		return nil, err
 	}
-	document := newDocument(group)
-	return daemon.New(daemon.Options{
-		Settings: settings,
-		Document: func() *contract.Document { return document },
-		Logger:   log,
-	})
+	return daemon.New(daemon.Options{Settings: settings, Logger: log})
 }
 
 func sum(key string) string {
@@ -109,11 +107,40 @@
 	defer stop()
 	var tasks errgroup.Group
 	tasks.Go(func() error { return e.StandIns.Run(standIns) })
+	tasks.Go(func() error { return e.configure(standIns) })
 	err := e.Daemon.Run(ctx, ctx)
 	stop()
 	return errors.Join(err, tasks.Wait())
 }
 
+// Configured waits until the document of the environment is in force.
+func (e *Environment) Configured(ctx context.Context) error {
+	_, err := e.Daemon.Configuration().Watch(ctx, 0)
+	return err
+}
+
+// configure submits the document as an operator would. Until the instance has
+// read that there is none yet, the change is refused.
+func (e *Environment) configure(ctx context.Context) error {
+	request := config.Request{
+		ID:     "dev",
+		Author: "dev",
+		Edits:  config.Diff(&contract.Document{}, newDocument(e.StandIns)),
+	}
+	for attempt := 0; ; attempt++ {
+		_, err := e.Daemon.Configuration().Submit(ctx, request)
+		if code.Of(err) != code.NoConfiguration {
+			return err
+		}
+		if startBackoff.Sleep(ctx, attempt) != nil {
+			return nil
+		}
+	}
+}
+
+// startBackoff spaces the attempts to configure a starting instance.
+var startBackoff = retry.Backoff{Min: 5 * time.Millisecond, Max: 100 * time.Millisecond}
+
 // Welcome says what to try next.
 func (e *Environment) Welcome() string {
 	return fmt.Sprintf(`daisylb dev: one instance, %d stand-in engines, all in this process.
--- a/dev/document.go
+++ b/dev/document.go
@@ -10,7 +10,6 @@
 // newDocument describes the stand-ins as one data centre.
 func newDocument(group *standin.Group) *contract.Document {
 	d := &contract.Document{
-		Version:     1,
 		Preset:      "ordinary",
 		Presets:     presets(),
 		DataCentres: map[string]contract.DataCentre{dataCentre: {Region: "dev"}},
--- a/dev/openai_test.go
+++ b/dev/openai_test.go
@@ -34,6 +34,9 @@
 			t.Errorf("run: %v", err)
 		}
 	})
+	if err := environment.Configured(t.Context()); err != nil {
+		t.Fatal(err)
+	}
 	return environment
 }
 
