--- /dev/null
+++ b/scenario/deploy_test.go
@@ -0,0 +1,112 @@
+package scenario
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// Keys and ports of every deployment.
+const (
+	callerKey    = "scenario-caller-key"
+	otherKey     = "scenario-other-key"
+	operatorKey  = "scenario-operator-key"
+	secondKey    = "scenario-second-operator"
+	platformPort = 9100
+	enginePort   = 9200
+	servicePort  = 9300
+	callerPort   = 8100
+	peerPort     = 8200
+	operatorPort = 8300
+	engines      = 3
+)
+
+func sum(key string) string {
+	s := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(s[:])
+}
+
+func dataCentre(i int) string { return []string{"kochi", "kollam"}[i%2] }
+
+// deploy N writes standin.jsonc, document.jsonc and instance-1.jsonc to
+// instance-N.jsonc.
+func (w *world) deploy(ts *testscript.TestScript, args []string) error {
+	n, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	files := map[string]string{
+		"standin.jsonc":  w.standin(n),
+		"document.jsonc": w.document(),
+	}
+	for i := 1; i <= n; i++ {
+		files[fmt.Sprintf("instance-%d.jsonc", i)] = w.instance(i)
+	}
+	for name, text := range files {
+		if err := os.WriteFile(filepath.Join(w.dir, name), []byte(text), 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *world) instance(i int) string {
+	return fmt.Sprintf(`{
+	"id": "instance-%d", "data_centre": %q,
+	"callers": {"address": "%s:%d"}, "peers": {"address": "%s:%d"}, "operators": {"address": "%s:%d"},
+	"peer_keys": ["scenario-peer-key-1"],
+	"operator_keys": [{"name": "ana", "sha256": %q}, {"name": "biju", "sha256": %q}],
+	"platform": {"url": "http://%s:%d"},
+	"drain": {"margin": "1s"},
+	"log": {"level": "debug"},
+}`, i, dataCentre(i), w.ip, callerPort+i, w.ip, peerPort+i, w.ip, operatorPort+i, sum(operatorKey), sum(secondKey), w.ip, platformPort)
+}
+
+func (w *world) standin(n int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, `{"platform": {"address": "%s:%d", "instances": [`, w.ip, platformPort)
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, `{"id": "instance-%d", "data_centre": %q, "caller_address": "%s:%d", "peer_address": "%s:%d"},`, i, dataCentre(i), w.ip, callerPort+i, w.ip, peerPort+i)
+	}
+	b.WriteString(`]}, "engines": [`)
+	for i := 1; i <= engines; i++ {
+		fmt.Fprintf(&b, `{"address": "%s:%d", "slots": 16, "step": "5ms", "report_lag": "200ms"},`, w.ip, enginePort+i)
+	}
+	fmt.Fprintf(&b, `], "services": [{"address": "%s:%d"}]}`, w.ip, servicePort)
+	return b.String()
+}
+
+func (w *world) document() string {
+	var upstreams strings.Builder
+	for i := 1; i <= engines; i++ {
+		fmt.Fprintf(&upstreams, `"engine-%d": {"address": "%s:%d", "data_centre": %q, "services": ["deskmate"], "slots": 16},`, i, w.ip, enginePort+i, dataCentre(i))
+	}
+	return fmt.Sprintf(`{
+	"preset": "ordinary",
+	"presets": {
+		"ordinary": {"batch_share": 0.9, "headroom_slots": 2, "admit_online": true, "hedge_share": 0.05},
+		"peak": {"batch_share": 0.4, "headroom_slots": 4, "admit_online": true, "hedge_share": 0.05},
+		"maintenance": {"batch_share": 1, "headroom_slots": 0, "admit_online": false, "hedge_share": 0},
+	},
+	"data_centres": {"kochi": {"region": "kerala"}, "kollam": {"region": "kerala"}},
+	"services": {
+		"deskmate": {"kind": "model", "model": "standin", "idempotent": true},
+		"pickups": {"kind": "plain", "idempotent": false},
+	},
+	"upstreams": {%s "pickups-1": {"address": "%s:%d", "data_centre": "kochi", "services": ["pickups"], "slots": 32}},
+	"accounts": {
+		"drivers": {"key_sha256": [%q], "weight": 2},
+		"others": {"key_sha256": [%q], "weight": 1},
+	},
+	"limits": {
+		"max_body_bytes": 1048576, "default_deadline_ms": 30000, "max_deadline_ms": 600000, "endpoint_ttl_s": 2,
+		"max_job_items": 10000, "item_attempts": 3, "max_answer_bytes": 8388608, "retry_share": 0.1,
+	},
+}`, upstreams.String(), w.ip, servicePort, sum(callerKey), sum(otherKey))
+}
