Give operators an interface and commands for the configuration

Cause: operators must be able to check, apply, read and follow configuration and presets, and to find out what became of a change whose answer was lost. Ruled out: a path of its own for the command line; commands and API would drift apart. Change: config.Handler and the typed config.Client, which repeats a call under the same change id; Bootstrap applies a whole document as one difference; the commands config check, apply, show, history and preset list, show, switch with exit statuses 2 (faults), 3 (conflict), 4 (outcome unknown).

--- /dev/null
+++ b/cmd/daisylb/config.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/daisylb/daisylb/config"
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/settings"
+)
+
+// configCommands returns the commands of the configuration and the presets.
+func configCommands() []subcommands.Command {
+	return []subcommands.Command{
+		&group{"config", "check, apply and read the configuration", []subcommands.Command{
+			&configCheck{}, &configApply{}, &configShow{}, &configHistory{},
+		}},
+		&group{"preset", "read and switch the preset", []subcommands.Command{
+			&presetList{}, &presetShow{}, &presetSwitch{},
+		}},
+	}
+}
+
+// configCheck checks documents without an instance.
+type configCheck struct{ json bool }
+
+// checked is the result for one file.
+type checked struct {
+	File   string          `json:"file"`
+	Faults settings.Faults `json:"faults,omitempty"`
+	// Error is set when the file could not be read.
+	Error string `json:"error,omitempty"`
+}
+
+func check(name string) checked {
+	r := checked{File: name}
+	_, err := readDocument(name)
+	if err != nil && !errors.As(err, &r.Faults) {
+		r.Error = err.Error()
+	}
+	return r
+}
+
+func (r checked) valid() bool { return len(r.Faults) == 0 && r.Error == "" }
+
+func (*configCheck) Name() string     { return "check" }
+func (*configCheck) Synopsis() string { return "check configuration documents and list every fault" }
+func (*configCheck) Usage() string {
+	return "config check [-json] FILE...\n  Exits with 2 when a document has faults.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *configCheck) SetFlags(f *flag.FlagSet) {
+	f.BoolVar(&c.json, "json", false, "print JSON")
+}
+
+// Execute implements subcommands.Command.
+func (c *configCheck) Execute(_ context.Context, f *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	o := operatorOf(args)
+	if f.NArg() == 0 {
+		fmt.Fprint(o.stderr(), c.Usage())
+		return subcommands.ExitUsageError
+	}
+	status := subcommands.ExitSuccess
+	results := make([]checked, 0, f.NArg())
+	for _, name := range f.Args() {
+		r := check(name)
+		results = append(results, r)
+		if !r.valid() {
+			status = exitSettings
+		}
+	}
+	if printed := o.print(c.json, results, func(w io.Writer) { printChecked(w, results) }); printed != subcommands.ExitSuccess {
+		return printed
+	}
+	return status
+}
+
+func printChecked(w io.Writer, results []checked) {
+	for _, r := range results {
+		switch {
+		case r.valid():
+			fmt.Fprintf(w, "%s: valid\n", r.File)
+		case r.Error != "":
+			fmt.Fprintln(w, r.Error)
+		default:
+			fmt.Fprintln(w, r.Faults)
+		}
+	}
+}
+
+func readDocument(name string) (*contract.Document, error) {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	return config.ParseDocument(name, data)
+}
+
+// configApply makes a document the configuration.
+type configApply struct{ change }
+
+func (*configApply) Name() string     { return "apply" }
+func (*configApply) Synopsis() string { return "bring the system to a document by one change" }
+func (*configApply) Usage() string {
+	return `config apply [-id ID] [-note TEXT] [-json] FILE
+  Checks the document and applies its difference to the configuration in force.
+  A document that names a version is applied only to that version.
+  Exits with 2 for faults, 3 when another change was accepted first, 4 when the
+  outcome is not known.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *configApply) SetFlags(f *flag.FlagSet) { c.register(f) }
+
+// Execute implements subcommands.Command.
+func (c *configApply) Execute(ctx context.Context, f *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	o := operatorOf(args)
+	if f.NArg() != 1 {
+		fmt.Fprint(o.stderr(), c.Usage())
+		return subcommands.ExitUsageError
+	}
+	d, err := readDocument(f.Arg(0))
+	if err != nil {
+		fmt.Fprintln(o.stderr(), err)
+		return exitSettings
+	}
+	a, err := config.Bootstrap(ctx, o.config(), config.Request{ID: c.newID(), Note: c.note}, d)
+	return c.report(o, a, err)
+}
+
+// configShow prints the configuration in force.
+type configShow struct{}
+
+func (*configShow) Name() string     { return "show" }
+func (*configShow) Synopsis() string { return "print the configuration in force as JSON" }
+func (*configShow) Usage() string {
+	return "config show [-json]\n  The output, edited, can be given to config apply.\n"
+}
+
+// SetFlags implements subcommands.Command. The output is JSON with and without
+// the flag.
+func (c *configShow) SetFlags(f *flag.FlagSet) { f.Bool("json", true, "print JSON") }
+
+// Execute implements subcommands.Command.
+func (c *configShow) Execute(ctx context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	o := operatorOf(args)
+	d, err := o.config().Document(ctx)
+	if err != nil {
+		return o.fail(err)
+	}
+	return o.print(true, d, nil)
+}
+
+// configHistory prints who changed what and when.
+type configHistory struct {
+	before uint64
+	limit  int
+	json   bool
+}
+
+func (*configHistory) Name() string     { return "history" }
+func (*configHistory) Synopsis() string { return "print who changed what and when, newest first" }
+func (*configHistory) Usage() string {
+	return "config history [-limit N] [-before VERSION] [-json]\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *configHistory) SetFlags(f *flag.FlagSet) {
+	f.Uint64Var(&c.before, "before", 0, "print changes below this version; 0 means from the newest")
+	f.IntVar(&c.limit, "limit", 20, fmt.Sprintf("number of changes, at most %d", config.MaxHistory))
+	f.BoolVar(&c.json, "json", false, "print JSON")
+}
+
+// Execute implements subcommands.Command.
+func (c *configHistory) Execute(ctx context.Context, _ *flag.FlagSet, args ...any) subcommands.ExitStatus {
+	o := operatorOf(args)
+	page, err := o.config().History(ctx, c.before, c.limit)
+	if err != nil {
+		return o.fail(err)
+	}
+	return o.print(c.json, page, func(w io.Writer) { printHistory(w, page) })
+}
+
+func printHistory(w io.Writer, page config.HistoryPage) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "VERSION\tTIME\tAUTHOR\tCHANGE\tEDITS\tNOTE")
+	for _, c := range page.Changes {
+		fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%s\t%s\n", c.Version, c.Time.Format(time.RFC3339), c.Author, c.ID, c.Edits, c.Note)
+	}
+	_ = t.Flush()
+}
--- a/config/document.go
+++ b/config/document.go
@@ -76,11 +76,15 @@
 }
 
 func checkDataCentres(c *settings.Checker, d *contract.Document) {
+	prefixes := map[netip.Prefix]string{}
 	c.Expect(len(d.DataCentres) > 0, "expected at least one data centre")
 	for _, name := range names(d.DataCentres) {
 		dc, at := d.DataCentres[name], c.Key(name)
 		checkName(at, name)
 		checkName(at.Field("region"), dc.Region)
+		for i, text := range dc.CallerPrefixes {
+			checkPrefix(at.Field("caller_prefixes").Index(i), text, name, prefixes)
+		}
 		for _, other := range names(dc.DistanceMicroseconds) {
 			distance := at.Field("distance_us").Key(other)
 			_, known := d.DataCentres[other]
@@ -90,6 +94,16 @@
 	}
 }
 
+func checkPrefix(c *settings.Checker, text, name string, seen map[netip.Prefix]string) {
+	p, err := netip.ParsePrefix(text)
+	if !c.Expect(err == nil && p == p.Masked(), "found %q, expected an address range such as 10.1.0.0/16", text) {
+		return
+	}
+	first, taken := seen[p]
+	c.Expect(!taken, "%s belongs to data centre %q already", text, first)
+	seen[p] = name
+}
+
 func checkServices(c *settings.Checker, d *contract.Document) {
 	c.Expect(len(d.Services) > 0, "expected at least one service")
 	for _, name := range names(d.Services) {
--- a/config/document_test.go
+++ b/config/document_test.go
@@ -38,7 +38,7 @@
 	text := `{
   "preset": "nap",
   "presets": {"ordinary": {"batch_share": 1.5, "headroom_slots": -1, "hedge_share": 0.5}},
-  "data_centres": {"a": {"region": "r", "distance_us": {"a": 1, "x": 2}}},
+  "data_centres": {"a": {"region": "r", "distance_us": {"a": 1, "x": 2}, "caller_prefixes": ["10.1.0.1/16", "10.1.0.0/16", "10.1.0.0/16"]}},
   "services": {
     "chat": {"kind": "model", "deadline_ms": 99999999, "accounts": ["nobody"]},
     "pay": {"kind": "plain", "model": "m"},
@@ -68,6 +68,7 @@
 		"2 preset",
 		`3 presets["ordinary"].batch_share`, `3 presets["ordinary"].headroom_slots`, `3 presets["ordinary"].hedge_share`,
 		`4 data_centres["a"].distance_us["a"]`, `4 data_centres["a"].distance_us["x"]`,
+		`4 data_centres["a"].caller_prefixes[0]`, `4 data_centres["a"].caller_prefixes[2]`,
 		`6 services["chat"].model`, `6 services["chat"].deadline_ms`, `6 services["chat"].accounts[0]`,
 		`7 services["pay"].model`, `8 services["odd"].kind`,
 		`11 upstreams["U1"]`, `11 upstreams["U1"].address`, `11 upstreams["U1"].data_centre`,
--- a/config/exchange.go
+++ b/config/exchange.go
@@ -13,6 +13,8 @@
 	"github.com/daisylb/daisylb/config/configpb"
 	"github.com/daisylb/daisylb/config/configpb/configpbconnect"
 	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/link"
+	"github.com/daisylb/daisylb/settings"
 )
 
 const (
@@ -28,7 +30,7 @@
 	// pullTimeout bounds a pull, which may carry a whole document.
 	pullTimeout = 5 * time.Second
 	// maxPeerMessageBytes bounds a message between peers.
-	maxPeerMessageBytes = maxObjectBytes
+	maxPeerMessageBytes = settings.MaxBytes
 )
 
 func (s *Store) peer(address string) configpbconnect.PeerClient {
@@ -97,7 +99,7 @@
 	answer, err := s.peer(address).Push(ctx, connect.NewRequest(r))
 	s.metrics.countPush(err)
 	if err != nil {
-		return nil, code.Wrap(code.PeerUnreachable, err, "pushing to %s", address)
+		return nil, link.Decode(err)
 	}
 	s.confirm()
 	return answer.Msg, nil
@@ -114,7 +116,7 @@
 	}
 	answer, err := s.peer(address).Pull(ctx, connect.NewRequest(&configpb.PullRequest{Version: from.document.Version}))
 	if err != nil {
-		return code.Wrap(code.PeerUnreachable, err, "pulling from %s", address)
+		return link.Decode(err)
 	}
 	s.confirm()
 	next, err := from.take(answer.Msg)
@@ -153,7 +155,7 @@
 	defer cancel()
 	answer, err := s.peer(address).Head(ctx, connect.NewRequest(&configpb.HeadRequest{}))
 	if err != nil {
-		return nil, code.Wrap(code.PeerUnreachable, err, "asking %s", address)
+		return nil, link.Decode(err)
 	}
 	return answer.Msg, nil
 }
--- /dev/null
+++ b/config/history.go
@@ -0,0 +1,120 @@
+package config
+
+import (
+	"context"
+	"slices"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+)
+
+// MaxHistory bounds the changes of one page of the history.
+const MaxHistory = 200
+
+// History returns up to limit changes below the version before, the newest
+// first; before 0 means from the version in force. Changes that are not in
+// memory are read from the table.
+func (s *Store) History(ctx context.Context, before uint64, limit int) ([]*Change, error) {
+	v := s.version.Load()
+	if v == nil {
+		return nil, code.New(code.NoConfiguration, "the instance has not read the configuration yet")
+	}
+	last := v.document.Version
+	if before > 0 {
+		last = min(last, before-1)
+	}
+	if last == 0 {
+		return nil, nil
+	}
+	count := min(uint64(min(max(limit, 1), MaxHistory)), last)
+	first := last - count + 1
+	changes, err := s.changesFrom(ctx, v, first, last)
+	if err != nil {
+		return nil, err
+	}
+	page := slices.Clone(changes)
+	slices.Reverse(page)
+	return page, nil
+}
+
+func (s *Store) changesFrom(ctx context.Context, v *version, first, last uint64) ([]*Change, error) {
+	if recent, ok := v.since(first - 1); ok {
+		return recent[:last-first+1], nil
+	}
+	return s.readChanges(ctx, first, last)
+}
+
+// Document returns the document in force; its version is 0 when there is none
+// yet. Errors: code.NoConfiguration while the instance starts.
+func (s *Store) Document(context.Context) (*contract.Document, error) {
+	v := s.version.Load()
+	if v == nil {
+		return nil, code.New(code.NoConfiguration, "the instance has not read the configuration yet")
+	}
+	return v.document, nil
+}
+
+// SwitchRequest asks for another preset.
+type SwitchRequest struct {
+	// ID and BaseVersion are those of Request.
+	ID          string `json:"id"`
+	BaseVersion uint64 `json:"base_version"`
+	// Preset is the name of an entry of the document's presets.
+	Preset string `json:"preset"`
+	Author string `json:"-"`
+	Note   string `json:"note,omitempty"`
+}
+
+// SwitchPreset puts another preset in force, as a change. Errors: those of
+// Submit, and code.UnknownPreset.
+func (s *Store) SwitchPreset(ctx context.Context, r SwitchRequest) (Accepted, error) {
+	d, err := s.Document(ctx)
+	if err != nil {
+		return Accepted{}, err
+	}
+	if _, known := d.Presets[r.Preset]; !known && d.Version == r.BaseVersion {
+		return Accepted{}, code.New(code.UnknownPreset, "no preset %q, there are %q", r.Preset, names(d.Presets))
+	}
+	return s.Submit(ctx, Request{ID: r.ID, BaseVersion: r.BaseVersion, Author: r.Author, Note: r.Note, Edits: Edits{Preset: r.Preset}})
+}
+
+// PresetList names the presets and the one in force.
+type PresetList struct {
+	Version uint64                     `json:"version"`
+	Active  string                     `json:"active"`
+	Presets map[string]contract.Preset `json:"presets"`
+}
+
+// Target takes changes: a Store in this process, or a Client of one elsewhere.
+type Target interface {
+	// Document returns the document in force; its version is 0 when there is none.
+	Document(ctx context.Context) (*contract.Document, error)
+	// Submit asks for a change.
+	Submit(ctx context.Context, r Request) (Accepted, error)
+}
+
+var (
+	_ Target = (*Store)(nil)
+	_ Target = (*Client)(nil)
+)
+
+// Bootstrap brings the target to a whole document by one change that holds the
+// difference to the document in force. Id, author and note are those of r. A
+// document that names a version is applied only to that version. When there is
+// no difference, nothing is changed and the version in force is returned with
+// an empty change id.
+func Bootstrap(ctx context.Context, target Target, r Request, d *contract.Document) (Accepted, error) {
+	current, err := target.Document(ctx)
+	if err != nil {
+		return Accepted{}, err
+	}
+	r.BaseVersion = current.Version
+	if d.Version > 0 {
+		r.BaseVersion = d.Version
+	}
+	r.Edits = Diff(current, d)
+	if r.Edits.IsEmpty() {
+		return Accepted{Version: current.Version}, nil
+	}
+	return target.Submit(ctx, r)
+}
--- /dev/null
+++ b/config/http_test.go
@@ -0,0 +1,161 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	"connectrpc.com/connect"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/settings"
+)
+
+// forgetful loses the answer of the next POST after the instance has acted.
+type forgetful struct {
+	lose bool
+	lost int
+}
+
+func (f *forgetful) RoundTrip(r *http.Request) (*http.Response, error) {
+	answer, err := http.DefaultTransport.RoundTrip(r)
+	if err == nil && f.lose && r.Method == http.MethodPost {
+		f.lose = false
+		f.lost++
+		answer.Body.Close()
+		return nil, errors.New("connection reset")
+	}
+	return answer, err
+}
+
+func newAPI(t *testing.T, s *Store) (*Client, *forgetful) {
+	t.Helper()
+	author := func(r *http.Request) string { return r.Header.Get("Authorization") }
+	server := httptest.NewServer(Handler(s, author))
+	f := &forgetful{}
+	t.Cleanup(func() {
+		http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+		server.Close()
+	})
+	return NewClient(server.URL, "ana", &http.Client{Transport: f}), f
+}
+
+func TestOperatorsInterface(t *testing.T) {
+	y := newSystem(2)
+	s := y.at(0)
+	c, transport := newAPI(t, s)
+	ctx := t.Context()
+	if _, err := s.Document(ctx); code.Of(err) != code.NoConfiguration {
+		t.Fatalf("before the start: %v", err)
+	}
+	for i := range 2 {
+		if err := y.at(i).start(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	transport.lose = true
+	a, err := Bootstrap(ctx, c, Request{ID: "boot", Note: "first"}, example(t, "coordinacion"))
+	if err != nil || transport.lost != 1 || a.Version != 1 || !a.Repeated || a.InForce != 2 {
+		t.Fatalf("after %d lost answers: %+v, %v", transport.lost, a, err)
+	}
+	if a, err = Bootstrap(ctx, c, Request{ID: "same"}, example(t, "coordinacion")); err != nil || a.ChangeID != "" || a.Version != 1 {
+		t.Errorf("the same document again: %+v, %v", a, err)
+	}
+	if a, err = c.SwitchPreset(ctx, SwitchRequest{ID: "sunday", BaseVersion: 1, Preset: "peak"}); err != nil || a.Version != 2 {
+		t.Errorf("switch: %+v, %v", a, err)
+	}
+	if _, err = c.SwitchPreset(ctx, SwitchRequest{ID: "nap", BaseVersion: 2, Preset: "nap"}); code.Of(err) != code.UnknownPreset {
+		t.Errorf("unknown preset: %v", err)
+	}
+	var conflict *Conflict
+	if _, err = c.SwitchPreset(ctx, SwitchRequest{ID: "late", BaseVersion: 1, Preset: "ordinary"}); !errors.As(err, &conflict) || conflict.Winner.ChangeID != "sunday" {
+		t.Errorf("late switch: %v", err)
+	}
+	var faults settings.Faults
+	bad := Request{ID: "Bad", BaseVersion: 2, Edits: Edits{}}
+	if _, err = c.Submit(ctx, bad); !errors.As(err, &faults) || len(faults) != 2 {
+		t.Errorf("bad request: %v", err)
+	}
+	page, err := c.History(ctx, 0, 10)
+	if err != nil || len(page.Changes) != 2 || page.Changes[0].ID != "sunday" || page.Changes[1].Author != "Bearer ana" || page.Changes[1].Note != "first" {
+		t.Errorf("history: %+v, %v", page, err)
+	}
+	list, err := c.Presets(ctx)
+	if err != nil || list.Active != "peak" || len(list.Presets) != 3 || list.Version != 2 {
+		t.Errorf("presets: %+v, %v", list, err)
+	}
+	d, err := c.Document(ctx)
+	if err != nil || d.Version != 2 || d.Preset != "peak" {
+		t.Errorf("document: %v", err)
+	}
+}
+
+// addresses are peers over real connections.
+type addresses struct {
+	mu   sync.Mutex
+	list []string
+	http *http.Client
+}
+
+func (a *addresses) Addresses() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.list
+}
+
+func (a *addresses) HTTP() connect.HTTPClient { return a.http }
+
+func TestExchangeOverLoopback(t *testing.T) {
+	platform := memory.New()
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	var stores []*Store
+	var views []*addresses
+	var servers []*httptest.Server
+	for range 10 {
+		server := httptest.NewUnstartedServer(nil)
+		peers := &addresses{http: &http.Client{Transport: transport}}
+		s, err := New(Options{Table: platform, Objects: platform, Peers: peers, Address: server.Listener.Addr().String()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, server.Config.Handler = s.PeerHandler()
+		server.Start()
+		defer server.Close()
+		stores, views, servers = append(stores, s), append(views, peers), append(servers, server)
+	}
+	for i, v := range views {
+		v.mu.Lock()
+		for j, server := range servers {
+			if i != j {
+				v.list = append(v.list, server.Listener.Addr().String())
+			}
+		}
+		v.mu.Unlock()
+		if err := stores[i].start(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a, err := Bootstrap(context.Background(), stores[0], Request{ID: "boot", Author: "ana"}, example(t, "loomcare"))
+	if err != nil || a.InForce != 10 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	platform.Faults().SetDown(true)
+	for i, s := range stores {
+		if s.inForce() != 1 || s.Ready() != nil {
+			t.Errorf("instance %d has version %d: %v", i, s.inForce(), s.Ready())
+		}
+	}
+	if _, err := stores[3].Submit(t.Context(), Request{ID: "down", BaseVersion: 1, Edits: Edits{Preset: "peak"}}); code.Of(err) != code.StoreUnavailable {
+		t.Errorf("a change while the table is down: %v", err)
+	}
+	var none *contract.Document
+	if d := stores[3].Current(); d == none || d.Preset != "ordinary" {
+		t.Error("a refused change is in force")
+	}
+}
--- a/config/peer.go
+++ b/config/peer.go
@@ -11,6 +11,7 @@
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/config/configpb"
 	"github.com/daisylb/daisylb/config/configpb/configpbconnect"
+	"github.com/daisylb/daisylb/link"
 )
 
 // maxRelays bounds the addresses of one push.
@@ -32,10 +33,10 @@
 	s := p.store
 	c, err := decodeChange(r.Msg.GetChange())
 	if err != nil {
-		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		return nil, link.Encode(err)
 	}
 	if n := len(r.Msg.RelayTo); n > maxRelays {
-		return nil, connect.NewError(connect.CodeInvalidArgument, code.New(code.InvalidField, "%d relays, at most %d are allowed", n, maxRelays))
+		return nil, link.Encode(code.New(code.InvalidField, "%d relays, at most %d are allowed", n, maxRelays))
 	}
 	s.confirm()
 	relayed := make(chan []string, 1)
@@ -51,7 +52,7 @@
 func (p peerService) Pull(_ context.Context, r *connect.Request[configpb.PullRequest]) (*connect.Response[configpb.PullResponse], error) {
 	v := p.store.version.Load()
 	if v == nil {
-		return nil, connect.NewError(connect.CodeUnavailable, code.New(code.NoConfiguration, "the instance has no configuration yet"))
+		return nil, link.Encode(code.New(code.NoConfiguration, "the instance has no configuration yet"))
 	}
 	p.store.confirm()
 	answer := &configpb.PullResponse{Version: v.document.Version}
@@ -59,7 +60,7 @@
 	if !ok {
 		snapshot, err := json.Marshal(v.document)
 		if err != nil {
-			return nil, connect.NewError(connect.CodeInternal, err)
+			return nil, link.Encode(err)
 		}
 		answer.Snapshot = snapshot
 		return connect.NewResponse(answer), nil
@@ -67,7 +68,7 @@
 	for _, c := range changes {
 		m, err := encodeChange(c)
 		if err != nil {
-			return nil, connect.NewError(connect.CodeInternal, err)
+			return nil, link.Encode(err)
 		}
 		answer.Changes = append(answer.Changes, m)
 	}
