Give operators and callers the rest of the command line

Cause: dump, instances, upstreams and endpoints had no commands. Ruled out: commands that speak HTTP themselves; they use the typed clients of operator and caller, which share one reader of numbered answers. Change: the clients, the commands, the configuration interface mounted on the operators' listener.

--- a/cmd/daisylb/main.go
+++ b/cmd/daisylb/main.go
@@ -14,12 +14,25 @@
 const exitSettings subcommands.ExitStatus = 2
 
 func main() {
+	var operator operatorFlags
+	operator.register(flag.CommandLine)
 	commander := subcommands.NewCommander(flag.CommandLine, "daisylb")
 	commander.Register(commander.HelpCommand(), "help")
 	commander.Register(commander.FlagsCommand(), "help")
 	commander.Register(commander.CommandsCommand(), "help")
-	commander.Register(&devCommand{}, "trying out")
 	commander.Register(&versionCommand{}, "help")
+	commander.Register(&devCommand{}, "trying out")
+	register(commander, "operators", configCommands())
+	register(commander, "operators", viewCommands())
+	register(commander, "callers", callerCommands())
+	commander.ImportantFlag("operator")
+	commander.ImportantFlag("operator-key")
 	flag.Parse()
-	os.Exit(int(commander.Execute(context.Background())))
+	os.Exit(int(commander.Execute(context.Background(), &operator)))
+}
+
+func register(c *subcommands.Commander, group string, commands []subcommands.Command) {
+	for _, command := range commands {
+		c.Register(command, group)
+	}
 }
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -150,14 +150,19 @@
 }
 
 func (d *Daemon) buildOperators() {
+	configuration := config.Handler(d.config, operator.NameOf)
 	l := operator.NewListener(operator.Options{
 		Keys:     d.settings.OperatorKeys,
 		Ready:    d.ready,
 		State:    d.dump,
 		Gatherer: d.registry,
 		Mounts: map[string]http.Handler{
-			"GET /v1/instances": operator.JSON(func() []instance.Member { return d.view.Load().Live() }),
-			"GET /v1/upstreams": operator.JSON(d.dispatcher.State),
+			"/v1/config":                    configuration,
+			"/v1/config/":                   configuration,
+			"/v1/presets":                   configuration,
+			"/v1/presets/":                  configuration,
+			"GET " + operator.PathInstances: operator.JSON(func() []instance.Member { return d.view.Load().Live() }),
+			"GET " + operator.PathUpstreams: operator.JSON(d.dispatcher.State),
 		},
 		Logger: d.log,
 	})
--- /dev/null
+++ b/link/json.go
@@ -0,0 +1,52 @@
+package link
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/daisylb/daisylb/code"
+)
+
+// maxAnswerBytes bounds the answer that GetJSON reads.
+const maxAnswerBytes = 64 << 20
+
+// GetJSON reads the JSON at url into a T, with key as the bearer key. Errors
+// are the numbered error of the answer, code.PeerUnreachable, or
+// code.MalformedBody.
+func GetJSON[T any](ctx context.Context, calls *http.Client, url, key string) (T, error) {
+	var value T
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return value, code.Wrap(code.InvalidField, err, "the address %q is not valid", url)
+	}
+	if key != "" {
+		r.Header.Set(keyHeader, keyScheme+key)
+	}
+	response, err := calls.Do(r)
+	if err != nil {
+		return value, code.Wrap(code.PeerUnreachable, err, "%s does not answer: %v", r.URL.Host, err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return value, code.Wrap(code.PeerUnreachable, err, "the answer of %s broke off", r.URL.Host)
+	}
+	if response.StatusCode != http.StatusOK {
+		return value, failure(response.StatusCode, body)
+	}
+	if err := json.Unmarshal(body, &value); err != nil {
+		return value, code.Wrap(code.MalformedBody, err, "the answer of %s is not the JSON expected", r.URL.Host)
+	}
+	return value, nil
+}
+
+// failure reads a numbered error.
+func failure(status int, body []byte) error {
+	var b code.Body
+	if err := json.Unmarshal(body, &b); err != nil || b.Error.Number == 0 {
+		return code.New(code.PeerUnreachable, "answer with status %d and without a numbered error", status)
+	}
+	return b.Err()
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -70,7 +70,7 @@
 	l.mux.HandleFunc("GET /livez", l.live)
 	l.mux.HandleFunc("GET /readyz", l.ready)
 	l.mux.Handle("GET /metrics", l.identified(promhttp.HandlerFor(o.Gatherer, promhttp.HandlerOpts{})))
-	l.mux.Handle("GET /debug/state", l.identified(http.HandlerFunc(l.dump)))
+	l.mux.Handle("GET "+PathState, l.identified(http.HandlerFunc(l.dump)))
 	for pattern, h := range o.Mounts {
 		l.mux.Handle(pattern, l.identified(h))
 	}
