--- a/config/peer.go
+++ b/config/peer.go
@@ -14,8 +14,13 @@
 	"github.com/daisylb/daisylb/link"
 )
 
-// maxRelays bounds the addresses of one push.
-const maxRelays = 1000
+const (
+	// maxRelays bounds the addresses of one push.
+	maxRelays = 1000
+	// minCompressBytes is the size from which answers are compressed; a
+	// compressor takes more memory than a small answer saves.
+	minCompressBytes = 16 << 10
+)
 
 // peerService answers the calls of other instances.
 type peerService struct{ store *Store }
@@ -25,7 +30,7 @@
 // PeerHandler returns the path and the handler of the peer service, for the
 // listener of the peers.
 func (s *Store) PeerHandler() (string, http.Handler) {
-	return configpbconnect.NewPeerHandler(peerService{s}, connect.WithReadMaxBytes(maxPeerMessageBytes))
+	return configpbconnect.NewPeerHandler(peerService{s}, connect.WithReadMaxBytes(maxPeerMessageBytes), connect.WithCompressMinBytes(minCompressBytes))
 }
 
 // Push puts the change in force here and relays it.
--- a/config/system_test.go
+++ b/config/system_test.go
@@ -24,8 +24,24 @@
 	mu       sync.Mutex
 	handlers map[string]http.Handler
 	cut      func(from, to string) bool
-	calls    int
-	bytes    int64
+	bodies   map[string]int64
+}
+
+// reset forgets the bytes sent so far.
+func (n *network) reset() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.bodies = map[string]int64{}
+}
+
+// sent returns the bytes of all request bodies, and of those from one address.
+func (n *network) sent(from string) (total, own int64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, b := range n.bodies {
+		total += b
+	}
+	return total, n.bodies[from]
 }
 
 func (n *network) set(address string, h http.Handler) {
@@ -51,8 +67,7 @@
 	n.mu.Lock()
 	h := n.handlers[r.URL.Host]
 	cut := n.cut != nil && n.cut(p.from, r.URL.Host)
-	n.calls++
-	n.bytes += r.ContentLength
+	n.bodies[p.from] += r.ContentLength
 	n.mu.Unlock()
 	if h == nil || cut {
 		return nil, errors.New("connection refused")
@@ -92,10 +107,10 @@
 	stores map[string]*Store
 }
 
-func address(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i) }
+func address(i int) string { return fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250) }
 
 func newSystem(instances int) *system {
-	y := &system{platform: memory.New(), network: &network{handlers: map[string]http.Handler{}}, stores: map[string]*Store{}}
+	y := &system{platform: memory.New(), network: &network{handlers: map[string]http.Handler{}, bodies: map[string]int64{}}, stores: map[string]*Store{}}
 	for i := range instances {
 		y.boot(i)
 	}
