--- a/config/exchange.go
+++ b/config/exchange.go
@@ -22,11 +22,12 @@
 	// more peers, each of them relays it to a part of the others.
 	fanOut = 24
 	// leafTimeout bounds a push that is not relayed, and other short calls.
-	leafTimeout = 2 * time.Second
+	leafTimeout = 1500 * time.Millisecond
 	// relayTimeout bounds a push that the receiver relays.
-	relayTimeout = 5 * time.Second
-	// distributeTimeout bounds the pushes of one change.
-	distributeTimeout = 10 * time.Second
+	relayTimeout = 2 * leafTimeout
+	// distributeTimeout bounds the pushes of one change: it leaves time for
+	// three relays of a group that do not answer.
+	distributeTimeout = 4 * relayTimeout
 	// pullTimeout bounds a pull, which may carry a whole document.
 	pullTimeout = 5 * time.Second
 	// maxPeerMessageBytes bounds a message between peers.
--- a/config/rows.go
+++ b/config/rows.go
@@ -25,6 +25,8 @@
 const (
 	// snapshotInterval is the number of versions from one snapshot to the next.
 	snapshotInterval = 64
+	// keptSnapshots is the number of snapshots that are not deleted.
+	keptSnapshots = 3
 	// maxInlineBytes bounds the edits inside a change's row; larger ones are
 	// kept in an object.
 	maxInlineBytes = 128 << 10
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -126,6 +126,25 @@
 	}
 }
 
+func TestFrozenRelaysKeepTheChangeFromNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances = 300
+		y := started(t, instances)
+		// The first two relays of group 0 and the first of group 5 are frozen, and
+		// a leaf of group 6.
+		y.network.frozen = map[string]bool{address(1): true, address(1 + fanOut): true, address(6): true, address(7 + 3*fanOut): true}
+		a := y.preset(t, 0, "peaks", "peak")
+		if a.InForce != instances-4 || len(a.Missing) != 4 {
+			t.Errorf("in force at %d of %d, missing %v", a.InForce, a.Instances, a.Missing)
+		}
+		for i := range instances {
+			if address := address(i); !y.network.frozen[address] && y.at(i).inForce() != 2 {
+				t.Errorf("instance %d has version %d", i, y.at(i).inForce())
+			}
+		}
+	})
+}
+
 func TestReceiverWithGapCatchesUp(t *testing.T) {
 	for name, storeDown := range map[string]bool{"from the sender": true, "from the table": false} {
 		t.Run(name, func(t *testing.T) {
@@ -196,7 +215,7 @@
 
 func TestFreshInstanceReadsSnapshotAndTail(t *testing.T) {
 	y := started(t, 1)
-	const changes = 3*snapshotInterval + 5
+	const changes = 5*snapshotInterval + 5
 	for i := range changes {
 		y.preset(t, 0, fmt.Sprintf("c%d", i), []string{"peak", "ordinary"}[i%2])
 	}
@@ -208,6 +227,10 @@
 	if reads := y.platform.Faults().Counts().Reads - before; reads > 3 {
 		t.Errorf("%d reads, want head, snapshot and one page", reads)
 	}
+	snapshots, err := y.platform.List(t.Context(), snapshotPrefix, "", 0)
+	if err != nil || len(snapshots) != keptSnapshots {
+		t.Errorf("%d snapshots are kept, want %d: %v", len(snapshots), keptSnapshots, err)
+	}
 	if n := len(s.version.Load().recent); n >= snapshotInterval {
 		t.Errorf("%d changes after the snapshot, want fewer than %d", n, snapshotInterval)
 	}
--- a/config/system_test.go
+++ b/config/system_test.go
@@ -24,7 +24,9 @@
 	mu       sync.Mutex
 	handlers map[string]http.Handler
 	cut      func(from, to string) bool
-	bodies   map[string]int64
+	// frozen addresses take calls and never answer.
+	frozen map[string]bool
+	bodies map[string]int64
 }
 
 // reset forgets the bytes sent so far.
@@ -67,11 +69,16 @@
 	n.mu.Lock()
 	h := n.handlers[r.URL.Host]
 	cut := n.cut != nil && n.cut(p.from, r.URL.Host)
+	frozen := n.frozen[r.URL.Host]
 	n.bodies[p.from] += r.ContentLength
 	n.mu.Unlock()
 	if h == nil || cut {
 		return nil, errors.New("connection refused")
 	}
+	if frozen {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
 	w := httptest.NewRecorder()
 	h.ServeHTTP(w, r)
 	return w.Result(), nil
