Count the peers that others know before a start without the table

Cause: a starting instance may have heard of one peer only; half of one is one, so the peer that missed a push was enough to serve an older version. Ruled out: waiting a fixed time for the membership view; no time is sure. Change: the answer to Head carries the number of live instances its sender knows; the largest number sets the quorum. Conclusion: the rule holds also for a view that is still filling.

--- a/config/exchange.go
+++ b/config/exchange.go
@@ -162,10 +162,10 @@
 }
 
 // heads asks every address for its version; instances that are starting
-// themselves are left out.
-func (s *Store) heads(ctx context.Context, addresses []string) []hint {
+// themselves are left out. Instances is the highest number of live instances
+// that one of them knows.
+func (s *Store) heads(ctx context.Context, addresses []string) (answers []hint, instances int) {
 	var mu sync.Mutex
-	var answers []hint
 	var calls errgroup.Group
 	calls.SetLimit(fanOut)
 	for _, address := range addresses {
@@ -177,11 +177,12 @@
 			mu.Lock()
 			defer mu.Unlock()
 			answers = append(answers, hint{h.Version, address})
+			instances = max(instances, int(h.Instances))
 			return nil
 		})
 	}
 	_ = calls.Wait()
-	return answers
+	return answers, instances
 }
 
 func encodeChange(c *Change) (*configpb.Change, error) {
--- a/config/follow.go
+++ b/config/follow.go
@@ -183,9 +183,11 @@
 
 func (s *Store) startFromPeers(ctx context.Context) error {
 	addresses := s.options.Peers.Addresses()
-	answers := s.heads(ctx, addresses)
-	if quorum := len(addresses)/2 + 1; len(answers) < quorum {
-		return code.New(code.NoConfiguration, "%d of %d peers have a configuration, %d are needed", len(answers), len(addresses), quorum)
+	answers, instances := s.heads(ctx, addresses)
+	// A starting instance may know fewer peers than those that it asks.
+	peers := max(len(addresses), instances-1)
+	if quorum := peers/2 + 1; len(answers) < quorum {
+		return code.New(code.NoConfiguration, "%d of %d peers have a configuration, %d are needed", len(answers), peers, quorum)
 	}
 	highest := answers[0]
 	for _, a := range answers {
--- a/config/peer.go
+++ b/config/peer.go
@@ -82,5 +82,7 @@
 
 // Head returns the version in force.
 func (p peerService) Head(context.Context, *connect.Request[configpb.HeadRequest]) (*connect.Response[configpb.HeadResponse], error) {
-	return connect.NewResponse(&configpb.HeadResponse{Version: p.store.inForce(), Started: p.store.started()}), nil
+	s := p.store
+	instances := len(s.options.Peers.Addresses()) + 1
+	return connect.NewResponse(&configpb.HeadResponse{Version: s.inForce(), Started: s.started(), Instances: uint32(instances)}), nil
 }
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -213,6 +213,31 @@
 	}
 }
 
+// partial is the view of an instance that has heard of few peers.
+type partial struct {
+	view
+	known []string
+}
+
+func (p partial) Addresses() []string { return p.known }
+
+func TestStartCountsPeersThatOthersKnow(t *testing.T) {
+	y := started(t, 4)
+	y.network.setCut(func(_, to string) bool { return to == address(3) })
+	y.preset(t, 0, "second", "peak") // In force at 0, 1 and 2.
+	y.network.setCut(nil)
+	y.platform.Faults().SetDown(true)
+	s := y.boot(0)
+	s.options.Peers = partial{view{y, address(0)}, []string{address(3)}}
+	if err := s.start(t.Context()); err == nil {
+		t.Errorf("started with version %d on the only peer known, though that knows four instances", s.inForce())
+	}
+	s.options.Peers = partial{view{y, address(0)}, []string{address(3), address(2)}}
+	if err := s.start(t.Context()); err != nil || s.inForce() != 2 {
+		t.Errorf("started with version %d, want 2: %v", s.inForce(), err)
+	}
+}
+
 func TestFreshInstanceReadsSnapshotAndTail(t *testing.T) {
 	y := started(t, 1)
 	const changes = 5*snapshotInterval + 5
