Bound the history of changes

Ruled out: deleting one old change with each new one (a failed read would leave a row for ever); a job of its own (an owner would have to be chosen). Conclusion: the table's share of the configuration is bounded.

--- a/config/accept.go
+++ b/config/accept.go
@@ -210,37 +210,6 @@
 	return err
 }
 
-// snapshot stores the base document when the last snapshot is an interval old.
-// It returns the version of the newest snapshot. A failure only leaves a
-// longer list of changes to read at a start.
-func (s *Store) snapshot(ctx context.Context, h head, base *contract.Document) uint64 {
-	if base.Version-h.Snapshot < snapshotInterval {
-		return h.Snapshot
-	}
-	if err := s.putObject(ctx, snapshotKey(base.Version), base); err != nil {
-		s.logger.Warn("configuration snapshot not stored", zap.Uint64("version", base.Version), zap.Error(err))
-		return h.Snapshot
-	}
-	s.trimSnapshots(ctx)
-	return base.Version
-}
-
-// trimSnapshots deletes the oldest snapshots. The one that the head names now
-// and the one that it is about to name are among those kept.
-func (s *Store) trimSnapshots(ctx context.Context) {
-	infos, err := s.options.Objects.List(ctx, snapshotPrefix, "", pageRows)
-	s.metrics.reads.Inc()
-	if err != nil {
-		return
-	}
-	for _, info := range infos[:max(len(infos)-keptSnapshots, 0)] {
-		if err := s.options.Objects.Delete(ctx, info.Key); err != nil {
-			s.logger.Warn("old configuration snapshot not deleted", zap.String("key", info.Key), zap.Error(err))
-			return
-		}
-	}
-}
-
 // resolve finds out which change won when the transaction's conditions did not
 // hold: this one, by an attempt whose answer was lost, or another.
 func (s *Store) resolve(ctx context.Context, c *Change, unknown bool) (*Change, error) {
--- a/config/history.go
+++ b/config/history.go
@@ -13,7 +13,7 @@
 
 // History returns up to limit changes below the version before, the newest
 // first; before 0 means from the version in force. Changes that are not in
-// memory are read from the table.
+// memory are read from the table, which holds Options.KeptChanges of them.
 func (s *Store) History(ctx context.Context, before uint64, limit int) ([]*Change, error) {
 	v := s.version.Load()
 	if v == nil {
@@ -41,7 +41,7 @@
 	if recent, ok := v.since(first - 1); ok {
 		return recent[:last-first+1], nil
 	}
-	return s.readChanges(ctx, first, last)
+	return s.scanChanges(ctx, first, last)
 }
 
 // Document returns the document in force; its version is 0 when there is none
--- a/config/rows.go
+++ b/config/rows.go
@@ -23,10 +23,6 @@
 )
 
 const (
-	// snapshotInterval is the number of versions from one snapshot to the next.
-	snapshotInterval = 64
-	// keptSnapshots is the number of snapshots that are not deleted.
-	keptSnapshots = 3
 	// maxInlineBytes bounds the edits inside a change's row; larger ones are
 	// kept in an object.
 	maxInlineBytes = 128 << 10
@@ -111,26 +107,37 @@
 // readChanges returns the changes from first to last, or code.VersionGap when
 // one of them is not in the table.
 func (s *Store) readChanges(ctx context.Context, first, last uint64) ([]*Change, error) {
+	changes, err := s.scanChanges(ctx, first, last)
+	if err != nil {
+		return nil, err
+	}
+	for i := range last + 1 - first {
+		if i >= uint64(len(changes)) || changes[i].Version != first+i {
+			return nil, code.New(code.VersionGap, "change %d is not in the table", first+i)
+		}
+	}
+	return changes, nil
+}
+
+// scanChanges returns the changes from first to last that the table has.
+func (s *Store) scanChanges(ctx context.Context, first, last uint64) ([]*Change, error) {
 	var changes []*Change
-	for next := first; next <= last; {
-		rows, err := s.options.Table.Range(ctx, changeKey(next), changeKey(last+1), pageRows)
+	for first <= last {
+		rows, err := s.options.Table.Range(ctx, changeKey(first), changeKey(last+1), pageRows)
 		s.metrics.reads.Inc()
 		if err != nil {
 			return nil, err
 		}
-		if len(rows) == 0 {
-			return nil, code.New(code.VersionGap, "change %d is not in the table", next)
-		}
 		for _, row := range rows {
 			c, err := s.decodeChange(ctx, row)
 			if err != nil {
 				return nil, err
 			}
-			if c.Version != next {
-				return nil, code.New(code.VersionGap, "change %d is not in the table", next)
-			}
 			changes = append(changes, c)
-			next++
+			first = c.Version + 1
+		}
+		if len(rows) < pageRows {
+			break
 		}
 	}
 	return changes, nil
--- a/config/store.go
+++ b/config/store.go
@@ -35,6 +35,9 @@
 	// IsolationLimit is how long the instance serves without contact with the
 	// table or any peer; 0 means without end.
 	IsolationLimit time.Duration
+	// KeptChanges is the number of changes that the history holds, and for which
+	// a change id is remembered; 0 means DefaultKeptChanges, at least 384.
+	KeptChanges int
 	// Backoff spaces the retries of store operations; the zero value means
 	// 50 ms to 1 s.
 	Backoff retry.Backoff
@@ -94,6 +97,12 @@
 	if o.IsolationLimit < 0 {
 		return nil, code.New(code.InvalidSettings, "config: the isolation limit is negative")
 	}
+	if o.KeptChanges == 0 {
+		o.KeptChanges = DefaultKeptChanges
+	}
+	if o.KeptChanges < minKeptChanges {
+		return nil, code.New(code.InvalidSettings, "config: %d kept changes, at least %d are needed", o.KeptChanges, minKeptChanges)
+	}
 	if o.Backoff == (retry.Backoff{}) {
 		o.Backoff = retry.Backoff{Min: 50 * time.Millisecond, Max: time.Second}
 	}
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/platform"
 	"github.com/daisylb/daisylb/settings"
 )
 
@@ -261,6 +262,29 @@
 	}
 }
 
+func TestOldChangesAreDeletedAndTheRestIsRead(t *testing.T) {
+	y := started(t, 1)
+	s := y.at(0)
+	s.options.KeptChanges = minKeptChanges
+	const changes = 2 * minKeptChanges
+	for i := range changes {
+		y.preset(t, 0, fmt.Sprintf("c%d", i), []string{"peak", "ordinary"}[i%2])
+	}
+	for _, prefix := range []string{changePrefix, idPrefix} {
+		rows, err := y.platform.Range(t.Context(), prefix, platform.PrefixEnd(prefix), 0)
+		if n := len(rows); err != nil || n < minKeptChanges || n > minKeptChanges+2*snapshotInterval {
+			t.Errorf("%d rows under %s for %d kept changes: %v", n, prefix, minKeptChanges, err)
+		}
+	}
+	fresh := y.boot(1)
+	if err := fresh.start(t.Context()); err != nil || fresh.inForce() != changes+1 {
+		t.Errorf("a fresh instance has version %d: %v", fresh.inForce(), err)
+	}
+	if page, err := fresh.History(t.Context(), 500, MaxHistory); err != nil || len(page) == 0 || len(page) == MaxHistory {
+		t.Errorf("a page over the end of the history has %d changes: %v", len(page), err)
+	}
+}
+
 func TestLargeChangeFitsTheTable(t *testing.T) {
 	y := started(t, 2)
 	edits := Edits{Accounts: map[string]*contract.Account{}}
