Prove a change of a lost instance and a doubled request

Ruled out: nothing; the code is unchanged. Figures: 10 instances have the change in force within 18 s of virtual time by polling alone; 20 of 20 doubled requests make one version at both. All tests of config and cmd/daisylb pass with -race -count=8. Conclusion: both held already.

--- a/config/store_test.go
+++ b/config/store_test.go
@@ -108,6 +108,48 @@
 	})
 }
 
+func TestChangeOfLostInstanceComesIntoForceByPolling(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances, bound = 10, 18 * time.Second
+		y := started(t, instances)
+		var runs sync.WaitGroup
+		for i := 1; i < instances; i++ {
+			runs.Go(func() { _ = y.at(i).Run(t.Context()) })
+		}
+		synctest.Wait()
+		y.network.setCut(func(from, _ string) bool { return from == address(0) })
+		if a := y.preset(t, 0, "peaks", "peak"); a.InForce != 1 {
+			t.Fatalf("pushed from a lost instance: %+v", a)
+		}
+		y.crash(0)
+		began := time.Now()
+		for i := 1; i < instances; i++ {
+			if _, err := y.at(i).Watch(t.Context(), 1); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if took := time.Since(began); took > bound {
+			t.Errorf("in force everywhere after %s, want %s at most", took, bound)
+		}
+	})
+}
+
+func TestChangeSentTwiceAtOnceIsMadeOnce(t *testing.T) {
+	for range 20 {
+		y := started(t, 2)
+		var both sync.WaitGroup
+		for i := range 2 {
+			both.Go(func() {
+				if a, err := y.at(i).Submit(t.Context(), switchTo("twice", "peak", 1)); err != nil || a.Version != 2 {
+					t.Errorf("got %+v, %v", a, err)
+				}
+			})
+		}
+		both.Wait()
+		y.expect(t, 2)
+	}
+}
+
 func TestFewerMessagesThanInstancesLeaveTheAcceptingOne(t *testing.T) {
 	const instances = 200
 	y := started(t, instances)
