--- a/config/accept.go
+++ b/config/accept.go
@@ -210,20 +210,6 @@
 	return err
 }
 
-// snapshot stores the base document when the last snapshot is an interval old.
-// It returns the version of the newest snapshot. A failure only leaves a
-// longer list of changes to read at a start.
-func (s *Store) snapshot(ctx context.Context, h head, base *contract.Document) uint64 {
-	if base.Version-h.Snapshot < snapshotInterval {
-		return h.Snapshot
-	}
-	if err := s.putObject(ctx, snapshotKey(base.Version), base); err != nil {
-		s.logger.Warn("configuration snapshot not stored", zap.Uint64("version", base.Version), zap.Error(err))
-		return h.Snapshot
-	}
-	return base.Version
-}
-
 // resolve finds out which change won when the transaction's conditions did not
 // hold: this one, by an attempt whose answer was lost, or another.
 func (s *Store) resolve(ctx context.Context, c *Change, unknown bool) (*Change, error) {
--- a/config/exchange.go
+++ b/config/exchange.go
@@ -22,11 +22,12 @@
 	// more peers, each of them relays it to a part of the others.
 	fanOut = 24
 	// leafTimeout bounds a push that is not relayed, and other short calls.
-	leafTimeout = 2 * time.Second
+	leafTimeout = 1500 * time.Millisecond
 	// relayTimeout bounds a push that the receiver relays.
-	relayTimeout = 5 * time.Second
-	// distributeTimeout bounds the pushes of one change.
-	distributeTimeout = 10 * time.Second
+	relayTimeout = 2 * leafTimeout
+	// distributeTimeout bounds the pushes of one change: it leaves time for
+	// three relays of a group that do not answer.
+	distributeTimeout = 4 * relayTimeout
 	// pullTimeout bounds a pull, which may carry a whole document.
 	pullTimeout = 5 * time.Second
 	// maxPeerMessageBytes bounds a message between peers.
@@ -161,10 +162,10 @@
 }
 
 // heads asks every address for its version; instances that are starting
-// themselves are left out.
-func (s *Store) heads(ctx context.Context, addresses []string) []hint {
+// themselves are left out. Instances is the highest number of live instances
+// that one of them knows.
+func (s *Store) heads(ctx context.Context, addresses []string) (answers []hint, instances int) {
 	var mu sync.Mutex
-	var answers []hint
 	var calls errgroup.Group
 	calls.SetLimit(fanOut)
 	for _, address := range addresses {
@@ -176,11 +177,12 @@
 			mu.Lock()
 			defer mu.Unlock()
 			answers = append(answers, hint{h.Version, address})
+			instances = max(instances, int(h.Instances))
 			return nil
 		})
 	}
 	_ = calls.Wait()
-	return answers
+	return answers, instances
 }
 
 func encodeChange(c *Change) (*configpb.Change, error) {
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/platform"
 	"github.com/daisylb/daisylb/settings"
 )
 
@@ -107,6 +108,48 @@
 	})
 }
 
+func TestChangeOfLostInstanceComesIntoForceByPolling(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances, bound = 10, 18 * time.Second
+		y := started(t, instances)
+		var runs sync.WaitGroup
+		for i := 1; i < instances; i++ {
+			runs.Go(func() { _ = y.at(i).Run(t.Context()) })
+		}
+		synctest.Wait()
+		y.network.setCut(func(from, _ string) bool { return from == address(0) })
+		if a := y.preset(t, 0, "peaks", "peak"); a.InForce != 1 {
+			t.Fatalf("pushed from a lost instance: %+v", a)
+		}
+		y.crash(0)
+		began := time.Now()
+		for i := 1; i < instances; i++ {
+			if _, err := y.at(i).Watch(t.Context(), 1); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if took := time.Since(began); took > bound {
+			t.Errorf("in force everywhere after %s, want %s at most", took, bound)
+		}
+	})
+}
+
+func TestChangeSentTwiceAtOnceIsMadeOnce(t *testing.T) {
+	for range 20 {
+		y := started(t, 2)
+		var both sync.WaitGroup
+		for i := range 2 {
+			both.Go(func() {
+				if a, err := y.at(i).Submit(t.Context(), switchTo("twice", "peak", 1)); err != nil || a.Version != 2 {
+					t.Errorf("got %+v, %v", a, err)
+				}
+			})
+		}
+		both.Wait()
+		y.expect(t, 2)
+	}
+}
+
 func TestFewerMessagesThanInstancesLeaveTheAcceptingOne(t *testing.T) {
 	const instances = 200
 	y := started(t, instances)
@@ -126,6 +169,25 @@
 	}
 }
 
+func TestFrozenRelaysKeepTheChangeFromNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances = 300
+		y := started(t, instances)
+		// The first two relays of group 0 and the first of group 5 are frozen, and
+		// a leaf of group 6.
+		y.network.frozen = map[string]bool{address(1): true, address(1 + fanOut): true, address(6): true, address(7 + 3*fanOut): true}
+		a := y.preset(t, 0, "peaks", "peak")
+		if a.InForce != instances-4 || len(a.Missing) != 4 {
+			t.Errorf("in force at %d of %d, missing %v", a.InForce, a.Instances, a.Missing)
+		}
+		for i := range instances {
+			if address := address(i); !y.network.frozen[address] && y.at(i).inForce() != 2 {
+				t.Errorf("instance %d has version %d", i, y.at(i).inForce())
+			}
+		}
+	})
+}
+
 func TestReceiverWithGapCatchesUp(t *testing.T) {
 	for name, storeDown := range map[string]bool{"from the sender": true, "from the table": false} {
 		t.Run(name, func(t *testing.T) {
@@ -194,9 +256,34 @@
 	}
 }
 
+// partial is the view of an instance that has heard of few peers.
+type partial struct {
+	view
+	known []string
+}
+
+func (p partial) Addresses() []string { return p.known }
+
+func TestStartCountsPeersThatOthersKnow(t *testing.T) {
+	y := started(t, 4)
+	y.network.setCut(func(_, to string) bool { return to == address(3) })
+	y.preset(t, 0, "second", "peak") // In force at 0, 1 and 2.
+	y.network.setCut(nil)
+	y.platform.Faults().SetDown(true)
+	s := y.boot(0)
+	s.options.Peers = partial{view{y, address(0)}, []string{address(3)}}
+	if err := s.start(t.Context()); err == nil {
+		t.Errorf("started with version %d on the only peer known, though that knows four instances", s.inForce())
+	}
+	s.options.Peers = partial{view{y, address(0)}, []string{address(3), address(2)}}
+	if err := s.start(t.Context()); err != nil || s.inForce() != 2 {
+		t.Errorf("started with version %d, want 2: %v", s.inForce(), err)
+	}
+}
+
 func TestFreshInstanceReadsSnapshotAndTail(t *testing.T) {
 	y := started(t, 1)
-	const changes = 3*snapshotInterval + 5
+	const changes = 5*snapshotInterval + 5
 	for i := range changes {
 		y.preset(t, 0, fmt.Sprintf("c%d", i), []string{"peak", "ordinary"}[i%2])
 	}
@@ -208,11 +295,38 @@
 	if reads := y.platform.Faults().Counts().Reads - before; reads > 3 {
 		t.Errorf("%d reads, want head, snapshot and one page", reads)
 	}
+	snapshots, err := y.platform.List(t.Context(), snapshotPrefix, "", 0)
+	if err != nil || len(snapshots) != keptSnapshots {
+		t.Errorf("%d snapshots are kept, want %d: %v", len(snapshots), keptSnapshots, err)
+	}
 	if n := len(s.version.Load().recent); n >= snapshotInterval {
 		t.Errorf("%d changes after the snapshot, want fewer than %d", n, snapshotInterval)
 	}
 }
 
+func TestOldChangesAreDeletedAndTheRestIsRead(t *testing.T) {
+	y := started(t, 1)
+	s := y.at(0)
+	s.options.KeptChanges = minKeptChanges
+	const changes = 2 * minKeptChanges
+	for i := range changes {
+		y.preset(t, 0, fmt.Sprintf("c%d", i), []string{"peak", "ordinary"}[i%2])
+	}
+	for _, prefix := range []string{changePrefix, idPrefix} {
+		rows, err := y.platform.Range(t.Context(), prefix, platform.PrefixEnd(prefix), 0)
+		if n := len(rows); err != nil || n < minKeptChanges || n > minKeptChanges+2*snapshotInterval {
+			t.Errorf("%d rows under %s for %d kept changes: %v", n, prefix, minKeptChanges, err)
+		}
+	}
+	fresh := y.boot(1)
+	if err := fresh.start(t.Context()); err != nil || fresh.inForce() != changes+1 {
+		t.Errorf("a fresh instance has version %d: %v", fresh.inForce(), err)
+	}
+	if page, err := fresh.History(t.Context(), 500, MaxHistory); err != nil || len(page) == 0 || len(page) == MaxHistory {
+		t.Errorf("a page over the end of the history has %d changes: %v", len(page), err)
+	}
+}
+
 func TestLargeChangeFitsTheTable(t *testing.T) {
 	y := started(t, 2)
 	edits := Edits{Accounts: map[string]*contract.Account{}}
