Add batch jobs over leased segments

Cause: jobs of up to 620,000 items must complete each item once while holders die, freeze, lose answers and are cancelled.

Ruled out: a row per item (a write per item, 50 times the allowed rate); segment rows written at submission (1,240 writes before the job is visible); progress counts in the job's row (every commit would contend on it and its version could not stand for "the job is open").

A segment's row comes into being at its first lease; lease, renewal and commit are each one transaction on the versions of the segment's and the job's row; only parts named by a committed row are visible.

A first run of the dead-holder test did not end: a commit that waits for the store did not see the planned stop; rest now watches for it.

--- /dev/null
+++ b/batch/commit.go
@@ -0,0 +1,197 @@
+package batch
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/platform"
+)
+
+// pending is a commit that is not known to have taken effect. It is repeated as
+// it is, so that a lost answer can be told from a lost lease.
+type pending struct {
+	started time.Time
+	row     segmentRow
+	end     *jobRow
+	body    []byte
+	// object is "" when there are no results to put, as in a renewal.
+	object string
+	put    bool
+}
+
+// commit makes the waiting results visible and renews the lease, or gives it
+// back when keep is unset. It repeats until the outcome is known or work ends.
+// Errors: code.LeaseLost, code.JobCancelled, and code.Draining when work ended.
+func (l *lease) commit(work context.Context, keep bool) error {
+	p := l.prepare(keep)
+	last := 0
+	for attempt := 0; ; attempt++ {
+		version, err := l.try(work, p)
+		if err == nil {
+			l.committed(p, version)
+			return nil
+		}
+		number := code.Of(err)
+		if number == code.LeaseLost || number == code.JobCancelled {
+			return err
+		}
+		l.r.metrics.held.Inc()
+		l.r.log.Warn("commit failed; results are held", zap.String("job", l.job.row.ID), zap.Int("segment", l.number), zap.Error(err))
+		if p.object == "" && keep {
+			l.renew = time.Now().Add(jitter(renewRetry))
+			return nil
+		}
+		if l.r.isDraining() {
+			if last++; last > drainAttempts {
+				return errDrained
+			}
+		}
+		if err := l.rest(work, attempt); err != nil {
+			return err
+		}
+	}
+}
+
+// renewRetry is the mean time between tries of a renewal.
+const renewRetry = 10 * time.Second
+
+// drainAttempts bounds the tries of a commit while the instance stops.
+const drainAttempts = 3
+
+// rest waits before the next try. The end of the job ends it early, and so does
+// the beginning of a planned stop.
+func (l *lease) rest(work context.Context, attempt int) error {
+	if context.Cause(l.ctx) == errCancelled {
+		return errCancelled
+	}
+	draining := l.r.draining
+	if l.r.isDraining() {
+		draining = nil
+		attempt = 0
+	}
+	timer := time.NewTimer(runnerBackoff.Wait(attempt))
+	defer timer.Stop()
+	select {
+	case <-work.Done():
+		return errDrained
+	case <-draining:
+	case <-timer.C:
+	}
+	return nil
+}
+
+// prepare builds the row and the object of a commit.
+func (l *lease) prepare(keep bool) *pending {
+	p := &pending{started: time.Now(), row: l.row.clone(int(l.entry.Items))}
+	p.row.Expires = p.started.Add(l.r.opts.LeaseDuration).UnixMilli()
+	if len(l.buffer) > 0 {
+		slices.SortFunc(l.buffer, func(a, b stored) int { return cmp.Compare(a.index, b.index) })
+		p.object = outputObject(l.job.row.ID, l.number, l.row.Token, uuid.NewString())
+		p.body = make([]byte, 0, l.bufferBytes+len(l.buffer)*16)
+		p.row.Parts = append(p.row.Parts, part{Object: p.object})
+	}
+	for _, s := range l.buffer {
+		p.body = appendStored(p.body, int(l.entry.First)+s.index, s.line)
+		p.row.Done.set(s.index)
+		if s.failed {
+			p.row.Failed++
+		} else {
+			p.row.Completed++
+		}
+	}
+	p.row.Finished = p.row.Done.count() == int(l.entry.Items)
+	p.row.Attempts = l.attempts()
+	if p.row.Finished || !keep {
+		p.row.Holder = ""
+		p.row.Expires = 0
+	}
+	if p.row.Finished && l.job.row.Segments == 1 {
+		end := l.job.row
+		end.State = StateFinished
+		end.Counts.Completed = p.row.Completed
+		end.Counts.Failed = p.row.Failed
+		p.end = &end
+	}
+	return p
+}
+
+// attempts returns the failed attempts of the items that are not done.
+func (l *lease) attempts() map[int]int {
+	var failed map[int]int
+	for _, t := range l.tasks {
+		if t == nil || t.attempts.Load() == 0 {
+			continue
+		}
+		if failed == nil {
+			failed = map[int]int{}
+		}
+		failed[t.index] = int(t.attempts.Load())
+	}
+	return failed
+}
+
+// try puts the object and writes the row.
+func (l *lease) try(work context.Context, p *pending) (uint64, error) {
+	ctx, cancel := context.WithTimeout(work, storeTime)
+	defer cancel()
+	if p.object != "" && !p.put {
+		if err := l.r.store.put(ctx, p.object, p.body); err != nil {
+			return 0, err
+		}
+		p.put = true
+	}
+	return l.write(ctx, p.row, p.end)
+}
+
+// committed takes over the row that was written.
+func (l *lease) committed(p *pending, version uint64) {
+	l.row = p.row
+	l.version = version
+	if p.object != "" {
+		l.buffer = nil
+		l.bufferBytes = 0
+		l.r.metrics.commits.Inc()
+	}
+	if l.row.Holder != "" && l.ctx.Err() == nil {
+		l.extend(p.started)
+	}
+	if l.row.Finished {
+		signal(l.r.wake)
+	}
+}
+
+// finish ends a job whose segments are all finished.
+func (r *Runner) finish(ctx context.Context, v *jobView) error {
+	t, err := r.store.tally(ctx, v.row.ID)
+	if err != nil || t.finished < v.row.Segments {
+		return err
+	}
+	end := v.row
+	if err := newMachine(end.State).Event(ctx, eventFinish); err != nil {
+		return code.Wrap(code.Internal, err, "end job %s", end.ID)
+	}
+	end.State = StateFinished
+	end.Counts.Completed = t.completed
+	end.Counts.Failed = t.failed
+	return r.store.endJob(ctx, end, v.version)
+}
+
+// endJob writes the final row of a job. A job that has ended already is left as
+// it is.
+func (m *meteredStore) endJob(ctx context.Context, end jobRow, version uint64) error {
+	t := platform.Transaction{
+		Conditions: []platform.Condition{{Key: jobKey(end.ID), Version: version}},
+		Writes:     endWrites(end),
+	}
+	_, err := m.settle(ctx, t, func(ctx context.Context) (bool, error) {
+		row, err := m.get(ctx, jobKey(end.ID))
+		return row.Version != version, err
+	})
+	return err
+}
--- /dev/null
+++ b/batch/handler.go
@@ -0,0 +1,281 @@
+package batch
+
+import (
+	"encoding/json"
+	"io"
+	"math"
+	"mime"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/code"
+)
+
+// Paths, headers and content types of the interface.
+const (
+	jobsPath      = "/v1/batches"
+	keyHeader     = "Idempotency-Key"
+	nextTrailer   = "Daisylb-Next-Item"
+	jsonType      = "application/json"
+	jsonLinesType = "application/jsonl"
+)
+
+// Bounds of requests.
+const (
+	maxKeyBytes      = 255
+	maxSettingsBytes = 64 << 10
+	maxInlineBytes   = 4 << 30
+)
+
+// HandlerOptions are the parts of a Handler.
+type HandlerOptions struct {
+	Service *Service
+	// Account returns the account of an authenticated request.
+	Account func(*http.Request) string
+	Logger  *zap.Logger
+}
+
+// Handler serves the HTTP interface under /v1/batches. It is safe for
+// concurrent use.
+type Handler struct {
+	opts HandlerOptions
+	mux  *http.ServeMux
+}
+
+// NewHandler returns a Handler, or an error when an option is missing.
+func NewHandler(o HandlerOptions) (*Handler, error) {
+	if o.Service == nil || o.Account == nil {
+		return nil, code.New(code.InvalidSettings, "batch: Service and Account are required")
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	h := &Handler{opts: o, mux: http.NewServeMux()}
+	h.mux.HandleFunc("POST "+jobsPath, h.submit)
+	h.mux.HandleFunc("GET "+jobsPath, h.list)
+	h.mux.HandleFunc("GET "+jobsPath+"/{id}", h.status)
+	h.mux.HandleFunc("GET "+jobsPath+"/{id}/results", h.results)
+	h.mux.HandleFunc("POST "+jobsPath+"/{id}/cancel", h.cancel)
+	return h, nil
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) { h.mux.ServeHTTP(w, r) }
+
+// SubmitBody is the JSON body of a submission by object.
+type SubmitBody struct {
+	InputObject string `json:"input_object"`
+	// Deadline is a duration such as "12h".
+	Deadline  string    `json:"deadline,omitempty"`
+	OnInvalid OnInvalid `json:"on_invalid,omitempty"`
+}
+
+// JobList is a page of jobs, the newest first.
+type JobList struct {
+	Data    []Job `json:"data"`
+	HasMore bool  `json:"has_more"`
+}
+
+// ErrorBody is OpenAI's error shape with the number and the outcome.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail is the inside of an ErrorBody.
+type ErrorDetail struct {
+	Message string       `json:"message"`
+	Type    string       `json:"type"`
+	Code    string       `json:"code"`
+	Number  code.Number  `json:"number"`
+	Outcome code.Outcome `json:"outcome"`
+}
+
+func (h *Handler) submit(w http.ResponseWriter, r *http.Request) {
+	key := r.Header.Get(keyHeader)
+	if len(key) > maxKeyBytes {
+		h.fail(w, code.New(code.HeaderTooLarge, "%s has %d bytes, at most %d are allowed", keyHeader, len(key), maxKeyBytes))
+		return
+	}
+	request, err := readRequest(w, r)
+	if err != nil {
+		h.fail(w, err)
+		return
+	}
+	job, err := h.opts.Service.Submit(r.Context(), h.opts.Account(r), key, request)
+	if err != nil {
+		h.fail(w, err)
+		return
+	}
+	h.answer(w, job)
+}
+
+// readRequest reads the settings, from the query for inline input and from the
+// body for an object.
+func readRequest(w http.ResponseWriter, r *http.Request) (Request, error) {
+	kind, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil {
+		kind = ""
+	}
+	switch kind {
+	case jsonLinesType:
+		query := r.URL.Query()
+		settings, err := parseSettings(query.Get("deadline"), OnInvalid(query.Get("on_invalid")))
+		return Request{Settings: settings, Input: http.MaxBytesReader(w, r.Body, maxInlineBytes)}, err
+	case jsonType:
+		var body SubmitBody
+		decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSettingsBytes))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&body); err != nil {
+			return Request{}, code.Wrap(code.MalformedBody, err, "the body is not a job's settings in JSON")
+		}
+		if body.InputObject == "" {
+			return Request{}, code.New(code.InvalidField, "input_object is missing")
+		}
+		settings, err := parseSettings(body.Deadline, body.OnInvalid)
+		return Request{Settings: settings, InputObject: body.InputObject}, err
+	}
+	return Request{}, code.New(code.UnsupportedMediaType, "content type %.100q is neither %s nor %s", kind, jsonLinesType, jsonType)
+}
+
+func parseSettings(deadline string, onInvalid OnInvalid) (Settings, error) {
+	s := Settings{OnInvalid: onInvalid}
+	if deadline == "" {
+		return s, nil
+	}
+	d, err := time.ParseDuration(deadline)
+	if err != nil || d <= 0 {
+		return s, code.New(code.InvalidDeadline, "deadline %.100q is not a positive duration such as 12h", deadline)
+	}
+	s.Deadline = d
+	return s, nil
+}
+
+func (h *Handler) status(w http.ResponseWriter, r *http.Request) {
+	job, err := h.opts.Service.Status(r.Context(), h.opts.Account(r), r.PathValue("id"))
+	if err != nil {
+		h.fail(w, err)
+		return
+	}
+	h.answer(w, job)
+}
+
+func (h *Handler) cancel(w http.ResponseWriter, r *http.Request) {
+	job, err := h.opts.Service.Cancel(r.Context(), h.opts.Account(r), r.PathValue("id"))
+	if err != nil {
+		h.fail(w, err)
+		return
+	}
+	h.answer(w, job)
+}
+
+func (h *Handler) list(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	limit, err := number(query, "limit", maxListed)
+	if err != nil {
+		h.fail(w, err)
+		return
+	}
+	jobs, err := h.opts.Service.List(r.Context(), h.opts.Account(r), query.Get("after"), limit)
+	if err != nil {
+		h.fail(w, err)
+		return
+	}
+	h.answer(w, JobList{Data: jobs, HasMore: len(jobs) == limit})
+}
+
+// number reads a number from 0 to most; a missing one is most when most is the
+// bound of a page, and 0 is what a caller sends for the first item.
+func number(query url.Values, name string, most int) (int, error) {
+	value := query.Get(name)
+	if value == "" {
+		return most, nil
+	}
+	n, err := strconv.Atoi(value)
+	if err != nil || n < 0 || n > most {
+		return 0, code.New(code.InvalidField, "%s is %.20q, want a number from 0 to %d", name, value, most)
+	}
+	return n, nil
+}
+
+func (h *Handler) results(w http.ResponseWriter, r *http.Request) {
+	from := 0
+	if query := r.URL.Query(); query.Has("from") {
+		var err error
+		if from, err = number(query, "from", math.MaxInt32); err != nil {
+			h.fail(w, err)
+			return
+		}
+	}
+	w.Header().Set("Trailer", nextTrailer)
+	lines := &lineWriter{w: w}
+	next, err := h.opts.Service.Results(r.Context(), h.opts.Account(r), r.PathValue("id"), from, lines)
+	if err != nil && !lines.started {
+		w.Header().Del("Trailer")
+		h.fail(w, err)
+		return
+	}
+	if err != nil {
+		h.opts.Logger.Info("results broken off", zap.String("job", r.PathValue("id")), zap.Error(err))
+		panic(http.ErrAbortHandler)
+	}
+	lines.start()
+	w.Header().Set(nextTrailer, strconv.Itoa(next))
+}
+
+// lineWriter sends the headers of a results answer before its first byte.
+type lineWriter struct {
+	w       http.ResponseWriter
+	started bool
+}
+
+func (l *lineWriter) start() {
+	if l.started {
+		return
+	}
+	l.started = true
+	l.w.Header().Set("Content-Type", jsonLinesType)
+	l.w.WriteHeader(http.StatusOK)
+}
+
+// Write implements io.Writer.
+func (l *lineWriter) Write(b []byte) (int, error) {
+	l.start()
+	return l.w.Write(b)
+}
+
+var _ io.Writer = (*lineWriter)(nil)
+
+func (h *Handler) answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", jsonType)
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		h.opts.Logger.Info("answer not sent", zap.Error(err))
+	}
+}
+
+func (h *Handler) fail(w http.ResponseWriter, err error) {
+	e := code.From(err)
+	row := code.Describe(e.Number)
+	if row.Status >= http.StatusInternalServerError {
+		h.opts.Logger.Warn("batch request failed", zap.Int("number", int(e.Number)), zap.Error(err))
+	}
+	w.Header().Set("Content-Type", jsonType)
+	if e.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	w.WriteHeader(row.Status)
+	body := ErrorBody{ErrorDetail{Message: e.Message, Type: errorType(row.Status), Code: row.Name, Number: e.Number, Outcome: e.Outcome}}
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		h.opts.Logger.Info("answer not sent", zap.Error(err))
+	}
+}
+
+func errorType(status int) string {
+	if status >= http.StatusInternalServerError {
+		return "server_error"
+	}
+	return "invalid_request_error"
+}
--- /dev/null
+++ b/batch/lease.go
@@ -0,0 +1,427 @@
+package batch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/platform"
+)
+
+// Reasons for which a lease stops its items.
+var (
+	errCancelled = code.New(code.JobCancelled, "the job is cancelled")
+	errLapsed    = code.New(code.LeaseLost, "the lease is near its expiry")
+	errLost      = code.New(code.LeaseLost, "the segment passed to another holder")
+	errRebased   = code.New(code.StoreUnavailable, "a renewal took effect whose answer was lost")
+	errDrained   = code.New(code.Draining, "the instance is stopping")
+)
+
+// storeTime bounds one exchange of a lease with the store.
+const storeTime = 10 * time.Second
+
+// lease is a leased segment and the items that run under it. Its goroutine
+// owns all fields but the ones noted.
+type lease struct {
+	r      *Runner
+	job    *jobView
+	number int
+	entry  entry
+	row    segmentRow
+	// version is the version of the segment's row.
+	version uint64
+
+	// ctx ends the items; abort may be called from any goroutine.
+	ctx   context.Context
+	abort context.CancelCauseFunc
+	// until is the time, by the monotonic clock, at which the holder stops.
+	until  atomic.Pointer[time.Time]
+	expiry *time.Timer
+	renew  time.Time
+
+	tasks   []*task
+	waiting []*task
+	running int
+	// inLane counts running items in the lane of stragglers.
+	inLane int
+	events chan event
+	// spent and ended measure the typical item.
+	spent time.Duration
+	ended int
+	// leased is when the lease was taken; progress is set when the first item
+	// ended.
+	leased   time.Time
+	progress atomic.Bool
+	// slot is true while the lease holds one of the runner's slots.
+	slot     bool
+	draining bool
+
+	buffer      []stored
+	bufferBytes int
+
+	items sync.WaitGroup
+}
+
+// stored is a result that waits for its commit.
+type stored struct {
+	index  int
+	line   []byte
+	failed bool
+}
+
+// lease takes the lease of a segment and starts to run it. Errors:
+// code.LeaseLost when another holder was first, code.JobCancelled when the job
+// is not open any more, and errors of the store.
+func (r *Runner) lease(work context.Context, v *jobView, number int, found versionedSegment) error {
+	l := &lease{r: r, job: v, number: number, entry: v.manifest[number]}
+	started := time.Now()
+	l.row = found.clone(int(l.entry.Items))
+	l.row.Token++
+	l.row.Holder = r.holder
+	l.row.Expires = started.Add(r.opts.LeaseDuration).UnixMilli()
+	l.version = found.version
+	version, err := l.write(work, l.row, nil)
+	if err != nil {
+		return err
+	}
+	l.version = version
+	l.leased = started
+	l.ctx, l.abort = context.WithCancelCause(work)
+	l.expiry = time.AfterFunc(r.opts.LeaseDuration, func() { l.abort(errLapsed) })
+	l.extend(started)
+	r.add(l)
+	r.wait.Go(func() { l.run(work) })
+	return nil
+}
+
+// add takes a slot, which round has found free, and lists the lease.
+func (r *Runner) add(l *lease) {
+	r.slots <- struct{}{}
+	l.slot = true
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leases[l] = struct{}{}
+	r.metrics.leases.Inc()
+}
+
+func (r *Runner) remove(l *lease) {
+	l.freeSlot()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.leases, l)
+	r.metrics.leases.Dec()
+}
+
+// progressing reports whether every new lease has seen an item end. Otherwise
+// capacity is short, and another lease would only keep work from other
+// instances.
+func (r *Runner) progressing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for l := range r.leases {
+		if !l.progress.Load() && time.Since(l.leased) < r.opts.StragglerAfter {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *lease) freeSlot() {
+	if !l.slot {
+		return
+	}
+	l.slot = false
+	l.progress.Store(true)
+	<-l.r.slots
+	signal(l.r.wake)
+}
+
+// extend notes that the lease was written by a write that began at started.
+func (l *lease) extend(started time.Time) {
+	life := l.r.opts.LeaseDuration - l.r.opts.LeaseMargin
+	until := started.Add(life)
+	l.until.Store(&until)
+	l.renew = started.Add(life / 2)
+	l.expiry.Reset(time.Until(until))
+}
+
+// live reports whether items may be dispatched under the lease.
+func (l *lease) live() bool {
+	return l.ctx.Err() == nil && time.Now().Before(*l.until.Load())
+}
+
+// run runs the items of the segment and commits their results.
+func (l *lease) run(work context.Context) {
+	defer l.r.remove(l)
+	defer l.expiry.Stop()
+	err := l.load()
+	if err == nil {
+		err = l.loop(work)
+	}
+	l.abort(errLost)
+	l.items.Wait()
+	for ; l.inLane > 0; l.inLane-- {
+		<-l.r.stragglers
+	}
+	if err != nil {
+		l.r.metrics.lost.Inc()
+		l.r.log.Info("lease ended early", zap.String("job", l.job.row.ID), zap.Int("segment", l.number), zap.Uint64("token", l.row.Token), zap.Error(err))
+	}
+}
+
+// load reads the input of the segment.
+func (l *lease) load() error {
+	e := l.entry
+	body, err := l.r.store.read(l.ctx, inputObject(l.job.row.Upload, int(e.Object)), int64(e.Offset), int64(e.Length))
+	if err != nil {
+		return errors.Join(err, l.giveBack())
+	}
+	lines := bytes.Split(bytes.TrimSuffix(body, []byte{'\n'}), []byte{'\n'})
+	if len(lines) != int(e.Items) {
+		return code.New(code.Internal, "segment %d of job %s has %d lines, want %d", l.number, l.job.row.ID, len(lines), e.Items)
+	}
+	l.tasks = make([]*task, len(lines))
+	l.events = make(chan event, len(lines))
+	for i, line := range lines {
+		if l.row.Done.has(i) {
+			continue
+		}
+		t := &task{l: l, index: i, line: line}
+		t.attempts.Store(int64(l.row.Attempts[i]))
+		l.tasks[i] = t
+		l.waiting = append(l.waiting, t)
+	}
+	return nil
+}
+
+// tick is the time between looks at renewals and stragglers.
+const tick = time.Second
+
+// loop runs until every item is committed or the lease has ended. Results
+// outlive the time of the lease: they are offered for a commit until another
+// holder has taken over or the job has ended.
+func (l *lease) loop(work context.Context) error {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	draining := l.r.draining
+	var drained <-chan time.Time
+	for {
+		if err := l.step(work); err != nil || l.row.Finished {
+			return err
+		}
+		if l.running == 0 && (l.draining || !l.live()) {
+			return l.leave(work)
+		}
+		select {
+		case e := <-l.events:
+			l.record(e)
+		case <-ticker.C:
+			l.moveStragglers()
+		case <-draining:
+			draining = nil
+			l.draining = true
+			timer := time.NewTimer(l.r.opts.DrainTime)
+			defer timer.Stop()
+			drained = timer.C
+		case <-drained:
+			l.abort(errDrained)
+		}
+	}
+}
+
+// step starts items and commits or renews when it is time.
+func (l *lease) step(work context.Context) error {
+	l.drainEvents()
+	l.start()
+	if context.Cause(l.ctx) == errCancelled {
+		return errCancelled
+	}
+	if l.shouldCommit() {
+		if err := l.commit(work, true); err != nil {
+			return err
+		}
+	}
+	if l.running > 0 && l.running == l.inLane && len(l.waiting) == 0 {
+		l.freeSlot()
+	}
+	if l.live() && time.Now().After(l.renew) {
+		return l.commit(work, true)
+	}
+	return nil
+}
+
+func (l *lease) drainEvents() {
+	for {
+		select {
+		case e := <-l.events:
+			l.record(e)
+		default:
+			return
+		}
+	}
+}
+
+// start runs waiting items as far as the bound of the segment allows.
+func (l *lease) start() {
+	for len(l.waiting) > 0 && l.running-l.inLane < l.r.opts.ItemsPerLease {
+		if l.draining || !l.live() {
+			return
+		}
+		t := l.waiting[0]
+		l.waiting = l.waiting[1:]
+		t.started = time.Now()
+		l.running++
+		l.items.Go(func() { l.events <- t.run() })
+	}
+}
+
+func (l *lease) record(e event) {
+	l.running--
+	if e.task.inLane {
+		l.inLane--
+		<-l.r.stragglers
+	}
+	l.tasks[e.task.index] = nil
+	if e.line == nil {
+		return
+	}
+	took := time.Since(e.task.started)
+	l.spent += took
+	l.ended++
+	l.r.typical.Store(int64(took))
+	l.buffer = append(l.buffer, stored{index: e.task.index, line: e.line, failed: e.failed})
+	l.bufferBytes += len(e.line)
+	l.r.metrics.items(e.failed)
+	if !l.progress.Swap(true) {
+		signal(l.r.wake)
+	}
+}
+
+// moveStragglers moves items that run much longer than the others to the lane
+// of stragglers, where they take no place of their segment.
+func (l *lease) moveStragglers() {
+	typical := l.typical()
+	if typical == 0 {
+		return
+	}
+	for _, t := range l.tasks {
+		if t == nil || t.started.IsZero() || t.inLane {
+			continue
+		}
+		if !Straggling(time.Since(t.started), typical, l.r.opts.StragglerAfter) {
+			continue
+		}
+		select {
+		case l.r.stragglers <- struct{}{}:
+			t.inLane = true
+			l.inLane++
+		default:
+			return
+		}
+	}
+}
+
+// typical returns the mean time of the segment's items, or that of the runner's
+// items when none has ended yet.
+func (l *lease) typical() time.Duration {
+	if l.ended > 0 {
+		return l.spent / time.Duration(l.ended)
+	}
+	return time.Duration(l.r.typical.Load())
+}
+
+// maxBufferBytes bounds the results that wait for a commit.
+const maxBufferBytes = 4 << 20
+
+// shouldCommit reports whether it is time to commit what is done: at the end of
+// the segment, when only stragglers are left, and when the results grow large.
+func (l *lease) shouldCommit() bool {
+	if len(l.buffer) == 0 {
+		return false
+	}
+	return len(l.waiting) == 0 && l.running == l.inLane || l.bufferBytes >= maxBufferBytes
+}
+
+// leave commits what is done and gives the lease back.
+func (l *lease) leave(work context.Context) error {
+	if cause := context.Cause(l.ctx); cause == errCancelled {
+		return errCancelled
+	}
+	return l.commit(work, false)
+}
+
+// giveBack releases a lease under which nothing ran.
+func (l *lease) giveBack() error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(l.ctx), storeTime)
+	defer cancel()
+	row := l.row
+	row.Holder = ""
+	row.Expires = 0
+	_, err := l.write(ctx, row, nil)
+	return err
+}
+
+// write writes the segment's row on the condition that the row still has the
+// lease's version and that the job is open, and returns the row's new version.
+// end is written along when the segment ends the job. A write may be repeated
+// with the same row after any error.
+func (l *lease) write(ctx context.Context, row segmentRow, end *jobRow) (uint64, error) {
+	key := segmentKey(l.job.row.ID, l.number)
+	t := platform.Transaction{
+		Conditions: []platform.Condition{
+			{Key: jobKey(l.job.row.ID), Version: l.job.version},
+			{Key: key, Version: l.version},
+		},
+		Writes: []platform.Write{{Key: key, Value: encode(row)}},
+	}
+	if end != nil {
+		t.Writes = append(t.Writes, endWrites(*end)...)
+	}
+	var found platform.Row
+	applied, err := l.r.store.settle(ctx, t, func(ctx context.Context) (took bool, err error) {
+		found, err = l.r.store.get(ctx, key)
+		return err == nil && bytes.Equal(found.Value, t.Writes[0].Value), err
+	})
+	switch {
+	case err == nil && len(applied.Versions) > 0:
+		return applied.Versions[0], nil
+	case err == nil:
+		return found.Version, nil
+	case code.Of(err) != code.StoreConflict:
+		return 0, err
+	case slices.ContainsFunc(applied.Conflicts, func(row platform.Row) bool { return row.Key == jobKey(l.job.row.ID) }):
+		return 0, errCancelled
+	default:
+		return 0, l.rebase(found)
+	}
+}
+
+// rebase looks at the row that a write met. A renewal whose answer was lost
+// leaves a newer version of the same lease; the write can be repeated on top of
+// it. Otherwise the lease is lost.
+func (l *lease) rebase(found platform.Row) error {
+	row, err := decode[segmentRow](found)
+	if err != nil {
+		return err
+	}
+	if row.Token != l.row.Token || row.Holder != l.r.holder {
+		return errLost
+	}
+	l.version = found.Version
+	return errRebased
+}
+
+// endWrites are the writes that end a job.
+func endWrites(job jobRow) []platform.Write {
+	return []platform.Write{
+		{Key: jobKey(job.ID), Value: encode(job)},
+		{Key: job.OpenKey, Delete: true},
+	}
+}
--- /dev/null
+++ b/batch/query.go
@@ -0,0 +1,175 @@
+package batch
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/platform"
+)
+
+// job reads a job of the account. Errors: code.JobUnknown and errors of the
+// store.
+func (s *Service) job(ctx context.Context, account, id string) (jobRow, platform.Row, error) {
+	row, err := s.store.get(ctx, jobKey(id))
+	if err != nil {
+		return jobRow{}, row, err
+	}
+	if !row.Exists() {
+		return jobRow{}, row, unknownJob(id)
+	}
+	job, err := decode[jobRow](row)
+	if err == nil && job.Account != account {
+		err = unknownJob(id)
+	}
+	return job, row, err
+}
+
+func unknownJob(id string) error {
+	return code.New(code.JobUnknown, "the account has no job %.100q", id)
+}
+
+// Status returns the job with the numbers of its committed items. Errors:
+// code.JobUnknown, also for a job of another account, and errors of the store.
+func (s *Service) Status(ctx context.Context, account, id string) (Job, error) {
+	job, _, err := s.job(ctx, account, id)
+	if err != nil || job.State == StateFinished {
+		return job.Job, err
+	}
+	tally, err := s.store.tally(ctx, id)
+	if err != nil {
+		return Job{}, err
+	}
+	job.Counts.Completed = tally.completed
+	job.Counts.Failed = tally.failed
+	return job.Job, nil
+}
+
+// tally sums the committed items of a job.
+type tally struct {
+	completed int
+	failed    int
+	finished  int
+}
+
+func (m *meteredStore) tally(ctx context.Context, job string) (tally, error) {
+	var t tally
+	prefix := segmentsPrefix(job)
+	start, end := prefix, platform.PrefixEnd(prefix)
+	for {
+		rows, err := m.rows(ctx, start, end, platform.MaxRangeRows)
+		if err != nil {
+			return tally{}, err
+		}
+		for _, row := range rows {
+			segment, err := decode[segmentRow](row)
+			if err != nil {
+				return tally{}, err
+			}
+			t.add(segment)
+		}
+		if len(rows) < platform.MaxRangeRows {
+			return t, nil
+		}
+		start = rows[len(rows)-1].Key + "\x00"
+	}
+}
+
+func (t *tally) add(s segmentRow) {
+	t.completed += s.Completed
+	t.failed += s.Failed
+	if s.Finished {
+		t.finished++
+	}
+}
+
+// maxListed bounds the jobs of one List.
+const maxListed = 100
+
+// List returns the newest jobs of the account, without the counts of jobs in
+// progress. after is the id of the last job of the page before, or "".
+func (s *Service) List(ctx context.Context, account, after string, limit int) ([]Job, error) {
+	if limit <= 0 || limit > maxListed {
+		limit = maxListed
+	}
+	prefix := accountJobsPrefix(account)
+	start := prefix
+	if after != "" {
+		last, _, err := s.job(ctx, account, after)
+		if err != nil {
+			return nil, err
+		}
+		start = accountKey(account, last.CreatedAt, after) + "\x00"
+	}
+	rows, err := s.store.rows(ctx, start, platform.PrefixEnd(prefix), limit)
+	if err != nil {
+		return nil, err
+	}
+	jobs := make([]Job, 0, len(rows))
+	for _, row := range rows {
+		bound, err := decode[keyRow](row)
+		if err != nil {
+			return nil, err
+		}
+		job, _, err := s.job(ctx, account, bound.Job)
+		if code.Of(err) == code.JobUnknown {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		jobs = append(jobs, job.Job)
+	}
+	return jobs, nil
+}
+
+// Cancel stops the job. When it returns without an error, no item of the job
+// completes any more: either the job is cancelled or it was finished before.
+// Committed results stay readable. Errors: code.JobUnknown and errors of the
+// store; after code.StoreUnknown the job may be cancelled.
+func (s *Service) Cancel(ctx context.Context, account, id string) (Job, error) {
+	for attempt := 0; ; attempt++ {
+		job, row, err := s.job(ctx, account, id)
+		if err != nil {
+			return Job{}, err
+		}
+		if job.State != StateOpen {
+			return s.Status(ctx, account, id)
+		}
+		err = s.cancel(ctx, job, row.Version)
+		if err == nil {
+			s.log.Info("job cancelled", zap.String("job", id))
+			s.opts.Announce(Hint{Job: id, Cancelled: true})
+			return s.Status(ctx, account, id)
+		}
+		if code.Of(err) != code.StoreConflict || attempt+1 >= storeAttempts {
+			return Job{}, err
+		}
+	}
+}
+
+func (s *Service) cancel(ctx context.Context, job jobRow, version uint64) error {
+	if err := newMachine(job.State).Event(ctx, eventCancel); err != nil {
+		return code.Wrap(code.JobCancelled, err, "job %s is %s", job.ID, job.State)
+	}
+	job.State = StateCancelled
+	t := platform.Transaction{
+		Conditions: []platform.Condition{{Key: jobKey(job.ID), Version: version}},
+		Writes: []platform.Write{
+			{Key: jobKey(job.ID), Value: encode(job)},
+			{Key: job.OpenKey, Delete: true},
+			{Key: cancelKey(time.Now(), job.ID), Value: encode(keyRow{Job: job.ID})},
+		},
+	}
+	_, err := s.store.settle(ctx, t, func(ctx context.Context) (bool, error) {
+		row, err := s.store.get(ctx, jobKey(job.ID))
+		if err != nil || !row.Exists() {
+			return false, err
+		}
+		now, err := decode[jobRow](row)
+		return now.State == StateCancelled, err
+	})
+	return err
+}
