--- a/route/again.go
+++ b/route/again.go
@@ -10,17 +10,23 @@
 	Final bool
 	// Ended is set when the deadline has passed or the caller is gone.
 	Ended bool
-	// Attempts counts the attempts so far, the failed one included.
-	Attempts int
+	// Attempts counts the attempts so far, the failed one included, without
+	// those that reached no upstream; Unreachable counts the latter.
+	Attempts    int
+	Unreachable int
 }
 
-// MaxAttempts bounds the attempts of one call.
-const MaxAttempts = 4
+const (
+	// MaxAttempts bounds the attempts of one call that reach an upstream.
+	MaxAttempts = 4
+	// MaxUnreachable bounds those that reach none.
+	MaxUnreachable = 8
+)
 
 // MayRepeat reports whether another attempt may follow, budgets aside. A call
 // that is not idempotent never has a second attempt after it was dispatched.
 func MayRepeat(o Outcome) bool {
-	if o.Final || o.Ended || o.Attempts >= MaxAttempts {
+	if o.Final || o.Ended || o.Attempts >= MaxAttempts || o.Unreachable >= MaxUnreachable {
 		return false
 	}
 	return o.Idempotent || !o.Dispatched
--- a/route/average.go
+++ b/route/average.go
@@ -37,3 +37,26 @@
 	weight := math.Exp2(-float64(now.Sub(a.At)) / float64(averageHalfLife))
 	return prior + time.Duration(weight*float64(a.Value-prior))
 }
+
+// Quantile follows a quantile of a latency. It is a value; its caller stores
+// it.
+type Quantile struct {
+	Value time.Duration
+}
+
+// quantileStep is the relative step of a Quantile per observation.
+const quantileStep = 0.05
+
+// Observe returns the estimate of quantile q after an observation.
+func (e Quantile) Observe(d time.Duration, q float64) Quantile {
+	if e.Value == 0 {
+		return Quantile{d}
+	}
+	step := max(float64(e.Value)*quantileStep, 1)
+	if d > e.Value {
+		e.Value += time.Duration(step * q)
+	} else {
+		e.Value -= time.Duration(step * (1 - q))
+	}
+	return e
+}
--- a/route/batch.go
+++ b/route/batch.go
@@ -30,11 +30,23 @@
 // other half is the hysteresis between cancelling and admitting. Instances
 // share the cancellations in proportion to their batch requests.
 func Excess(c *Candidate, t BatchTerms) int {
-	reserve := (t.Headroom + 1) / 2
-	over := c.OnlineTotal() + c.BatchTotal() + reserve - min(c.Slots, c.Limit)
+	over := over(c, t)
 	if over <= 0 || c.Batch == 0 {
 		return 0
 	}
 	share := (over*c.Batch + c.BatchTotal() - 1) / c.BatchTotal()
 	return min(share, c.Batch)
 }
+
+// InTheWay reports whether batch requests of any instance have to be
+// cancelled on an upstream.
+func InTheWay(c *Candidate, t BatchTerms) bool {
+	return c.BatchTotal() > 0 && over(c, t) > 0
+}
+
+// over returns by how many requests an upstream is over what online requests
+// need free.
+func over(c *Candidate, t BatchTerms) int {
+	reserve := (t.Headroom + 1) / 2
+	return c.OnlineTotal() + c.BatchTotal() + reserve - min(c.Slots, c.Limit)
+}
--- a/route/eject.go
+++ b/route/eject.go
@@ -37,9 +37,10 @@
 }
 
 // Eject sets Ejected for each upstream: those that are far slower than the
-// median or fail often, the worst first, within MaxEjected. scratch may be nil.
-func Eject(list []Health, scratch []int) {
-	first, spacing := medians(list)
+// median or fail often, the worst first, within MaxEjected. It uses scratch,
+// which may be nil, and returns it for the next call.
+func Eject(list []Health, scratch []int) []int {
+	first, spacing := Medians(list)
 	worst := scratch[:0]
 	for i := range list {
 		if list[i].badness(first, spacing) >= 1 {
@@ -62,6 +63,7 @@
 	for _, i := range worst[:min(len(worst), MaxEjected(len(list)))] {
 		list[i].Ejected = true
 	}
+	return worst
 }
 
 // badness is 1 or more when the upstream should be ejected.
@@ -71,21 +73,21 @@
 		factor, errors = returnFactor, returnErrors
 	}
 	worst := h.Errors / errors
-	worst = max(worst, over(h.FirstToken, first, factor))
-	worst = max(worst, over(h.Spacing, spacing, factor))
-	return max(worst, over(h.Stalled, first, factor*stallFirstTokens))
+	worst = max(worst, ratio(h.FirstToken, first, factor))
+	worst = max(worst, ratio(h.Spacing, spacing, factor))
+	return max(worst, ratio(h.Stalled, first, factor*stallFirstTokens))
 }
 
-func over(value, reference time.Duration, factor float64) float64 {
+func ratio(value, reference time.Duration, factor float64) float64 {
 	if reference <= 0 {
 		return 0
 	}
 	return float64(value) / (factor * float64(reference))
 }
 
-// medians returns the lower medians of the known latencies, so that a slowed
+// Medians returns the lower medians of the known latencies, so that a slowed
 // half doesn't become the reference.
-func medians(list []Health) (first, spacing time.Duration) {
+func Medians(list []Health) (first, spacing time.Duration) {
 	return median(list, func(h *Health) time.Duration { return h.FirstToken }),
 		median(list, func(h *Health) time.Duration { return h.Spacing })
 }
--- a/route/hedge.go
+++ b/route/hedge.go
@@ -26,15 +26,18 @@
 	minHedgeDelay = 5 * time.Millisecond
 	// hedgeUse is the share of the slots in use from which hedging stops.
 	hedgeUse = 0.8
+	// HedgeQuantile is the quantile of the time to the first token that passes
+	// before a hedge.
+	HedgeQuantile = 0.95
 )
 
-// HedgeDelay returns how long to wait for the first token before a hedge, or
-// false when nothing is known yet.
-func HedgeDelay(expected time.Duration) (time.Duration, bool) {
+// HedgeDelay returns how long to wait for the first token before a hedge, from
+// the expected time and its HedgeQuantile, or false when nothing is known yet.
+func HedgeDelay(expected, high time.Duration) (time.Duration, bool) {
 	if expected == 0 {
 		return 0, false
 	}
-	return max(time.Duration(hedgeFactor*float64(expected)), minHedgeDelay), true
+	return max(time.Duration(hedgeFactor*float64(expected)), high, minHedgeDelay), true
 }
 
 // Spend reports whether a hedge may start. The budget closes under overload:
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -162,9 +162,9 @@
 		o := Outcome{
 			Idempotent: rapid.Bool().Draw(t, "idempotent"), Dispatched: rapid.Bool().Draw(t, "dispatched"),
 			Final: rapid.Bool().Draw(t, "final"), Ended: rapid.Bool().Draw(t, "ended"),
-			Attempts: rapid.IntRange(1, 9).Draw(t, "attempts"),
+			Attempts: rapid.IntRange(0, 9).Draw(t, "attempts"), Unreachable: rapid.IntRange(0, 9).Draw(t, "unreachable"),
 		}
-		if MayRepeat(o) && (o.Dispatched && !o.Idempotent || o.Final || o.Ended || o.Attempts >= MaxAttempts) {
+		if MayRepeat(o) && (o.Dispatched && !o.Idempotent || o.Final || o.Ended || o.Attempts >= MaxAttempts || o.Unreachable >= MaxUnreachable) {
 			t.Fatalf("%+v is repeated", o)
 		}
 	})
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -5,42 +5,117 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/contract"
 )
 
 // failure says how an attempt ended without a whole answer.
 type failure struct {
-	err error
+	err    error
+	target *target
 	// final means that no other upstream can do better.
 	final bool
 	// unreachable means that nothing was sent.
 	unreachable bool
 	// refused means that the upstream did not run the request.
 	refused bool
+	// preempted means that online work took the slot.
+	preempted bool
 }
 
-// attempt runs the call on one upstream and extends the partial answer. It
-// returns nil when the answer is whole.
-func (d *Dispatcher) attempt(given *slot, c *completion) *failure {
+// opened is the result of an attempt up to its first token.
+type opened struct {
+	slot    *slot
+	stream  *stream
+	failure *failure
+}
+
+// run makes one attempt, hedged where that is allowed, and extends the partial
+// answer. It returns nil when the answer is whole.
+func (d *Dispatcher) run(ctx context.Context, given *slot, c *completion) *failure {
+	o := opened{slot: given}
+	if delay, ok := d.hedgeable(c); ok {
+		o = d.race(ctx, given, c, delay)
+	} else {
+		o = d.begin(given, c)
+	}
+	f := o.failure
+	if f == nil {
+		d.sched.observeFirst(o.slot, time.Now())
+		f = o.stream.deliver(c)
+		o.stream.close()
+	}
+	d.conclude(o.slot, f)
+	return f
+}
+
+// conclude gives the slot of an attempt back and notes its failure, if any.
+func (d *Dispatcher) conclude(given *slot, f *failure) {
+	cause := context.Cause(given.ctx)
+	given.cancel(nil)
+	d.sched.release(given, time.Now())
+	result := "whole"
+	if f != nil {
+		f.target = given.target
+		f.preempted = errors.Is(cause, errPreempted)
+		result = "failed"
+	}
+	blameless := cause != nil && !errors.Is(cause, errStalled)
+	if f != nil && !f.final && !blameless {
+		d.sched.fail(given.target, f)
+	}
+	if f != nil && blameless {
+		result = "cancelled"
+	}
+	d.metrics.attempts.WithLabelValues(given.class.String(), result).Inc()
+}
+
+// begin sends the request and reads up to the first token.
+func (d *Dispatcher) begin(given *slot, c *completion) opened {
+	o := opened{slot: given}
+	first, next := d.sched.patience(given)
+	timer := time.AfterFunc(first, func() { given.cancel(errStalled) })
 	id := attemptPrefix + uuid.NewString()
 	response, f := d.open(given, c, id)
+	if f == nil {
+		if f = checkHead(response, c); f != nil {
+			_ = response.Body.Close()
+		}
+		if f == nil || !f.refused {
+			c.dispatched.Store(true)
+		}
+	}
 	if f != nil {
-		return f
+		timer.Stop()
+		o.failure = f
+		return o
+	}
+	o.stream = &stream{
+		slot:     given,
+		body:     response.Body,
+		events:   newEventReader(response.Body, wireBudget(c.maxAnswer)),
+		binding:  binding{attempt: id},
+		timer:    timer,
+		patience: next,
 	}
-	defer func() { _ = response.Body.Close() }()
-	c.dispatched = true
-	if f := checkHead(response); f != nil {
-		return f
+	o.failure = o.stream.advance()
+	if o.failure != nil {
+		o.stream.close()
 	}
-	return c.read(response.Body, binding{attempt: id})
+	return o
+}
+
+// wireBudget bounds the bytes of an event stream for an answer of the given
+// size: an event may carry a single byte of the answer.
+func wireBudget(maxAnswer int64) int64 {
+	const bytesPerEvent, least = 512, 1 << 20
+	return maxAnswer*bytesPerEvent + least
 }
 
 func (d *Dispatcher) open(given *slot, c *completion, id string) (*http.Response, *failure) {
@@ -56,24 +131,17 @@
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Accept", "text/event-stream")
 	request.Header.Set("X-Request-Id", id)
-	response, err := d.links.of(given.class).RoundTrip(request)
+	response, err := d.links.of(given).RoundTrip(request)
 	if err == nil {
 		return response, nil
 	}
 	if isDialError(err) {
 		return nil, &failure{err: code.Wrap(code.NoUpstream, err, "upstream %q can't be reached", given.target.id), unreachable: true}
 	}
-	c.dispatched = true
+	c.dispatched.Store(true)
 	return nil, &failure{err: code.Wrap(code.UpstreamFailed, err, "upstream %q failed", given.target.id)}
 }
 
-func (l *links) of(class contract.Class) *http.Transport {
-	if class == contract.Batch {
-		return l.batch
-	}
-	return l.online
-}
-
 // isDialError reports whether no connection was made.
 func isDialError(err error) bool {
 	var op *net.OpError
@@ -84,7 +152,7 @@
 const maxErrorBytes = 4 << 10
 
 // checkHead refuses answers that are no stream.
-func checkHead(response *http.Response) *failure {
+func checkHead(response *http.Response, c *completion) *failure {
 	status := response.StatusCode
 	switch {
 	case status == http.StatusOK:
@@ -93,73 +161,9 @@
 		return &failure{err: code.New(code.UpstreamRefused, "the upstream refused the request"), refused: true}
 	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
 		text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
-		return &failure{err: code.New(code.UpstreamRefused, "the upstream answered status %d: %s", status, text), final: true}
+		err := code.New(code.UpstreamRefused, "the upstream answered status %d: %s", status, text)
+		// A resumption that one engine refuses may be accepted by another.
+		return &failure{err: err, final: c.have.text.Len() == 0}
 	}
 	return &failure{err: code.New(code.UpstreamFailed, "the upstream answered status %d", status)}
 }
-
-// read gives the stream's chunks to the sink until the answer is whole.
-func (c *completion) read(body io.Reader, b binding) *failure {
-	events := newEventReader(body, c.document.Limits.MaxAnswerBytes)
-	finish := ""
-	var usage *contract.Usage
-	for {
-		data, err := events.next()
-		if err != nil {
-			return streamFailure(err)
-		}
-		if string(data) == "[DONE]" {
-			return c.finish(finish, usage)
-		}
-		chunk, err := b.decodeChunk(data)
-		if err != nil {
-			return &failure{err: code.Wrap(code.UpstreamBadAnswer, err, "the upstream's answer is not valid")}
-		}
-		if chunk.Usage != nil {
-			usage = chunk.Usage
-		}
-		if chunk.FinishReason != "" {
-			finish = chunk.FinishReason
-		}
-		if f := c.deliver(chunk.Text); f != nil {
-			return f
-		}
-	}
-}
-
-func (c *completion) deliver(text string) *failure {
-	if text == "" {
-		return nil
-	}
-	c.have.text.WriteString(text)
-	c.have.tokens++
-	if err := c.sink(contract.Chunk{Text: text}); err != nil {
-		return &failure{err: err, final: true}
-	}
-	return nil
-}
-
-// finish ends the answer, if it is whole.
-func (c *completion) finish(reason string, usage *contract.Usage) *failure {
-	if reason == "" {
-		return &failure{err: code.New(code.UpstreamBadAnswer, "the stream ended without a finish reason")}
-	}
-	if err := c.sink(contract.Chunk{FinishReason: reason, Usage: usage}); err != nil {
-		return &failure{err: err, final: true}
-	}
-	return nil
-}
-
-func streamFailure(err error) *failure {
-	switch {
-	case errors.Is(err, errAnswerTooLong), errors.Is(err, errLineTooLong):
-		return &failure{err: code.Wrap(code.UpstreamAnswerSize, err, "the upstream's answer is too long")}
-	case errors.Is(err, errNotEvents):
-		return &failure{err: code.Wrap(code.UpstreamBadAnswer, err, "the upstream's answer is not valid")}
-	case errors.Is(err, io.EOF):
-		return &failure{err: code.New(code.StreamBroken, "the stream ended before the answer was whole")}
-	case errors.Is(err, context.Canceled):
-		return &failure{err: code.Wrap(code.StreamBroken, err, "the stream was cancelled")}
-	}
-	return &failure{err: code.Wrap(code.StreamBroken, err, "the stream broke: %s", fmt.Sprint(err))}
-}
--- a/upstream/dispatcher.go
+++ b/upstream/dispatcher.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/route"
 )
 
 // Options configure a Dispatcher.
@@ -43,6 +44,9 @@
 	// PollInterval is the time between load reports; 0 means
 	// DefaultPollInterval.
 	PollInterval time.Duration
+	// Policy of the choice among upstreams. Policies other than route.Adaptive
+	// neither eject nor hedge; they are for comparison.
+	Policy route.Policy
 	// Seed of the random draws; 0 draws one.
 	Seed uint64
 }
@@ -91,22 +95,39 @@
 		return nil, err
 	}
 	d := &Dispatcher{options: o, log: o.Logger, links: newLinks(o.Transport), metrics: metrics}
-	d.sched = newScheduler(o.Seed, metrics)
+	d.sched = newScheduler(o.Seed, o.Policy, metrics)
 	d.fleet.Store(&fleet{})
 	return d, nil
 }
 
-// Run reads the load reports of the upstreams until ctx ends, and then closes
-// idle connections.
+// sweepInterval is the time between two assessments of all upstreams.
+const sweepInterval = 20 * time.Millisecond
+
+// Run watches the upstreams until ctx ends, and then closes idle connections.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	defer d.links.closeIdle()
-	ticker := time.NewTicker(d.options.PollInterval)
+	var wait sync.WaitGroup
+	wait.Go(func() { repeat(ctx, d.options.PollInterval, d.poll) })
+	wait.Go(func() { repeat(ctx, d.options.PollInterval, d.runProbes) })
+	wait.Go(func() {
+		repeat(ctx, sweepInterval, func(context.Context) {
+			d.current()
+			d.sched.sweep(time.Now())
+		})
+	})
+	wait.Wait()
+	return nil
+}
+
+// repeat calls f now and after every interval until ctx ends.
+func repeat(ctx context.Context, interval time.Duration, f func(context.Context)) {
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
-		d.poll(ctx)
+		f(ctx)
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-ticker.C:
 		}
 	}
--- /dev/null
+++ b/upstream/faults_test.go
@@ -0,0 +1,223 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/standin/engine"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// waitFor waits for a condition.
+func waitFor(t testing.TB, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not seen in 10 s", what)
+		}
+	}
+}
+
+func (b *bench) counts() (sum engine.Counts) {
+	for _, e := range b.engines {
+		c := e.Counts()
+		sum.Requests += c.Requests
+		sum.Resumed += c.Resumed
+		sum.Cancelled += c.Cancelled
+	}
+	return sum
+}
+
+// load runs n calls, a few at a time, and checks each answer.
+func (b *bench) load(t testing.TB, class contract.Class, n, atOnce, tokens int) {
+	t.Helper()
+	var wait sync.WaitGroup
+	turns := make(chan struct{}, atOnce)
+	for i := range n {
+		turns <- struct{}{}
+		wait.Go(func() {
+			b.complete(t, call(class, fmt.Sprintf("%s-%d", class, i), tokens))
+			<-turns
+		})
+	}
+	wait.Wait()
+}
+
+func TestAnswersAreWholeThoughAnUpstreamMisbehaves(t *testing.T) {
+	for name, faults := range map[string]engine.Faults{
+		"killed":    {KillAfter: 4},
+		"truncated": {TruncateAfter: 4},
+		"garbage":   {Garbage: true},
+		"endless":   {Endless: true},
+		"refuses":   {Refuse: true},
+		"swapped":   {SwapID: true},
+		"hangs":     {Hang: true},
+		"stalled":   {Stall: true},
+		"slow":      {SlowFactor: 10},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 4, fastEngine, nil)
+			b.load(t, contract.Online, 20, 4, 12)
+			b.engines[1].SetFaults(faults)
+			b.load(t, contract.Online, 40, 6, 12)
+		})
+	}
+}
+
+func TestStreamThatStallsHalfWayIsResumedElsewhere(t *testing.T) {
+	b := newBench(t, 3, fastEngine, nil)
+	b.load(t, contract.Online, 20, 4, 12)
+	c := call(contract.Online, "stalls", 30)
+	var text strings.Builder
+	tokens := 0
+	err := b.Complete(context.Background(), c, func(chunk contract.Chunk) error {
+		text.WriteString(chunk.Text)
+		if tokens++; tokens == 10 {
+			for _, e := range b.engines {
+				if e.Current().Running > 0 {
+					e.SetFaults(engine.Faults{Stall: true})
+				}
+			}
+		}
+		return nil
+	})
+	if want := engine.Answer(c.Chat.Messages, 30); err != nil || text.String() != want {
+		t.Errorf("%v: got %q, want %q", err, text.String(), want)
+	}
+	if b.counts().Resumed == 0 {
+		t.Error("no stream stalled and was resumed")
+	}
+}
+
+func TestUpstreamsThatNeverAnswerGiveANumberedErrorByTheDeadline(t *testing.T) {
+	b := newBench(t, 2, fastEngine, nil)
+	for _, e := range b.engines {
+		e.SetFaults(engine.Faults{Hang: true})
+	}
+	c := call(contract.Online, "never", 5)
+	c.Deadline = time.Now().Add(300 * time.Millisecond)
+	err := b.Complete(context.Background(), c, func(contract.Chunk) error { return nil })
+	if code.Of(err) != code.DeadlineExceeded {
+		t.Errorf("got %v, want %d", err, code.DeadlineExceeded)
+	}
+}
+
+func TestRefusalByAllUpstreamsSaysNotRun(t *testing.T) {
+	b := newBench(t, 2, fastEngine, nil)
+	for _, e := range b.engines {
+		e.SetFaults(engine.Faults{Refuse: true})
+	}
+	err := b.Complete(context.Background(), call(contract.Online, "refused", 5), func(contract.Chunk) error { return nil })
+	if e := code.From(err); e.Outcome != code.NotRun || e.RetryAfter == 0 || b.counts().Requests != 0 {
+		t.Errorf("got %v, %s, retry after %v, %d requests run", e, e.Outcome, e.RetryAfter, b.counts().Requests)
+	}
+}
+
+func TestFullServiceRefusesEarlyWithARetryHint(t *testing.T) {
+	b := newBench(t, 1, fastEngine, func(_ *Options, d *contract.Document) {
+		d.Services["chat"] = contract.Service{Kind: contract.KindModel, Model: "m", Idempotent: true}
+	})
+	b.load(t, contract.Online, 8, 8, 200)
+	var wait sync.WaitGroup
+	for i := range 8 {
+		wait.Go(func() { b.complete(t, call(contract.Online, fmt.Sprintf("holds-%d", i), 400)) })
+	}
+	waitFor(t, "full upstream", func() bool { return b.State().Upstreams[0].Online == 8 })
+	c := call(contract.Online, "late", 5)
+	c.Deadline = time.Now().Add(20 * time.Millisecond)
+	err := b.Complete(context.Background(), c, func(contract.Chunk) error { return nil })
+	e := code.From(err)
+	if e.Number != code.DeadlineTooShort || e.Outcome != code.NotRun || e.RetryAfter == 0 || !time.Now().Before(c.Deadline) {
+		t.Errorf("got %v, %s, retry after %v", e, e.Outcome, e.RetryAfter)
+	}
+	wait.Wait()
+}
+
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	for name, leave := range map[string]func(b *bench){
+		"document": func(b *bench) {
+			next := *b.current().document
+			next.Version++
+			next.Upstreams = map[string]contract.Upstream{}
+			for id, u := range b.current().document.Upstreams {
+				u.Leaving = id == "u01"
+				next.Upstreams[id] = u
+			}
+			b.publish(&next)
+		},
+		"report": func(b *bench) { b.engines[1].SetFaults(engine.Faults{Draining: true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 3, fastEngine, nil)
+			b.load(t, contract.Online, 30, 6, 5)
+			leave(b)
+			waitFor(t, "leaving", func() bool { return b.State().Upstreams[1].Leaving })
+			before := b.engines[1].Counts().Requests
+			b.load(t, contract.Online, 60, 12, 5)
+			if after := b.engines[1].Counts().Requests; after != before {
+				t.Errorf("the leaving upstream got %d requests", after-before)
+			}
+		})
+	}
+}
+
+func TestPreemptedBatchAnswerIsTheSameAsAnUndisturbedOne(t *testing.T) {
+	b := newBench(t, 2, fastEngine, nil)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		b.load(t, contract.Batch, 14, 14, 60)
+	}()
+	waitFor(t, "batch in all spare slots", func() bool {
+		running := 0
+		for _, u := range b.State().Upstreams {
+			running += u.Batch
+		}
+		return running == 14
+	})
+	b.load(t, contract.Online, 60, 14, 10)
+	<-done
+	if n := b.counts(); n.Cancelled == 0 || n.Resumed == 0 {
+		t.Errorf("%d cancelled, %d resumed: no batch call was preempted", n.Cancelled, n.Resumed)
+	}
+}
+
+func TestBatchYieldsToTheOnlineBurstOfAPeer(t *testing.T) {
+	b := newBench(t, 1, fastEngine, nil)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		b.load(t, contract.Batch, 7, 7, 100)
+	}()
+	waitFor(t, "batch in all spare slots", func() bool { return b.engines[0].Current().Running == 7 })
+	b.ObserveDigest("peer", Digest{Sequence: 1, Loads: []PeerLoad{{Upstream: "u00", Online: 5}}})
+	if got := b.State().Upstreams[0].Batch; got != 2 {
+		t.Errorf("%d batch attempts left beside 5 online ones in 8 slots with one free, want 2", got)
+	}
+	waitFor(t, "cancellation at the engine", func() bool { return b.engines[0].Current().Running == 2 })
+	<-done
+}
+
+func TestAttemptsStayBoundedWhenHalfOfTheUpstreamsAreLost(t *testing.T) {
+	b := newBench(t, 10, fastEngine, nil)
+	b.load(t, contract.Online, 100, 10, 5)
+	for i := range 5 {
+		b.servers[i].CloseClientConnections()
+		_ = b.servers[i].Listener.Close()
+	}
+	before := b.attempts()
+	const calls = 400
+	b.load(t, contract.Online, calls, 20, 5)
+	if per := (b.attempts() - before) / calls; per > 1.1 {
+		t.Errorf("%.3f attempts per request", per)
+	}
+}
--- a/upstream/fleet.go
+++ b/upstream/fleet.go
@@ -12,26 +12,19 @@
 // uses for which service.
 type fleet struct {
 	document *contract.Document
+	preset   contract.Preset
 	pools    map[string]*pool
 	targets  map[string]*target
 }
 
-// pool is one service and the subset of its upstreams that this instance uses.
-// Targets and the fields of the document are immutable; the rest is guarded by
-// the scheduler.
-type pool struct {
-	name    string
-	service contract.Service
-	targets []*target
-}
-
-// buildFleet derives a fleet from a document. Targets and pools that go on
-// keep their identity, and with it what was observed.
+// buildFleet derives a fleet from a document. Targets and services that go on
+// keep what was observed of them.
 func buildFleet(old *fleet, document *contract.Document, o Options) *fleet {
 	f := &fleet{document: document, pools: map[string]*pool{}, targets: map[string]*target{}}
 	if document == nil {
 		return f
 	}
+	f.preset = document.Active()
 	members := map[string][]string{}
 	for id, u := range document.Upstreams {
 		for _, s := range u.Services {
@@ -40,6 +33,11 @@
 	}
 	for name, service := range document.Services {
 		p := &pool{name: name, service: service}
+		if before, ok := old.pools[name]; ok {
+			p.history = before.history
+		} else {
+			p.history = newHistory(document.Limits.RetryShare)
+		}
 		for _, id := range route.Subset(members[name], o.InstanceID, o.SubsetSize) {
 			p.targets = append(p.targets, f.target(old, id, document, o))
 		}
--- a/upstream/links.go
+++ b/upstream/links.go
@@ -4,10 +4,12 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/daisylb/daisylb/contract"
 )
 
 const (
-	dialTimeout         = 2 * time.Second
+	dialTimeout         = time.Second
 	idleConnTimeout     = 90 * time.Second
 	idleConnsPerAddress = 64
 )
@@ -37,6 +39,17 @@
 	return l
 }
 
+// of returns the connections for an attempt.
+func (l *links) of(g *slot) *http.Transport {
+	switch {
+	case g.firm:
+		return l.once
+	case g.class == contract.Batch:
+		return l.batch
+	}
+	return l.online
+}
+
 func (l *links) closeIdle() {
 	for _, t := range []*http.Transport{l.online, l.batch, l.once, l.reports} {
 		t.CloseIdleConnections()
--- a/upstream/metrics.go
+++ b/upstream/metrics.go
@@ -6,6 +6,14 @@
 type metrics struct {
 	attempts    *prometheus.CounterVec
 	preemptions prometheus.Counter
+	retries     prometheus.Counter
+	hedges      prometheus.Counter
+	ejections   prometheus.Counter
+	firstToken  prometheus.Histogram
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Name: "daisylb_upstream_" + name + "_total", Help: help})
 }
 
 func newMetrics(r prometheus.Registerer) (*metrics, error) {
@@ -14,15 +22,20 @@
 			Name: "daisylb_upstream_attempts_total",
 			Help: "Attempts on upstreams by class and result.",
 		}, []string{"class", "result"}),
-		preemptions: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "daisylb_upstream_preemptions_total",
-			Help: "Batch attempts cancelled because online work took the slot.",
+		preemptions: counter("preemptions", "Batch attempts cancelled because online work took the slot."),
+		retries:     counter("retries", "Attempts after a failed one."),
+		hedges:      counter("hedges", "Second attempts beside a first one without a token."),
+		ejections:   counter("ejections", "Upstreams taken out of ordinary use for being slow or failing."),
+		firstToken: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "daisylb_upstream_first_token_seconds",
+			Help:    "Time to the first token of online attempts.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 		}),
 	}
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.attempts, m.preemptions} {
+	for _, c := range []prometheus.Collector{m.attempts, m.preemptions, m.retries, m.hedges, m.ejections, m.firstToken} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/upstream/plain.go
+++ b/upstream/plain.go
@@ -3,21 +3,22 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/route"
 )
 
 // Call runs a call of a plain service. A call that is not idempotent is
-// dispatched at most once: a failure after that is code.OutcomeUnknown.
+// dispatched at most once: a failure after that is code.OutcomeUnknown. The
+// upstream's answer is returned as it is, whatever its status.
 //
-// Other errors: code.UnknownService, NoConfiguration, NoUpstream and
-// Overloaded when nothing ran; code.UpstreamFailed, UpstreamAnswerSize,
-// DeadlineExceeded and CallerGone.
+// Other errors: code.UnknownService, NoConfiguration, NoUpstream, Overloaded,
+// AccountLimit and DeadlineTooShort when nothing ran; code.UpstreamFailed,
+// UpstreamAnswerSize, DeadlineExceeded and CallerGone.
 func (d *Dispatcher) Call(ctx context.Context, call *contract.PlainCall) (*contract.PlainAnswer, error) {
 	d.calls.Add(1)
 	defer d.calls.Add(-1)
@@ -31,55 +32,89 @@
 		ctx, cancel = context.WithDeadline(ctx, call.Deadline)
 		defer cancel()
 	}
-	c := &plainCall{call: call, pool: p, maxAnswer: f.document.Limits.MaxAnswerBytes}
+	c := &plainCall{call: call, maxAnswer: f.maxAnswer(), request: request{
+		pool:     p,
+		class:    call.Class,
+		firm:     !call.Idempotent,
+		account:  call.Account,
+		weight:   f.document.Accounts[call.Account].Weight,
+		deadline: call.Deadline,
+	}}
+	p.budget.Earn()
 	return d.plainAttempts(ctx, c)
 }
 
 // plainCall is the state of one Call.
 type plainCall struct {
 	call       *contract.PlainCall
-	pool       *pool
+	request    request
 	maxAnswer  int64
 	dispatched bool
 }
 
-// repeatable reports whether another attempt may follow a failure.
-func (c *plainCall) repeatable() bool { return c.call.Idempotent || !c.dispatched }
-
 func (d *Dispatcher) plainAttempts(ctx context.Context, c *plainCall) (*contract.PlainAnswer, error) {
-	var avoid *target
-	var last *failure
-	for range maxAttempts {
-		given, err := d.sched.acquire(ctx, c.pool, c.call.Class, avoid)
+	var tries tries
+	for {
+		given, err := d.sched.acquire(ctx, c.request)
 		if err != nil {
-			return nil, c.ended(err)
+			return nil, endOf(err, c.dispatched)
 		}
-		var answer *contract.PlainAnswer
-		answer, last = d.plainAttempt(given, c)
-		d.sched.release(given)
-		if last == nil {
+		answer, f := d.plainAttempt(given, c)
+		d.conclude(given, f)
+		if f == nil {
 			return answer, nil
 		}
-		d.blame(given.target, last)
-		if !c.repeatable() {
-			return nil, code.Wrap(code.OutcomeUnknown, last.err, "the outcome of the call is not known")
+		if f.preempted && ctx.Err() == nil {
+			continue
 		}
-		if last.final || ctx.Err() != nil {
-			break
+		tries.count(f)
+		outcome := route.Outcome{
+			Idempotent:  c.call.Idempotent,
+			Dispatched:  c.dispatched,
+			Final:       f.final,
+			Ended:       ctx.Err() != nil,
+			Attempts:    tries.reached,
+			Unreachable: tries.unreachable,
 		}
-		avoid = given.target
-	}
-	if ctx.Err() != nil {
-		return nil, c.ended(ctx.Err())
+		if !d.again(c.request.pool, f, outcome) {
+			return nil, c.failed(ctx, f)
+		}
+		c.request.avoid = f.target.key
 	}
-	e := code.From(last.err)
-	if !c.dispatched {
-		e = e.WithOutcome(code.NotRun)
+}
+
+// failed returns the error of a call that has no attempt left.
+func (c *plainCall) failed(ctx context.Context, f *failure) error {
+	switch {
+	case c.dispatched && !c.call.Idempotent:
+		return code.Wrap(code.OutcomeUnknown, f.err, "the call was dispatched and its outcome is not known")
+	case ctx.Err() != nil:
+		return endOf(context.Cause(ctx), c.dispatched)
+	case !c.dispatched:
+		return code.From(f.err).WithOutcome(code.NotRun).WithRetryAfter(retryHint)
 	}
-	return nil, e
+	return code.From(f.err).WithOutcome(code.Unknown)
 }
 
 func (d *Dispatcher) plainAttempt(given *slot, c *plainCall) (*contract.PlainAnswer, *failure) {
+	request, f := c.newRequest(given)
+	if f != nil {
+		return nil, f
+	}
+	response, err := d.links.of(given).RoundTrip(request)
+	if err != nil && isDialError(err) {
+		return nil, &failure{err: code.Wrap(code.NoUpstream, err, "upstream %q can't be reached", given.target.id), unreachable: true}
+	}
+	c.dispatched = true
+	if err != nil {
+		return nil, &failure{err: code.Wrap(code.UpstreamFailed, err, "upstream %q failed", given.target.id)}
+	}
+	defer func() { _ = response.Body.Close() }()
+	d.sched.observeFirst(given, time.Now())
+	return readPlain(response, c.maxAnswer)
+}
+
+func (c *plainCall) newRequest(given *slot) (*http.Request, *failure) {
 	url := "http://" + given.target.address + c.call.Path
 	request, err := http.NewRequestWithContext(given.ctx, c.call.Method, url, bytes.NewReader(c.call.Body))
 	if err != nil {
@@ -92,21 +127,7 @@
 	if c.call.IdempotencyKey != "" {
 		request.Header.Set("Idempotency-Key", c.call.IdempotencyKey)
 	}
-	transport := d.links.of(c.call.Class)
-	if !c.call.Idempotent {
-		transport = d.links.once
-	}
-	response, err := transport.RoundTrip(request)
-	if err != nil {
-		if isDialError(err) {
-			return nil, &failure{err: code.Wrap(code.NoUpstream, err, "upstream %q can't be reached", given.target.id), unreachable: true}
-		}
-		c.dispatched = true
-		return nil, &failure{err: code.Wrap(code.UpstreamFailed, err, "upstream %q failed", given.target.id)}
-	}
-	c.dispatched = true
-	defer func() { _ = response.Body.Close() }()
-	return readPlain(response, c.maxAnswer)
+	return request, nil
 }
 
 func readPlain(response *http.Response, maxBytes int64) (*contract.PlainAnswer, *failure) {
@@ -119,18 +140,3 @@
 	}
 	return &contract.PlainAnswer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
-
-// ended returns the error of a call whose context has ended.
-func (c *plainCall) ended(cause error) error {
-	switch {
-	case errors.Is(cause, context.DeadlineExceeded) && !c.dispatched:
-		return code.New(code.Overloaded, "no upstream had room before the deadline").WithRetryAfter(time.Second)
-	case errors.Is(cause, context.DeadlineExceeded):
-		return code.New(code.DeadlineExceeded, "there was no answer at the deadline")
-	}
-	e := code.Wrap(code.CallerGone, cause, "the call was cancelled")
-	if !c.dispatched {
-		e = e.WithOutcome(code.NotRun)
-	}
-	return e
-}
--- a/upstream/poll.go
+++ b/upstream/poll.go
@@ -17,8 +17,6 @@
 	KVUse    float64   `json:"kv_use"`
 	Draining bool      `json:"draining"`
 	TakenAt  time.Time `json:"taken_at"`
-
-	received time.Time
 }
 
 const (
@@ -37,9 +35,8 @@
 			continue
 		}
 		wait.Go(func() {
-			if r, err := d.readReport(ctx, t); err == nil {
-				t.report.Store(r)
-			}
+			r, err := d.readReport(ctx, t)
+			d.sched.reported(t, r, err != nil && isDialError(err))
 		})
 	}
 	wait.Wait()
@@ -62,6 +59,9 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &loadReport{received: time.Now()}
-	return r, json.Unmarshal(data, r)
+	r := &loadReport{}
+	if err := json.Unmarshal(data, r); err != nil {
+		return nil, err
+	}
+	return r, nil
 }
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -9,25 +9,35 @@
 	"time"
 
 	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/route"
 )
 
-// errPreempted is the cause of a batch attempt's end when online work took its
-// slot.
-var errPreempted = errors.New("online work took the slot")
+// Causes with which the scheduler ends attempts.
+var (
+	errPreempted = errors.New("online work took the slot")
+	errStalled   = errors.New("the upstream sent no token in time")
+	errLost      = errors.New("another attempt was faster")
+)
 
-// slot is the right of one attempt to run on an upstream.
-type slot struct {
-	target *target
-	class  contract.Class
-	ctx    context.Context
-	cancel context.CancelCauseFunc
+// request is what the scheduler has to know of a call.
+type request struct {
+	pool    *pool
+	class   contract.Class
+	account string
+	weight  int
+	long    bool
+	// firm requests may be dispatched once only and are never cancelled for
+	// others.
+	firm     bool
+	affinity uint64
+	// avoid is the key of the upstream that just failed the request.
+	avoid    uint64
+	deadline time.Time
 }
 
-// waiter is a call that waits for a slot.
+// waiter is a request that waits for a slot.
 type waiter struct {
-	pool    *pool
-	class   contract.Class
-	avoid   *target
+	request
 	ctx     context.Context
 	granted chan *slot
 }
@@ -36,19 +46,29 @@
 // only, never for I/O.
 type scheduler struct {
 	metrics *metrics
+	policy  route.Policy
+	// urgent is called, with the lock held, when online work needs slots of an
+	// upstream that batch work of other instances holds. It must not block.
+	urgent func()
 
 	mu     sync.Mutex
 	random *rand.Rand
 	fleet  *fleet
-	online []*waiter
-	batch  []*waiter
+	peers  map[string]*peerDigest
 }
 
-func newScheduler(seed uint64, m *metrics) *scheduler {
+func newScheduler(seed uint64, policy route.Policy, m *metrics) *scheduler {
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
-	return &scheduler{metrics: m, random: rand.New(rand.NewPCG(seed, seed)), fleet: &fleet{}}
+	return &scheduler{
+		metrics: m,
+		policy:  policy,
+		urgent:  func() {},
+		random:  rand.New(rand.NewPCG(seed, seed)),
+		fleet:   &fleet{},
+		peers:   map[string]*peerDigest{},
+	}
 }
 
 // adopt takes a new fleet into use.
@@ -56,17 +76,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fleet = f
+	s.applyPeers()
+	s.assess(time.Now())
 	s.pump()
 }
 
-// acquire waits for a slot until ctx ends.
-func (s *scheduler) acquire(ctx context.Context, p *pool, class contract.Class, avoid *target) (*slot, error) {
-	w := &waiter{pool: p, class: class, avoid: avoid, ctx: ctx, granted: make(chan *slot, 1)}
+// acquire waits for a slot until ctx ends. It refuses at once when the wait
+// would last past the deadline.
+func (s *scheduler) acquire(ctx context.Context, r request) (*slot, error) {
 	s.mu.Lock()
-	if given := s.place(w); given != nil {
+	if s.mayPass(&r) {
+		if given := s.place(ctx, &r); given != nil {
+			s.mu.Unlock()
+			return given, nil
+		}
+	}
+	if err := s.refusal(&r, time.Now()); err != nil {
 		s.mu.Unlock()
-		return given, nil
+		return nil, err
 	}
+	w := &waiter{request: r, ctx: ctx, granted: make(chan *slot, 1)}
 	s.enqueue(w)
 	s.mu.Unlock()
 	select {
@@ -78,129 +107,187 @@
 	}
 }
 
+// tryAcquire returns a slot that is free now, or nil.
+func (s *scheduler) tryAcquire(ctx context.Context, r request) *slot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.place(ctx, &r)
+}
+
+// mayPass reports whether a request may be placed before those that wait.
+func (s *scheduler) mayPass(r *request) bool {
+	if r.class == contract.Batch {
+		return len(r.pool.batch) == 0
+	}
+	return r.queue().waiting == 0
+}
+
+// queue returns the queue of an online request.
+func (r *request) queue() *queue {
+	if r.long {
+		return &r.pool.history.long
+	}
+	return &r.pool.short
+}
+
 func (s *scheduler) enqueue(w *waiter) {
 	if w.class == contract.Batch {
-		s.batch = append(s.batch, w)
+		w.pool.batch = append(w.pool.batch, w)
 		return
 	}
-	s.online = append(s.online, w)
+	w.queue().push(w)
 }
 
 // abandon takes a waiter out of the queue, or gives back what it was granted.
 func (s *scheduler) abandon(w *waiter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.online = slices.DeleteFunc(s.online, func(o *waiter) bool { return o == w })
-	s.batch = slices.DeleteFunc(s.batch, func(o *waiter) bool { return o == w })
+	if w.class == contract.Batch {
+		if i := slices.Index(w.pool.batch, w); i >= 0 {
+			w.pool.batch = slices.Delete(w.pool.batch, i, i+1)
+		}
+	} else {
+		w.queue().remove(w)
+	}
 	select {
 	case given := <-w.granted:
-		s.remove(given)
+		given.cancel(nil)
+		given.target.drop(given)
 		s.pump()
 	default:
 	}
 }
 
-// place finds a slot for w, or returns nil.
-func (s *scheduler) place(w *waiter) *slot {
-	var best *target
-	start := s.random.IntN(max(len(w.pool.targets), 1))
-	for i := range w.pool.targets {
-		t := w.pool.targets[(start+i)%len(w.pool.targets)]
-		if !s.admits(t, w) {
-			continue
-		}
-		if best == nil || len(t.slots)-t.batch < len(best.slots)-best.batch {
-			best = t
-		}
+// place finds a slot for a request, or returns nil.
+func (s *scheduler) place(ctx context.Context, r *request) *slot {
+	now := time.Now()
+	v := &view{targets: r.pool.open, now: now, prior: r.pool.prior}
+	q := route.Query{
+		Class:    r.class,
+		Long:     r.long,
+		Affinity: r.affinity,
+		Avoid:    r.avoid,
+		Prior:    r.pool.prior,
+		Batch:    s.batchTerms(),
+		Policy:   s.policy,
+		Turn:     r.pool.turn,
 	}
-	if best == nil {
+	if len(v.targets) == 1 {
+		q.Avoid = 0
+	}
+	i := route.Choose(v, &q, s.random)
+	if i < 0 {
 		return nil
 	}
-	return s.grant(best, w)
+	r.pool.turn++
+	return s.grant(ctx, r, v.targets[i], now)
 }
 
-func (s *scheduler) admits(t *target, w *waiter) bool {
-	if t.leaving() || time.Now().Before(t.down) || (t == w.avoid && len(w.pool.targets) > 1) {
-		return false
+func (s *scheduler) batchTerms() route.BatchTerms {
+	return route.BatchTerms{
+		Share:       s.fleet.preset.BatchShare,
+		Headroom:    s.fleet.preset.HeadroomSlots,
+		OnlineWaits: s.onlineWaits(),
 	}
-	capacity := t.terms.Load().Slots
-	if w.class == contract.Online {
-		return len(t.slots)-t.batch < capacity
+}
+
+func (s *scheduler) onlineWaits() bool {
+	for _, p := range s.fleet.pools {
+		if p.short.waiting > 0 || p.history.long.waiting > 0 {
+			return true
+		}
 	}
-	preset := s.fleet.document.Active()
-	spare := float64(capacity-preset.HeadroomSlots-(len(t.slots)-t.batch)) * preset.BatchShare
-	return len(s.online) == 0 && len(t.slots) < capacity && float64(t.batch+1) <= spare
+	return false
 }
 
-func (s *scheduler) grant(t *target, w *waiter) *slot {
-	if w.class == contract.Online && len(t.slots) >= t.terms.Load().Slots {
-		s.preempt(t)
+func (s *scheduler) grant(ctx context.Context, r *request, t *target, now time.Time) *slot {
+	given := &slot{target: t, pool: r.pool, class: r.class, long: r.long, firm: r.firm, started: now}
+	given.ctx, given.cancel = context.WithCancelCause(ctx)
+	t.add(given)
+	if r.pool.ejected[t] {
+		t.probed = now
+		r.pool.open = slices.DeleteFunc(r.pool.open, func(o *target) bool { return o == t && len(r.pool.open) > 1 })
 	}
-	given := &slot{target: t, class: w.class}
-	given.ctx, given.cancel = context.WithCancelCause(w.ctx)
-	t.slots = append(t.slots, given)
-	if w.class == contract.Batch {
-		t.batch++
+	if r.class == contract.Online {
+		s.yield(t, now)
 	}
 	return given
 }
 
-// preempt cancels one batch attempt on t.
-func (s *scheduler) preempt(t *target) {
-	i := slices.IndexFunc(t.slots, func(o *slot) bool { return o.class == contract.Batch })
-	if i < 0 {
+// yield cancels batch attempts on t that are in the way of online work.
+func (s *scheduler) yield(t *target, now time.Time) {
+	if t.batch+t.peers.batch == 0 {
 		return
 	}
-	victim := t.slots[i]
-	s.remove(victim)
-	victim.cancel(errPreempted)
+	c := t.candidate(now, 0)
+	terms := s.batchTerms()
+	for range route.Excess(&c, terms) {
+		s.preempt(t)
+	}
+	if t.peers.batch > 0 && route.InTheWay(&c, terms) {
+		s.urgent()
+	}
 }
 
-// remove takes a slot off its target; it does nothing when that was done
-// before.
-func (s *scheduler) remove(given *slot) {
-	t := given.target
-	i := slices.Index(t.slots, given)
-	if i < 0 {
-		return
-	}
-	t.slots = slices.Delete(t.slots, i, i+1)
-	if given.class == contract.Batch {
-		t.batch--
+// preempt cancels the batch attempt on t that started last, which has the
+// least to compute again.
+func (s *scheduler) preempt(t *target) {
+	for i := len(t.slots) - 1; i >= 0; i-- {
+		if victim := t.slots[i]; victim.class == contract.Batch && !victim.firm {
+			t.drop(victim)
+			victim.cancel(errPreempted)
+			s.metrics.preemptions.Inc()
+			return
+		}
 	}
 }
 
-// release gives a slot back.
-func (s *scheduler) release(given *slot) {
-	given.cancel(nil)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.remove(given)
-	s.pump()
+// discard ends an attempt whose result is not needed and frees its slot at
+// once.
+func (s *scheduler) discard(given *slot) {
+	given.cancel(errLost)
+	s.release(given, time.Now())
 }
 
-// suspend keeps new work off an upstream for a while.
-func (s *scheduler) suspend(t *target, d time.Duration) {
+// release gives a slot back; it may be called more than once.
+func (s *scheduler) release(given *slot, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.down = time.Now().Add(d)
+	if given.target.drop(given) {
+		s.observeEnd(given, now)
+		s.pump()
+	}
 }
 
-// pump grants free slots to waiters, online ones first.
+// pump grants free slots to waiters: short online ones first, then long ones,
+// then batch.
 func (s *scheduler) pump() {
-	s.online = s.serve(s.online)
-	s.batch = s.serve(s.batch)
+	for _, p := range s.fleet.pools {
+		s.serve(&p.short)
+		s.serve(&p.history.long)
+	}
+	for _, p := range s.fleet.pools {
+		for len(p.batch) > 0 && s.give(p.batch[0]) {
+			p.batch = slices.Delete(p.batch, 0, 1)
+		}
+	}
 }
 
-func (s *scheduler) serve(queue []*waiter) []*waiter {
-	kept := queue[:0]
-	for _, w := range queue {
-		if given := s.place(w); given != nil {
-			w.granted <- given
-			continue
+func (s *scheduler) serve(q *queue) {
+	for {
+		w := q.front()
+		if w == nil || !s.give(w) {
+			return
 		}
-		kept = append(kept, w)
+		q.pop()
+	}
+}
+
+func (s *scheduler) give(w *waiter) bool {
+	given := s.place(w.ctx, &w.request)
+	if given == nil {
+		return false
 	}
-	clear(queue[len(kept):])
-	return kept
+	w.granted <- given
+	return true
 }
--- a/upstream/state.go
+++ b/upstream/state.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 )
 
 // State is the dispatcher's part of the state dump.
@@ -23,32 +24,62 @@
 	ID      string `json:"id"`
 	Address string `json:"address"`
 	Slots   int    `json:"slots"`
-	Online  int    `json:"online"`
-	Batch   int    `json:"batch"`
-	Leaving bool   `json:"leaving"`
+	// Limit is the adaptive bound of online requests.
+	Limit  int `json:"limit"`
+	Online int `json:"online"`
+	Batch  int `json:"batch"`
+	// PeerOnline and PeerBatch are in flight from other instances.
+	PeerOnline int `json:"peer_online"`
+	PeerBatch  int `json:"peer_batch"`
+	// FirstTokenMillis and SpacingMillis are observed averages.
+	FirstTokenMillis float64 `json:"first_token_ms"`
+	SpacingMillis    float64 `json:"spacing_ms"`
+	// Leaving, Suspended and Ejected upstreams get no ordinary work.
+	Leaving   bool `json:"leaving"`
+	Suspended bool `json:"suspended"`
+	Ejected   bool `json:"ejected"`
 }
 
 // State returns a copy of the present state.
 func (d *Dispatcher) State() State {
-	f := d.fleet.Load()
 	state := State{InFlight: d.InFlight()}
-	if f.document != nil {
-		state.DocumentVersion = f.document.Version
+	s := d.sched
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fleet.document != nil {
+		state.DocumentVersion = s.fleet.document.Version
 	}
-	d.sched.mu.Lock()
-	defer d.sched.mu.Unlock()
-	state.WaitingOnline = len(d.sched.online)
-	state.WaitingBatch = len(d.sched.batch)
-	for _, t := range f.targets {
-		state.Upstreams = append(state.Upstreams, UpstreamState{
-			ID:      t.id,
-			Address: t.address,
-			Slots:   t.terms.Load().Slots,
-			Online:  len(t.slots) - t.batch,
-			Batch:   t.batch,
-			Leaving: t.leaving(),
-		})
+	ejected := map[*target]bool{}
+	for _, p := range s.fleet.pools {
+		state.WaitingOnline += p.short.waiting + p.history.long.waiting
+		state.WaitingBatch += len(p.batch)
+		for t := range p.ejected {
+			ejected[t] = true
+		}
+	}
+	now := time.Now()
+	for _, t := range s.fleet.targets {
+		u := t.state(now)
+		u.Ejected = ejected[t]
+		state.Upstreams = append(state.Upstreams, u)
 	}
 	slices.SortFunc(state.Upstreams, func(a, b UpstreamState) int { return strings.Compare(a.ID, b.ID) })
 	return state
 }
+
+func (t *target) state(now time.Time) UpstreamState {
+	return UpstreamState{
+		ID:               t.id,
+		Address:          t.address,
+		Slots:            t.terms.Load().Slots,
+		Limit:            t.limit.Allowed(),
+		Online:           t.online,
+		Batch:            t.batch,
+		PeerOnline:       t.peers.online,
+		PeerBatch:        t.peers.batch,
+		FirstTokenMillis: float64(t.first.Value) / float64(time.Millisecond),
+		SpacingMillis:    float64(t.spacing.Value) / float64(time.Millisecond),
+		Leaving:          t.leaving(),
+		Suspended:        now.Before(t.suspended),
+	}
+}
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -1,24 +1,45 @@
 package upstream
 
 import (
+	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/route"
 )
 
-// target is one upstream as this instance sees it. The fields below "guarded"
+// target is one upstream as this instance sees it. The fields after "guarded"
 // are guarded by the scheduler's lock.
 type target struct {
 	id      string
+	key     uint64
 	address string
 	terms   atomic.Pointer[terms]
 	report  atomic.Pointer[loadReport]
 
 	// guarded
-	slots []*slot
-	batch int
-	down  time.Time
+
+	slots  []*slot
+	online int
+	batch  int
+	long   int
+	peers  peerLoad
+
+	first   route.Average
+	spacing route.Average
+	limit   route.Limit
+	// errors is the decayed share of attempts that failed.
+	errors float64
+	// suspended is when new work may be tried again after a refusal or a
+	// connection that could not be made; failures counts these in a row.
+	suspended time.Time
+	failures  int
+	// probed is when the target was probed last.
+	probed time.Time
 }
 
 // terms is what the document says about an upstream.
@@ -30,7 +51,7 @@
 }
 
 func newTarget(id, address string) *target {
-	return &target{id: id, address: address}
+	return &target{id: id, key: xxhash.Sum64String(id) | 1, address: address}
 }
 
 func (t *target) setContract(next *terms) { t.terms.Store(next) }
@@ -43,3 +64,128 @@
 	r := t.report.Load()
 	return r != nil && r.Draining
 }
+
+// candidate returns what is known of the target at now.
+func (t *target) candidate(now time.Time, prior time.Duration) route.Candidate {
+	terms := t.terms.Load()
+	t.limit = t.limit.Resize(terms.Slots)
+	c := route.Candidate{
+		Key:        t.key,
+		Distance:   terms.distance,
+		Slots:      terms.Slots,
+		Limit:      t.limit.Allowed(),
+		Online:     t.online,
+		Batch:      t.batch,
+		Long:       t.long,
+		PeerOnline: t.peers.online,
+		PeerBatch:  t.peers.batch,
+		FirstToken: t.first.Faded(now, prior),
+		Spacing:    t.spacing.Value,
+	}
+	c.OldestUnanswered, c.SinceToken = t.overdue(now)
+	if r := t.report.Load(); r != nil {
+		c.Report = route.Report{Running: r.Running, Waiting: r.Waiting, Age: max(now.Sub(r.TakenAt), 0), Known: true}
+	}
+	return c
+}
+
+// overdue returns the age of the oldest online request without a first token,
+// and the longest time since the last token of a stream.
+func (t *target) overdue(now time.Time) (unanswered, silent time.Duration) {
+	for _, g := range t.slots {
+		age := now.Sub(g.started)
+		last := time.Duration(g.last.Load())
+		switch {
+		case last != 0:
+			silent = max(silent, age-last)
+		case g.class == contract.Online:
+			unanswered = max(unanswered, age)
+		}
+	}
+	return unanswered, silent
+}
+
+// liveSpacing returns the mean time between tokens of the present streams, or
+// 0 when there is none.
+func (t *target) liveSpacing() time.Duration {
+	var sum time.Duration
+	streams := 0
+	for _, g := range t.slots {
+		if gap := g.gap.Load(); gap > 0 {
+			sum += time.Duration(gap)
+			streams++
+		}
+	}
+	if streams == 0 {
+		return 0
+	}
+	return sum / time.Duration(streams)
+}
+
+func (t *target) add(g *slot) {
+	t.slots = append(t.slots, g)
+	t.count(g, 1)
+}
+
+// drop takes a slot off the target; it reports false when that was done
+// before.
+func (t *target) drop(g *slot) bool {
+	i := slices.Index(t.slots, g)
+	if i < 0 {
+		return false
+	}
+	t.slots = slices.Delete(t.slots, i, i+1)
+	t.count(g, -1)
+	return true
+}
+
+func (t *target) count(g *slot, n int) {
+	if g.class == contract.Batch {
+		t.batch += n
+		return
+	}
+	t.online += n
+	if g.long {
+		t.long += n
+	}
+}
+
+// slot is the right of one attempt to run on an upstream, and what was
+// observed of it.
+type slot struct {
+	target  *target
+	pool    *pool
+	class   contract.Class
+	long    bool
+	firm    bool
+	started time.Time
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+
+	// first and last are the times of the first and the last token since
+	// started, in nanoseconds; 0 before the first. gap is the moving average of
+	// the time between tokens. One goroutine writes them.
+	first  atomic.Int64
+	last   atomic.Int64
+	gap    atomic.Int64
+	tokens atomic.Int64
+}
+
+// gapShift makes the weight of a new gap 1/4.
+const gapShift = 2
+
+// token notes a token at now.
+func (g *slot) token(now time.Time) {
+	since := int64(max(now.Sub(g.started), 1))
+	last := g.last.Load()
+	switch gap := g.gap.Load(); {
+	case last == 0:
+		g.first.Store(since)
+	case gap == 0:
+		g.gap.Store(max(since-last, 1))
+	default:
+		g.gap.Store(max(gap+(since-last-gap)>>gapShift, 1))
+	}
+	g.last.Store(since)
+	g.tokens.Add(1)
+}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -7,9 +7,12 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/standin/engine"
@@ -18,9 +21,31 @@
 // bench is a dispatcher before a few stand-in engines on loopback.
 type bench struct {
 	*Dispatcher
-	document *contract.Document
+	document atomic.Pointer[contract.Document]
+	registry *prometheus.Registry
 	engines  []*engine.Engine
-	stop     func()
+	servers  []*httptest.Server
+}
+
+// publish brings a document in force.
+func (b *bench) publish(d *contract.Document) { b.document.Store(d) }
+
+// attempts returns the number of attempts that have ended.
+func (b *bench) attempts() float64 {
+	families, err := b.registry.Gather()
+	if err != nil {
+		panic(err)
+	}
+	sum := 0.0
+	for _, f := range families {
+		if f.GetName() != "daisylb_upstream_attempts_total" {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			sum += m.GetCounter().GetValue()
+		}
+	}
+	return sum
 }
 
 // fastEngine has steps as short as the timers allow.
@@ -28,24 +53,25 @@
 
 func newBench(t testing.TB, n int, eo engine.Options, change func(*Options, *contract.Document)) *bench {
 	t.Helper()
-	b := &bench{document: testDocument()}
-	var servers []*httptest.Server
+	b := &bench{registry: prometheus.NewRegistry()}
+	document := testDocument()
 	for i := range n {
 		e, err := engine.New(eo)
 		if err != nil {
 			t.Fatal(err)
 		}
 		server := httptest.NewServer(e)
-		servers = append(servers, server)
+		b.servers = append(b.servers, server)
 		b.engines = append(b.engines, e)
-		b.document.Upstreams[fmt.Sprintf("u%02d", i)] = contract.Upstream{
+		document.Upstreams[fmt.Sprintf("u%02d", i)] = contract.Upstream{
 			Address: server.Listener.Addr().String(), DataCentre: "a", Services: []string{"chat"}, Slots: eo.MaxRunning,
 		}
 	}
-	o := Options{Document: func() *contract.Document { return b.document }, DataCentre: "a", Seed: 1, PollInterval: 20 * time.Millisecond}
+	o := Options{Document: b.document.Load, DataCentre: "a", Seed: 1, PollInterval: 20 * time.Millisecond, Registerer: b.registry}
 	if change != nil {
-		change(&o, b.document)
+		change(&o, document)
 	}
+	b.publish(document)
 	d, err := New(o)
 	if err != nil {
 		t.Fatal(err)
@@ -57,16 +83,15 @@
 		defer close(done)
 		_ = d.Run(ctx)
 	}()
-	b.stop = func() {
+	t.Cleanup(func() {
 		cancel()
 		<-done
 		for i, e := range b.engines {
 			e.Close()
-			servers[i].CloseClientConnections()
-			servers[i].Close()
+			b.servers[i].CloseClientConnections()
+			b.servers[i].Close()
 		}
-	}
-	t.Cleanup(b.stop)
+	})
 	return b
 }
 
