Add a benchmark of the policy against its baselines

Cause: the policy has to be measured, each figure as a ratio in one run. Ruled out: closed-loop callers, which wait when the system is slow and hide it; a simulated clock, since connections and timers are part of the cost. Change: BenchmarkPolicy with ten engines on loopback, bursty arrivals that don't wait, seeded, against least in flight, round robin and random.

--- /dev/null
+++ b/upstream/policy_test.go
@@ -0,0 +1,232 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/route"
+	"github.com/daisylb/daisylb/standin/engine"
+)
+
+// policyEngine has the proportions of a real engine: a full batch slows a step
+// by a third, and a prompt costs part of a step.
+var policyEngine = engine.Options{
+	MaxRunning: 16, StepBase: 10 * time.Millisecond, StepPerRunning: 200 * time.Microsecond,
+	PrefillPerToken: 5 * time.Microsecond, ReportLag: 500 * time.Millisecond,
+}
+
+const (
+	policyUpstreams = 10
+	policyWarmup    = time.Second
+	policyMeasured  = 4 * time.Second
+	promptBytes     = 1200
+	// burstPeriod and burstLength shape the arrivals: a burst has burstFactor
+	// times the ordinary rate.
+	burstPeriod = time.Second
+	burstLength = 250 * time.Millisecond
+	burstFactor = 3
+)
+
+// trial is one run of one variant.
+type trial struct {
+	policy route.Policy
+	// online requests a second outside of bursts, and their length in tokens.
+	rate   float64
+	tokens int
+	// longShare of the requests have longTokens.
+	longShare  float64
+	longTokens int
+	// batch calls at once, of batchTokens; as online work when unprotected.
+	batch       int
+	unprotected bool
+	// slowed upstreams are ten times slower once the measurement starts.
+	slowed int
+}
+
+// result of a trial.
+type result struct {
+	firstToken, total *hdrhistogram.Histogram
+	errors            atomic.Int64
+	batchTokens       atomic.Int64
+}
+
+func (r *result) first(q float64) float64 { return float64(r.firstToken.ValueAtQuantile(q)) / 1000 }
+func (r *result) whole(q float64) float64 { return float64(r.total.ValueAtQuantile(q)) / 1000 }
+
+const batchTokens = 64
+
+func prompt(random *rand.Rand) string {
+	return fmt.Sprintf("%016x", random.Uint64()) + strings.Repeat("x", promptBytes)
+}
+
+// run measures a trial with arrivals that don't wait for answers.
+func (tr trial) run(b *testing.B) *result {
+	b.Helper()
+	r := &result{firstToken: hdrhistogram.New(1, 60_000_000, 3), total: hdrhistogram.New(1, 60_000_000, 3)}
+	f := newBench(b, policyUpstreams, policyEngine, func(o *Options, d *contract.Document) {
+		o.Policy = tr.policy
+		o.PollInterval = 0
+		p := d.Presets["normal"]
+		p.HeadroomSlots = 2
+		d.Presets["normal"] = p
+	})
+	defer f.close()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	start := time.Now().Add(policyWarmup)
+	for i := range tr.batch {
+		wait.Go(func() { tr.batchWorker(ctx, f, r, start, uint64(i)) })
+	}
+	slow := time.AfterFunc(policyWarmup, func() {
+		for i := range tr.slowed {
+			f.engines[3*i].SetFaults(engine.Faults{SlowFactor: 10})
+		}
+	})
+	tr.arrivals(f, r, start)
+	slow.Stop()
+	cancel()
+	wait.Wait()
+	return r
+}
+
+func (tr trial) batchWorker(ctx context.Context, f *bench, r *result, start time.Time, seed uint64) {
+	random := rand.New(rand.NewPCG(2, seed))
+	class := contract.Batch
+	if tr.unprotected {
+		class = contract.Online
+	}
+	for ctx.Err() == nil {
+		c := call(class, prompt(random), batchTokens)
+		c.Deadline = time.Time{}
+		_ = f.Complete(ctx, c, func(chunk contract.Chunk) error {
+			if chunk.Text != "" && time.Now().After(start) {
+				r.batchTokens.Add(1)
+			}
+			return nil
+		})
+	}
+}
+
+func (tr trial) arrivals(f *bench, r *result, start time.Time) {
+	random := rand.New(rand.NewPCG(1, 1))
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	end := start.Add(policyMeasured)
+	for at := start.Add(-policyWarmup); at.Before(end); {
+		rate := tr.rate
+		if at.Sub(start.Add(-policyWarmup))%burstPeriod < burstLength {
+			rate *= burstFactor
+		}
+		if rate == 0 {
+			time.Sleep(time.Until(end))
+			break
+		}
+		at = at.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+		long := random.Float64() < tr.longShare
+		c := call(contract.Online, prompt(random), tr.tokens)
+		if long {
+			c.Chat.MaxTokens = tr.longTokens
+		}
+		time.Sleep(time.Until(at))
+		wait.Go(func() { tr.ask(f, r, c, !long && at.After(start), at, &mu) })
+	}
+	wait.Wait()
+}
+
+func (tr trial) ask(f *bench, r *result, c *contract.Completion, counts bool, at time.Time, mu *sync.Mutex) {
+	var first time.Duration
+	err := f.Complete(context.Background(), c, func(contract.Chunk) error {
+		if first == 0 {
+			first = time.Since(at)
+		}
+		return nil
+	})
+	if err != nil {
+		r.errors.Add(1)
+		return
+	}
+	if !counts {
+		return
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	_ = r.firstToken.RecordValue(first.Microseconds())
+	_ = r.total.RecordValue(time.Since(at).Microseconds())
+}
+
+var baselines = []struct {
+	name   string
+	policy route.Policy
+}{
+	{"adaptive", route.Adaptive}, {"least-in-flight", route.LeastInFlight},
+	{"round-robin", route.RoundRobin}, {"random", route.Random},
+}
+
+// BenchmarkPolicy runs each variant once with its reference and reports ratios.
+func BenchmarkPolicy(b *testing.B) {
+	b.Run("batch-harm", benchmarkBatchHarm)
+	b.Run("short-beside-long", benchmarkShortBesideLong)
+	b.Run("slowed", benchmarkSlowed)
+}
+
+func benchmarkBatchHarm(b *testing.B) {
+	online := trial{rate: 150, tokens: 16}
+	alone := online.run(b)
+	batch := trial{batch: 16 * policyUpstreams, unprotected: true, policy: route.LeastInFlight}.run(b)
+	for _, protected := range []bool{true, false} {
+		b.Run(map[bool]string{true: "protected", false: "unprotected"}[protected], func(b *testing.B) {
+			tr := online
+			tr.batch = 16 * policyUpstreams
+			if !protected {
+				tr.unprotected, tr.policy = true, route.LeastInFlight
+			}
+			r := tr.run(b)
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(alone.first(99), "alone-p99-ms")
+			b.ReportMetric(r.first(99), "p99-ms")
+			b.ReportMetric(r.first(99)/alone.first(99), "p99-ratio")
+			b.ReportMetric(r.first(50)/alone.first(50), "p50-ratio")
+			b.ReportMetric(float64(r.batchTokens.Load())/float64(batch.batchTokens.Load()), "batch-share")
+			b.ReportMetric(float64(r.errors.Load()), "errors")
+		})
+	}
+}
+
+func benchmarkShortBesideLong(b *testing.B) {
+	for _, base := range baselines {
+		b.Run(base.name, func(b *testing.B) {
+			alone := trial{policy: base.policy, rate: 120, tokens: 12}.run(b)
+			r := trial{policy: base.policy, rate: 120, tokens: 12, longShare: 0.1, longTokens: 300}.run(b)
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(alone.first(99), "alone-p99-ms")
+			b.ReportMetric(r.first(99), "p99-ms")
+			b.ReportMetric(r.first(99)/alone.first(99), "p99-ratio")
+			b.ReportMetric(r.whole(99)/alone.whole(99), "p99-whole-ratio")
+			b.ReportMetric(float64(r.errors.Load()), "errors")
+		})
+	}
+}
+
+func benchmarkSlowed(b *testing.B) {
+	for _, base := range baselines {
+		b.Run(base.name, func(b *testing.B) {
+			fine := trial{policy: base.policy, rate: 120, tokens: 16}.run(b)
+			r := trial{policy: base.policy, rate: 120, tokens: 16, slowed: 3}.run(b)
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(fine.first(99), "fine-p99-ms")
+			b.ReportMetric(r.first(99), "p99-ms")
+			b.ReportMetric(r.first(99)/fine.first(99), "p99-ratio")
+			b.ReportMetric(r.whole(99)/fine.whole(99), "p99-whole-ratio")
+			b.ReportMetric(float64(r.errors.Load()), "errors")
+		})
+	}
+}
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -25,6 +26,7 @@
 	registry *prometheus.Registry
 	engines  []*engine.Engine
 	servers  []*httptest.Server
+	close    func()
 }
 
 // publish brings a document in force.
@@ -83,7 +85,7 @@
 		defer close(done)
 		_ = d.Run(ctx)
 	}()
-	t.Cleanup(func() {
+	b.close = sync.OnceFunc(func() {
 		cancel()
 		<-done
 		for i, e := range b.engines {
@@ -92,6 +94,7 @@
 			b.servers[i].Close()
 		}
 	})
+	t.Cleanup(b.close)
 	return b
 }
 
