Turn away from an overdue upstream within a few token times

Ruled out: ejecting earlier, which a long prompt would trigger too. Change: four candidates; overdue tokens cost steadily from 2.5 token times or 1.5 times the expected first token on; the hedge budget starts full. The benchmark slows the upstreams in the middle of a burst, so that streams in flight count as well.

--- a/route/candidate.go
+++ b/route/candidate.go
@@ -73,11 +73,14 @@
 }
 
 const (
-	// stallFirstTokens is how many expected times to the first token a request
-	// may wait before its age counts against the upstream.
-	stallFirstTokens = 3
-	// stallSpacings is the same for the time between tokens.
-	stallSpacings = 8
+	// overdueFirstTokens is how many expected times to the first token a
+	// request may wait before its age counts against the upstream.
+	overdueFirstTokens = 1.5
+	// overdueSpacings is the same for the time between tokens.
+	overdueSpacings = 2.5
+	// overdueFactor is what an overdue token time costs a new request. A stall
+	// of unknown length is expected to last as long again.
+	overdueFactor = 2
 )
 
 // Cost estimates the time until a new request has its first token. prior is
@@ -96,16 +99,18 @@
 	return cost + c.stall(base)
 }
 
-// stall is the time that the upstream owes to requests which it leaves without
-// a token for longer than expected. A stall of unknown length is expected to
-// last as long again.
+// stall is the expected time until an upstream goes on that has left requests
+// without a token for longer than expected. It grows steadily from the moment
+// a token is overdue, so that new requests turn away within a few token times.
 func (c *Candidate) stall(base time.Duration) time.Duration {
-	var owed time.Duration
-	if c.OldestUnanswered > stallFirstTokens*base {
-		owed = c.OldestUnanswered
-	}
-	if c.Spacing > 0 && c.SinceToken > stallSpacings*c.Spacing {
-		owed = max(owed, c.SinceToken)
+	owed := overdue(c.OldestUnanswered, base, overdueFirstTokens)
+	owed = max(owed, overdue(c.SinceToken, c.Spacing, overdueSpacings))
+	return overdueFactor * owed
+}
+
+func overdue(age, expected time.Duration, factor float64) time.Duration {
+	if expected == 0 {
+		return 0
 	}
-	return 2 * owed
+	return max(age-time.Duration(factor*float64(expected)), 0)
 }
--- a/route/choose.go
+++ b/route/choose.go
@@ -51,8 +51,9 @@
 	Turn uint64
 }
 
-// defaultChoices is the number of candidates that are weighed.
-const defaultChoices = 2
+// defaultChoices is the number of candidates that are weighed. With two, both
+// are slow for one request in eleven when three of ten upstreams are.
+const defaultChoices = 4
 
 // Random is a source of uniform draws.
 type Source interface {
--- a/route/eject.go
+++ b/route/eject.go
@@ -75,7 +75,7 @@
 	worst := h.Errors / errors
 	worst = max(worst, ratio(h.FirstToken, first, factor))
 	worst = max(worst, ratio(h.Spacing, spacing, factor))
-	return max(worst, ratio(h.Stalled, first, factor*stallFirstTokens))
+	return max(worst, ratio(h.Stalled, first, factor*overdueFirstTokens))
 }
 
 func ratio(value, reference time.Duration, factor float64) float64 {
--- a/route/hedge.go
+++ b/route/hedge.go
@@ -9,6 +9,9 @@
 	Balance float64
 }
 
+// NewHedges returns a full budget.
+func NewHedges() Hedges { return Hedges{Balance: hedgeReserve} }
+
 // hedgeReserve is the number of hedges that may be saved up.
 const hedgeReserve = 10
 
--- a/upstream/policy_test.go
+++ b/upstream/policy_test.go
@@ -29,6 +29,8 @@
 	policyWarmup    = time.Second
 	policyMeasured  = 4 * time.Second
 	promptBytes     = 1200
+	// slowedAfter lies in a burst, so that many requests are in flight.
+	slowedAfter = time.Second + burstLength/2
 	// burstPeriod and burstLength shape the arrivals: a burst has burstFactor
 	// times the ordinary rate.
 	burstPeriod = time.Second
@@ -48,7 +50,7 @@
 	// batch calls at once, of batchTokens; as online work when unprotected.
 	batch       int
 	unprotected bool
-	// slowed upstreams are ten times slower once the measurement starts.
+	// slowed upstreams are ten times slower from slowedAfter of the measurement on.
 	slowed int
 }
 
@@ -86,7 +88,7 @@
 	for i := range tr.batch {
 		wait.Go(func() { tr.batchWorker(ctx, f, r, start, uint64(i)) })
 	}
-	slow := time.AfterFunc(policyWarmup, func() {
+	slow := time.AfterFunc(policyWarmup+slowedAfter, func() {
 		for i := range tr.slowed {
 			f.engines[3*i].SetFaults(engine.Faults{SlowFactor: 10})
 		}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -54,6 +54,7 @@
 func newHistory(share float64) *history {
 	return &history{
 		budget:  retry.NewBudget(share, retryReserve),
+		hedges:  route.NewHedges(),
 		ejected: map[*target]bool{},
 		lengths: map[string]route.Length{},
 	}
