Move streams off an upstream that turns out far slower

Ruled out: a shorter stall timer, which would also break streams in a long prefill; an ejection by silence of a few token times for the same reason. Change: streams on an ejected engine are resumed elsewhere when that ends them twice as early, within the hedge budget, whose reserve grows from 10 to 32.

--- a/route/eject.go
+++ b/route/eject.go
@@ -10,8 +10,10 @@
 	// FirstToken and Spacing are observed averages; 0 when unknown.
 	FirstToken time.Duration
 	Spacing    time.Duration
-	// Stalled is the age of the oldest overdue token or first token.
-	Stalled time.Duration
+	// Unanswered is the age of the oldest request without a first token, Silent
+	// the longest time since the last token of a stream.
+	Unanswered time.Duration
+	Silent     time.Duration
 	// Errors is the decayed share of attempts that failed, 0 to 1.
 	Errors float64
 	// Ejected is the present state.
@@ -75,7 +77,8 @@
 	worst := h.Errors / errors
 	worst = max(worst, ratio(h.FirstToken, first, factor))
 	worst = max(worst, ratio(h.Spacing, spacing, factor))
-	return max(worst, ratio(h.Stalled, first, factor*overdueFirstTokens))
+	worst = max(worst, ratio(h.Unanswered, first, factor*overdueFirstTokens))
+	return max(worst, ratio(h.Silent, spacing, factor*overdueSpacings))
 }
 
 func ratio(value, reference time.Duration, factor float64) float64 {
--- a/route/hedge.go
+++ b/route/hedge.go
@@ -13,7 +13,7 @@
 func NewHedges() Hedges { return Hedges{Balance: hedgeReserve} }
 
 // hedgeReserve is the number of hedges that may be saved up.
-const hedgeReserve = 10
+const hedgeReserve = 32
 
 // Earn returns the budget after a first attempt; share is hedges per attempt.
 func (h Hedges) Earn(share float64) Hedges {
@@ -32,6 +32,8 @@
 	// HedgeQuantile is the quantile of the time to the first token that passes
 	// before a hedge.
 	HedgeQuantile = 0.95
+	// moveGain is how many times longer a stream has to last when it stays.
+	moveGain = 2
 )
 
 // HedgeDelay returns how long to wait for the first token before a hedge, from
@@ -43,6 +45,19 @@
 	return max(time.Duration(hedgeFactor*float64(expected)), high, minHedgeDelay), true
 }
 
+// MovePays reports whether a stream with left tokens to come is finished
+// earlier on another upstream: there it waits for a first token again, and then
+// has that upstream's spacing. The gain has to be worth the work that is done
+// twice.
+func MovePays(gap, spacing, first time.Duration, left int) bool {
+	if spacing == 0 || first == 0 {
+		return false
+	}
+	stay := gap * time.Duration(left)
+	move := first + spacing*time.Duration(left)
+	return stay > moveGain*move
+}
+
 // Spend reports whether a hedge may start. The budget closes under overload:
 // when requests wait or most slots are in use.
 func (h Hedges) Spend(waiting, used, slots int) (Hedges, bool) {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -113,7 +113,8 @@
 			return Health{
 				FirstToken: time.Duration(rapid.Int64Range(0, 1e9).Draw(t, "first")),
 				Spacing:    time.Duration(rapid.Int64Range(0, 1e9).Draw(t, "spacing")),
-				Stalled:    time.Duration(rapid.Int64Range(0, 1e10).Draw(t, "stalled")),
+				Unanswered: time.Duration(rapid.Int64Range(0, 1e10).Draw(t, "unanswered")),
+				Silent:     time.Duration(rapid.Int64Range(0, 1e10).Draw(t, "silent")),
 				Errors:     rapid.Float64Range(0, 1).Draw(t, "errors"),
 				Ejected:    rapid.Bool().Draw(t, "ejected"),
 			}
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -25,7 +25,8 @@
 	unreachable bool
 	// refused means that the upstream did not run the request.
 	refused bool
-	// preempted means that online work took the slot.
+	// preempted means that the scheduler ended the attempt, for online work or
+	// for a faster upstream.
 	preempted bool
 }
 
@@ -63,7 +64,7 @@
 	result := "whole"
 	if f != nil {
 		f.target = given.target
-		f.preempted = errors.Is(cause, errPreempted)
+		f.preempted = errors.Is(cause, errPreempted) || errors.Is(cause, errMoved)
 		result = "failed"
 	}
 	blameless := cause != nil && !errors.Is(cause, errStalled)
--- a/upstream/complete.go
+++ b/upstream/complete.go
@@ -22,6 +22,8 @@
 	have      partial
 	request   request
 	tries     tries
+	// expected is the estimated length of the whole answer in tokens.
+	expected int
 	// dispatched is set when an upstream may have been given the request.
 	dispatched atomic.Bool
 }
@@ -53,6 +55,7 @@
 	}
 	c := &completion{call: call, pool: p, maxAnswer: f.maxAnswer(), sink: sink}
 	c.request = d.describe(f, p, call)
+	c.expected = c.request.expected
 	p.budget.Earn()
 	return d.attempts(ctx, c)
 }
@@ -79,7 +82,9 @@
 		affinity: affinity(call.Chat.Messages),
 		deadline: call.Deadline,
 	}
-	r.long = call.Class == contract.Online && d.sched.isLong(p, call.Account, call.Chat.MaxTokens, bytes)
+	var long bool
+	r.expected, long = d.sched.estimate(p, call.Account, call.Chat.MaxTokens, bytes)
+	r.long = long && call.Class == contract.Online
 	return r
 }
 
@@ -114,6 +119,7 @@
 			return nil
 		}
 		if f.preempted {
+			c.request.expected = max(c.expected-c.have.tokens, 1)
 			continue
 		}
 		if ctx.Err() != nil {
--- a/upstream/health.go
+++ b/upstream/health.go
@@ -61,7 +61,7 @@
 	defer s.mu.Unlock()
 	for _, t := range s.fleet.targets {
 		if live := t.liveSpacing(); live > 0 {
-			t.spacing = t.spacing.Observe(now, live)
+			t.spacing = blend(t.spacing, live, now)
 		}
 	}
 	s.expirePeers(now)
@@ -84,7 +84,8 @@
 		h.health = append(h.health, route.Health{
 			FirstToken: t.first.Value,
 			Spacing:    t.spacing.Value,
-			Stalled:    max(unanswered, silent),
+			Unanswered: unanswered,
+			Silent:     silent,
 			Errors:     t.errors,
 			Ejected:    h.ejected[t],
 		})
@@ -100,6 +101,9 @@
 			h.open = append(h.open, t)
 		}
 	}
+	if len(p.ejected) > 0 {
+		s.move(p, now)
+	}
 	if len(h.open) == 0 {
 		h.open = slices.AppendSeq(h.open, p.remaining(now))
 	}
@@ -117,6 +121,40 @@
 	s.metrics.ejections.Inc()
 }
 
+// move ends the streams on ejected engines, so that they go on elsewhere, as
+// far as the budget of hedges allows.
+func (s *scheduler) move(p *pool, now time.Time) {
+	for t := range p.ejected {
+		for _, g := range slices.Clone(t.slots) {
+			if !g.mayMove(p) || !s.movePays(p, g, now) {
+				continue
+			}
+			t.drop(g)
+			g.cancel(errMoved)
+			s.metrics.moves.Inc()
+		}
+	}
+}
+
+// mayMove reports whether a stream can be resumed elsewhere by itself.
+func (g *slot) mayMove(p *pool) bool {
+	return g.pool.history == p.history && !g.firm && p.service.Kind == contract.KindModel && g.tokens.Load() > 0
+}
+
+// movePays reports whether the stream would be faster elsewhere and the budget
+// allows to move it.
+func (s *scheduler) movePays(p *pool, g *slot, now time.Time) bool {
+	gap := max(time.Duration(g.gap.Load()), now.Sub(g.started)-time.Duration(g.last.Load()))
+	left := max(g.expected-int(g.tokens.Load()), 1)
+	if !route.MovePays(gap, p.spacing, p.prior, left) {
+		return false
+	}
+	used, slots := p.slots()
+	var ok bool
+	p.hedges, ok = p.hedges.Spend(p.short.waiting+p.history.long.waiting, used, slots)
+	return ok
+}
+
 // remaining yields the targets to try when none is open: the ejected ones.
 func (p *pool) remaining(now time.Time) iter.Seq[*target] {
 	return func(yield func(*target) bool) {
@@ -157,8 +195,8 @@
 	return due
 }
 
-// probeWeight is the share of a probe in the averages of its target; probes
-// are rare, so that each counts more than a request.
+// probeWeight is the share in the averages of a target that a probe and the
+// streams of this moment have. Both tell more than one request that has ended.
 const probeWeight = 0.6
 
 // probed notes the latencies of a probe, or its failure when first is 0.
@@ -177,5 +215,8 @@
 }
 
 func blend(a route.Average, d time.Duration, now time.Time) route.Average {
+	if a.Value == 0 {
+		return route.Average{Value: d, At: now}
+	}
 	return route.Average{Value: a.Value + time.Duration(probeWeight*float64(d-a.Value)), At: now}
 }
--- a/upstream/metrics.go
+++ b/upstream/metrics.go
@@ -9,6 +9,7 @@
 	retries     prometheus.Counter
 	hedges      prometheus.Counter
 	ejections   prometheus.Counter
+	moves       prometheus.Counter
 	firstToken  prometheus.Histogram
 }
 
@@ -26,6 +27,7 @@
 		retries:     counter("retries", "Attempts after a failed one."),
 		hedges:      counter("hedges", "Second attempts beside a first one without a token."),
 		ejections:   counter("ejections", "Upstreams taken out of ordinary use for being slow or failing."),
+		moves:       counter("moves", "Streams taken off an ejected upstream and resumed elsewhere."),
 		firstToken: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "daisylb_upstream_first_token_seconds",
 			Help:    "Time to the first token of online attempts.",
@@ -35,7 +37,7 @@
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.attempts, m.preemptions, m.retries, m.hedges, m.ejections, m.firstToken} {
+	for _, c := range []prometheus.Collector{m.attempts, m.preemptions, m.retries, m.hedges, m.ejections, m.moves, m.firstToken} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/upstream/observe.go
+++ b/upstream/observe.go
@@ -66,11 +66,13 @@
 	}
 }
 
-// isLong reports whether a request is expected to be long for its service.
-func (s *scheduler) isLong(p *pool, account string, limit, promptBytes int) bool {
+// estimate returns the expected length of an answer in tokens, and whether the
+// request is long for its service.
+func (s *scheduler) estimate(p *pool, account string, limit, promptBytes int) (tokens int, long bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return route.IsLong(route.Estimate(limit, promptBytes, p.lengths[account]), p.length)
+	work := route.Estimate(limit, promptBytes, p.lengths[account])
+	return int(work), route.IsLong(work, p.length)
 }
 
 // hedgeDelay returns when a request of the service is hedged, if ever.
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -15,6 +15,7 @@
 // Causes with which the scheduler ends attempts.
 var (
 	errPreempted = errors.New("online work took the slot")
+	errMoved     = errors.New("the upstream is far slower than others")
 	errStalled   = errors.New("the upstream sent no token in time")
 	errLost      = errors.New("another attempt was faster")
 )
@@ -26,6 +27,8 @@
 	account string
 	weight  int
 	long    bool
+	// expected is the estimated length of the answer in tokens.
+	expected int
 	// firm requests may be dispatched once only and are never cancelled for
 	// others.
 	firm     bool
@@ -201,7 +204,7 @@
 }
 
 func (s *scheduler) grant(ctx context.Context, r *request, t *target, now time.Time) *slot {
-	given := &slot{target: t, pool: r.pool, class: r.class, long: r.long, firm: r.firm, started: now}
+	given := &slot{target: t, pool: r.pool, class: r.class, long: r.long, firm: r.firm, expected: r.expected, started: now}
 	given.ctx, given.cancel = context.WithCancelCause(ctx)
 	t.add(given)
 	if r.pool.ejected[t] {
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -159,8 +159,10 @@
 	long    bool
 	firm    bool
 	started time.Time
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
+	// expected is the estimated number of tokens.
+	expected int
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
 
 	// first and last are the times of the first and the last token since
 	// started, in nanoseconds; 0 before the first. gap is the moving average of
