--- a/route/hedge.go
+++ b/route/hedge.go
@@ -9,8 +9,11 @@
 	Balance float64
 }
 
+// NewHedges returns a full budget.
+func NewHedges() Hedges { return Hedges{Balance: hedgeReserve} }
+
 // hedgeReserve is the number of hedges that may be saved up.
-const hedgeReserve = 10
+const hedgeReserve = 32
 
 // Earn returns the budget after a first attempt; share is hedges per attempt.
 func (h Hedges) Earn(share float64) Hedges {
@@ -26,15 +29,33 @@
 	minHedgeDelay = 5 * time.Millisecond
 	// hedgeUse is the share of the slots in use from which hedging stops.
 	hedgeUse = 0.8
+	// HedgeQuantile is the quantile of the time to the first token that passes
+	// before a hedge.
+	HedgeQuantile = 0.95
+	// moveGain is how many times longer a stream has to last when it stays.
+	moveGain = 2
 )
 
-// HedgeDelay returns how long to wait for the first token before a hedge, or
-// false when nothing is known yet.
-func HedgeDelay(expected time.Duration) (time.Duration, bool) {
+// HedgeDelay returns how long to wait for the first token before a hedge, from
+// the expected time and its HedgeQuantile, or false when nothing is known yet.
+func HedgeDelay(expected, high time.Duration) (time.Duration, bool) {
 	if expected == 0 {
 		return 0, false
 	}
-	return max(time.Duration(hedgeFactor*float64(expected)), minHedgeDelay), true
+	return max(time.Duration(hedgeFactor*float64(expected)), high, minHedgeDelay), true
+}
+
+// MovePays reports whether a stream with left tokens to come is finished
+// earlier on another upstream: there it waits for a first token again, and then
+// has that upstream's spacing. The gain has to be worth the work that is done
+// twice.
+func MovePays(gap, spacing, first time.Duration, left int) bool {
+	if spacing == 0 || first == 0 {
+		return false
+	}
+	stay := gap * time.Duration(left)
+	move := first + spacing*time.Duration(left)
+	return stay > moveGain*move
 }
 
 // Spend reports whether a hedge may start. The budget closes under overload:
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -113,7 +113,8 @@
 			return Health{
 				FirstToken: time.Duration(rapid.Int64Range(0, 1e9).Draw(t, "first")),
 				Spacing:    time.Duration(rapid.Int64Range(0, 1e9).Draw(t, "spacing")),
-				Stalled:    time.Duration(rapid.Int64Range(0, 1e10).Draw(t, "stalled")),
+				Unanswered: time.Duration(rapid.Int64Range(0, 1e10).Draw(t, "unanswered")),
+				Silent:     time.Duration(rapid.Int64Range(0, 1e10).Draw(t, "silent")),
 				Errors:     rapid.Float64Range(0, 1).Draw(t, "errors"),
 				Ejected:    rapid.Bool().Draw(t, "ejected"),
 			}
@@ -162,9 +163,9 @@
 		o := Outcome{
 			Idempotent: rapid.Bool().Draw(t, "idempotent"), Dispatched: rapid.Bool().Draw(t, "dispatched"),
 			Final: rapid.Bool().Draw(t, "final"), Ended: rapid.Bool().Draw(t, "ended"),
-			Attempts: rapid.IntRange(1, 9).Draw(t, "attempts"),
+			Attempts: rapid.IntRange(0, 9).Draw(t, "attempts"), Unreachable: rapid.IntRange(0, 9).Draw(t, "unreachable"),
 		}
-		if MayRepeat(o) && (o.Dispatched && !o.Idempotent || o.Final || o.Ended || o.Attempts >= MaxAttempts) {
+		if MayRepeat(o) && (o.Dispatched && !o.Idempotent || o.Final || o.Ended || o.Attempts >= MaxAttempts || o.Unreachable >= MaxUnreachable) {
 			t.Fatalf("%+v is repeated", o)
 		}
 	})
