Mount claims and batch in the daemon

Cause: keyed requests and jobs must work on every instance. Ruled out: one identity for claims across restarts of an instance; the holder carries the run of the process, so that a restarted instance does not take its predecessor's calls for its own. Change: adapters for callers and batch, a look-up of stored answers, retention settings, batch handed over before the drain.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -7,7 +7,10 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/daisylb/daisylb/batch"
 	"github.com/daisylb/daisylb/caller"
+	"github.com/daisylb/daisylb/claim"
+	"github.com/daisylb/daisylb/claim/claimpb/claimpbconnect"
 	"github.com/daisylb/daisylb/config"
 	"github.com/daisylb/daisylb/datacentre"
 	"github.com/daisylb/daisylb/instance"
@@ -28,6 +31,8 @@
 		d.buildTransport,
 		d.buildConfig,
 		d.buildDispatcher,
+		d.buildClaims,
+		d.buildBatch,
 		d.buildCallers,
 	}
 	for _, step := range steps {
@@ -118,6 +123,94 @@
 	return err
 }
 
+func (d *Daemon) buildClaims() error {
+	store, poll := d.store.View(guard.Urgent), d.store.View(guard.Poll)
+	var err error
+	d.claims, err = claim.New(claim.Options{
+		InstanceID:   d.identity.ID + "/" + d.process,
+		Table:        store,
+		Objects:      store,
+		OwnerTable:   d.store.View(guard.Owner),
+		SweepTable:   poll,
+		SweepObjects: poll,
+		View:         claimView{d},
+		Dial: func(address string) claimpbconnect.ClaimsClient {
+			return claimpbconnect.NewClaimsClient(d.transport, link.URL(address), link.ClientOptions())
+		},
+		Retention:  d.settings.Retention.Claims,
+		Registerer: d.registry,
+		Logger:     d.log,
+	})
+	return err
+}
+
+// claimView tells claims which instances are live.
+type claimView struct{ daemon *Daemon }
+
+// Live implements claim.View.
+func (v claimView) Live() []claim.Peer {
+	members := v.daemon.view.Load().Live()
+	peers := make([]claim.Peer, 0, len(members))
+	for _, m := range members {
+		peers = append(peers, claim.Peer{ID: m.ID, Address: m.PeerAddress})
+	}
+	return peers
+}
+
+// batchView tells batch which instances are live.
+type batchView struct{ daemon *Daemon }
+
+// Members implements batch.View.
+func (v batchView) Members() []string {
+	members := v.daemon.view.Load().Live()
+	ids := make([]string, 0, len(members))
+	for _, m := range members {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
+// Self implements batch.View.
+func (v batchView) Self() string { return v.daemon.identity.ID }
+
+func (d *Daemon) buildBatch() error {
+	store := d.store.View(guard.Urgent)
+	var err error
+	d.runner, err = batch.NewRunner(batch.RunnerOptions{
+		Store:    store,
+		Document: d.config.Current,
+		Executor: d.dispatcher,
+		Claims:   newBatchClaims(d.claims),
+		View:     batchView{d},
+		Logger:   d.log,
+		Metrics:  d.registry,
+	})
+	if err != nil {
+		return err
+	}
+	d.jobs, err = batch.NewService(batch.ServiceOptions{
+		Store:     store,
+		Document:  d.config.Current,
+		Announce:  d.runner.Notify,
+		Retention: d.settings.Retention.Jobs,
+		Logger:    d.log,
+		Metrics:   d.registry,
+	})
+	if err != nil {
+		return err
+	}
+	d.sweeper, err = batch.NewSweeper(batch.SweeperOptions{Store: d.store.View(guard.Poll), View: batchView{d}, Logger: d.log, Metrics: d.registry})
+	if err != nil {
+		return err
+	}
+	d.batches, err = batch.NewHandler(batch.HandlerOptions{
+		Service: d.jobs,
+		Account: func(r *http.Request) string { return caller.IdentityOf(r).Account },
+		Logger:  d.log,
+	})
+	return err
+}
+
 func (d *Daemon) buildCallers() error {
 	var err error
 	d.endpoints, err = datacentre.NewHandler(datacentre.Options{
@@ -132,7 +225,9 @@
 	d.listener = caller.NewListener(caller.Options{
 		Document:   d.config.Current,
 		Dispatcher: d.dispatcher,
+		Claims:     callerClaims{d.claims},
 		Endpoints:  d.endpoints,
+		Batches:    d.batches,
 		Stopped:    func() bool { return !d.lifecycle.Accepting() },
 		Logger:     d.log,
 		Registerer: d.registry,
@@ -144,6 +239,7 @@
 func (d *Daemon) buildPeers() {
 	mux := http.NewServeMux()
 	mux.Handle(d.config.PeerHandler())
+	mux.Handle(d.claims.Handler(link.HandlerOptions()))
 	server := caller.NewHTTPServer(link.Authenticate(d.settings.PeerKeys, mux))
 	server.Protocols = link.ServerProtocols()
 	d.peers.server = server
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,7 +16,9 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/daisylb/daisylb/batch"
 	"github.com/daisylb/daisylb/caller"
+	"github.com/daisylb/daisylb/claim"
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/config"
 	"github.com/daisylb/daisylb/datacentre"
@@ -40,11 +42,13 @@
 // Daemon is one instance. New opens its listeners, Run serves until the context
 // ends and the planned stop is over.
 type Daemon struct {
-	settings  Settings
-	log       *zap.Logger
-	registry  *prometheus.Registry
-	started   time.Time
-	identity  instance.Identity
+	settings Settings
+	log      *zap.Logger
+	registry *prometheus.Registry
+	started  time.Time
+	identity instance.Identity
+	// process differs between two runs under the same identity.
+	process   string
 	lifecycle *instance.Lifecycle
 	view      atomic.Pointer[instance.View]
 
@@ -54,6 +58,11 @@
 	config    *config.Store
 
 	dispatcher *upstream.Dispatcher
+	claims     *claim.Service
+	jobs       *batch.Service
+	runner     *batch.Runner
+	sweeper    *batch.Sweeper
+	batches    *batch.Handler
 	endpoints  *datacentre.Handler
 	listener   *caller.Listener
 
@@ -70,6 +79,7 @@
 		log:      o.Logger,
 		registry: prometheus.NewRegistry(),
 		started:  time.Now(),
+		process:  uuid.NewString(),
 	}
 	if d.log == nil {
 		d.log = zap.NewNop()
@@ -140,6 +150,10 @@
 	var tasks errgroup.Group
 	failed := make(chan error, 1)
 	d.startTasks(background, &tasks)
+	// Batch leases are handed over first, while late callers are still taken.
+	batchRun, endBatch := context.WithCancel(background)
+	defer endBatch()
+	tasks.Go(func() error { return ignoreCancel(d.runner.Run(batchRun)) })
 	go func() { failed <- tasks.Wait() }()
 	if err := d.lifecycle.Serve(); err != nil {
 		return err
@@ -153,7 +167,12 @@
 		return err
 	case <-ctx.Done():
 	}
+	endBatch()
 	err := d.drain(hurry)
+	held := d.claims.Drain(hurry)
+	if held > 0 {
+		d.log.Error("answers not stored at the end", zap.Int("answers", held))
+	}
 	d.shutdown(hurry)
 	stop()
 	return errors.Join(err, <-failed)
@@ -166,6 +185,8 @@
 	d.operators.start(ctx, g)
 	g.Go(func() error { return ignoreCancel(d.config.Run(ctx)) })
 	g.Go(func() error { return ignoreCancel(d.dispatcher.Run(ctx)) })
+	g.Go(func() error { return ignoreCancel(d.claims.Run(ctx)) })
+	g.Go(func() error { return ignoreCancel(d.sweeper.Run(ctx)) })
 }
 
 // drain takes late callers for as long as they may hold an old answer.
--- a/daemon/dump.go
+++ b/daemon/dump.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"time"
 
+	"github.com/daisylb/daisylb/batch"
 	"github.com/daisylb/daisylb/caller"
+	"github.com/daisylb/daisylb/claim"
 	"github.com/daisylb/daisylb/config"
 	"github.com/daisylb/daisylb/datacentre"
 	"github.com/daisylb/daisylb/instance"
@@ -20,6 +22,9 @@
 	Configuration config.State            `json:"configuration"`
 	Callers       caller.State            `json:"callers"`
 	Upstreams     upstream.State          `json:"upstreams"`
+	Claims        claim.ServiceState      `json:"claims"`
+	Jobs          batch.ServiceState      `json:"jobs"`
+	Batch         batch.RunnerState       `json:"batch"`
 	Members       []instance.Member       `json:"members"`
 	Endpoints     datacentre.HandlerState `json:"endpoints"`
 	Store         guard.State             `json:"store"`
@@ -34,6 +39,9 @@
 		Configuration: d.config.State(),
 		Callers:       d.listener.State(),
 		Upstreams:     d.dispatcher.State(),
+		Claims:        d.claims.State(),
+		Jobs:          d.jobs.State(),
+		Batch:         d.runner.State(),
 		Members:       d.view.Load().Live(),
 		Endpoints:     d.endpoints.State(),
 		Store:         d.store.State(),
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -31,6 +31,8 @@
 	Platform PlatformSettings `json:"platform"`
 	// Drain bounds a planned stop.
 	Drain DrainSettings `json:"drain"`
+	// Retention is how long answers can be read.
+	Retention RetentionSettings `json:"retention"`
 	// Log is what is written to standard error.
 	Log LogSettings `json:"log"`
 }
@@ -73,6 +75,16 @@
 	Bound time.Duration `json:"bound"`
 }
 
+// RetentionSettings say how long stored answers can be read. All instances must
+// have the same.
+type RetentionSettings struct {
+	// Claims is for answers of online requests with a key; default "168h", at
+	// least "24h". A key that is sent again later counts as new work.
+	Claims time.Duration `json:"claims"`
+	// Jobs is for batch jobs and their results; default "672h", at least "24h".
+	Jobs time.Duration `json:"jobs"`
+}
+
 // LogSettings describe the log.
 type LogSettings struct {
 	// Level is debug, info, warn or error; default info.
@@ -91,6 +103,10 @@
 	defaultDrainMargin           = 15 * time.Second
 	defaultDrainBound            = 10 * time.Minute
 	maxDrain                     = 24 * time.Hour
+	defaultClaimRetention        = 7 * 24 * time.Hour
+	defaultJobRetention          = 28 * 24 * time.Hour
+	minRetention                 = 24 * time.Hour
+	maxRetention                 = 10 * 365 * 24 * time.Hour
 	minPeerKeyBytes              = 16
 	hexBytesOfSHA256             = 64
 	maxSettingsBytes       int64 = 1 << 20
@@ -99,9 +115,10 @@
 // Default returns the settings before a file is read.
 func Default() Settings {
 	return Settings{
-		Platform: PlatformSettings{Timeout: defaultPlatformTimeout, WritesPerSecond: defaultWriteRate, ReadsPerSecond: defaultReadRate},
-		Drain:    DrainSettings{Margin: defaultDrainMargin, Bound: defaultDrainBound},
-		Log:      LogSettings{Level: "info", Format: "json"},
+		Platform:  PlatformSettings{Timeout: defaultPlatformTimeout, WritesPerSecond: defaultWriteRate, ReadsPerSecond: defaultReadRate},
+		Drain:     DrainSettings{Margin: defaultDrainMargin, Bound: defaultDrainBound},
+		Retention: RetentionSettings{Claims: defaultClaimRetention, Jobs: defaultJobRetention},
+		Log:       LogSettings{Level: "info", Format: "json"},
 	}
 }
 
@@ -148,6 +165,8 @@
 	checkPlatform(c.Field("platform"), s.Platform)
 	settings.Between(c.Field("drain").Field("margin"), s.Drain.Margin, 0, maxDrain)
 	settings.Between(c.Field("drain").Field("bound"), s.Drain.Bound, 0, maxDrain)
+	settings.Between(c.Field("retention").Field("claims"), s.Retention.Claims, minRetention, maxRetention)
+	settings.Between(c.Field("retention").Field("jobs"), s.Retention.Jobs, minRetention, maxRetention)
 	settings.OneOf(c.Field("log").Field("level"), s.Log.Level, "debug", "info", "warn", "error")
 	settings.OneOf(c.Field("log").Field("format"), s.Log.Format, "json", "console")
 }
