--- /dev/null
+++ b/instance/prober.go
@@ -0,0 +1,23 @@
+package instance
+
+import (
+	"context"
+
+	"github.com/daisylb/daisylb/instance/instancepb"
+)
+
+// Prober carries membership messages to the instance at an address, which is
+// IP:port. NewProber carries them over connect-go. An implementation is safe
+// for concurrent use and returns soon after the context ends.
+type Prober interface {
+	Probe(ctx context.Context, address string, r *instancepb.ProbeRequest) (*instancepb.ProbeResponse, error)
+	Relay(ctx context.Context, address string, r *instancepb.RelayRequest) (*instancepb.RelayResponse, error)
+	Sync(ctx context.Context, address string, r *instancepb.SyncRequest) (*instancepb.SyncResponse, error)
+}
+
+// Responder answers the messages of a Prober; Membership implements it.
+type Responder interface {
+	Probe(ctx context.Context, r *instancepb.ProbeRequest) (*instancepb.ProbeResponse, error)
+	Relay(ctx context.Context, r *instancepb.RelayRequest) (*instancepb.RelayResponse, error)
+	Sync(ctx context.Context, r *instancepb.SyncRequest) (*instancepb.SyncResponse, error)
+}
