Bound the cost of batch jobs and hold results through outages

Cause: an outage of the store of 2 h made 500 of 2,000 items run again: the lease had expired by the clocks of others, and one of them looked for work before the holder tried its commit again. Three runners made 22,155 operations in that outage, most of them looks for cancelled jobs.

Ruled out: longer leases, which only move the length of the outage; a longer wait before every takeover, which every death would pay.

Change: a runner takes over the expired lease of a holder that is in the view only after the store has answered for a minute. Looks for cancelled jobs back off. A renewal commits waiting results only when there are 125 of them. The commit of the last segment ends the job. The sweeper removes the rows of a small job in one transaction.

--- a/batch/commit.go
+++ b/batch/commit.go
@@ -25,11 +25,11 @@
 	put    bool
 }
 
-// commit makes the waiting results visible and renews the lease, or gives it
-// back when keep is unset. It repeats until the outcome is known or work ends.
-// Errors: code.LeaseLost, code.JobCancelled, and code.Draining when work ended.
-func (l *lease) commit(work context.Context, keep bool) error {
-	p := l.prepare(keep)
+// commit writes what was prepared. It repeats until the outcome is known or
+// work ends; a mere renewal is left to a later one instead. Errors:
+// code.LeaseLost, code.JobCancelled, and code.Draining when work ended.
+func (l *lease) commit(work context.Context, p *pending) error {
+	l.end(work, p)
 	last := 0
 	for attempt := 0; ; attempt++ {
 		version, err := l.try(work, p)
@@ -42,8 +42,9 @@
 			return err
 		}
 		l.r.metrics.held.Inc()
+		l.r.unsteady()
 		l.r.log.Warn("commit failed; results are held", zap.String("job", l.job.row.ID), zap.Int("segment", l.number), zap.Error(err))
-		if p.object == "" && keep {
+		if p.object == "" && p.row.Holder != "" {
 			l.renew = time.Now().Add(jitter(renewRetry))
 			return nil
 		}
@@ -86,17 +87,21 @@
 	return nil
 }
 
-// prepare builds the row and the object of a commit.
-func (l *lease) prepare(keep bool) *pending {
+// prepare builds the row and the object of a commit that keeps the lease or
+// gives it back, with the waiting results or without.
+func (l *lease) prepare(keep, results bool) *pending {
 	p := &pending{started: time.Now(), row: l.row.clone(int(l.entry.Items))}
 	p.row.Expires = p.started.Add(l.r.opts.LeaseDuration).UnixMilli()
-	if len(l.buffer) > 0 {
+	if results && len(l.buffer) > 0 {
 		slices.SortFunc(l.buffer, func(a, b stored) int { return cmp.Compare(a.index, b.index) })
 		p.object = outputObject(l.job.row.ID, l.number, l.row.Token, uuid.NewString())
 		p.body = make([]byte, 0, l.bufferBytes+len(l.buffer)*16)
 		p.row.Parts = append(p.row.Parts, part{Object: p.object})
 	}
 	for _, s := range l.buffer {
+		if p.object == "" {
+			break
+		}
 		p.body = appendStored(p.body, int(l.entry.First)+s.index, s.line)
 		p.row.Done.set(s.index)
 		if s.failed {
@@ -111,16 +116,57 @@
 		p.row.Holder = ""
 		p.row.Expires = 0
 	}
-	if p.row.Finished && l.job.row.Segments == 1 {
-		end := l.job.row
-		end.State = StateFinished
-		end.Counts.Completed = p.row.Completed
-		end.Counts.Failed = p.row.Failed
-		p.end = &end
-	}
 	return p
 }
 
+// endCheckSegments is the most segments of a job whose end each commit looks
+// for. Larger jobs are ended by the look for work.
+const endCheckSegments = 64
+
+// end adds the end of the job to the commit when all other segments are
+// finished. A finished segment stays so, hence the commit needs no further
+// condition; what an end misses, the look for work finds.
+func (l *lease) end(work context.Context, p *pending) {
+	if !p.row.Finished || l.job.row.Segments > endCheckSegments {
+		return
+	}
+	var t tally
+	if l.job.row.Segments > 1 {
+		ctx, cancel := context.WithTimeout(work, storeTime)
+		defer cancel()
+		var err error
+		t, err = l.r.store.others(ctx, l.job.row.ID, l.number, l.job.row.Segments)
+		if err != nil {
+			return
+		}
+	}
+	t.add(p.row)
+	if t.finished == l.job.row.Segments {
+		job := l.job.row.ended(t)
+		p.end = &job
+	}
+}
+
+// others sums the segments of a job but one.
+func (m *meteredStore) others(ctx context.Context, job string, but, segments int) (tally, error) {
+	rows, err := m.segments(ctx, job, 0, segments)
+	var t tally
+	for number, row := range rows {
+		if number != but {
+			t.add(row.segmentRow)
+		}
+	}
+	return t, err
+}
+
+// ended returns the row of the job at its end.
+func (j jobRow) ended(t tally) jobRow {
+	j.State = StateFinished
+	j.Counts.Completed = t.completed
+	j.Counts.Failed = t.failed
+	return j
+}
+
 // attempts returns the failed attempts of the items that are not done.
 func (l *lease) attempts() map[int]int {
 	var failed map[int]int
@@ -172,14 +218,10 @@
 	if err != nil || t.finished < v.row.Segments {
 		return err
 	}
-	end := v.row
-	if err := newMachine(end.State).Event(ctx, eventFinish); err != nil {
-		return code.Wrap(code.Internal, err, "end job %s", end.ID)
+	if !newMachine(v.row.State).Can(eventFinish) {
+		return code.New(code.Internal, "job %s is %s and cannot end", v.row.ID, v.row.State)
 	}
-	end.State = StateFinished
-	end.Counts.Completed = t.completed
-	end.Counts.Failed = t.failed
-	return r.store.endJob(ctx, end, v.version)
+	return r.store.endJob(ctx, v.row.ended(t), v.version)
 }
 
 // endJob writes the final row of a job. A job that has ended already is left as
--- a/batch/finder.go
+++ b/batch/finder.go
@@ -265,13 +265,18 @@
 	switch {
 	case s.Finished || f.r.holds(job, number):
 		return false
-	case s.Holder == "" || s.Holder == f.r.holder || s.expired(time.Now(), f.r.opts.LeaseMargin):
+	case s.Holder == "" || s.Holder == f.r.holder || f.gone(s.Holder):
 		return true
 	default:
-		return f.gone(s.Holder)
+		now := time.Now()
+		return s.expired(now, f.r.opts.LeaseMargin) && now.Sub(*f.r.steady.Load()) >= outageGrace
 	}
 }
 
+// outageGrace is the time after an outage of the store in which holders that
+// are alive may commit results under leases that expired meanwhile.
+const outageGrace = time.Minute
+
 // gone reports whether the holder has been missing from the view for long. It
 // only makes a takeover earlier: the token keeps a holder that is alive after
 // all from committing.
--- /dev/null
+++ b/batch/items_test.go
@@ -0,0 +1,210 @@
+package batch
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/platform/memory"
+)
+
+func TestImpossibleItemsUseUpTheirAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		service := newTestService(t, store)
+		job := submit(t, service, "k", chatLines(100))
+		executor := newExecutor(func(_ context.Context, id string) (string, error) {
+			switch {
+			case strings.HasSuffix(id, "-7"):
+				return "", code.New(code.UpstreamFailed, "engine crashed")
+			case strings.HasSuffix(id, "-8"):
+				return "", code.New(code.InvalidField, "prompt too long")
+			}
+			return "done", nil
+		})
+		r := startRunner(t, RunnerOptions{Store: store, Executor: executor})
+		defer r.stop()
+		job = waitState(t, service, job.ID, StateFinished)
+		lines := results(t, service, job.ID)
+		checkOnce(t, lines, 100)
+		if job.Counts != (Counts{Total: 100, Completed: 98, Failed: 2}) {
+			t.Errorf("counts %+v", job.Counts)
+		}
+		if e := lines[7].Error; e == nil || e.Number != code.AttemptsUsedUp || !strings.Contains(e.Message, "engine crashed") {
+			t.Errorf("item 7: %+v, want AttemptsUsedUp with the reason", e)
+		}
+		if e := lines[8].Error; e == nil || e.Number != code.InvalidField {
+			t.Errorf("item 8: %+v, want InvalidField", e)
+		}
+		if n, m := executor.count(resultID(job.ID, 7)), executor.count(resultID(job.ID, 8)); n != 3 || m != 1 {
+			t.Errorf("%d and %d runs, want 3 and 1", n, m)
+		}
+	})
+}
+
+func TestRefusalsDoNotCountAsAttemptsBeforeTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		service := newTestService(t, store)
+		job := submit(t, service, "k", chatLines(1))
+		up := time.Now().Add(time.Hour)
+		executor := newExecutor(func(context.Context, string) (string, error) {
+			if time.Now().Before(up) {
+				return "", code.New(code.NoUpstream, "none")
+			}
+			return "done", nil
+		})
+		r := startRunner(t, RunnerOptions{Store: store, Executor: executor})
+		defer r.stop()
+		if job = waitState(t, service, job.ID, StateFinished); job.Counts.Completed != 1 {
+			t.Errorf("counts %+v, want the item done after the outage", job.Counts)
+		}
+		request := Request{Input: strings.NewReader(chatLines(1)), Settings: Settings{Deadline: time.Minute}}
+		up = time.Now().Add(1000 * time.Hour)
+		late, err := service.Submit(context.Background(), account, "late", request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		late = waitState(t, service, late.ID, StateFinished)
+		if late.Counts.Failed != 1 {
+			t.Errorf("counts %+v, want the item failed after the deadline", late.Counts)
+		}
+	})
+}
+
+func TestStragglersHoldUpNeitherSegmentNorSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		service := newTestService(t, store)
+		const items, long = 1500, 5 * time.Hour
+		job := submit(t, service, "k", chatLines(items))
+		executor := newExecutor(func(ctx context.Context, id string) (string, error) {
+			wait := time.Second
+			if strings.HasSuffix(id, "00") {
+				wait = long
+			}
+			select {
+			case <-time.After(wait):
+				return "done", nil
+			case <-ctx.Done():
+				return "", ctx.Err()
+			}
+		})
+		begin := time.Now()
+		r := startRunner(t, RunnerOptions{Store: store, Executor: executor, MaxLeases: 1, ItemsPerLease: 4})
+		defer r.stop()
+		// 14 items are stragglers and fill the 4 places of a segment several times.
+		waitFor(t, "all but the stragglers", func() bool {
+			now, err := service.Status(context.Background(), account, job.ID)
+			return err == nil && now.Counts.Completed >= items-14
+		})
+		if took := time.Since(begin); took > time.Hour {
+			t.Errorf("short items took %v beside items of %v", took, long)
+		}
+		waitState(t, service, job.ID, StateFinished)
+		checkOnce(t, results(t, service, job.ID), items)
+		if n := executor.started(); n != items {
+			t.Errorf("%d runs of %d items", n, items)
+		}
+	})
+}
+
+func TestResultsAreHeldThroughALongOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		service := newTestService(t, store)
+		job := submit(t, service, "k", chatLines(2000))
+		executor := newExecutor(func(context.Context, string) (string, error) {
+			time.Sleep(time.Second)
+			return "done", nil
+		})
+		var runners []*testRunner
+		for _, id := range []string{"i1", "i2", "i3"} {
+			view := newView(id)
+			view.set("i1", "i2", "i3")
+			runners = append(runners, startRunner(t, RunnerOptions{Store: store, Executor: executor, View: view}))
+		}
+		waitFor(t, "items running", func() bool { return executor.started() > 40 })
+		store.Faults().SetDown(true)
+		time.Sleep(2 * time.Hour)
+		down := store.Faults().Counts()
+		store.Faults().SetDown(false)
+		begin := time.Now()
+		waitState(t, service, job.ID, StateFinished)
+		checkOnce(t, results(t, service, job.ID), 2000)
+		if n := executor.started(); n != 2000 {
+			t.Errorf("%d runs of 2000 items: work was lost in the outage", n)
+		}
+		if took := time.Since(begin); took > 10*time.Minute {
+			t.Errorf("finished %v after the outage", took)
+		}
+		// Three runners with 3 lost leases at most: tries every 15 s on average.
+		if down.Injected > 3*4*2*3600/5 {
+			t.Errorf("%d operations in an outage of 2 h", down.Injected)
+		}
+		for _, r := range runners {
+			r.stop()
+		}
+	})
+}
+
+func TestPlannedStopHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		service := newTestService(t, store)
+		job := submit(t, service, "k", plainLines("pickup", 200))
+		claims := newClaims()
+		executor := newExecutor(func(context.Context, string) (string, error) {
+			time.Sleep(5 * time.Second)
+			return "done", nil
+		})
+		first := startRunner(t, RunnerOptions{Store: store, Executor: executor, Claims: claims, View: newView("i1", "i2")})
+		waitFor(t, "items running", func() bool { return executor.started() >= 40 })
+		first.stop()
+		handed := time.Now()
+		second := startRunner(t, RunnerOptions{Store: store, Executor: executor, Claims: claims, View: newView("i2", "i1")})
+		defer second.stop()
+		job = waitState(t, service, job.ID, StateFinished)
+		if job.Counts.Completed != 200 || executor.started() != 200 {
+			t.Errorf("counts %+v with %d runs, want each item run once and completed", job.Counts, executor.started())
+		}
+		if took := time.Since(handed); took > 3*time.Minute {
+			t.Errorf("finished %v after the hand-over: the lease was waited out", took)
+		}
+	})
+}
+
+func TestLostAnswerOfARenewalKeepsTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		service := newTestService(t, store)
+		job := submit(t, service, "k", chatLines(60))
+		way := newGate(store)
+		renewals := 0
+		way.hook(func(n int, tx *platform.Transaction) fault {
+			if n > 1 && tx != nil && !commits(tx) {
+				renewals++
+				// The read that would settle the outcome fails as well.
+				way.kill(renewals == 1)
+				time.AfterFunc(time.Minute, func() { way.kill(false) })
+				return loses
+			}
+			return none
+		})
+		executor := newExecutor(func(context.Context, string) (string, error) {
+			time.Sleep(4 * time.Minute)
+			return "done", nil
+		})
+		r := startRunner(t, RunnerOptions{Store: way, Executor: executor})
+		defer r.stop()
+		waitState(t, service, job.ID, StateFinished)
+		checkOnce(t, results(t, service, job.ID), 60)
+		if executor.started() != 60 || renewals < 2 {
+			t.Errorf("%d runs of 60 items with %d renewals", executor.started(), renewals)
+		}
+	})
+}
--- a/batch/lease.go
+++ b/batch/lease.go
@@ -244,7 +244,7 @@
 		return errCancelled
 	}
 	if l.shouldCommit() {
-		if err := l.commit(work, true); err != nil {
+		if err := l.commit(work, l.prepare(true, true)); err != nil {
 			return err
 		}
 	}
@@ -252,11 +252,14 @@
 		l.freeSlot()
 	}
 	if l.live() && time.Now().After(l.renew) {
-		return l.commit(work, true)
+		return l.commit(work, l.prepare(true, len(l.buffer) >= renewItems))
 	}
 	return nil
 }
 
+// renewItems is the number of waiting results that a renewal commits as well.
+const renewItems = segmentItems / 4
+
 func (l *lease) drainEvents() {
 	for {
 		select {
@@ -354,7 +357,7 @@
 	if cause := context.Cause(l.ctx); cause == errCancelled {
 		return errCancelled
 	}
-	return l.commit(work, false)
+	return l.commit(work, l.prepare(false, true))
 }
 
 // giveBack releases a lease under which nothing ran.
--- /dev/null
+++ b/batch/norace_test.go
@@ -0,0 +1,6 @@
+//go:build !race
+
+package batch
+
+// raceDetector tells tests of size that they run many times slower.
+const raceDetector = false
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -115,7 +115,6 @@
 	holder string
 
 	wake       chan struct{}
-	watchNow   chan struct{}
 	stragglers chan struct{}
 	slots      chan struct{}
 	draining   chan struct{}
@@ -123,6 +122,9 @@
 	finder     finder
 	// typical is the time of the last item that ended, in nanoseconds.
 	typical atomic.Int64
+	// steady is the time since which no operation on the store is known to have
+	// failed.
+	steady atomic.Pointer[time.Time]
 
 	mu     sync.Mutex
 	leases map[*lease]struct{}
@@ -150,13 +152,13 @@
 		metrics:    metrics,
 		holder:     o.View.Self() + "/" + uuid.NewString(),
 		wake:       make(chan struct{}, 1),
-		watchNow:   make(chan struct{}, 1),
 		stragglers: make(chan struct{}, o.MaxStragglers),
 		slots:      make(chan struct{}, o.MaxLeases),
 		draining:   make(chan struct{}),
 		leases:     map[*lease]struct{}{},
 	}
 	r.finder = finder{r: r, jobs: map[string]*jobView{}, absent: map[string]time.Time{}}
+	r.unsteady()
 	return r, nil
 }
 
@@ -192,6 +194,13 @@
 	return nil
 }
 
+// unsteady notes a failure of the store. A runner begins with one, since it
+// does not know what happened before.
+func (r *Runner) unsteady() {
+	now := time.Now()
+	r.steady.Store(&now)
+}
+
 func (r *Runner) isDraining() bool {
 	select {
 	case <-r.draining:
@@ -212,6 +221,7 @@
 		} else {
 			wait += runnerBackoff.Wait(failures)
 			failures++
+			r.unsteady()
 			r.log.Warn("look for batch work failed", zap.Error(err))
 		}
 		r.pause(ctx, wait, err != nil)
@@ -252,23 +262,33 @@
 // watch looks for cancelled jobs while segments are leased. One read serves all
 // leases.
 func (r *Runner) watch(ctx context.Context) {
-	ticker := time.NewTicker(r.opts.WatchInterval)
-	defer ticker.Stop()
+	failures := 0
+	wait := r.opts.WatchInterval
 	for {
+		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
+			timer.Stop()
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
+		wait = r.opts.WatchInterval
 		if !r.busy() {
 			continue
 		}
 		if err := r.watchOnce(ctx); err != nil {
+			wait += watchBackoff.Wait(failures)
+			failures++
 			r.log.Info("look for cancelled jobs failed", zap.Error(err))
+			continue
 		}
+		failures = 0
 	}
 }
 
+// watchBackoff spaces the looks for cancelled jobs while the store fails.
+var watchBackoff = retry.Backoff{Min: time.Second, Max: 15 * time.Second}
+
 // cancelWindow is how far back a watch looks; it covers the differences between
 // the clocks of the instances and several failed looks.
 const cancelWindow = 2 * time.Minute
--- a/batch/sweep.go
+++ b/batch/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -150,16 +151,21 @@
 	if err != nil {
 		return err
 	}
-	for _, row := range rows {
-		if err := s.expire(ctx, row); err != nil {
-			return err
-		}
+	gone := 0
+	for ; gone < len(rows) && err == nil; gone++ {
+		err = s.expire(ctx, rows[gone])
 	}
-	return nil
+	if err != nil {
+		gone--
+	}
+	if gone <= 0 {
+		return err
+	}
+	return errors.Join(err, s.store.deleteRows(ctx, rows[:gone]))
 }
 
 // expire removes a job: first from the sight of callers and holders, then its
-// segments and objects, then the row that remembers to do so.
+// segments and objects. The caller removes the row that remembers to do so.
 func (s *Sweeper) expire(ctx context.Context, row platform.Row) error {
 	expiry, err := decode[expiryRow](row)
 	if err != nil {
@@ -183,9 +189,12 @@
 		}
 	}
 	s.log.Info("job expired", zap.String("job", expiry.Job))
-	return s.store.deleteRows(ctx, []platform.Row{row})
+	return nil
 }
 
+// hideSegments is the number of segments that go with the job's row.
+const hideSegments = 150
+
 func (s *Sweeper) hide(ctx context.Context, row platform.Row) error {
 	job, err := decode[jobRow](row)
 	if err != nil {
@@ -195,6 +204,14 @@
 	for _, key := range []string{row.Key, job.OpenKey, keyKey(job.Account, job.boundKey()), accountKey(job.Account, job.CreatedAt, job.ID)} {
 		t.Writes = append(t.Writes, platform.Write{Key: key, Delete: true})
 	}
+	prefix := segmentsPrefix(job.ID)
+	segments, err := s.store.rows(ctx, prefix, platform.PrefixEnd(prefix), hideSegments)
+	if err != nil {
+		return err
+	}
+	for _, segment := range segments {
+		t.Writes = append(t.Writes, platform.Write{Key: segment.Key, Delete: true})
+	}
 	_, err = s.store.apply(ctx, t)
 	return err
 }
