Spread prompts and ignore chance differences of upstreams

Change: a request whose prompt is still computed counts 0.3 of a first token, and an upstream's average counts from 1.5 times the median on; eight candidates. The benchmark reports what the dispatcher did.

--- a/route/candidate.go
+++ b/route/candidate.go
@@ -43,6 +43,8 @@
 	FirstToken time.Duration
 	// Spacing is the observed time between tokens, 0 when unknown.
 	Spacing time.Duration
+	// Unanswered counts this instance's requests without a first token.
+	Unanswered int
 	// OldestUnanswered is the age of the oldest request without a first token.
 	OldestUnanswered time.Duration
 	// SinceToken is the longest time since the last token of a stream.
@@ -86,19 +88,36 @@
 // Cost estimates the time until a new request has its first token. prior is
 // the time to the first token of an upstream that has not been observed.
 func (c *Candidate) Cost(prior time.Duration) time.Duration {
-	base := c.FirstToken
-	if base == 0 {
-		base = prior + 2*c.Distance
-	}
+	base := c.base(prior)
 	slots := float64(max(c.Slots, 1))
 	load := c.Occupancy() / slots
-	cost := time.Duration(float64(base) * (1 + load))
+	cost := time.Duration(float64(base) * (1 + load + unansweredCost*float64(c.Unanswered)))
 	if load > 1 {
 		cost += time.Duration((load - 1) * slots * float64(base))
 	}
 	return cost + c.stall(base)
 }
 
+const (
+	// unansweredCost is the share of the time to the first token by which each
+	// request whose prompt is still computed delays the next one.
+	unansweredCost = 0.3
+	// ordinarySpread is how far over the prior an observed time to the first
+	// token may be before it counts: averages of few requests differ by chance,
+	// and following them sends bursts to the same upstream.
+	ordinarySpread = 1.5
+)
+
+// base is the time to the first token without load, as far as it is out of
+// the ordinary.
+func (c *Candidate) base(prior time.Duration) time.Duration {
+	if prior == 0 {
+		prior = c.FirstToken
+	}
+	excess := c.FirstToken - time.Duration(ordinarySpread*float64(prior))
+	return prior + max(excess, 2*c.Distance)
+}
+
 // stall is the expected time until an upstream goes on that has left requests
 // without a token for longer than expected. It grows steadily from the moment
 // a token is overdue, so that new requests turn away within a few token times.
--- a/route/choose.go
+++ b/route/choose.go
@@ -53,7 +53,7 @@
 
 // defaultChoices is the number of candidates that are weighed. With two, both
 // are slow for one request in eleven when three of ten upstreams are.
-const defaultChoices = 4
+const defaultChoices = 8
 
 // Random is a source of uniform draws.
 type Source interface {
--- a/upstream/health.go
+++ b/upstream/health.go
@@ -80,7 +80,7 @@
 	h := p.history
 	h.health = h.health[:0]
 	for _, t := range p.targets {
-		unanswered, silent := t.overdue(now)
+		_, unanswered, silent := t.overdue(now)
 		h.health = append(h.health, route.Health{
 			FirstToken: t.first.Value,
 			Spacing:    t.spacing.Value,
--- a/upstream/policy_test.go
+++ b/upstream/policy_test.go
@@ -59,6 +59,16 @@
 	firstToken, total *hdrhistogram.Histogram
 	errors            atomic.Int64
 	batchTokens       atomic.Int64
+	counters          map[string]float64
+}
+
+// report adds the counters of the dispatcher to a benchmark's result.
+func (r *result) report(b *testing.B) {
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(float64(r.errors.Load()), "errors")
+	for name, value := range r.counters {
+		b.ReportMetric(value, name)
+	}
 }
 
 func (r *result) first(q float64) float64 { return float64(r.firstToken.ValueAtQuantile(q)) / 1000 }
@@ -97,6 +107,10 @@
 	slow.Stop()
 	cancel()
 	wait.Wait()
+	r.counters = map[string]float64{}
+	for _, name := range []string{"preemptions", "ejections", "moves", "hedges", "retries"} {
+		r.counters[name] = f.counter(name)
+	}
 	return r
 }
 
@@ -192,13 +206,12 @@
 				tr.unprotected, tr.policy = true, route.LeastInFlight
 			}
 			r := tr.run(b)
-			b.ReportMetric(0, "ns/op")
+			r.report(b)
 			b.ReportMetric(alone.first(99), "alone-p99-ms")
 			b.ReportMetric(r.first(99), "p99-ms")
 			b.ReportMetric(r.first(99)/alone.first(99), "p99-ratio")
 			b.ReportMetric(r.first(50)/alone.first(50), "p50-ratio")
 			b.ReportMetric(float64(r.batchTokens.Load())/float64(batch.batchTokens.Load()), "batch-share")
-			b.ReportMetric(float64(r.errors.Load()), "errors")
 		})
 	}
 }
@@ -208,12 +221,11 @@
 		b.Run(base.name, func(b *testing.B) {
 			alone := trial{policy: base.policy, rate: 120, tokens: 12}.run(b)
 			r := trial{policy: base.policy, rate: 120, tokens: 12, longShare: 0.1, longTokens: 300}.run(b)
-			b.ReportMetric(0, "ns/op")
+			r.report(b)
 			b.ReportMetric(alone.first(99), "alone-p99-ms")
 			b.ReportMetric(r.first(99), "p99-ms")
 			b.ReportMetric(r.first(99)/alone.first(99), "p99-ratio")
 			b.ReportMetric(r.whole(99)/alone.whole(99), "p99-whole-ratio")
-			b.ReportMetric(float64(r.errors.Load()), "errors")
 		})
 	}
 }
@@ -223,12 +235,11 @@
 		b.Run(base.name, func(b *testing.B) {
 			fine := trial{policy: base.policy, rate: 120, tokens: 16}.run(b)
 			r := trial{policy: base.policy, rate: 120, tokens: 16, slowed: 3}.run(b)
-			b.ReportMetric(0, "ns/op")
+			r.report(b)
 			b.ReportMetric(fine.first(99), "fine-p99-ms")
 			b.ReportMetric(r.first(99), "p99-ms")
 			b.ReportMetric(r.first(99)/fine.first(99), "p99-ratio")
 			b.ReportMetric(r.whole(99)/fine.whole(99), "p99-whole-ratio")
-			b.ReportMetric(float64(r.errors.Load()), "errors")
 		})
 	}
 }
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -82,27 +82,29 @@
 		FirstToken: t.first.Faded(now, prior),
 		Spacing:    t.spacing.Value,
 	}
-	c.OldestUnanswered, c.SinceToken = t.overdue(now)
+	c.Unanswered, c.OldestUnanswered, c.SinceToken = t.overdue(now)
 	if r := t.report.Load(); r != nil {
 		c.Report = route.Report{Running: r.Running, Waiting: r.Waiting, Age: max(now.Sub(r.TakenAt), 0), Known: true}
 	}
 	return c
 }
 
-// overdue returns the age of the oldest online request without a first token,
-// and the longest time since the last token of a stream.
-func (t *target) overdue(now time.Time) (unanswered, silent time.Duration) {
+// overdue returns how many requests have no first token, the age of the oldest
+// online one of them, and the longest time since the last token of a stream.
+func (t *target) overdue(now time.Time) (count int, unanswered, silent time.Duration) {
 	for _, g := range t.slots {
 		age := now.Sub(g.started)
 		last := time.Duration(g.last.Load())
-		switch {
-		case last != 0:
+		if last != 0 {
 			silent = max(silent, age-last)
-		case g.class == contract.Online:
+			continue
+		}
+		count++
+		if g.class == contract.Online {
 			unanswered = max(unanswered, age)
 		}
 	}
-	return unanswered, silent
+	return count, unanswered, silent
 }
 
 // liveSpacing returns the mean time between tokens of the present streams, or
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -33,14 +33,17 @@
 func (b *bench) publish(d *contract.Document) { b.document.Store(d) }
 
 // attempts returns the number of attempts that have ended.
-func (b *bench) attempts() float64 {
+func (b *bench) attempts() float64 { return b.counter("attempts") }
+
+// counter returns the sum of a counter over its labels.
+func (b *bench) counter(name string) float64 {
 	families, err := b.registry.Gather()
 	if err != nil {
 		panic(err)
 	}
 	sum := 0.0
 	for _, f := range families {
-		if f.GetName() != "daisylb_upstream_attempts_total" {
+		if f.GetName() != "daisylb_upstream_"+name+"_total" {
 			continue
 		}
 		for _, m := range f.GetMetric() {
