--- /dev/null
+++ b/upstream/plain.go
@@ -0,0 +1,142 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/route"
+)
+
+// Call runs a call of a plain service. A call that is not idempotent is
+// dispatched at most once: a failure after that is code.OutcomeUnknown. The
+// upstream's answer is returned as it is, whatever its status.
+//
+// Other errors: code.UnknownService, NoConfiguration, NoUpstream, Overloaded,
+// AccountLimit and DeadlineTooShort when nothing ran; code.UpstreamFailed,
+// UpstreamAnswerSize, DeadlineExceeded and CallerGone.
+func (d *Dispatcher) Call(ctx context.Context, call *contract.PlainCall) (*contract.PlainAnswer, error) {
+	d.calls.Add(1)
+	defer d.calls.Add(-1)
+	f := d.current()
+	p, err := f.pool(call.Service, contract.KindPlain)
+	if err != nil {
+		return nil, err
+	}
+	if !call.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, call.Deadline)
+		defer cancel()
+	}
+	c := &plainCall{call: call, maxAnswer: f.maxAnswer(), request: request{
+		pool:     p,
+		class:    call.Class,
+		firm:     !call.Idempotent,
+		account:  call.Account,
+		weight:   f.document.Accounts[call.Account].Weight,
+		deadline: call.Deadline,
+	}}
+	p.budget.Earn()
+	return d.plainAttempts(ctx, c)
+}
+
+// plainCall is the state of one Call.
+type plainCall struct {
+	call       *contract.PlainCall
+	request    request
+	maxAnswer  int64
+	dispatched bool
+}
+
+func (d *Dispatcher) plainAttempts(ctx context.Context, c *plainCall) (*contract.PlainAnswer, error) {
+	var tries tries
+	for {
+		given, err := d.sched.acquire(ctx, c.request)
+		if err != nil {
+			return nil, endOf(err, c.dispatched)
+		}
+		answer, f := d.plainAttempt(given, c)
+		d.conclude(given, f)
+		if f == nil {
+			return answer, nil
+		}
+		if f.preempted && ctx.Err() == nil {
+			continue
+		}
+		tries.count(f)
+		outcome := route.Outcome{
+			Idempotent:  c.call.Idempotent,
+			Dispatched:  c.dispatched,
+			Final:       f.final,
+			Ended:       ctx.Err() != nil,
+			Attempts:    tries.reached,
+			Unreachable: tries.unreachable,
+		}
+		if !d.again(c.request.pool, f, outcome) {
+			return nil, c.failed(ctx, f)
+		}
+		c.request.avoid = f.target.key
+	}
+}
+
+// failed returns the error of a call that has no attempt left.
+func (c *plainCall) failed(ctx context.Context, f *failure) error {
+	switch {
+	case c.dispatched && !c.call.Idempotent:
+		return code.Wrap(code.OutcomeUnknown, f.err, "the call was dispatched and its outcome is not known")
+	case ctx.Err() != nil:
+		return endOf(context.Cause(ctx), c.dispatched)
+	case !c.dispatched:
+		return code.From(f.err).WithOutcome(code.NotRun).WithRetryAfter(retryHint)
+	}
+	return code.From(f.err).WithOutcome(code.Unknown)
+}
+
+func (d *Dispatcher) plainAttempt(given *slot, c *plainCall) (*contract.PlainAnswer, *failure) {
+	request, f := c.newRequest(given)
+	if f != nil {
+		return nil, f
+	}
+	response, err := d.links.of(given).RoundTrip(request)
+	if err != nil && isDialError(err) {
+		return nil, &failure{err: code.Wrap(code.NoUpstream, err, "upstream %q can't be reached", given.target.id), unreachable: true}
+	}
+	c.dispatched = true
+	if err != nil {
+		return nil, &failure{err: code.Wrap(code.UpstreamFailed, err, "upstream %q failed", given.target.id)}
+	}
+	defer func() { _ = response.Body.Close() }()
+	d.sched.observeFirst(given, time.Now())
+	return readPlain(response, c.maxAnswer)
+}
+
+func (c *plainCall) newRequest(given *slot) (*http.Request, *failure) {
+	url := "http://" + given.target.address + c.call.Path
+	request, err := http.NewRequestWithContext(given.ctx, c.call.Method, url, bytes.NewReader(c.call.Body))
+	if err != nil {
+		return nil, &failure{err: code.Wrap(code.InvalidField, err, "the path is not valid"), final: true}
+	}
+	for name, values := range c.call.Header {
+		request.Header[name] = values
+	}
+	request.Header.Set("X-Request-Id", c.call.RequestID)
+	if c.call.IdempotencyKey != "" {
+		request.Header.Set("Idempotency-Key", c.call.IdempotencyKey)
+	}
+	return request, nil
+}
+
+func readPlain(response *http.Response, maxBytes int64) (*contract.PlainAnswer, *failure) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
+	if err != nil {
+		return nil, &failure{err: code.Wrap(code.UpstreamFailed, err, "the upstream's answer broke off")}
+	}
+	if int64(len(body)) > maxBytes {
+		return nil, &failure{err: code.New(code.UpstreamAnswerSize, "the upstream's answer is over %d bytes", maxBytes), final: true}
+	}
+	return &contract.PlainAnswer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+}
