Join the instances and run the first scripted scenario

Cause: instances saw only themselves, so that a change reached one and endpoint answers named one. Ruled out: a second reader of the instance list for endpoints; one membership view serves configuration, claims, batch, endpoints and the store's shares.

--- a/cmd/daisylb/main.go
+++ b/cmd/daisylb/main.go
@@ -25,6 +25,7 @@
 	register(commander, "operators", configCommands())
 	register(commander, "operators", viewCommands())
 	register(commander, "callers", callerCommands())
+	register(commander, "callers", jobCommands())
 	commander.ImportantFlag("operator")
 	commander.ImportantFlag("operator-key")
 	flag.Parse()
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -12,6 +12,7 @@
 	"github.com/daisylb/daisylb/claim"
 	"github.com/daisylb/daisylb/claim/claimpb/claimpbconnect"
 	"github.com/daisylb/daisylb/config"
+	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/datacentre"
 	"github.com/daisylb/daisylb/instance"
 	"github.com/daisylb/daisylb/link"
@@ -25,11 +26,11 @@
 // build creates the parts in the order in which they need each other.
 func (d *Daemon) build(store platform.Store) error {
 	d.lifecycle = instance.NewLifecycle(d.log)
-	d.view.Store(instance.NewView(instance.Member{Identity: d.identity, Health: instance.Alive, State: instance.Serving}))
 	steps := []func() error{
 		func() error { return d.buildStore(store) },
 		d.buildTransport,
 		d.buildConfig,
+		d.buildMembership,
 		d.buildDispatcher,
 		d.buildClaims,
 		d.buildBatch,
@@ -59,7 +60,7 @@
 	var err error
 	d.store, err = guard.New(guard.Options{
 		Store:           store,
-		Live:            func() int { return len(d.view.Load().Live()) },
+		Live:            d.liveInstances,
 		WritesPerSecond: s.WritesPerSecond,
 		ReadsPerSecond:  s.ReadsPerSecond,
 		Timeout:         s.Timeout,
@@ -69,6 +70,15 @@
 	return err
 }
 
+// liveInstances is the number of instances that share the store. The store is
+// used before there is a membership view.
+func (d *Daemon) liveInstances() int {
+	if d.members == nil {
+		return 1
+	}
+	return max(len(d.members.View().Live()), 1)
+}
+
 // buildTransport makes the connections to peers.
 func (d *Daemon) buildTransport() error {
 	o := link.Options{Key: d.settings.PeerKeys[0]}
@@ -84,23 +94,66 @@
 	store := d.store.View(guard.Urgent)
 	var err error
 	d.config, err = config.New(config.Options{
-		Table:      store,
-		Objects:    store,
-		Peers:      configPeers{d},
-		Address:    d.identity.PeerAddress,
+		Table:          store,
+		Objects:        store,
+		Peers:          configPeers{d},
+		Address:        d.identity.PeerAddress,
+		IsolationLimit: d.settings.IsolationLimit,
+		Registerer:     d.registry,
+		Logger:         d.log,
+	})
+	return err
+}
+
+func (d *Daemon) buildMembership() error {
+	var err error
+	d.members, err = instance.New(instance.Options{
+		Self:       d.identity,
+		Lifecycle:  d.lifecycle,
+		List:       d.store.View(guard.Poll),
+		Prober:     instance.NewProber(d.transport),
+		Version:    d.version,
+		Load:       d.load,
+		OnVersion:  d.config.Observe,
+		Seed:       seedOf(d.process),
 		Registerer: d.registry,
 		Logger:     d.log,
 	})
 	return err
 }
 
+// version is that of the configuration in force, 0 before the first.
+func (d *Daemon) version() uint64 {
+	if document := d.config.Current(); document != nil {
+		return document.Version
+	}
+	return 0
+}
+
+// load is the summary that members tell each other. Parts that need the
+// membership view are built after it.
+func (d *Daemon) load() instance.Load {
+	if d.listener == nil {
+		return instance.Load{}
+	}
+	return instance.Load{RunningRequests: uint32(d.listener.InFlight())}
+}
+
+// serving is the configuration that new work may be served under, or nil.
+func (d *Daemon) serving() *contract.Document {
+	if d.config.Ready() != nil {
+		return nil
+	}
+	return d.config.Current()
+}
+
 // configPeers tells the configuration which peers to push to.
 type configPeers struct{ daemon *Daemon }
 
 // Addresses implements config.Peers.
 func (p configPeers) Addresses() []string {
 	var addresses []string
-	for _, m := range p.daemon.view.Load().Live() {
+	for _, m := range p.daemon.members.View().Live() {
 		if m.ID != p.daemon.identity.ID {
 			addresses = append(addresses, m.PeerAddress)
 		}
@@ -149,7 +202,7 @@
 
 // Live implements claim.View.
 func (v claimView) Live() []claim.Peer {
-	members := v.daemon.view.Load().Live()
+	members := v.daemon.members.View().Live()
 	peers := make([]claim.Peer, 0, len(members))
 	for _, m := range members {
 		peers = append(peers, claim.Peer{ID: m.ID, Address: m.PeerAddress})
@@ -162,7 +215,7 @@
 
 // Members implements batch.View.
 func (v batchView) Members() []string {
-	members := v.daemon.view.Load().Live()
+	members := v.daemon.members.View().Live()
 	ids := make([]string, 0, len(members))
 	for _, m := range members {
 		ids = append(ids, m.ID)
@@ -214,7 +267,7 @@
 func (d *Daemon) buildCallers() error {
 	var err error
 	d.endpoints, err = datacentre.NewHandler(datacentre.Options{
-		View:       d.view.Load,
+		View:       d.members.View,
 		Document:   d.config.Current,
 		Seed:       seedOf(d.identity.ID),
 		Registerer: d.registry,
@@ -223,7 +276,7 @@
 		return err
 	}
 	d.listener = caller.NewListener(caller.Options{
-		Document:   d.config.Current,
+		Document:   d.serving,
 		Dispatcher: d.dispatcher,
 		Claims:     callerClaims{d.claims},
 		Endpoints:  d.endpoints,
@@ -239,6 +292,7 @@
 func (d *Daemon) buildPeers() {
 	mux := http.NewServeMux()
 	mux.Handle(d.config.PeerHandler())
+	mux.Handle(instance.NewHandler(d.members))
 	mux.Handle(d.claims.Handler(link.HandlerOptions()))
 	server := caller.NewHTTPServer(link.Authenticate(d.settings.PeerKeys, mux))
 	server.Protocols = link.ServerProtocols()
@@ -257,7 +311,7 @@
 			"/v1/config/":                   configuration,
 			"/v1/presets":                   configuration,
 			"/v1/presets/":                  configuration,
-			"GET " + operator.PathInstances: operator.JSON(func() []instance.Member { return d.view.Load().Live() }),
+			"GET " + operator.PathInstances: operator.JSON(func() []instance.Member { return d.members.View().Live() }),
 			"GET " + operator.PathUpstreams: operator.JSON(d.dispatcher.State),
 		},
 		Logger: d.log,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -50,7 +49,7 @@
 	// process differs between two runs under the same identity.
 	process   string
 	lifecycle *instance.Lifecycle
-	view      atomic.Pointer[instance.View]
+	members   *instance.Membership
 
 	adapter   *httpstore.Store
 	store     *guard.Guard
@@ -173,6 +172,7 @@
 	if held > 0 {
 		d.log.Error("answers not stored at the end", zap.Int("answers", held))
 	}
+	d.leave()
 	d.shutdown(hurry)
 	stop()
 	return errors.Join(err, <-failed)
@@ -184,6 +184,7 @@
 	d.peers.start(ctx, g)
 	d.operators.start(ctx, g)
 	g.Go(func() error { return ignoreCancel(d.config.Run(ctx)) })
+	g.Go(func() error { return ignoreCancel(d.members.Run(ctx)) })
 	g.Go(func() error { return ignoreCancel(d.dispatcher.Run(ctx)) })
 	g.Go(func() error { return ignoreCancel(d.claims.Run(ctx)) })
 	g.Go(func() error { return ignoreCancel(d.sweeper.Run(ctx)) })
@@ -201,6 +202,16 @@
 	return err
 }
 
+// leave tells the members that watch this instance that it has stopped.
+func (d *Daemon) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	d.members.Leave(ctx)
+}
+
+// leaveTimeout bounds the farewell to the other members.
+const leaveTimeout = time.Second
+
 // shutdownTimeout bounds the end of connections that carry no request.
 const shutdownTimeout = 5 * time.Second
 
--- a/daemon/dump.go
+++ b/daemon/dump.go
@@ -16,18 +16,18 @@
 
 // Dump is the state of one instance, part by part.
 type Dump struct {
-	Instance      instance.Identity       `json:"instance"`
-	Started       time.Time               `json:"started"`
-	Lifecycle     instance.State          `json:"lifecycle"`
-	Configuration config.State            `json:"configuration"`
-	Callers       caller.State            `json:"callers"`
-	Upstreams     upstream.State          `json:"upstreams"`
-	Claims        claim.ServiceState      `json:"claims"`
-	Jobs          batch.ServiceState      `json:"jobs"`
-	Batch         batch.RunnerState       `json:"batch"`
-	Members       []instance.Member       `json:"members"`
-	Endpoints     datacentre.HandlerState `json:"endpoints"`
-	Store         guard.State             `json:"store"`
+	Instance      instance.Identity        `json:"instance"`
+	Started       time.Time                `json:"started"`
+	Lifecycle     instance.State           `json:"lifecycle"`
+	Configuration config.State             `json:"configuration"`
+	Callers       caller.State             `json:"callers"`
+	Upstreams     upstream.State           `json:"upstreams"`
+	Claims        claim.ServiceState       `json:"claims"`
+	Jobs          batch.ServiceState       `json:"jobs"`
+	Batch         batch.RunnerState        `json:"batch"`
+	Membership    instance.MembershipState `json:"members"`
+	Endpoints     datacentre.HandlerState  `json:"endpoints"`
+	Store         guard.State              `json:"store"`
 }
 
 // dump returns the state as JSON.
@@ -42,7 +42,7 @@
 		Claims:        d.claims.State(),
 		Jobs:          d.jobs.State(),
 		Batch:         d.runner.State(),
-		Members:       d.view.Load().Live(),
+		Membership:    d.members.State(),
 		Endpoints:     d.endpoints.State(),
 		Store:         d.store.State(),
 	})
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/config"
 	"github.com/daisylb/daisylb/operator"
 	"github.com/daisylb/daisylb/settings"
 )
@@ -29,6 +30,11 @@
 	OperatorKeys []operator.Key `json:"operator_keys"`
 	// Platform is where the table, the objects and the instance list are.
 	Platform PlatformSettings `json:"platform"`
+	// IsolationLimit is how long the instance admits callers without contact with
+	// the table or any peer, since it cannot know whether its configuration is
+	// still in force; default "12s". 0 means without end, for a deployment of one
+	// instance.
+	IsolationLimit time.Duration `json:"isolation_limit"`
 	// Drain bounds a planned stop.
 	Drain DrainSettings `json:"drain"`
 	// Retention is how long answers can be read.
@@ -115,10 +121,11 @@
 // Default returns the settings before a file is read.
 func Default() Settings {
 	return Settings{
-		Platform:  PlatformSettings{Timeout: defaultPlatformTimeout, WritesPerSecond: defaultWriteRate, ReadsPerSecond: defaultReadRate},
-		Drain:     DrainSettings{Margin: defaultDrainMargin, Bound: defaultDrainBound},
-		Retention: RetentionSettings{Claims: defaultClaimRetention, Jobs: defaultJobRetention},
-		Log:       LogSettings{Level: "info", Format: "json"},
+		IsolationLimit: config.DefaultIsolationLimit,
+		Platform:       PlatformSettings{Timeout: defaultPlatformTimeout, WritesPerSecond: defaultWriteRate, ReadsPerSecond: defaultReadRate},
+		Drain:          DrainSettings{Margin: defaultDrainMargin, Bound: defaultDrainBound},
+		Retention:      RetentionSettings{Claims: defaultClaimRetention, Jobs: defaultJobRetention},
+		Log:            LogSettings{Level: "info", Format: "json"},
 	}
 }
 
@@ -163,6 +170,7 @@
 		checkOperatorKey(c.Field("operator_keys").Index(i), key)
 	}
 	checkPlatform(c.Field("platform"), s.Platform)
+	settings.Between(c.Field("isolation_limit"), s.IsolationLimit, 0, maxDrain)
 	settings.Between(c.Field("drain").Field("margin"), s.Drain.Margin, 0, maxDrain)
 	settings.Between(c.Field("drain").Field("bound"), s.Drain.Bound, 0, maxDrain)
 	settings.Between(c.Field("retention").Field("claims"), s.Retention.Claims, minRetention, maxRetention)
--- a/dev/dev.go
+++ b/dev/dev.go
@@ -33,7 +33,9 @@
 	loopback    = "127.0.0.1:0"
 	engineSlots = 16
 	engineStep  = 10 * time.Millisecond
-	maxEngines  = 64
+	// devMargin is short since nobody else answers for this instance.
+	devMargin  = time.Millisecond
+	maxEngines = 64
 )
 
 // Options of an Environment.
@@ -87,7 +89,8 @@
 	settings.OperatorKeys = []operator.Key{{Name: "dev", SHA256: sum(OperatorKey)}}
 	settings.Platform.URL = "http://" + group.PlatformAddress
 	settings.Log = daemon.LogSettings{Level: o.LogLevel, Format: "console"}
-	settings.Drain.Margin = 0
+	settings.Drain.Margin = devMargin
+	settings.IsolationLimit = 0
 	log, err := daemon.NewLogger(settings.Log)
 	if err != nil {
 		return nil, err
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -12,23 +12,25 @@
 	"regexp"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// pollInterval spaces the looks of a command that waits for a condition. The
-// timeout of go test ends a condition that never holds.
-const pollInterval = 20 * time.Millisecond
+const (
+	// pollInterval spaces the looks of a command that waits for a condition.
+	pollInterval = 20 * time.Millisecond
+	// patience ends a wait for a condition that does not come to hold, so that
+	// the script fails with what was seen last.
+	patience = 2 * time.Minute
+)
 
 // world is the processes and callers of one script.
 type world struct {
 	ip  string
 	dir string
 
-	mu        sync.Mutex
 	processes map[string]*process
 	streams   map[string]*openStream
 	crowds    map[string]*crowd
@@ -112,13 +114,22 @@
 func until(ts *testscript.TestScript, neg bool, args []string) {
 	w := ts.Value(worldKey{}).(*world)
 	want := regexp.MustCompile(args[0])
-	for {
-		out := w.output(ts, args[1:])
+	out := ""
+	for end := time.Now().Add(limit()); time.Now().Before(end); time.Sleep(pollInterval) {
+		out = w.output(ts, args[1:])
 		if want.MatchString(out) != neg {
 			return
 		}
-		time.Sleep(pollInterval)
 	}
+	ts.Fatalf("the condition does not hold; last output:\n%s", out)
+}
+
+// limit is patience, or what SCENARIO_PATIENCE names, for work on a script.
+func limit() time.Duration {
+	if d, err := time.ParseDuration(os.Getenv("SCENARIO_PATIENCE")); err == nil {
+		return d
+	}
+	return patience
 }
 
 // output runs a program or the http command and returns all that it printed.
