Let claims find their instance in the view under another id

Cause: the daemon names a process in its claims otherwise than the view names the instance, so that no instance took itself for an owner: it forwarded to itself, and nobody removed old claims. Ruled out: one id for both, since a process that is started again under the same id must not take its predecessor's claims for its own. Change: Options.PeerID, and the dump says whether the instance is listed. Figures: go test -run OldClaims ./claim with the ids of the daemon: without PeerID 6 rows and their objects stay after the retention, with it none. Conclusion: the daemon has to set PeerID to the id in its view.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -324,8 +324,12 @@
 	}
 }
 
+// TestOldClaimsAreRemoved also names the instances otherwise in their claims
+// than in the view.
 func TestOldClaimsAreRemoved(t *testing.T) {
 	adjust := func(o *claim.Options) {
+		o.PeerID = o.InstanceID
+		o.InstanceID += "/process"
 		o.InlineBytes = 1
 		o.Retention = time.Hour
 	}
@@ -335,6 +339,9 @@
 			expect(t, "first", err, 0, "")
 		}
 		time.Sleep(30 * time.Minute)
+		if !f.members[0].State().Listed {
+			t.Error("the instance does not find itself in the view")
+		}
 		answer, err := f.do(t.Context(), 1, "a")
 		expect(t, "within the retention", err, 0, "")
 		expectAgreement(t, f, "a", answer, 0)
--- a/claim/options.go
+++ b/claim/options.go
@@ -45,8 +45,12 @@
 
 // Options configure a Service. Zero values select the defaults named.
 type Options struct {
-	// InstanceID names this process; required and unique to it.
+	// InstanceID names this process in its claims; required and unique to it.
 	InstanceID string
+	// PeerID is the ID of this instance in the view; InstanceID when empty. An
+	// instance that does not find itself in the view owns no group and removes
+	// no old claims.
+	PeerID string
 	// Table and Objects are the platform; required. Table carries commits that
 	// this instance makes in place of an owner.
 	Table   platform.Table
@@ -95,6 +99,7 @@
 }
 
 func (o Options) withDefaults() Options {
+	setDefault(&o.PeerID, o.InstanceID)
 	if o.OwnerTable == nil {
 		o.OwnerTable = o.Table
 	}
--- a/claim/service.go
+++ b/claim/service.go
@@ -129,7 +129,7 @@
 func (s *Service) owner(row string) (group int, owner Peer, self bool) {
 	group = groupOf(row, s.options.Groups)
 	owner, ok := ownerOf(group, s.options.View.Live())
-	return group, owner, !ok || owner.ID == s.options.InstanceID
+	return group, owner, !ok || owner.ID == s.options.PeerID
 }
 
 // spawn runs f in the background unless the service has stopped. The context
--- a/claim/state.go
+++ b/claim/state.go
@@ -1,7 +1,12 @@
 package claim
 
+import "slices"
+
 // ServiceState is what a Service shows in the state dump.
 type ServiceState struct {
+	// Listed is set when the live view has this instance; only then does it own
+	// groups.
+	Listed bool `json:"listed"`
 	// Calls that this instance holds or is claiming.
 	Calls int `json:"calls"`
 	// Storing counts results that wait for the store, HeldBytes their bytes.
@@ -29,6 +34,7 @@
 	s.mu.Unlock()
 	state.Direct = s.direct.length() + s.directPacks.length()
 	live := s.options.View.Live()
+	state.Listed = slices.ContainsFunc(live, func(p Peer) bool { return p.ID == s.options.PeerID })
 	for group := range s.owned {
 		owner, _ := ownerOf(group, live)
 		queued := s.owned[group].length() + s.ownedPacks[group].length()
--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -31,7 +31,7 @@
 		}
 		for group := range positions {
 			owner, ok := ownerOf(group, s.options.View.Live())
-			if !ok || owner.ID != s.options.InstanceID {
+			if !ok || owner.ID != s.options.PeerID {
 				continue
 			}
 			positions[group] = s.sweepRows(ctx, group, positions[group])
