Give owners of claims a rate of their own for answers

Cause: the objects of an owner's answers went by the instance's share of the store's rate, which at 550 instances is a quarter of a write a second. Ruled out: a larger share for all urgent writes, which adds up to more than the store bears; larger objects, which do not help answers that keep coming. Change: Options.OwnerObjects beside OwnerTable, and an interval of 100 ms between two objects of a group, so that rows and objects fit the rate that is set aside (120 writes a second). Conclusion: the daemon has to set OwnerObjects.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -14,6 +14,8 @@
 	"github.com/daisylb/daisylb/claim"
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/platform/guard"
 )
 
 func inBubble(t *testing.T, f func(t *testing.T)) {
@@ -111,6 +113,40 @@
 	})
 }
 
+// TestOwnerStoresAnswersOfWholeFleet gives an owner the answers of a second of
+// the target size, with the shares of a fleet of 550 instances.
+func TestOwnerStoresAnswersOfWholeFleet(t *testing.T) {
+	adjust := func(o *claim.Options) {
+		g, err := guard.New(guard.Options{Store: o.Objects.(platform.Store), Live: func() int { return 550 }})
+		if err != nil {
+			panic(err)
+		}
+		o.Table, o.Objects = g.View(guard.Urgent), g.View(guard.Urgent)
+		o.OwnerTable, o.OwnerObjects = g.View(guard.Owner), g.View(guard.Owner)
+	}
+	bubble(t, 1, adjust, func(t *testing.T, f *fleet) {
+		const calls = 550
+		large := make([]byte, 8<<10)
+		errs := make(chan error, calls)
+		started := time.Now()
+		for i := range calls {
+			go func() {
+				time.Sleep(time.Duration(i) * time.Second / calls)
+				_, err := f.members[0].Do(t.Context(), params(strconv.Itoa(i)), func(context.Context) (contract.PlainAnswer, error) {
+					return contract.PlainAnswer{Status: 200, Body: large}, nil
+				})
+				errs <- err
+			}()
+		}
+		for range calls {
+			expect(t, "call", <-errs, 0, "")
+		}
+		if took := time.Since(started); took > 2*time.Second {
+			t.Errorf("the answers of one second were stored after %s", took)
+		}
+	})
+}
+
 func TestLostAnswersOfStoreAreResolved(t *testing.T) {
 	for name, inject := range map[string]func(f *fleet){
 		"lost after the effect":  func(f *fleet) { f.store.Faults().LoseAnswers(2) },
--- a/claim/options.go
+++ b/claim/options.go
@@ -18,6 +18,7 @@
 	defaultCommitInterval = 50 * time.Millisecond
 	defaultInlineBytes    = 4 << 10
 	defaultPackBytes      = 1 << 20
+	defaultPackInterval   = 100 * time.Millisecond
 	defaultClaimTimeout   = 3 * time.Second
 	defaultOwnerTimeout   = time.Second
 	defaultMaxRun         = 10 * time.Minute
@@ -55,8 +56,11 @@
 	// this instance makes in place of an owner.
 	Table   platform.Table
 	Objects platform.Objects
-	// OwnerTable carries group commits; Table when nil.
-	OwnerTable platform.Table
+	// OwnerTable and OwnerObjects carry the group commits of an owner and its
+	// objects of answers; Table and Objects when nil. They need a rate of their
+	// own: an owner writes for the whole fleet.
+	OwnerTable   platform.Table
+	OwnerObjects platform.Objects
 	// SweepTable and SweepObjects carry the removal of old claims; Table and
 	// Objects when nil.
 	SweepTable   platform.Table
@@ -75,6 +79,8 @@
 	InlineBytes int
 	// PackBytes is the size at which an object of answers is full; 1 MiB.
 	PackBytes int
+	// PackInterval is the shortest time between two objects of a group; 100 ms.
+	PackInterval time.Duration
 	// ClaimTimeout bounds one Claim; 3 s.
 	ClaimTimeout time.Duration
 	// OwnerTimeout bounds the part of it that waits for the owner; 1 s.
@@ -103,6 +109,9 @@
 	if o.OwnerTable == nil {
 		o.OwnerTable = o.Table
 	}
+	if o.OwnerObjects == nil {
+		o.OwnerObjects = o.Objects
+	}
 	if o.SweepTable == nil {
 		o.SweepTable = o.Table
 	}
@@ -121,6 +130,7 @@
 	setDefault(&o.CommitInterval, defaultCommitInterval)
 	setDefault(&o.InlineBytes, defaultInlineBytes)
 	setDefault(&o.PackBytes, defaultPackBytes)
+	setDefault(&o.PackInterval, defaultPackInterval)
 	setDefault(&o.ClaimTimeout, defaultClaimTimeout)
 	setDefault(&o.OwnerTimeout, defaultOwnerTimeout)
 	setDefault(&o.MaxRun, defaultMaxRun)
@@ -150,7 +160,7 @@
 		return code.New(code.InvalidSettings, "%d inline bytes, 0 to %d are allowed", o.InlineBytes, platform.MaxValueBytes/2)
 	case o.PackBytes < 0 || o.MaxHeldBytes < 0:
 		return code.New(code.InvalidSettings, "sizes of claims must not be negative")
-	case min(o.CommitInterval, o.ClaimTimeout, o.OwnerTimeout, o.MaxRun, o.Margin, o.Retention, o.SweepInterval) < 0:
+	case min(o.CommitInterval, o.PackInterval, o.ClaimTimeout, o.OwnerTimeout, o.MaxRun, o.Margin, o.Retention, o.SweepInterval) < 0:
 		return code.New(code.InvalidSettings, "times of claims must not be negative")
 	case o.Retention < o.MaxRun+o.Margin:
 		return code.New(code.InvalidSettings, "retention %s is shorter than the longest run and its margin", o.Retention)
--- a/claim/packer.go
+++ b/claim/packer.go
@@ -30,7 +30,7 @@
 
 func newPacker(objects platform.Objects, o Options, next *committer, m *metrics) *packer {
 	p := &packer{objects: objects, maximum: o.PackBytes, next: next, metrics: m}
-	p.batcher = newBatcher(o.CommitInterval, p.choose, p.pack)
+	p.batcher = newBatcher(o.PackInterval, p.choose, p.pack)
 	return p
 }
 
--- a/claim/service.go
+++ b/claim/service.go
@@ -59,18 +59,18 @@
 		calls:   map[string][]byte{},
 	}
 	s.lifetime, s.end = context.WithCancel(context.Background())
-	s.direct, s.directPacks = s.newPath(o.Table)
+	s.direct, s.directPacks = s.newPath(o.Table, o.Objects)
 	for range o.Groups {
-		c, p := s.newPath(o.OwnerTable)
+		c, p := s.newPath(o.OwnerTable, o.OwnerObjects)
 		s.owned = append(s.owned, c)
 		s.ownedPacks = append(s.ownedPacks, p)
 	}
 	return s, nil
 }
 
-func (s *Service) newPath(table platform.Table) (*committer, *packer) {
+func (s *Service) newPath(table platform.Table, objects platform.Objects) (*committer, *packer) {
 	c := newCommitter(table, s.options.CommitInterval, s.metrics, s.logger)
-	return c, newPacker(s.options.Objects, s.options, c, s.metrics)
+	return c, newPacker(objects, s.options, c, s.metrics)
 }
 
 // Run commits and sweeps until ctx ends. Answers that wait for the store are
--- a/claim/wire_test.go
+++ b/claim/wire_test.go
@@ -59,7 +59,7 @@
 		id := strconv.Itoa(i)
 		member, err := claim.New(claim.Options{
 			InstanceID: id, View: all, InlineBytes: 16,
-			Table: guarded.View(guard.Urgent), Objects: guarded.View(guard.Urgent), OwnerTable: guarded.View(guard.Owner),
+			Table: guarded.View(guard.Urgent), Objects: guarded.View(guard.Urgent), OwnerTable: guarded.View(guard.Owner), OwnerObjects: guarded.View(guard.Owner),
 			SweepTable: guarded.View(guard.Poll), SweepObjects: guarded.View(guard.Poll),
 			Dial: func(address string) claimpbconnect.ClaimsClient {
 				return claimpbconnect.NewClaimsClient(w.calls, "http://"+address)
