Pass a silent owner of claims over for the next in rank

Cause: when an owner is frozen and the views still have it, every instance committed its claims alone, after a second's wait for each. Ruled out: a shorter timeout, which passes slow owners over; a lease on ownership, which costs writes and a longer wait. Change: forwards go to the next in rendezvous order, which becomes the owner anyway; a peer that did not answer is not asked for 2 s. Direct commits remain the last resort. Conclusion: the loss of an owner costs one timeout for calls under way.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -181,23 +181,38 @@
 	return code.New(code.ResultPending, "%s", message).WithRetryAfter(pendingRetryAfter)
 }
 
-// commit writes a row through the owner of its group, or directly when the
-// owner is this instance or does not do it.
+// commit writes a row through the owner of its group. An owner that does not
+// answer is passed over for the next in rank, and where neither does it, this
+// instance commits directly.
 func (s *Service) commit(ctx context.Context, row string, version uint64, record *claimpb.Record, answer []byte) reply {
-	group, owner, self := s.owner(row)
-	if self {
-		return commitThrough(ctx, s.owned[group], s.ownedPacks[group], row, version, record, answer)
-	}
-	first := s.forward(ctx, owner, row, version, record, answer)
-	if first.outcome == applied || first.outcome == conflict {
-		return first
+	group := groupOf(row, s.options.Groups)
+	failed := unavailable
+	for _, peer := range rank(group, s.options.View.Live()) {
+		if peer.ID == s.options.PeerID {
+			return settled(commitThrough(ctx, s.owned[group], s.ownedPacks[group], row, version, record, answer), failed)
+		}
+		r, reached := s.forward(ctx, peer, row, version, record, answer)
+		if r.outcome == applied || r.outcome == conflict {
+			return r
+		}
+		if r.outcome == unknown {
+			failed = unknown
+		}
+		if reached {
+			break
+		}
 	}
 	s.metrics.direct.Inc()
-	second := commitThrough(ctx, s.direct, s.directPacks, row, version, record, answer)
-	if second.outcome == unavailable && first.outcome == unknown {
-		second.outcome = unknown
+	return settled(commitThrough(ctx, s.direct, s.directPacks, row, version, record, answer), failed)
+}
+
+// settled is the reply of the last try, when an earlier one failed: one that may
+// have taken effect makes the whole unknown.
+func settled(last reply, failed outcome) reply {
+	if last.outcome == unavailable {
+		last.outcome = failed
 	}
-	return second
+	return last
 }
 
 // commitThrough commits one row and waits for it.
--- a/claim/fleet_test.go
+++ b/claim/fleet_test.go
@@ -31,9 +31,11 @@
 	store   *memory.Store
 	members []*member
 
-	mu   sync.Mutex
-	cut  map[string]bool
-	lose int
+	mu  sync.Mutex
+	cut map[string]bool
+	// frozen instances take calls and never answer.
+	frozen map[string]bool
+	lose   int
 	// lost counts answers between instances that were lost.
 	lost int
 	runs map[string]int
@@ -68,7 +70,7 @@
 }
 
 func newFleet(size int, adjust func(*claim.Options)) *fleet {
-	f := &fleet{store: memory.New(), cut: map[string]bool{}, runs: map[string]int{}}
+	f := &fleet{store: memory.New(), cut: map[string]bool{}, frozen: map[string]bool{}, runs: map[string]int{}}
 	var live []claim.Peer
 	for i := range size {
 		id := "i" + strconv.Itoa(i)
@@ -128,6 +130,12 @@
 	f.cut[id] = cut
 }
 
+func (f *fleet) freeze(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.frozen[id] = true
+}
+
 // injected counts the answers lost so far, of the store and between instances.
 func (f *fleet) injected() int64 {
 	f.mu.Lock()
@@ -151,7 +159,7 @@
 // RoundTrip implements http.RoundTripper.
 func (w wire) RoundTrip(r *http.Request) (*http.Response, error) {
 	w.fleet.mu.Lock()
-	cut := w.fleet.cut[w.id]
+	cut, frozen := w.fleet.cut[w.id], w.fleet.frozen[w.id]
 	lost := !cut && w.fleet.lose > 0
 	if lost {
 		w.fleet.lose--
@@ -161,6 +169,10 @@
 	if cut {
 		return nil, errors.New("connection refused")
 	}
+	if frozen {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
 	recorder := httptest.NewRecorder()
 	for _, m := range w.fleet.members {
 		if m.id == w.id {
--- a/claim/forward.go
+++ b/claim/forward.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -15,19 +17,30 @@
 // maxPeers bounds the kept connections to peers that are no longer live.
 const maxPeers = 64
 
+// avoidTime is how long a peer that did not answer is passed over.
+const avoidTime = 2 * time.Second
+
 // peers keeps the Claims services of owners by address.
 type peers struct {
 	dial func(address string) claimpbconnect.ClaimsClient
 
 	mu        sync.Mutex
-	byAddress map[string]claimpbconnect.ClaimsClient
+	byAddress map[string]*peer
+}
+
+// peer is the Claims service of one address.
+type peer struct {
+	claimpbconnect.ClaimsClient
+
+	// avoidUntil is a Unix time in nanoseconds.
+	avoidUntil atomic.Int64
 }
 
 func newPeers(dial func(string) claimpbconnect.ClaimsClient) *peers {
-	return &peers{dial: dial, byAddress: map[string]claimpbconnect.ClaimsClient{}}
+	return &peers{dial: dial, byAddress: map[string]*peer{}}
 }
 
-func (p *peers) at(address string) claimpbconnect.ClaimsClient {
+func (p *peers) at(address string) *peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if known, ok := p.byAddress[address]; ok {
@@ -36,24 +49,36 @@
 	if len(p.byAddress) >= maxPeers {
 		clear(p.byAddress)
 	}
-	dialled := p.dial(address)
+	dialled := &peer{ClaimsClient: p.dial(address)}
 	p.byAddress[address] = dialled
 	return dialled
 }
 
-// forward asks the owner to commit a row. An answer that does not come leaves
-// the outcome unknown.
-func (s *Service) forward(ctx context.Context, owner Peer, row string, version uint64, record *claimpb.Record, answer []byte) reply {
-	ctx, cancel := context.WithTimeout(ctx, s.options.OwnerTimeout)
+func (p *peer) isAvoided(now time.Time) bool { return now.UnixNano() < p.avoidUntil.Load() }
+
+func (p *peer) avoid(now time.Time) { p.avoidUntil.Store(now.Add(avoidTime).UnixNano()) }
+
+// forward asks a peer to commit a row and reports whether it answered. An answer
+// that does not come leaves the outcome unknown. A peer that did not answer is
+// not asked for a while.
+func (s *Service) forward(ctx context.Context, to Peer, row string, version uint64, record *claimpb.Record, answer []byte) (r reply, reached bool) {
+	p := s.peers.at(to.Address)
+	if p.isAvoided(time.Now()) {
+		return reply{outcome: unavailable}, false
+	}
+	ownerCtx, cancel := context.WithTimeout(ctx, s.options.OwnerTimeout)
 	defer cancel()
 	request := connect.NewRequest(&claimpb.CommitRequest{Key: row, Version: version, Record: record, Answer: answer})
-	response, err := s.peers.at(owner.Address).Commit(ctx, request)
+	response, err := p.Commit(ownerCtx, request)
 	if err != nil {
 		s.metrics.forwards.WithLabelValues(connect.CodeOf(err).String()).Inc()
-		return reply{outcome: unknown}
+		if ctx.Err() == nil {
+			p.avoid(time.Now())
+		}
+		return reply{outcome: unknown}, false
 	}
 	s.metrics.forwards.WithLabelValues("ok").Inc()
-	return fromResponse(response.Msg)
+	return fromResponse(response.Msg), true
 }
 
 func fromResponse(m *claimpb.CommitResponse) reply {
--- a/claim/rendezvous.go
+++ b/claim/rendezvous.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -50,15 +51,39 @@
 	return rowPrefix + hex.EncodeToString([]byte{byte(first)})
 }
 
-// ownerOf returns the live peer with the highest hash for the group.
-func ownerOf(group int, live []Peer) (owner Peer, ok bool) {
+// maxRanked is the number of peers that are tried for a commit.
+const maxRanked = 2
+
+// rank returns the live peers with the highest hashes for the group, highest
+// first: the owner, and the one that is owner when the first is gone.
+func rank(group int, live []Peer) []Peer {
 	prefix := "claim group " + strconv.Itoa(group) + " "
-	var highest uint64
+	var scores [maxRanked]uint64
+	ranked := make([]Peer, 0, maxRanked+1)
 	for _, p := range live {
 		score := xxhash.Sum64String(prefix + p.ID)
-		if !ok || score > highest || (score == highest && p.ID > owner.ID) {
-			owner, highest, ok = p, score, true
+		place := len(ranked)
+		for place > 0 && isHigher(score, p.ID, scores[place-1], ranked[place-1].ID) {
+			place--
+		}
+		if place == maxRanked {
+			continue
 		}
+		ranked = slices.Insert(ranked, place, p)[:min(len(ranked)+1, maxRanked)]
+		copy(scores[place+1:], scores[place:])
+		scores[place] = score
+	}
+	return ranked
+}
+
+func isHigher(score uint64, id string, otherScore uint64, otherID string) bool {
+	return score > otherScore || (score == otherScore && id > otherID)
+}
+
+// ownerOf returns the owner of the group, or no peer for an empty view.
+func ownerOf(group int, live []Peer) Peer {
+	if ranked := rank(group, live); len(ranked) > 0 {
+		return ranked[0]
 	}
-	return owner, ok
+	return Peer{}
 }
--- a/claim/service.go
+++ b/claim/service.go
@@ -124,14 +124,6 @@
 // drainInterval is the time between two looks at the held answers.
 const drainInterval = 50 * time.Millisecond
 
-// owner returns the owner of a row's group and whether it is this instance. A
-// view without instances makes every instance its own owner.
-func (s *Service) owner(row string) (group int, owner Peer, self bool) {
-	group = groupOf(row, s.options.Groups)
-	owner, ok := ownerOf(group, s.options.View.Live())
-	return group, owner, !ok || owner.ID == s.options.PeerID
-}
-
 // spawn runs f in the background unless the service has stopped. The context
 // ends when Run ends.
 func (s *Service) spawn(f func(ctx context.Context)) bool {
--- a/claim/state.go
+++ b/claim/state.go
@@ -36,7 +36,7 @@
 	live := s.options.View.Live()
 	state.Listed = slices.ContainsFunc(live, func(p Peer) bool { return p.ID == s.options.PeerID })
 	for group := range s.owned {
-		owner, _ := ownerOf(group, live)
+		owner := ownerOf(group, live)
 		queued := s.owned[group].length() + s.ownedPacks[group].length()
 		state.Groups = append(state.Groups, GroupState{Owner: owner.ID, Queued: queued})
 	}
--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -30,8 +30,7 @@
 			return
 		}
 		for group := range positions {
-			owner, ok := ownerOf(group, s.options.View.Live())
-			if !ok || owner.ID != s.options.PeerID {
+			if ownerOf(group, s.options.View.Live()).ID != s.options.PeerID {
 				continue
 			}
 			positions[group] = s.sweepRows(ctx, group, positions[group])
