Freeze instances in the drawn plans of claims

Cause: the plans cut instances off and killed them, but none was silent. Ruled out: a plan of its own for silence, which would not mix with the rest. Change: a frozen instance as one more kind of fault.

--- a/claim/history_test.go
+++ b/claim/history_test.go
@@ -63,7 +63,7 @@
 	fault := rapid.Custom(func(r *rapid.T) plannedFault {
 		return plannedFault{
 			at:   moment.Draw(r, "at"),
-			kind: rapid.SampledFrom([]string{"lose", "hold", "release", "down", "up", "forwards", "cut", "alone", "kill"}).Draw(r, "kind"),
+			kind: rapid.SampledFrom([]string{"lose", "hold", "release", "down", "up", "forwards", "cut", "freeze", "alone", "kill"}).Draw(r, "kind"),
 			n:    rapid.IntRange(0, 8).Draw(r, "n"),
 		}
 	})
@@ -89,6 +89,8 @@
 		f.loseForwards(p.n)
 	case "cut":
 		f.disconnect(f.members[i].id, true)
+	case "freeze":
+		f.freeze(f.members[i].id)
 	case "alone":
 		f.members[i].view.set([]claim.Peer{{ID: f.members[i].id, Address: f.members[i].id}})
 	case "kill":
