--- a/scenario/deploy_test.go
+++ b/scenario/deploy_test.go
@@ -76,7 +76,7 @@
 	}
 	b.WriteString(`]}, "engines": [`)
 	for i := 1; i <= engines; i++ {
-		fmt.Fprintf(&b, `{"address": "%s:%d", "slots": 16, "step": "5ms", "report_lag": "200ms"},`, w.ip, enginePort+i)
+		fmt.Fprintf(&b, `{"address": "%s:%d", "slots": 16, "step": "5ms", "report_lag": "200ms", "answer_tokens": 2000},`, w.ip, enginePort+i)
 	}
 	fmt.Fprintf(&b, `], "services": [{"address": "%s:%d"}]}`, w.ip, servicePort)
 	return b.String()
