--- a/batch/fake_test.go
+++ b/batch/fake_test.go
@@ -286,6 +286,7 @@
 	injected int
 	onWrite  func(n int, t *platform.Transaction) fault
 	dead     bool
+	frozen   chan struct{}
 }
 
 func newGate(store Store) *gate { return &gate{Store: store} }
@@ -304,6 +305,39 @@
 	g.dead = dead
 }
 
+// freeze holds back the commits of the instance until thaw.
+func (g *gate) freeze() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.frozen == nil {
+		g.frozen = make(chan struct{})
+	}
+}
+
+func (g *gate) thaw() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.frozen != nil {
+		close(g.frozen)
+		g.frozen = nil
+	}
+}
+
+func (g *gate) isFrozen() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.frozen != nil
+}
+
+func (g *gate) stall() {
+	g.mu.Lock()
+	frozen := g.frozen
+	g.mu.Unlock()
+	if frozen != nil {
+		<-frozen
+	}
+}
+
 func (g *gate) faults() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/batch/items_test.go
+++ b/batch/items_test.go
@@ -23,6 +23,8 @@
 				return "", code.New(code.UpstreamFailed, "engine crashed")
 			case strings.HasSuffix(id, "-8"):
 				return "", code.New(code.InvalidField, "prompt too long")
+			case strings.HasSuffix(id, "-9"):
+				panic("index out of range")
 			}
 			return "done", nil
 		})
@@ -31,7 +33,7 @@
 		job = waitState(t, service, job.ID, StateFinished)
 		lines := results(t, service, job.ID)
 		checkOnce(t, lines, 100)
-		if job.Counts != (Counts{Total: 100, Completed: 98, Failed: 2}) {
+		if job.Counts != (Counts{Total: 100, Completed: 97, Failed: 3}) {
 			t.Errorf("counts %+v", job.Counts)
 		}
 		if e := lines[7].Error; e == nil || e.Number != code.AttemptsUsedUp || !strings.Contains(e.Message, "engine crashed") {
@@ -40,6 +42,9 @@
 		if e := lines[8].Error; e == nil || e.Number != code.InvalidField {
 			t.Errorf("item 8: %+v, want InvalidField", e)
 		}
+		if e := lines[9].Error; e == nil || e.Number != code.AttemptsUsedUp {
+			t.Errorf("item 9: %+v, want AttemptsUsedUp", e)
+		}
 		if n, m := executor.count(resultID(job.ID, 7)), executor.count(resultID(job.ID, 8)); n != 3 || m != 1 {
 			t.Errorf("%d and %d runs, want 3 and 1", n, m)
 		}
--- a/batch/lease.go
+++ b/batch/lease.go
@@ -55,10 +55,12 @@
 	// spent and ended measure the typical item.
 	spent time.Duration
 	ended int
-	// leased is when the lease was taken; progress is set when the first item
-	// ended.
+	// leased is when the lease was taken. progress is set when an item is seen to
+	// run, by its first chunk or its end. starved is set while items wait for a
+	// place of the segment.
 	leased   time.Time
 	progress atomic.Bool
+	starved  atomic.Bool
 	// slot is true while the lease holds one of the runner's slots.
 	slot     bool
 	draining bool
@@ -119,20 +121,36 @@
 	r.metrics.leases.Dec()
 }
 
-// progressing reports whether every new lease has seen an item end. Otherwise
+// starvedTime is how long a lease with waiting items, none of which is seen to
+// run, keeps the runner from taking another.
+const starvedTime = 5 * time.Minute
+
+// progressing reports whether every new lease has seen an item run. Otherwise
 // capacity is short, and another lease would only keep work from other
 // instances.
 func (r *Runner) progressing() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for l := range r.leases {
-		if !l.progress.Load() && time.Since(l.leased) < r.opts.StragglerAfter {
+		patience := r.opts.StragglerAfter
+		if l.starved.Load() {
+			patience = max(patience, starvedTime)
+		}
+		if !l.progress.Load() && time.Since(l.leased) < patience {
 			return false
 		}
 	}
 	return true
 }
 
+// sawProgress notes that an item of the segment runs. It is safe for concurrent
+// use.
+func (l *lease) sawProgress() {
+	if !l.progress.Load() && !l.progress.Swap(true) {
+		signal(l.r.wake)
+	}
+}
+
 func (l *lease) freeSlot() {
 	if !l.slot {
 		return
@@ -193,7 +211,8 @@
 		if l.row.Done.has(i) {
 			continue
 		}
-		t := &task{l: l, index: i, line: line}
+		// A copy of its own lets the memory of finished items go.
+		t := &task{l: l, index: i, line: bytes.Clone(line)}
 		t.attempts.Store(int64(l.row.Attempts[i]))
 		l.tasks[i] = t
 		l.waiting = append(l.waiting, t)
@@ -273,6 +292,7 @@
 
 // start runs waiting items as far as the bound of the segment allows.
 func (l *lease) start() {
+	defer func() { l.starved.Store(len(l.waiting) > 0) }()
 	for len(l.waiting) > 0 && l.running-l.inLane < l.r.opts.ItemsPerLease {
 		if l.draining || !l.live() {
 			return
@@ -302,9 +322,7 @@
 	l.buffer = append(l.buffer, stored{index: e.task.index, line: e.line, failed: e.failed})
 	l.bufferBytes += len(e.line)
 	l.r.metrics.items(e.failed)
-	if !l.progress.Swap(true) {
-		signal(l.r.wake)
-	}
+	l.sawProgress()
 }
 
 // moveStragglers moves items that run much longer than the others to the lane
--- a/batch/task.go
+++ b/batch/task.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 )
@@ -121,8 +123,15 @@
 	return false
 }
 
-// attempt runs the item once.
-func (t *task) attempt(i *item) (ResultLine, error) {
+// attempt runs the item once. A panic counts as a failure of the item, so that
+// one item cannot stop instance after instance.
+func (t *task) attempt(i *item) (result ResultLine, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			t.l.r.log.Error("item panicked", zap.String("item", t.id()), zap.Any("panic", p), zap.Stack("stack"))
+			err = code.New(code.Internal, "the item caused a panic")
+		}
+	}()
 	if i.chat != nil {
 		return t.complete(i)
 	}
@@ -149,7 +158,10 @@
 		Service:   i.service,
 		Class:     contract.Batch,
 		Chat:      *i.chat,
-	}, answer.add)
+	}, func(c contract.Chunk) error {
+		t.l.sawProgress()
+		return answer.add(c)
+	})
 	if err != nil {
 		return ResultLine{}, err
 	}
