Keep an ejected upstream out until a probe shows its recovery

Change: an ejected upstream needs a token after its ejection to return; overdue tokens cost from 1.5 token times on, hedges start at 1.6 first tokens.

--- a/route/candidate.go
+++ b/route/candidate.go
@@ -79,7 +79,7 @@
 	// request may wait before its age counts against the upstream.
 	overdueFirstTokens = 1.5
 	// overdueSpacings is the same for the time between tokens.
-	overdueSpacings = 2.5
+	overdueSpacings = 1.5
 	// overdueFactor is what an overdue token time costs a new request. A stall
 	// of unknown length is expected to last as long again.
 	overdueFactor = 2
--- a/route/eject.go
+++ b/route/eject.go
@@ -18,6 +18,9 @@
 	Errors float64
 	// Ejected is the present state.
 	Ejected bool
+	// Unproven is set while an ejected upstream has not been probed since: no
+	// news of it is not good news, since it gets no requests.
+	Unproven bool
 }
 
 const (
@@ -75,6 +78,9 @@
 		factor, errors = returnFactor, returnErrors
 	}
 	worst := h.Errors / errors
+	if h.Ejected && h.Unproven {
+		worst = max(worst, 1)
+	}
 	worst = max(worst, ratio(h.FirstToken, first, factor))
 	worst = max(worst, ratio(h.Spacing, spacing, factor))
 	worst = max(worst, ratio(h.Unanswered, first, factor*overdueFirstTokens))
--- a/route/hedge.go
+++ b/route/hedge.go
@@ -24,7 +24,7 @@
 const (
 	// hedgeFactor is how many expected times to the first token pass before a
 	// hedge.
-	hedgeFactor = 2.0
+	hedgeFactor = 1.6
 	// minHedgeDelay keeps very fast services from being hedged on jitter.
 	minHedgeDelay = 5 * time.Millisecond
 	// hedgeUse is the share of the slots in use from which hedging stops.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -117,6 +117,7 @@
 				Silent:     time.Duration(rapid.Int64Range(0, 1e10).Draw(t, "silent")),
 				Errors:     rapid.Float64Range(0, 1).Draw(t, "errors"),
 				Ejected:    rapid.Bool().Draw(t, "ejected"),
+				Unproven:   rapid.Bool().Draw(t, "unproven"),
 			}
 		}), 1, 40).Draw(t, "health")
 		Eject(list, nil)
@@ -134,22 +135,24 @@
 
 func TestEjectionHasHysteresis(t *testing.T) {
 	for _, test := range []struct {
-		name    string
-		ejected bool
-		first   time.Duration
-		want    bool
+		name     string
+		ejected  bool
+		unproven bool
+		first    time.Duration
+		want     bool
 	}{
-		{"a little slow stays in", false, 20 * time.Millisecond, false},
-		{"a little slow stays out", true, 20 * time.Millisecond, true},
-		{"tenfold slow goes out", false, 100 * time.Millisecond, true},
-		{"as fast as others comes back", true, 11 * time.Millisecond, false},
+		{"a little slow stays in", false, false, 20 * time.Millisecond, false},
+		{"a little slow stays out", true, false, 20 * time.Millisecond, true},
+		{"tenfold slow goes out", false, false, 100 * time.Millisecond, true},
+		{"as fast as others comes back", true, false, 11 * time.Millisecond, false},
+		{"not before it was probed", true, true, 11 * time.Millisecond, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			list := make([]Health, 10)
 			for i := range list {
 				list[i].FirstToken = 10 * time.Millisecond
 			}
-			list[3] = Health{FirstToken: test.first, Ejected: test.ejected}
+			list[3] = Health{FirstToken: test.first, Ejected: test.ejected, Unproven: test.unproven}
 			Eject(list, nil)
 			if list[3].Ejected != test.want {
 				t.Errorf("ejected %v, want %v", list[3].Ejected, test.want)
--- a/upstream/health.go
+++ b/upstream/health.go
@@ -87,7 +87,8 @@
 			Unanswered: unanswered,
 			Silent:     silent,
 			Errors:     t.errors,
-			Ejected:    h.ejected[t],
+			Ejected:    !h.ejected[t].IsZero(),
+			Unproven:   t.proven.Before(h.ejected[t]),
 		})
 	}
 	h.prior, h.spacing = route.Medians(h.health)
@@ -96,8 +97,8 @@
 	}
 	h.open = h.open[:0]
 	for i, t := range p.targets {
-		s.noteEjection(p, t, h.health[i].Ejected)
-		if !t.leaving() && !now.Before(t.suspended) && (!h.ejected[t] || p.mayProbe(t, now)) {
+		s.noteEjection(p, t, h.health[i].Ejected, now)
+		if !t.leaving() && !now.Before(t.suspended) && (!h.health[i].Ejected || p.mayProbe(t, now)) {
 			h.open = append(h.open, t)
 		}
 	}
@@ -109,18 +110,23 @@
 	}
 }
 
-func (s *scheduler) noteEjection(p *pool, t *target, ejected bool) {
-	if ejected == p.ejected[t] {
+func (s *scheduler) noteEjection(p *pool, t *target, ejected bool, now time.Time) {
+	if ejected == p.isEjected(t) {
 		return
 	}
 	if !ejected {
 		delete(p.ejected, t)
 		return
 	}
-	p.ejected[t] = true
+	p.ejected[t] = now
 	s.metrics.ejections.Inc()
 }
 
+func (p *pool) isEjected(t *target) bool {
+	_, ok := p.ejected[t]
+	return ok
+}
+
 // move ends the streams on ejected engines, so that they go on elsewhere, as
 // far as the budget of hedges allows.
 func (s *scheduler) move(p *pool, now time.Time) {
@@ -207,6 +213,7 @@
 		t.errors += errorWeight * (1 - t.errors)
 		return
 	}
+	t.proven = now
 	t.errors -= probeWeight * t.errors
 	t.first = blend(t.first, first, now)
 	if spacing > 0 {
--- a/upstream/observe.go
+++ b/upstream/observe.go
@@ -28,6 +28,7 @@
 	t.first = t.first.Observe(now, taken)
 	t.errors -= errorWeight * t.errors
 	t.failures = 0
+	t.proven = now
 	t.limit = t.limit.Observe(now, route.Sample{Observed: taken, Reference: h.prior, InFlight: t.online})
 	h.high = h.high.Observe(taken, route.HedgeQuantile)
 	s.metrics.firstToken.Observe(taken.Seconds())
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -28,8 +28,9 @@
 	budget *retry.Budget
 
 	// open are the targets that take work in the ordinary way.
-	open    []*target
-	ejected map[*target]bool
+	open []*target
+	// ejected targets, with the time of their ejection.
+	ejected map[*target]time.Time
 	health  []route.Health
 	worst   []int
 
@@ -55,7 +56,7 @@
 	return &history{
 		budget:  retry.NewBudget(share, retryReserve),
 		hedges:  route.NewHedges(),
-		ejected: map[*target]bool{},
+		ejected: map[*target]time.Time{},
 		lengths: map[string]route.Length{},
 	}
 }
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -207,7 +207,7 @@
 	given := &slot{target: t, pool: r.pool, class: r.class, long: r.long, firm: r.firm, expected: r.expected, started: now}
 	given.ctx, given.cancel = context.WithCancelCause(ctx)
 	t.add(given)
-	if r.pool.ejected[t] {
+	if r.pool.isEjected(t) {
 		t.probed = now
 		r.pool.open = slices.DeleteFunc(r.pool.open, func(o *target) bool { return o == t && len(r.pool.open) > 1 })
 	}
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -38,8 +38,10 @@
 	// connection that could not be made; failures counts these in a row.
 	suspended time.Time
 	failures  int
-	// probed is when the target was probed last.
+	// probed is when the target was probed last, proven when that or another
+	// request last brought a token.
 	probed time.Time
+	proven time.Time
 }
 
 // terms is what the document says about an upstream.
