Measure a running deployment open-loop and compare variants

Ruled out: a closed loop, since it hides a stall of the deployment. In TestStallShowsInTheTail a server that stalls for two of ten seconds at 100 requests a second shows one request over a second to a closed loop, and about a hundred to the driver here, which counts from the time a request was due. Ruled out as well: comparing separate runs, since the machine's load differs between them; variants alternate in rounds with the same arrivals.

Change: package load (experiment files checked with all faults at once, seeded arrivals and heavy-tailed lengths, callers that ask for endpoints and move on, batch jobs through the batch client, timed faults and preset changes, verified answers, histograms, figures with targets, JSON report and SVG plots), the command daisylb load, nine experiments with two small deployments. Parsing an experiment lists every fault with its line and field.

Figures: go test -race -count=3 ./load/... passes.

--- a/cmd/daisylb/main.go
+++ b/cmd/daisylb/main.go
@@ -22,6 +22,7 @@
 	commander.Register(commander.CommandsCommand(), "help")
 	commander.Register(&versionCommand{}, "help")
 	commander.Register(&devCommand{}, "trying out")
+	commander.Register(&loadCommand{}, "trying out")
 	register(commander, "operators", configCommands())
 	register(commander, "operators", viewCommands())
 	register(commander, "callers", callerCommands())
--- /dev/null
+++ b/load/jobs.go
@@ -0,0 +1,318 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/daisylb/daisylb/batch"
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/standin/engine"
+)
+
+// Times of the calls about jobs.
+const (
+	statusInterval = 500 * time.Millisecond
+	jobTimeout     = 10 * time.Second
+)
+
+// progress is the number of committed items at a time of the run.
+type progress struct {
+	at       time.Duration
+	finished int
+}
+
+// batchRecord is what became of one batch mix. Its owner is one goroutine.
+type batchRecord struct {
+	mix *BatchMix
+	// finished in the measured window, and the rate of each round.
+	finished int
+	failed   int
+	window   time.Duration
+	points   []progress
+	// verified results were compared with the expected text.
+	verified   int
+	wrong      int
+	duplicates int
+	// errors of submissions and status calls.
+	errors map[Ending]int
+	// tokens is the mean length of the items' answers.
+	tokens float64
+}
+
+func newBatchRecord(m *BatchMix) *batchRecord {
+	return &batchRecord{mix: m, errors: map[Ending]int{}}
+}
+
+func (r *batchRecord) merge(o *batchRecord) {
+	r.finished += o.finished
+	r.failed += o.failed
+	r.window += o.window
+	r.points = append(r.points, o.points...)
+	r.verified += o.verified
+	r.wrong += o.wrong
+	r.duplicates += o.duplicates
+	for e, n := range o.errors {
+		r.errors[e] += n
+	}
+	r.tokens = o.tokens
+}
+
+func (r *batchRecord) itemsPerSecond() float64 {
+	if r.window == 0 {
+		return 0
+	}
+	return float64(r.finished) / r.window.Seconds()
+}
+
+// jobItem is one item with its expected answer's length.
+type jobItem struct {
+	messages []contract.Message
+	tokens   int
+}
+
+// inputLine is a line of a job's input in OpenAI's shape.
+type inputLine struct {
+	CustomID string               `json:"custom_id"`
+	Method   string               `json:"method"`
+	URL      string               `json:"url"`
+	Body     contract.ChatRequest `json:"body"`
+}
+
+// items draws the items of a job.
+func (m *BatchMix) items(seed uint64, job string) []jobItem {
+	random := randomFor(seed, m.Name)
+	list := make([]jobItem, 0, m.Items)
+	for i := range m.Items {
+		start := fmt.Sprintf("%s %d ", job, i)
+		prompt := filler(start, m.PromptBytes.draw(random))
+		list = append(list, jobItem{[]contract.Message{message("user", prompt)}, m.AnswerTokens.draw(random)})
+	}
+	return list
+}
+
+func (m *BatchMix) input(items []jobItem) ([]byte, error) {
+	var b bytes.Buffer
+	lines := json.NewEncoder(&b)
+	for i, it := range items {
+		line := inputLine{
+			CustomID: strconv.Itoa(i),
+			Method:   "POST",
+			URL:      "/v1/chat/completions",
+			Body:     chatBody(m.Service, it.messages, it.tokens, false),
+		}
+		if err := lines.Encode(line); err != nil {
+			return nil, err
+		}
+	}
+	return b.Bytes(), nil
+}
+
+// runningJob is a submitted job.
+type runningJob struct {
+	id    string
+	items []jobItem
+	last  batch.Counts
+}
+
+// jobRunner submits the jobs of one mix in one run and follows them.
+type jobRunner struct {
+	user   *user
+	record *batchRecord
+	seed   uint64
+	// round tells the jobs of different runs apart.
+	round string
+	jobs  []*runningJob
+}
+
+// client returns a client of the endpoint that is nearest now.
+func (j *jobRunner) client(ctx context.Context) (*batch.Client, error) {
+	address, err := j.user.address(ctx, 0)
+	if err != nil {
+		return nil, err
+	}
+	return &batch.Client{Endpoint: address, Key: j.record.mix.Key, HTTP: j.user.calls}, nil
+}
+
+// run submits and follows jobs until the end of the window, cancels them and
+// verifies their results.
+func (j *jobRunner) run(ctx context.Context, start time.Time, warmup, window time.Duration) {
+	m := j.record.mix
+	ticker := time.NewTicker(statusInterval)
+	defer ticker.Stop()
+	atStart := -1
+	for {
+		now := time.Since(start)
+		if len(j.jobs) < m.Jobs && now >= -warmup+time.Duration(len(j.jobs))*m.Every {
+			j.submit(ctx)
+			continue
+		}
+		finished := j.poll(ctx)
+		now = time.Since(start)
+		j.record.points = append(j.record.points, progress{now, finished})
+		if now >= 0 && atStart < 0 {
+			atStart = finished
+			j.record.window = -now
+		}
+		if now >= window || ctx.Err() != nil {
+			j.record.finished = finished - max(atStart, 0)
+			j.record.window += now
+			break
+		}
+		<-ticker.C
+	}
+	j.finish(context.WithoutCancel(ctx))
+}
+
+func (j *jobRunner) submit(ctx context.Context) {
+	m := j.record.mix
+	name := fmt.Sprintf("%s-%s-%d", j.round, m.Name, len(j.jobs))
+	job := &runningJob{items: m.items(j.seed, name)}
+	j.jobs = append(j.jobs, job)
+	total := 0
+	for _, it := range job.items {
+		total += it.tokens
+	}
+	j.record.tokens = float64(total) / float64(len(job.items))
+	input, err := m.input(job.items)
+	if err != nil {
+		j.fail(err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
+	defer cancel()
+	client, err := j.client(ctx)
+	if err != nil {
+		j.fail(err)
+		return
+	}
+	submitted, err := client.Submit(ctx, name, batch.Settings{Deadline: m.Deadline}, bytes.NewReader(input))
+	if err != nil {
+		j.fail(err)
+		return
+	}
+	job.id = submitted.ID
+}
+
+// fail counts a failed call; the next one asks for endpoints anew.
+func (j *jobRunner) fail(err error) {
+	j.record.errors[refused(err)]++
+	j.user.expire()
+}
+
+// poll returns the number of committed items of all jobs. A job whose status
+// cannot be read counts as it did last.
+func (j *jobRunner) poll(ctx context.Context) int {
+	finished := 0
+	for _, job := range j.jobs {
+		if job.id == "" {
+			continue
+		}
+		if job.last.Total == 0 || job.last.Finished() < job.last.Total {
+			j.status(ctx, job)
+		}
+		finished += job.last.Finished()
+	}
+	return finished
+}
+
+func (j *jobRunner) status(ctx context.Context, job *runningJob) {
+	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
+	defer cancel()
+	client, err := j.client(ctx)
+	if err != nil {
+		j.fail(err)
+		return
+	}
+	now, err := client.Status(ctx, job.id)
+	if err != nil {
+		j.fail(err)
+		return
+	}
+	job.last = now.Counts
+}
+
+// finish cancels the jobs and verifies the committed results.
+func (j *jobRunner) finish(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
+	defer cancel()
+	for _, job := range j.jobs {
+		if job.id == "" {
+			continue
+		}
+		j.record.failed += job.last.Failed
+		if err := j.cancelAndVerify(ctx, job); err != nil {
+			j.fail(err)
+		}
+	}
+}
+
+func (j *jobRunner) cancelAndVerify(ctx context.Context, job *runningJob) error {
+	client, err := j.client(ctx)
+	if err != nil {
+		return err
+	}
+	if job.last.Finished() < job.last.Total || job.last.Total == 0 {
+		if _, err := client.Cancel(ctx, job.id); err != nil {
+			return err
+		}
+	}
+	var results bytes.Buffer
+	for from := 0; ; {
+		next, err := client.Results(ctx, job.id, from, &results)
+		if err != nil {
+			return err
+		}
+		if next <= from || next >= len(job.items) {
+			break
+		}
+		from = next
+	}
+	j.verify(job, &results)
+	return nil
+}
+
+// verify compares the committed answers with the expected ones.
+func (j *jobRunner) verify(job *runningJob, results *bytes.Buffer) {
+	seen := map[int]bool{}
+	lines := bufio.NewScanner(results)
+	lines.Buffer(nil, maxErrorBytes<<4)
+	for lines.Scan() {
+		if strings.TrimSpace(lines.Text()) == "" {
+			continue
+		}
+		var line batch.ResultLine
+		if json.Unmarshal(lines.Bytes(), &line) != nil {
+			j.record.wrong++
+			continue
+		}
+		j.verifyLine(job, line, seen)
+	}
+}
+
+func (j *jobRunner) verifyLine(job *runningJob, line batch.ResultLine, seen map[int]bool) {
+	index, err := strconv.Atoi(line.CustomID)
+	if err != nil || index < 0 || index >= len(job.items) {
+		j.record.wrong++
+		return
+	}
+	if seen[index] {
+		j.record.duplicates++
+	}
+	seen[index] = true
+	if line.Response == nil {
+		return
+	}
+	var answer chatEvent
+	item := job.items[index]
+	want := engine.Answer(item.messages, item.tokens)
+	j.record.verified++
+	if json.Unmarshal(line.Response.Body, &answer) != nil || len(answer.Choices) != 1 || answer.Choices[0].Message.Content != want {
+		j.record.wrong++
+	}
+}
