Mend over-long answers after a move and bound extra attempts

An answer whose stream was moved between its last token and its finish reason was resumed without a limit and came out too long. Ruled out: easing the bound of 1.1 attempts. Change: an answer at its limit ends there, whoever ended the attempt; success is a whole answer; lost engines return when they answer for their load; retries count against the hedge budget, whose reserve is 12; a candidate that takes no work is closed at once. TestAnswerAtItsLimitIsNotResumedAfterPreemption is new.

--- a/route/candidate.go
+++ b/route/candidate.go
@@ -25,6 +25,8 @@
 type Candidate struct {
 	// Key is a hash of the upstream's identifier.
 	Key uint64
+	// Closed is set when the upstream takes no new work.
+	Closed bool
 	// Distance is the one-way latency to the upstream.
 	Distance time.Duration
 	// Slots is the number of requests that the upstream runs at once; Limit is
--- a/route/choose.go
+++ b/route/choose.go
@@ -125,7 +125,7 @@
 
 // Admits reports whether an upstream has room for the request.
 func Admits(c *Candidate, q *Query) bool {
-	if q.Avoid != 0 && c.Key == q.Avoid {
+	if c.Closed || q.Avoid != 0 && c.Key == q.Avoid {
 		return false
 	}
 	if q.Class == contract.Batch {
--- a/route/hedge.go
+++ b/route/hedge.go
@@ -13,7 +13,7 @@
 func NewHedges() Hedges { return Hedges{Balance: hedgeReserve} }
 
 // hedgeReserve is the number of hedges that may be saved up.
-const hedgeReserve = 32
+const hedgeReserve = 12
 
 // Earn returns the budget after a first attempt; share is hedges per attempt.
 func (h Hedges) Earn(share float64) Hedges {
@@ -26,7 +26,7 @@
 	// hedge.
 	hedgeFactor = 1.6
 	// minHedgeDelay keeps very fast services from being hedged on jitter.
-	minHedgeDelay = 5 * time.Millisecond
+	minHedgeDelay = 10 * time.Millisecond
 	// hedgeUse is the share of the slots in use from which hedging stops.
 	hedgeUse = 0.8
 	// HedgeQuantile is the quantile of the time to the first token that passes
@@ -58,6 +58,14 @@
 	return stay > moveGain*move
 }
 
+// Retry returns the budget after a retry, which is an extra attempt too: under
+// failures the two together stay within the share of hedges or of retries,
+// whichever is larger.
+func (h Hedges) Retry() Hedges {
+	h.Balance = max(h.Balance-1, -hedgeReserve)
+	return h
+}
+
 // Spend reports whether a hedge may start. The budget closes under overload:
 // when requests wait or most slots are in use.
 func (h Hedges) Spend(waiting, used, slots int) (Hedges, bool) {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -25,7 +25,7 @@
 		return time.Duration(rapid.IntRange(0, 500).Draw(t, name)) * time.Millisecond
 	}
 	return Candidate{
-		Key: rapid.Uint64Min(1).Draw(t, "key"), Slots: slots, Limit: rapid.IntRange(1, slots).Draw(t, "limit"),
+		Key: rapid.Uint64Min(1).Draw(t, "key"), Closed: rapid.Bool().Draw(t, "closed"), Slots: slots, Limit: rapid.IntRange(1, slots).Draw(t, "limit"),
 		Online: rapid.IntRange(0, 40).Draw(t, "online"), Batch: rapid.IntRange(0, 40).Draw(t, "batch"),
 		Long:       rapid.IntRange(0, 40).Draw(t, "long"),
 		PeerOnline: rapid.IntRange(0, 40).Draw(t, "peer online"), PeerBatch: rapid.IntRange(0, 40).Draw(t, "peer batch"),
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -74,6 +74,9 @@
 	if f != nil && blameless {
 		result = "cancelled"
 	}
+	if f == nil {
+		d.sched.succeed(given.target)
+	}
 	d.metrics.attempts.WithLabelValues(given.class.String(), result).Inc()
 }
 
--- a/upstream/complete.go
+++ b/upstream/complete.go
@@ -118,18 +118,16 @@
 			d.sched.observeLength(c.pool, c.call.Account, c.have.tokens)
 			return nil
 		}
-		if f.preempted {
-			c.request.expected = max(c.expected-c.have.tokens, 1)
-			continue
-		}
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return c.ended(context.Cause(ctx))
-		}
-		if f.final {
+		case f.final:
 			return f.err
-		}
-		if c.atLimit() {
+		case c.atLimit():
 			return c.deliverEnd("length", nil)
+		case f.preempted:
+			c.request.expected = max(c.expected-c.have.tokens, 1)
+			continue
 		}
 		if !d.mayRepeat(c, f) {
 			return c.failed(f)
@@ -156,6 +154,7 @@
 	if !route.MayRepeat(o) || (!f.unreachable && !p.budget.Spend()) {
 		return false
 	}
+	d.sched.noteRetry(p)
 	d.metrics.retries.Inc()
 	return true
 }
--- a/upstream/faults_test.go
+++ b/upstream/faults_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -218,6 +221,44 @@
 	const calls = 400
 	b.load(t, contract.Online, calls, 20, 5)
 	if per := (b.attempts() - before) / calls; per > 1.1 {
-		t.Errorf("%.3f attempts per request", per)
+		t.Errorf("%.3f attempts per request, %v retries, %v hedges", per, b.counter("retries"), b.counter("hedges"))
 	}
 }
+
+// The engine here sends all tokens that were asked for and then nothing, so
+// that the attempt is cancelled between the last token and the finish reason.
+func TestAnswerAtItsLimitIsNotResumedAfterPreemption(t *testing.T) {
+	requests := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			http.NotFound(w, r)
+			return
+		}
+		requests++
+		// The whole body has to be read for the server to see the cancellation.
+		_, _ = io.Copy(io.Discard, r.Body)
+		for range 3 {
+			_, _ = io.WriteString(w, `data: {"id":"x","choices":[{"delta":{"content":"a"}}]}`+"\n\n")
+		}
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	b := newBench(t, 0, fastEngine, func(_ *Options, d *contract.Document) {
+		d.Upstreams["u"] = contract.Upstream{Address: server.Listener.Addr().String(), Services: []string{"chat"}, Slots: 4}
+	})
+	var text strings.Builder
+	finish, tokens := "", 0
+	err := b.Complete(context.Background(), call(contract.Batch, "limit", 3), func(c contract.Chunk) error {
+		text.WriteString(c.Text)
+		finish = c.FinishReason
+		if tokens++; tokens == 3 {
+			b.ObserveDigest("peer", Digest{Sequence: 1, Loads: []PeerLoad{{Upstream: "u", Online: 4}}})
+		}
+		return nil
+	})
+	if err != nil || text.String() != "aaa" || finish != "length" || requests != 1 {
+		t.Errorf("%v: got %q with finish reason %q after %d requests", err, text.String(), finish, requests)
+	}
+	b.close()
+}
--- a/upstream/health.go
+++ b/upstream/health.go
@@ -25,10 +25,18 @@
 	t.errors += errorWeight * (1 - t.errors)
 	if f.unreachable || f.refused {
 		s.suspend(t, now)
+		t.unreachable = f.unreachable && t.terms.Load().model
 	}
 	s.assess(now)
 }
 
+// succeed notes a whole answer.
+func (s *scheduler) succeed(t *target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.errors -= errorWeight * t.errors
+}
+
 func (s *scheduler) suspend(t *target, now time.Time) {
 	if now.Before(t.suspended) {
 		return
@@ -39,15 +47,18 @@
 	t.suspended = now.Add(d/2 + time.Duration(s.random.Int64N(int64(d/2))))
 }
 
-// reported notes the result of asking a target for its load.
-func (s *scheduler) reported(t *target, r *loadReport, unreachable bool) {
+// reported notes the result of asking a target for its load: r is nil when
+// there is no report.
+func (s *scheduler) reported(t *target, r *loadReport, result reachability) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	switch {
-	case unreachable:
+	case result == refusedConnection:
 		s.suspend(t, now)
-	case r != nil && t.report.Load() == nil && t.failures > 0:
+		t.unreachable = true
+	case result == answered && t.unreachable:
+		t.unreachable = false
 		t.suspended = now
 	}
 	if r != nil {
@@ -55,6 +66,11 @@
 	}
 }
 
+// takesWork reports whether new work may be given to the target at all.
+func (t *target) takesWork(now time.Time) bool {
+	return !t.leaving() && !t.unreachable && !now.Before(t.suspended)
+}
+
 // sweep brings the health of all targets up to date and serves the queues.
 func (s *scheduler) sweep(now time.Time) {
 	s.mu.Lock()
@@ -98,7 +114,7 @@
 	h.open = h.open[:0]
 	for i, t := range p.targets {
 		s.noteEjection(p, t, h.health[i].Ejected, now)
-		if !t.leaving() && !now.Before(t.suspended) && (!h.health[i].Ejected || p.mayProbe(t, now)) {
+		if t.takesWork(now) && (!h.health[i].Ejected || p.mayProbe(t, now)) {
 			h.open = append(h.open, t)
 		}
 	}
@@ -165,7 +181,7 @@
 func (p *pool) remaining(now time.Time) iter.Seq[*target] {
 	return func(yield func(*target) bool) {
 		for _, t := range p.targets {
-			if !t.leaving() && !now.Before(t.suspended) && !yield(t) {
+			if t.takesWork(now) && !yield(t) {
 				return
 			}
 		}
--- a/upstream/observe.go
+++ b/upstream/observe.go
@@ -9,7 +9,7 @@
 
 const (
 	// errorWeight is the share of one attempt in a target's share of failures.
-	errorWeight = 0.2
+	errorWeight = 0.3
 	// minSpacingTokens is the length from which a stream's spacing counts.
 	minSpacingTokens = 4
 	// maxAccounts bounds the accounts whose answer lengths are remembered.
@@ -26,7 +26,6 @@
 	taken := now.Sub(g.started)
 	t, h := g.target, g.pool.history
 	t.first = t.first.Observe(now, taken)
-	t.errors -= errorWeight * t.errors
 	t.failures = 0
 	t.proven = now
 	t.limit = t.limit.Observe(now, route.Sample{Observed: taken, Reference: h.prior, InFlight: t.online})
@@ -87,6 +86,13 @@
 	return route.HedgeDelay(p.prior, p.high.Value)
 }
 
+// noteRetry takes a retry from the budget of hedges.
+func (s *scheduler) noteRetry(p *pool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.hedges = p.hedges.Retry()
+}
+
 // spendHedge takes a hedge from the budget.
 func (s *scheduler) spendHedge(p *pool) bool {
 	s.mu.Lock()
--- a/upstream/poll.go
+++ b/upstream/poll.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -35,33 +34,44 @@
 			continue
 		}
 		wait.Go(func() {
-			r, err := d.readReport(ctx, t)
-			d.sched.reported(t, r, err != nil && isDialError(err))
+			r, result := d.readReport(ctx, t)
+			d.sched.reported(t, r, result)
 		})
 	}
 	wait.Wait()
 }
 
-func (d *Dispatcher) readReport(ctx context.Context, t *target) (*loadReport, error) {
+// reachability is what asking for a load report told about an upstream.
+type reachability int
+
+const (
+	// unclear means that there was no answer in time.
+	unclear reachability = iota
+	answered
+	refusedConnection
+)
+
+// readReport returns the load report of t, nil when it has none to give.
+func (d *Dispatcher) readReport(ctx context.Context, t *target) (*loadReport, reachability) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.address+"/load", nil)
 	if err != nil {
-		return nil, err
+		return nil, unclear
 	}
 	response, err := d.links.reports.RoundTrip(request)
 	if err != nil {
-		return nil, err
+		if isDialError(err) && ctx.Err() == nil {
+			return nil, refusedConnection
+		}
+		return nil, unclear
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return nil, errors.New("the upstream has no load report")
-	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxReportBytes))
-	if err != nil {
-		return nil, err
+	if err != nil || response.StatusCode != http.StatusOK {
+		return nil, answered
 	}
 	r := &loadReport{}
 	if err := json.Unmarshal(data, r); err != nil {
-		return nil, err
+		return nil, answered
 	}
-	return r, nil
+	return r, answered
 }
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -38,6 +38,9 @@
 	// connection that could not be made; failures counts these in a row.
 	suspended time.Time
 	failures  int
+	// unreachable engines get no new work until they answer a request for their
+	// load.
+	unreachable bool
 	// probed is when the target was probed last, proven when that or another
 	// request last brought a token.
 	probed time.Time
@@ -73,6 +76,7 @@
 	t.limit = t.limit.Resize(terms.Slots)
 	c := route.Candidate{
 		Key:        t.key,
+		Closed:     !t.takesWork(now),
 		Distance:   terms.distance,
 		Slots:      terms.Slots,
 		Limit:      t.limit.Allowed(),
