Exchange load among instances so that batch yields across them

Cause: a burst of online requests that enters at one instance found the engine full of another instance's batch work, which only its own load could preempt. Ruled out: admission through an owner of the upstream, which adds a hop to every request; a full exchange on every change, which is past the budget of 3 KB/s with ten peers.

--- a/upstream/digest.go
+++ b/upstream/digest.go
@@ -32,8 +32,15 @@
 	received time.Time
 }
 
-// digestLifetime is how long a digest counts.
-const digestLifetime = 3 * time.Second
+const (
+	// onlineLifetime is how long the online requests of a digest count. Old
+	// ones must not keep online work from free slots.
+	onlineLifetime = 2 * time.Second
+	// batchLifetime is how long its batch requests count.
+	batchLifetime = 10 * time.Second
+	// peerInterval is the time between two looks at the age of the digests.
+	peerInterval = 200 * time.Millisecond
+)
 
 // Digest returns this instance's load for its peers.
 func (d *Dispatcher) Digest() Digest {
@@ -61,7 +68,7 @@
 	}
 	now := time.Now()
 	s.peers[peer] = &peerDigest{digest, now}
-	s.applyPeers()
+	s.applyPeers(now)
 	for _, load := range digest.Loads {
 		if t, ok := s.fleet.targets[load.Upstream]; ok && load.Online > 0 {
 			s.yield(t, now)
@@ -69,30 +76,60 @@
 	}
 }
 
+// batchPeers returns the peers whose batch work is in the way of online work,
+// as far as their digests tell.
+func (d *Dispatcher) batchPeers() map[string]bool {
+	s := d.sched
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	holders := map[string]bool{}
+	for peer, digest := range s.peers {
+		for _, load := range digest.Loads {
+			if t, ok := s.fleet.targets[load.Upstream]; ok && load.Batch > 0 && t.online > 0 {
+				holders[peer] = true
+			}
+		}
+	}
+	return holders
+}
+
+// expirePeers forgets old digests. The lock is held.
 func (s *scheduler) expirePeers(now time.Time) {
-	expired := false
+	if now.Sub(s.peersAt) < peerInterval {
+		return
+	}
 	for peer, digest := range s.peers {
-		if now.Sub(digest.received) > digestLifetime {
+		if now.Sub(digest.received) > batchLifetime {
 			delete(s.peers, peer)
-			expired = true
 		}
 	}
-	if expired {
-		s.applyPeers()
-	}
+	s.applyPeers(now)
 }
 
 // applyPeers sums the digests up. The lock is held.
-func (s *scheduler) applyPeers() {
+func (s *scheduler) applyPeers(now time.Time) {
+	s.peersAt = now
 	for _, t := range s.fleet.targets {
 		t.peers = peerLoad{}
 	}
 	for _, digest := range s.peers {
+		counts := now.Sub(digest.received) <= onlineLifetime
 		for _, load := range digest.Loads {
-			if t, ok := s.fleet.targets[load.Upstream]; ok {
+			t, ok := s.fleet.targets[load.Upstream]
+			if !ok {
+				continue
+			}
+			t.peers.batch += load.Batch
+			if counts {
 				t.peers.online += load.Online
-				t.peers.batch += load.Batch
 			}
 		}
 	}
 }
+
+// setUrgent sets what is called when batch work of peers is in the way.
+func (s *scheduler) setUrgent(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.urgent = f
+}
--- /dev/null
+++ b/upstream/exchange_test.go
@@ -0,0 +1,97 @@
+package upstream
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/daisylb/daisylb/contract"
+)
+
+// exchange connects two dispatchers by their peer service.
+func exchange(t testing.TB, a, b *Dispatcher) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	var urls [2]string
+	var exchanges []*Exchange
+	transport := &http.Transport{}
+	ids := [2]string{"a", "b"}
+	for i, d := range []*Dispatcher{a, b} {
+		e, err := NewExchange(ExchangeOptions{
+			Dispatcher: d, InstanceID: ids[i], Client: &http.Client{Transport: transport},
+			Peers: func() []Peer { return []Peer{{ids[1-i], urls[1-i]}} },
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		mux := http.NewServeMux()
+		mux.Handle(e.Handler())
+		server := httptest.NewServer(mux)
+		t.Cleanup(server.Close)
+		urls[i] = server.URL
+		exchanges = append(exchanges, e)
+	}
+	for _, e := range exchanges {
+		wait.Go(func() { _ = e.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		wait.Wait()
+		transport.CloseIdleConnections()
+	})
+}
+
+// sharing returns a bench with 15 batch calls in the 16 slots of an engine, and
+// another dispatcher before the same engine that knows of them.
+func sharing(t testing.TB) (holder *bench, other *Dispatcher, finish func()) {
+	t.Helper()
+	eo := policyEngine
+	holder = newBench(t, 1, eo, nil)
+	o := holder.options
+	o.Registerer = nil
+	other, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	wait.Go(func() { _ = other.Run(ctx) })
+	wait.Go(func() { holder.load(t, contract.Batch, 15, 15, 200) })
+	waitFor(t, "batch in all spare slots", func() bool { return holder.engines[0].Current().Running == 15 })
+	exchange(t, other, holder.Dispatcher)
+	waitFor(t, "peer's batch", func() bool { return other.State().Upstreams[0].PeerBatch == 15 })
+	return holder, other, func() {
+		cancel()
+		wait.Wait()
+	}
+}
+
+func TestBatchOfOneInstanceYieldsToOnlineOfAnother(t *testing.T) {
+	holder, other, finish := sharing(t)
+	b := &bench{Dispatcher: other}
+	b.load(t, contract.Online, 12, 12, 30)
+	finish()
+	if n := holder.counts(); n.Cancelled == 0 || n.Resumed == 0 {
+		t.Errorf("%d cancelled, %d resumed", n.Cancelled, n.Resumed)
+	}
+}
+
+// BenchmarkPeerPreemption measures the time from a burst of online requests at
+// one instance until the engine has let go of another instance's batch work.
+func BenchmarkPeerPreemption(b *testing.B) {
+	for b.Loop() {
+		holder, other, finish := sharing(b)
+		start := time.Now()
+		var wait sync.WaitGroup
+		wait.Go(func() { (&bench{Dispatcher: other}).load(b, contract.Online, 12, 12, 30) })
+		waitFor(b, "cancellation at the engine", func() bool { return holder.engines[0].Counts().Cancelled >= 12 })
+		b.ReportMetric(float64(time.Since(start).Microseconds())/1000, "ms")
+		wait.Wait()
+		finish()
+		holder.close()
+	}
+}
--- a/upstream/fleet.go
+++ b/upstream/fleet.go
@@ -15,12 +15,14 @@
 	preset   contract.Preset
 	pools    map[string]*pool
 	targets  map[string]*target
+	// hashed has the ids of the targets by the hash that peers use.
+	hashed map[uint32]string
 }
 
 // buildFleet derives a fleet from a document. Targets and services that go on
 // keep what was observed of them.
 func buildFleet(old *fleet, document *contract.Document, o Options) *fleet {
-	f := &fleet{document: document, pools: map[string]*pool{}, targets: map[string]*target{}}
+	f := &fleet{document: document, pools: map[string]*pool{}, targets: map[string]*target{}, hashed: map[uint32]string{}}
 	if document == nil {
 		return f
 	}
@@ -57,6 +59,7 @@
 		t = newTarget(id, u.Address)
 	}
 	f.targets[id] = t
+	f.hashed[hashUpstream(id)] = id
 	t.setContract(&terms{u, distance(document, o.DataCentre, u.DataCentre), servesModel(document, u)})
 	return t
 }
--- a/upstream/metrics.go
+++ b/upstream/metrics.go
@@ -4,13 +4,14 @@
 
 // metrics of the dispatcher; usable without a registerer.
 type metrics struct {
-	attempts    *prometheus.CounterVec
-	preemptions prometheus.Counter
-	retries     prometheus.Counter
-	hedges      prometheus.Counter
-	ejections   prometheus.Counter
-	moves       prometheus.Counter
-	firstToken  prometheus.Histogram
+	attempts         *prometheus.CounterVec
+	preemptions      prometheus.Counter
+	retries          prometheus.Counter
+	hedges           prometheus.Counter
+	ejections        prometheus.Counter
+	moves            prometheus.Counter
+	exchangesSkipped prometheus.Counter
+	firstToken       prometheus.Histogram
 }
 
 func counter(name, help string) prometheus.Counter {
@@ -23,11 +24,12 @@
 			Name: "daisylb_upstream_attempts_total",
 			Help: "Attempts on upstreams by class and result.",
 		}, []string{"class", "result"}),
-		preemptions: counter("preemptions", "Batch attempts cancelled because online work took the slot."),
-		retries:     counter("retries", "Attempts after a failed one."),
-		hedges:      counter("hedges", "Second attempts beside a first one without a token."),
-		ejections:   counter("ejections", "Upstreams taken out of ordinary use for being slow or failing."),
-		moves:       counter("moves", "Streams taken off an ejected upstream and resumed elsewhere."),
+		preemptions:      counter("preemptions", "Batch attempts cancelled because online work took the slot."),
+		retries:          counter("retries", "Attempts after a failed one."),
+		hedges:           counter("hedges", "Second attempts beside a first one without a token."),
+		ejections:        counter("ejections", "Upstreams taken out of ordinary use for being slow or failing."),
+		exchangesSkipped: counter("exchanges_skipped", "Exchanges of load with peers left out because the budget of bytes was used up."),
+		moves:            counter("moves", "Streams taken off an ejected upstream and resumed elsewhere."),
 		firstToken: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "daisylb_upstream_first_token_seconds",
 			Help:    "Time to the first token of online attempts.",
@@ -37,7 +39,7 @@
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.attempts, m.preemptions, m.retries, m.hedges, m.ejections, m.moves, m.firstToken} {
+	for _, c := range []prometheus.Collector{m.attempts, m.preemptions, m.retries, m.hedges, m.ejections, m.moves, m.exchangesSkipped, m.firstToken} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -58,6 +58,8 @@
 	random *rand.Rand
 	fleet  *fleet
 	peers  map[string]*peerDigest
+	// peersAt is when the digests were summed up last.
+	peersAt time.Time
 }
 
 func newScheduler(seed uint64, policy route.Policy, m *metrics) *scheduler {
@@ -79,8 +81,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fleet = f
-	s.applyPeers()
-	s.assess(time.Now())
+	now := time.Now()
+	s.applyPeers(now)
+	s.assess(now)
 	s.pump()
 }
 
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -24,6 +24,7 @@
 	*Dispatcher
 	document atomic.Pointer[contract.Document]
 	registry *prometheus.Registry
+	options  Options
 	engines  []*engine.Engine
 	servers  []*httptest.Server
 	close    func()
@@ -81,7 +82,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.Dispatcher = d
+	b.Dispatcher, b.options = d, o
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
