--- a/daemon/build.go
+++ b/daemon/build.go
@@ -32,6 +32,7 @@
 		d.buildConfig,
 		d.buildMembership,
 		d.buildDispatcher,
+		d.buildExchange,
 		d.buildClaims,
 		d.buildBatch,
 		d.buildCallers,
@@ -176,14 +177,38 @@
 	return err
 }
 
+// buildExchange tells peers of the load on upstreams that they share.
+func (d *Daemon) buildExchange() error {
+	var err error
+	d.exchange, err = upstream.NewExchange(upstream.ExchangeOptions{
+		Dispatcher: d.dispatcher,
+		InstanceID: d.identity.ID,
+		Peers:      d.upstreamPeers,
+		Client:     d.transport,
+	})
+	return err
+}
+
+func (d *Daemon) upstreamPeers() []upstream.Peer {
+	var peers []upstream.Peer
+	for _, m := range d.members.View().Live() {
+		if m.ID != d.identity.ID {
+			peers = append(peers, upstream.Peer{ID: m.ID, URL: link.URL(m.PeerAddress)})
+		}
+	}
+	return peers
+}
+
 func (d *Daemon) buildClaims() error {
 	store, poll := d.store.View(guard.Urgent), d.store.View(guard.Poll)
 	var err error
 	d.claims, err = claim.New(claim.Options{
 		InstanceID:   d.identity.ID + "/" + d.process,
+		PeerID:       d.identity.ID,
 		Table:        store,
 		Objects:      store,
 		OwnerTable:   d.store.View(guard.Owner),
+		OwnerObjects: d.store.View(guard.Owner),
 		SweepTable:   poll,
 		SweepObjects: poll,
 		View:         claimView{d},
@@ -293,6 +318,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(d.config.PeerHandler())
 	mux.Handle(instance.NewHandler(d.members))
+	mux.Handle(d.exchange.Handler(link.HandlerOptions()))
 	mux.Handle(d.claims.Handler(link.HandlerOptions()))
 	server := caller.NewHTTPServer(link.Authenticate(d.settings.PeerKeys, mux))
 	server.Protocols = link.ServerProtocols()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -57,6 +57,7 @@
 	config    *config.Store
 
 	dispatcher *upstream.Dispatcher
+	exchange   *upstream.Exchange
 	claims     *claim.Service
 	jobs       *batch.Service
 	runner     *batch.Runner
@@ -186,6 +187,7 @@
 	g.Go(func() error { return ignoreCancel(d.config.Run(ctx)) })
 	g.Go(func() error { return ignoreCancel(d.members.Run(ctx)) })
 	g.Go(func() error { return ignoreCancel(d.dispatcher.Run(ctx)) })
+	g.Go(func() error { return ignoreCancel(d.exchange.Run(ctx)) })
 	g.Go(func() error { return ignoreCancel(d.claims.Run(ctx)) })
 	g.Go(func() error { return ignoreCancel(d.sweeper.Run(ctx)) })
 }
