Encode the constant part of stream events once

Cause: every event of a stream encoded id, model and time again. Ruled out: a hand-written encoder of strings; the library still encodes what callers wrote. Change: the head of the event is encoded once a stream, events share a buffer.

--- a/caller/stream.go
+++ b/caller/stream.go
@@ -10,13 +10,12 @@
 	"github.com/daisylb/daisylb/contract"
 )
 
-type chunkBody struct {
-	ID      string          `json:"id"`
-	Object  string          `json:"object"`
-	Created int64           `json:"created"`
-	Model   string          `json:"model"`
-	Choices []chunkChoice   `json:"choices"`
-	Usage   *contract.Usage `json:"usage,omitempty"`
+// chunkHead is what all events of one answer begin with.
+type chunkHead struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	Model   string `json:"model"`
 }
 
 type chunkChoice struct {
@@ -35,23 +34,30 @@
 type eventStream struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
-	body    chunkBody
-	choices [1]chunkChoice
+	// head is the encoded chunkHead without its closing brace; it is the same in
+	// every event and encoded once.
+	head    []byte
+	event   []byte
 	usage   bool
 	started bool
 }
 
 func newEventStream(w http.ResponseWriter, call *contract.Completion, now time.Time) *eventStream {
+	head, err := json.Marshal(chunkHead{
+		ID:      completionID(call),
+		Object:  "chat.completion.chunk",
+		Created: now.Unix(),
+		Model:   call.Service,
+	})
+	if err != nil {
+		// Strings and numbers always have an encoding.
+		panic(err)
+	}
 	return &eventStream{
 		w:       w,
 		control: http.NewResponseController(w),
+		head:    head[:len(head)-1],
 		usage:   call.Chat.IncludeUsage,
-		body: chunkBody{
-			ID:      completionID(call),
-			Object:  "chat.completion.chunk",
-			Created: now.Unix(),
-			Model:   call.Service,
-		},
 	}
 }
 
@@ -102,16 +108,19 @@
 	if c.FinishReason != "" {
 		choice.FinishReason = &c.FinishReason
 	}
-	s.choices[0] = choice
-	s.body.Choices = s.choices[:]
-	s.body.Usage = nil
-	return sendEvent(s, s.body)
+	data, err := json.Marshal(&choice)
+	if err != nil {
+		return code.Wrap(code.Internal, err, "the event could not be encoded")
+	}
+	return s.write(s.head, []byte(`,"choices":[`), data, []byte(`]}`))
 }
 
 func (s *eventStream) sendUsage(u *contract.Usage) error {
-	s.body.Choices = s.choices[:0]
-	s.body.Usage = u
-	return sendEvent(s, s.body)
+	data, err := json.Marshal(u)
+	if err != nil {
+		return code.Wrap(code.Internal, err, "the event could not be encoded")
+	}
+	return s.write(s.head, []byte(`,"choices":[],"usage":`), data, []byte(`}`))
 }
 
 // done ends a whole answer.
@@ -124,24 +133,21 @@
 
 // fail ends a started stream with a numbered error and without the end mark.
 func (s *eventStream) fail(requestID string, err error) {
-	_ = sendEvent(s, code.NewBody(requestID, code.From(err)))
+	data, encoding := json.Marshal(code.NewBody(requestID, code.From(err)))
+	if encoding == nil {
+		_ = s.write(data)
+	}
 	_ = s.flush()
 }
 
-func sendEvent[T any](s *eventStream, body T) error {
-	data, err := json.Marshal(body)
-	if err != nil {
-		return code.Wrap(code.Internal, err, "the event could not be encoded")
+// write sends one event whose data is the parts together.
+func (s *eventStream) write(parts ...[]byte) error {
+	s.event = append(s.event[:0], "data: "...)
+	for _, part := range parts {
+		s.event = append(s.event, part...)
 	}
-	return s.write(data)
-}
-
-func (s *eventStream) write(data []byte) error {
-	event := make([]byte, 0, len(data)+8)
-	event = append(event, "data: "...)
-	event = append(event, data...)
-	event = append(event, "\n\n"...)
-	if _, err := s.w.Write(event); err != nil {
+	s.event = append(s.event, "\n\n"...)
+	if _, err := s.w.Write(s.event); err != nil {
 		return code.Wrap(code.CallerGone, err, "the caller closed the connection")
 	}
 	return nil
