Let news of members pass the introductions of a mass start

Cause: after a start of 250 members at once each has 249 introductions to send 27 times, eight a second; a later joiner waits among them. A trial with 550 members had a joiner still unknown to some after a minute.

Ruled out: fewer repeats, which lose news in a quiet membership.

Change: changes of membership are sent for three times of suspicion only, the newest first among those sent equally often; comparisons mend what is left.

--- a/instance/gossip.go
+++ b/instance/gossip.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/bits"
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -18,6 +19,9 @@
 	calmSendLimit = 6
 	// calmShare is the part of the bound that loads may take.
 	calmShare = 2
+	// urgentSuspicions is for how many times of suspicion a change of membership
+	// is sent on; after many changes at once, comparisons mend the rest.
+	urgentSuspicions = 3
 	// entryOverhead is the tag and length of one entry in a message.
 	entryOverhead = 3
 )
@@ -25,13 +29,13 @@
 // gossip returns what to tell the member about: its own record when others
 // hold it for less than alive, then changes of membership, then loads in at most
 // half of the space, within the bound of one message. Changes that were sent least come first.
-func (t *table) gossip(about handle) *instancepb.Gossip {
+func (t *table) gossip(now time.Time, about handle) *instancepb.Gossip {
 	g := &instancepb.Gossip{Sender: t.self.entry(false)}
 	room := t.options.MaxGossipBytes - proto.Size(g.Sender) - entryOverhead
 	if r, ok := t.records[about]; ok && r.member.Health != Alive {
 		room = appendEntry(g, r.entry(false), room)
 	}
-	urgent, calm := t.pending(about)
+	urgent, calm := t.pending(now, about)
 	for _, r := range urgent {
 		if room = appendEntry(g, r.entry(r.introducing), room); room < 0 {
 			return g
@@ -59,25 +63,28 @@
 	return room
 }
 
-// pending returns the records that still need sending, the least sent first.
-// Equals stand in an order that starts at a random member.
-func (t *table) pending(about handle) (urgent, calm []*record) {
+// pending returns the records that still need sending, the least sent first and
+// of these the newest. Equals stand in an order that starts at a random member.
+func (t *table) pending(now time.Time, about handle) (urgent, calm []*record) {
 	if len(t.order) == 0 {
 		return nil, nil
 	}
 	limit := t.urgentLimit()
+	oldest := now.Add(-urgentSuspicions * t.options.suspicionTime(len(t.order)))
 	start := t.random.IntN(len(t.order))
 	for i := range t.order {
 		r := t.order[(start+i)%len(t.order)]
 		switch {
 		case r.handle == about:
-		case r.urgentSends < limit:
+		case r.urgentSends < limit && r.news.After(oldest):
 			urgent = append(urgent, r)
 		case r.calmSends < calmSendLimit && r.member.Health != Dead:
 			calm = append(calm, r)
 		}
 	}
-	slices.SortStableFunc(urgent, func(a, b *record) int { return cmp.Compare(a.urgentSends, b.urgentSends) })
+	slices.SortStableFunc(urgent, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(a.urgentSends, b.urgentSends), b.news.Compare(a.news))
+	})
 	slices.SortStableFunc(calm, func(a, b *record) int { return cmp.Compare(a.calmSends, b.calmSends) })
 	return urgent, calm
 }
--- a/instance/list.go
+++ b/instance/list.go
@@ -52,7 +52,7 @@
 	}
 	m.listFails = 0
 	m.listRead = time.Now()
-	m.table.setList(list)
+	m.table.setList(m.listRead, list)
 	m.metrics.list("read")
 	return m.listWait()
 }
@@ -152,7 +152,7 @@
 func (m *Membership) syncRequest(entries []*instancepb.Entry) *instancepb.SyncRequest {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	g := m.table.gossip(0)
+	g := m.table.gossip(time.Now(), 0)
 	g.Sender = m.table.self.entry(true)
 	return &instancepb.SyncRequest{Gossip: g, Fingerprint: m.table.fingerprint(), Entries: entries}
 }
--- a/instance/merge.go
+++ b/instance/merge.go
@@ -68,7 +68,6 @@
 	own.member.Incarnation = max(own.member.Incarnation, e.GetIncarnation()) + 1
 	own.revision = max(own.revision, e.GetRevision()) + 1
 	own.changed = now
-	own.urgentSends = 0
 	t.counts.Refutations++
 	t.stale = true
 }
@@ -104,7 +103,7 @@
 
 // mergeReport takes in what the member said of itself, when it is newer.
 func (t *table) mergeReport(now time.Time, r *record, e *instancepb.Entry, direct bool) {
-	t.setLeaving(r, e.GetLeaving())
+	t.setLeaving(now, r, e.GetLeaving())
 	m := &r.member
 	newer := e.GetIncarnation() > m.Incarnation || e.GetIncarnation() == m.Incarnation && e.GetRevision() > r.revision
 	if direct && e.GetIncarnation() == m.Incarnation && e.GetRevision() == r.revision {
@@ -115,7 +114,7 @@
 	}
 	state := stateFromWire(e.GetState())
 	if state != m.State {
-		r.urgentSends = 0
+		r.urge(now)
 		t.stale = true
 	}
 	r.revision = e.GetRevision()
@@ -137,7 +136,7 @@
 	switch {
 	case e.GetIncarnation() > m.Incarnation:
 		m.Incarnation = e.GetIncarnation()
-		r.urgentSends = 0
+		r.urge(now)
 		if m.Health == Suspect && told == Alive {
 			r.lenience = min(r.lenience+1, maxLenience)
 		}
--- a/instance/probe.go
+++ b/instance/probe.go
@@ -314,5 +314,5 @@
 func (m *Membership) gossip(about handle) *instancepb.Gossip {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.table.gossip(about)
+	return m.table.gossip(time.Now(), about)
 }
--- a/instance/record.go
+++ b/instance/record.go
@@ -33,7 +33,9 @@
 	// urgentSends and calmSends count how often the present content was sent as
 	// a change of membership and as a change of load or version.
 	urgentSends int
-	calmSends   int
+	// news is when the present content became urgent.
+	news      time.Time
+	calmSends int
 	// introducing is set while others may not know the identity.
 	introducing bool
 }
@@ -56,6 +58,12 @@
 	return e
 }
 
+// urge marks the record as a change of membership to be spread.
+func (r *record) urge(now time.Time) {
+	r.urgentSends = 0
+	r.news = now
+}
+
 func (r *record) fingerprint() uint64 {
 	return mix(uint64(r.handle) ^ mix(r.member.Incarnation))
 }
--- a/instance/table.go
+++ b/instance/table.go
@@ -98,6 +98,7 @@
 // add takes in a member that was not known.
 func (t *table) add(now time.Time, r *record) {
 	r.changed = now
+	r.urge(now)
 	t.records[r.handle] = r
 	i, _ := slices.BinarySearchFunc(t.order, r.member.ID, func(r *record, id string) int { return strings.Compare(r.member.ID, id) })
 	t.order = slices.Insert(t.order, i, r)
@@ -129,7 +130,7 @@
 	r.changed = now
 	r.accused = false
 	r.recheck = false
-	r.urgentSends = 0
+	r.urge(now)
 	switch h {
 	case Suspect:
 		r.deadline = now.Add(t.patience())
@@ -195,18 +196,18 @@
 }
 
 // setList takes a new list of the platform.
-func (t *table) setList(list []platform.ListedInstance) {
+func (t *table) setList(now time.Time, list []platform.ListedInstance) {
 	listed := make(map[handle]bool, len(list))
 	candidates := map[handle]Identity{}
 	for _, l := range list {
 		h := handleOf(l.ID)
 		listed[h] = true
 		if h == t.self.handle {
-			t.setLeaving(&t.self, l.Leaving)
+			t.setLeaving(now, &t.self, l.Leaving)
 			continue
 		}
 		if r, ok := t.records[h]; ok {
-			t.setLeaving(r, l.Leaving)
+			t.setLeaving(now, r, l.Leaving)
 			continue
 		}
 		if l.ID != "" && l.PeerAddress != "" {
@@ -220,12 +221,12 @@
 }
 
 // setLeaving notes that a member will be stopped; that never changes back.
-func (t *table) setLeaving(r *record, leaving bool) {
+func (t *table) setLeaving(now time.Time, r *record, leaving bool) {
 	if !leaving || r.member.Leaving {
 		return
 	}
 	r.member.Leaving = true
-	r.urgentSends = 0
+	r.urge(now)
 	t.stale = true
 }
 
