--- a/instance/answer.go
+++ b/instance/answer.go
@@ -42,7 +42,13 @@
 }
 
 // relay probes for another instance and returns what the target says of itself.
+// The address that is known here goes before the one in the request.
 func (m *Membership) relay(ctx context.Context, t target) (*instancepb.Entry, bool) {
+	m.mu.Lock()
+	if known, ok := m.table.records[t.handle]; ok {
+		t.address = known.member.PeerAddress
+	}
+	m.mu.Unlock()
 	r, err := m.options.Prober.Probe(ctx, t.address, &instancepb.ProbeRequest{Gossip: m.gossip(t.handle), Target: uint64(t.handle)})
 	m.options.gate()
 	if err != nil {
--- a/instance/dump.go
+++ b/instance/dump.go
@@ -23,7 +23,7 @@
 	// the failed reads since.
 	ListRead     time.Time `json:"list_read"`
 	ListFailures int       `json:"list_failures"`
-	Counts       counts    `json:"counts"`
+	Counts       Counts    `json:"counts"`
 }
 
 // MemberState is one member in the state dump.
--- a/instance/merge.go
+++ b/instance/merge.go
@@ -73,7 +73,8 @@
 }
 
 func (t *table) mergeStranger(now time.Time, e *instancepb.Entry) {
-	if healthFromWire(e.GetHealth()) == Dead || e.GetState() == instancepb.State_STATE_STOPPED {
+	gone := healthFromWire(e.GetHealth()) == Dead || e.GetState() == instancepb.State_STATE_STOPPED
+	if gone || len(t.records) >= maxMembers {
 		return
 	}
 	identity := identityFromWire(e.GetIdentity())
--- a/instance/network_test.go
+++ b/instance/network_test.go
@@ -276,7 +276,7 @@
 }
 
 // totals sums the counts of the hosts.
-func totals(hosts ...*host) (sum counts) {
+func totals(hosts ...*host) (sum Counts) {
 	for _, h := range hosts {
 		s := h.State().Counts
 		sum.Suspicions += s.Suspicions
--- a/instance/table.go
+++ b/instance/table.go
@@ -9,6 +9,9 @@
 	"github.com/daisylb/daisylb/platform"
 )
 
+// maxMembers bounds the members that one instance takes in.
+const maxMembers = 5000
+
 // maxLenience bounds record.lenience.
 const maxLenience = 3
 
@@ -41,7 +44,7 @@
 	strangers bool
 	// newest is the highest configuration version heard of, and who has it.
 	newest versionSource
-	counts counts
+	counts Counts
 }
 
 type versionSource struct {
@@ -49,13 +52,17 @@
 	address string
 }
 
-// counts are totals for metrics and the state dump.
-type counts struct {
-	Suspicions  uint64 `json:"suspicions"`
-	Deaths      uint64 `json:"deaths"`
+// Counts are totals since the start.
+type Counts struct {
+	// Suspicions and Deaths are changes of other members' health in this view.
+	Suspicions uint64 `json:"suspicions"`
+	Deaths     uint64 `json:"deaths"`
+	// Refutations of suspicions of the own instance.
 	Refutations uint64 `json:"refutations"`
-	Joins       uint64 `json:"joins"`
-	Pauses      uint64 `json:"pauses"`
+	// Joins are members that became known.
+	Joins uint64 `json:"joins"`
+	// Pauses of the own process that were noticed.
+	Pauses uint64 `json:"pauses"`
 }
 
 func newTable(o *Options) *table {
