--- a/instance/record.go
+++ b/instance/record.go
@@ -33,7 +33,11 @@
 	// urgentSends and calmSends count how often the present content was sent as
 	// a change of membership and as a change of load or version.
 	urgentSends int
-	calmSends   int
+	// news is when the present content became urgent.
+	news      time.Time
+	calmSends int
+	// pressing is set when the urgent content is more than an introduction.
+	pressing bool
 	// introducing is set while others may not know the identity.
 	introducing bool
 }
@@ -56,6 +60,13 @@
 	return e
 }
 
+// urge marks the record as a change of membership to be spread.
+func (r *record) urge(now time.Time) {
+	r.urgentSends = 0
+	r.news = now
+	r.pressing = true
+}
+
 func (r *record) fingerprint() uint64 {
 	return mix(uint64(r.handle) ^ mix(r.member.Incarnation))
 }
