Find items that stop their instances

Cause: an item that makes its instance die is run again by every next holder, and takes down instance after instance.

Ruled out: counting an attempt for every item of a segment that lost its holder, which fails innocent items when instances are replaced; running such segments one item at a time, which makes a segment slow after two ordinary losses.

Change: after two holders lost without a commit, a segment runs in groups that its row names, of 16, then 4, then 1 items. The loss of a holder whose row names one item is a failed attempt of that item.

Conclusion: one item costs a bounded number of instances.

--- a/batch/commit.go
+++ b/batch/commit.go
@@ -110,11 +110,18 @@
 			p.row.Completed++
 		}
 	}
+	if l.running == 0 {
+		p.row.Suspects = nil
+	}
 	p.row.Finished = p.row.Done.count() == int(l.entry.Items)
 	p.row.Attempts = l.attempts()
+	if p.object != "" && !p.row.cautious() {
+		p.row.Lapses = 0
+	}
 	if p.row.Finished || !keep {
 		p.row.Holder = ""
 		p.row.Expires = 0
+		p.row.Suspects = nil
 	}
 	return p
 }
--- a/batch/items_test.go
+++ b/batch/items_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -82,6 +83,7 @@
 }
 
 func TestStragglersHoldUpNeitherSegmentNorSlot(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		store := memory.New()
 		service := newTestService(t, store)
@@ -213,3 +215,46 @@
 		}
 	})
 }
+
+func TestItemThatStopsItsInstancesIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		service := newTestService(t, store)
+		job := submit(t, service, "k", chatLines(100))
+		deaths := 0
+		for {
+			way := newGate(store)
+			poisoned := newExecutor(func(ctx context.Context, id string) (string, error) {
+				if strings.HasSuffix(id, "-40") {
+					way.kill(true)
+				}
+				if way.isDead() != nil {
+					return blocked(ctx, id)
+				}
+				return "done", nil
+			})
+			r := startRunner(t, RunnerOptions{Store: way, Executor: poisoned, View: newView(fmt.Sprintf("i%d", deaths))})
+			waitFor(t, "job finished or instance dead", func() bool {
+				now, err := service.Status(context.Background(), account, job.ID)
+				return way.isDead() != nil || err == nil && now.State == StateFinished
+			})
+			dead := way.isDead() != nil
+			r.stop()
+			if !dead {
+				break
+			}
+			deaths++
+		}
+		lines := results(t, service, job.ID)
+		checkOnce(t, lines, 100)
+		if e := lines[40].Error; e == nil || e.Number != code.AttemptsUsedUp {
+			t.Errorf("item 40: %+v, want AttemptsUsedUp", e)
+		}
+		if now, err := service.Status(context.Background(), account, job.ID); err != nil || now.Counts.Failed != 1 {
+			t.Errorf("counts %+v, %v: want 1 failed", now.Counts, err)
+		}
+		if most := cautiousLapses + 2 + 3; deaths > most {
+			t.Errorf("%d instances lost, want at most %d: before the groups, with groups of 16 and 4, and 3 alone", deaths, most)
+		}
+	})
+}
--- a/batch/lease.go
+++ b/batch/lease.go
@@ -45,6 +45,8 @@
 	until  atomic.Pointer[time.Time]
 	expiry *time.Timer
 	renew  time.Time
+	// retry is the time before which no group of items is announced again.
+	retry time.Time
 
 	tasks   []*task
 	waiting []*task
@@ -84,8 +86,7 @@
 func (r *Runner) lease(work context.Context, v *jobView, number int, found versionedSegment) error {
 	l := &lease{r: r, job: v, number: number, entry: v.manifest[number]}
 	started := time.Now()
-	l.row = found.clone(int(l.entry.Items))
-	l.row.Token++
+	l.row = found.takenOver(int(l.entry.Items))
 	l.row.Holder = r.holder
 	l.row.Expires = started.Add(r.opts.LeaseDuration).UnixMilli()
 	l.version = found.version
@@ -258,7 +259,9 @@
 // step starts items and commits or renews when it is time.
 func (l *lease) step(work context.Context) error {
 	l.drainEvents()
-	l.start()
+	if err := l.start(work); err != nil {
+		return err
+	}
 	if context.Cause(l.ctx) == errCancelled {
 		return errCancelled
 	}
@@ -291,11 +294,15 @@
 }
 
 // start runs waiting items as far as the bound of the segment allows.
-func (l *lease) start() {
+func (l *lease) start(work context.Context) error {
 	defer func() { l.starved.Store(len(l.waiting) > 0) }()
-	for len(l.waiting) > 0 && l.running-l.inLane < l.r.opts.ItemsPerLease {
+	places, err := l.places(work)
+	if err != nil {
+		return err
+	}
+	for ; places > 0 && len(l.waiting) > 0; places-- {
 		if l.draining || !l.live() {
-			return
+			return nil
 		}
 		t := l.waiting[0]
 		l.waiting = l.waiting[1:]
@@ -303,6 +310,31 @@
 		l.running++
 		l.items.Go(func() { l.events <- t.run() })
 	}
+	return nil
+}
+
+// places returns the number of items that may start now. In a segment that lost
+// several holders, a group starts when the one before has ended and the row
+// names the items of the group.
+func (l *lease) places(work context.Context) (int, error) {
+	if !l.row.cautious() {
+		return l.r.opts.ItemsPerLease - (l.running - l.inLane), nil
+	}
+	if l.running > 0 || len(l.waiting) == 0 || l.draining || !l.live() || time.Now().Before(l.retry) {
+		return 0, nil
+	}
+	p := l.prepare(true, true)
+	for _, t := range l.waiting[:min(l.row.group(), len(l.waiting))] {
+		p.row.Suspects = append(p.row.Suspects, t.index)
+	}
+	if err := l.commit(work, p); err != nil {
+		return 0, err
+	}
+	if !slices.Equal(l.row.Suspects, p.row.Suspects) {
+		l.retry = time.Now().Add(jitter(tick))
+		return 0, nil
+	}
+	return len(p.row.Suspects), nil
 }
 
 func (l *lease) record(e event) {
@@ -329,7 +361,7 @@
 // of stragglers, where they take no place of their segment.
 func (l *lease) moveStragglers() {
 	typical := l.typical()
-	if typical == 0 {
+	if typical == 0 || l.row.cautious() {
 		return
 	}
 	for _, t := range l.tasks {
--- a/batch/machine_test.go
+++ b/batch/machine_test.go
@@ -331,6 +331,7 @@
 }
 
 func TestEachItemCompletesOnceInRandomHistories(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		if faults := runHistory(t, drawSteps(rt), false); len(faults) > 0 {
 			rt.Fatal(strings.Join(faults, "\n"))
--- a/batch/segment.go
+++ b/batch/segment.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"math/bits"
 	"time"
 
@@ -42,6 +43,47 @@
 	Finished bool `json:"finished,omitempty"`
 	// Attempts are the failed attempts of items that are not done.
 	Attempts map[int]int `json:"attempts,omitempty"`
+	// Lapses counts the holders that were lost without a commit in between.
+	Lapses int `json:"lapses,omitempty"`
+	// Suspects are the only items that ran since the row was written. They are
+	// kept for a segment with many lapses.
+	Suspects []int `json:"suspects,omitempty"`
+}
+
+// cautiousLapses is the number of lapses from which the items of a segment run
+// in groups that are announced, so that an item that stops its instance is
+// found. A group has cautiousGroup items at first and a quarter of that after
+// each further lapse.
+const (
+	cautiousLapses = 2
+	cautiousGroup  = 16
+)
+
+func (s segmentRow) cautious() bool { return s.Lapses >= cautiousLapses }
+
+// group returns the number of items that run between two announcements.
+func (s segmentRow) group() int {
+	return max(1, cautiousGroup>>min(2*(s.Lapses-cautiousLapses), 30))
+}
+
+// takenOver returns the row as the next holder begins with it. A holder that
+// gave its lease back is no lapse.
+func (s segmentRow) takenOver(items int) segmentRow {
+	next := s.clone(items)
+	next.Token++
+	next.Suspects = nil
+	if s.Holder == "" {
+		return next
+	}
+	next.Lapses++
+	if len(s.Suspects) == 1 {
+		next.Attempts = maps.Clone(s.Attempts)
+		if next.Attempts == nil {
+			next.Attempts = map[int]int{}
+		}
+		next.Attempts[s.Suspects[0]]++
+	}
+	return next
 }
 
 // part names an object with committed results in the order of the items.
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -34,6 +34,7 @@
 }
 
 func TestResendAfterAFaultAtEachStepIsTheSameJob(t *testing.T) {
+	t.Parallel()
 	input := longLines(5)
 	faults := []struct {
 		name string
--- a/batch/task.go
+++ b/batch/task.go
@@ -52,6 +52,9 @@
 	if err != nil {
 		return t.end(errorLine(parsed.CustomID, code.From(err)))
 	}
+	if n := t.attempts.Load(); int(n) >= t.maxAttempts() {
+		return t.end(errorLine(item.customID, code.New(code.AttemptsUsedUp, "%d attempts failed or ended with the loss of their instance", n)))
+	}
 	for repeat := 0; t.l.live(); repeat++ {
 		result, err := t.attempt(item)
 		if err == nil {
