Bound slow senders, lists, hints and missing input

Cause: a slow sender held one of four places for submissions for as long as it liked; a list read one row per job; a hint sent to all instances made all of them read at once; a segment whose input could not be read was leased and given back in a loop.

Ruled out: a longer wait after every lease given back, which planned stops would pay; a bound on the whole body's time only, which one byte a minute keeps within.

The row of the account's list holds the job and is written in the same transactions. Four preferred instances follow the hint of a new job. A lease repeats the read of its input with backoff. Looks for work and leases have a time limit.

A list is one read in place of one a job plus one. A segment without input costs at most 30 writes an hour, as its test asserts; the lease given back at once was read in the code, not measured.

Conclusion: no caller or damaged job takes the store or the places of others.

--- a/batch/fake_test.go
+++ b/batch/fake_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -434,3 +435,28 @@
 		t.Conditions = nil
 	}
 }
+
+// missingInput is a store that lacks the first bytes of an object.
+type missingInput struct {
+	Store
+	object string
+
+	mu   sync.Mutex
+	asks int
+}
+
+func (m *missingInput) asked() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.asks
+}
+
+func (m *missingInput) Open(ctx context.Context, key string, offset, length int64) (io.ReadCloser, error) {
+	if key != m.object || offset != 0 {
+		return m.Store.Open(ctx, key, offset, length)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.asks++
+	return nil, code.New(code.StoreNotFound, "no object %q", key)
+}
--- a/batch/finder.go
+++ b/batch/finder.go
@@ -50,6 +50,8 @@
 	scanPages = 2
 	// quietTime is the mean time between visits of a job without free segments.
 	quietTime = 15 * time.Second
+	// roundTime bounds one look, without the work that it starts.
+	roundTime = 30 * time.Second
 	// maxConflicts ends a visit, since others are leasing the same segments.
 	maxConflicts = 2
 )
@@ -59,6 +61,8 @@
 	if len(f.r.slots) == cap(f.r.slots) || !f.r.progressing() {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, roundTime)
+	defer cancel()
 	candidates, err := f.candidates(ctx)
 	if err != nil {
 		return err
--- a/batch/handler.go
+++ b/batch/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"math"
 	"mime"
@@ -36,7 +37,9 @@
 	Service *Service
 	// Account returns the account of an authenticated request.
 	Account func(*http.Request) string
-	Logger  *zap.Logger
+	// ReadTimeout is the longest wait for the next bytes of a body; default 30 s.
+	ReadTimeout time.Duration
+	Logger      *zap.Logger
 }
 
 // Handler serves the HTTP interface under /v1/batches. It is safe for
@@ -51,6 +54,10 @@
 	if o.Service == nil || o.Account == nil {
 		return nil, code.New(code.InvalidSettings, "batch: Service and Account are required")
 	}
+	orDefault(&o.ReadTimeout, 30*time.Second)
+	if o.ReadTimeout < 0 {
+		return nil, code.New(code.InvalidSettings, "batch: ReadTimeout %v is negative", o.ReadTimeout)
+	}
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
@@ -100,6 +107,7 @@
 		h.fail(w, code.New(code.HeaderTooLarge, "%s has %d bytes, at most %d are allowed", keyHeader, len(key), maxKeyBytes))
 		return
 	}
+	r.Body = &timedBody{control: http.NewResponseController(w), body: r.Body, timeout: h.opts.ReadTimeout}
 	request, err := readRequest(w, r)
 	if err != nil {
 		h.fail(w, err)
@@ -113,6 +121,39 @@
 	h.answer(w, job)
 }
 
+// timedBody gives every read of a body a deadline of its own, and takes it off
+// at the end, since the connection is read on to see whether the caller leaves.
+type timedBody struct {
+	control *http.ResponseController
+	body    io.ReadCloser
+	timeout time.Duration
+}
+
+// Read implements io.Reader.
+func (t *timedBody) Read(b []byte) (int, error) {
+	if err := t.deadline(time.Now().Add(t.timeout)); err != nil {
+		return 0, err
+	}
+	n, err := t.body.Read(b)
+	if errors.Is(err, io.EOF) {
+		if failed := t.deadline(time.Time{}); failed != nil {
+			return n, failed
+		}
+	}
+	return n, err
+}
+
+func (t *timedBody) deadline(at time.Time) error {
+	err := t.control.SetReadDeadline(at)
+	if errors.Is(err, http.ErrNotSupported) {
+		return nil
+	}
+	return err
+}
+
+// Close implements io.Closer.
+func (t *timedBody) Close() error { return t.body.Close() }
+
 // readRequest reads the settings, from the query for inline input and from the
 // body for an object.
 func readRequest(w http.ResponseWriter, r *http.Request) (Request, error) {
--- a/batch/handler_test.go
+++ b/batch/handler_test.go
@@ -5,10 +5,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/platform/memory"
@@ -139,3 +141,48 @@
 		t.Errorf("error %v, want PeerUnreachable", err)
 	}
 }
+
+func TestSlowSenderGivesItsPlaceBack(t *testing.T) {
+	store := memory.New()
+	service := newTestService(t, store)
+	handler, err := NewHandler(HandlerOptions{
+		Service: service, ReadTimeout: 20 * time.Millisecond,
+		Account: func(*http.Request) string { return account },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(handler)
+	defer server.Close()
+	client := &Client{Endpoint: server.URL, HTTP: server.Client()}
+	body, sender := io.Pipe()
+	defer sender.Close()
+	go func() {
+		// The rest of the input never comes.
+		if _, err := io.WriteString(sender, chatLines(1)); err != nil {
+			t.Error(err)
+		}
+	}()
+	if _, err := client.Submit(context.Background(), "k", Settings{}, body); code.Of(err) != code.SlowSender {
+		t.Errorf("error %v, want SlowSender", err)
+	}
+	if s := service.State(); s.Uploads != 0 {
+		t.Errorf("%d submissions under way", s.Uploads)
+	}
+}
+
+func TestAnAccountHasHalfOfThePlaces(t *testing.T) {
+	service := newTestService(t, memory.New())
+	for _, tt := range []struct {
+		account string
+		number  code.Number
+	}{{"a", 0}, {"a", 0}, {"a", code.AccountLimit}, {"b", 0}, {"c", 0}, {"d", code.Overloaded}} {
+		if err := service.admit(tt.account); code.Of(err) != tt.number {
+			t.Errorf("account %s: %v, want number %d", tt.account, err, tt.number)
+		}
+	}
+	service.release("a")
+	if err := service.admit("d"); err != nil {
+		t.Errorf("a place given back is not free: %v", err)
+	}
+}
--- a/batch/items_test.go
+++ b/batch/items_test.go
@@ -258,3 +258,32 @@
 		}
 	})
 }
+
+func TestMissingInputCausesNoStormOfLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		service := newTestService(t, store)
+		job := submit(t, service, "k", chatLines(5))
+		row, err := store.Get(context.Background(), jobKey(job.ID))
+		if err != nil {
+			t.Fatal(err)
+		}
+		stored, err := decode[jobRow](row)
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The manifest stays readable, the lines before it do not.
+		way := &missingInput{Store: store, object: inputObject(stored.Upload, 0)}
+		r := startRunner(t, RunnerOptions{Store: way, Executor: newExecutor(nil)})
+		before := store.Faults().Counts()
+		time.Sleep(time.Hour)
+		after := store.Faults().Counts()
+		r.stop()
+		if way.asked() == 0 {
+			t.Fatal("the input was never asked for")
+		}
+		if n := after.Writes - before.Writes; n > 30 {
+			t.Errorf("%d writes in an hour for a segment without input", n)
+		}
+	})
+}
--- a/batch/job.go
+++ b/batch/job.go
@@ -142,6 +142,14 @@
 	Job string `json:"job"`
 }
 
+// writes are the writes of the job's row and of its copy in the account's list.
+func (j jobRow) writes() []platform.Write {
+	return []platform.Write{
+		{Key: jobKey(j.ID), Value: encode(j)},
+		{Key: accountKey(j.Account, j.CreatedAt, j.ID), Value: encode(j.Job)},
+	}
+}
+
 // boundKey is the key that the job's key row stands under. A job without a
 // caller's key has the name of its upload.
 func (j jobRow) boundKey() string {
--- a/batch/lease.go
+++ b/batch/lease.go
@@ -90,7 +90,9 @@
 	l.row.Holder = r.holder
 	l.row.Expires = started.Add(r.opts.LeaseDuration).UnixMilli()
 	l.version = found.version
-	version, err := l.write(work, l.row, nil)
+	taking, cancel := context.WithTimeout(work, storeTime)
+	defer cancel()
+	version, err := l.write(taking, l.row, nil)
 	if err != nil {
 		return err
 	}
@@ -195,12 +197,28 @@
 	}
 }
 
-// load reads the input of the segment.
+// input reads the input of the segment, and repeats while the lease lasts: a
+// lease that was given back would be taken again at once.
+func (l *lease) input() ([]byte, error) {
+	e := l.entry
+	for attempt := 0; ; attempt++ {
+		body, err := l.r.store.read(l.ctx, inputObject(l.job.row.Upload, int(e.Object)), int64(e.Offset), int64(e.Length))
+		if err == nil {
+			return body, nil
+		}
+		l.r.unsteady()
+		if l.r.isDraining() || !l.live() || runnerBackoff.Sleep(l.ctx, attempt) != nil {
+			return nil, errors.Join(err, l.giveBack())
+		}
+	}
+}
+
+// load makes the tasks of the items that are not done.
 func (l *lease) load() error {
 	e := l.entry
-	body, err := l.r.store.read(l.ctx, inputObject(l.job.row.Upload, int(e.Object)), int64(e.Offset), int64(e.Length))
+	body, err := l.input()
 	if err != nil {
-		return errors.Join(err, l.giveBack())
+		return err
 	}
 	lines := bytes.Split(bytes.TrimSuffix(body, []byte{'\n'}), []byte{'\n'})
 	if len(lines) != int(e.Items) {
@@ -473,8 +491,5 @@
 
 // endWrites are the writes that end a job.
 func endWrites(job jobRow) []platform.Write {
-	return []platform.Write{
-		{Key: jobKey(job.ID), Value: encode(job)},
-		{Key: job.OpenKey, Delete: true},
-	}
+	return append(job.writes(), platform.Write{Key: job.OpenKey, Delete: true})
 }
--- a/batch/packer.go
+++ b/batch/packer.go
@@ -65,6 +65,9 @@
 		if err != nil && !errors.Is(err, io.EOF) {
 			return packed{}, code.Wrap(code.SlowSender, err, "the input ended early after line %d", p.line)
 		}
+		if ctx.Err() != nil {
+			return packed{}, code.Wrap(code.SlowSender, ctx.Err(), "the input was given up at line %d", p.line)
+		}
 		last := err != nil
 		if len(line) > 0 || !last {
 			p.line++
--- a/batch/query.go
+++ b/batch/query.go
@@ -88,8 +88,8 @@
 // maxListed bounds the jobs of one List.
 const maxListed = 100
 
-// List returns the newest jobs of the account, without the counts of jobs in
-// progress. after is the id of the last job of the page before, or "".
+// List returns the newest jobs of the account. Counts of committed items are
+// those of finished jobs only. after is the id of the last job of the page before, or "".
 func (s *Service) List(ctx context.Context, account, after string, limit int) ([]Job, error) {
 	if limit <= 0 || limit > maxListed {
 		limit = maxListed
@@ -109,18 +109,11 @@
 	}
 	jobs := make([]Job, 0, len(rows))
 	for _, row := range rows {
-		bound, err := decode[keyRow](row)
+		job, err := decode[Job](row)
 		if err != nil {
 			return nil, err
 		}
-		job, _, err := s.job(ctx, account, bound.Job)
-		if code.Of(err) == code.JobUnknown {
-			continue
-		}
-		if err != nil {
-			return nil, err
-		}
-		jobs = append(jobs, job.Job)
+		jobs = append(jobs, job)
 	}
 	return jobs, nil
 }
@@ -157,11 +150,10 @@
 	job.State = StateCancelled
 	t := platform.Transaction{
 		Conditions: []platform.Condition{{Key: jobKey(job.ID), Version: version}},
-		Writes: []platform.Write{
-			{Key: jobKey(job.ID), Value: encode(job)},
-			{Key: job.OpenKey, Delete: true},
-			{Key: cancelKey(time.Now(), job.ID), Value: encode(keyRow{Job: job.ID})},
-		},
+		Writes: append(endWrites(job), platform.Write{
+			Key:   cancelKey(time.Now(), job.ID),
+			Value: encode(keyRow{Job: job.ID}),
+		}),
 	}
 	_, err := s.store.settle(ctx, t, func(ctx context.Context) (bool, error) {
 		row, err := s.store.get(ctx, jobKey(job.ID))
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -162,13 +162,20 @@
 	return r, nil
 }
 
-// Notify tells the runner of a change to a job. It does not block.
+// hintFanout is the number of instances that look for work at the hint of a new
+// job. The others find it at their next poll.
+const hintFanout = 4
+
+// Notify tells the runner of a change to a job. It does not block, and may be
+// called on all instances: only a few of them look at a new job at once.
 func (r *Runner) Notify(h Hint) {
 	if h.Cancelled {
 		r.stopJob(h.Job)
 		return
 	}
-	signal(r.wake)
+	if Preferred(r.opts.View.Self(), r.opts.View.Members(), h.Job, hintFanout) {
+		signal(r.wake)
+	}
 }
 
 func signal(c chan struct{}) {
@@ -297,6 +304,8 @@
 const watchPage = 1000
 
 func (r *Runner) watchOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTime)
+	defer cancel()
 	start := cancelStart(time.Now().Add(-cancelWindow))
 	for {
 		rows, err := r.store.once(ctx, start, platform.PrefixEnd(cancelPrefix), watchPage)
--- a/batch/service.go
+++ b/batch/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -58,12 +59,16 @@
 const storeAttempts = 5
 
 // Service accepts, reports and cancels jobs. It is safe for concurrent use and
-// keeps no state of its own.
+// keeps no state but the number of submissions under way.
 type Service struct {
-	store   *meteredStore
-	opts    ServiceOptions
-	uploads chan struct{}
-	log     *zap.Logger
+	store *meteredStore
+	opts  ServiceOptions
+	log   *zap.Logger
+
+	mu sync.Mutex
+	// uploads are the submissions being read by account; reading is their sum.
+	uploads map[string]int
+	reading int
 }
 
 // NewService returns a Service, or an error when an option is missing or out of
@@ -91,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Service{store: store, opts: o, uploads: make(chan struct{}, o.MaxUploads), log: o.Logger}, nil
+	return &Service{store: store, opts: o, uploads: map[string]int{}, log: o.Logger}, nil
 }
 
 // Submit accepts a job. A job with the same account, key and content as an
@@ -100,8 +105,9 @@
 // code.StoreUnknown the job may exist; a resend with the same key finds out.
 //
 // Errors: code.ItemInvalid, code.TooManyItems, code.InvalidDeadline,
-// code.InvalidField, code.NoConfiguration, code.Overloaded, code.NotFound for a
-// missing input object, and errors of the store.
+// code.InvalidField, code.NoConfiguration, code.Overloaded, code.AccountLimit,
+// code.SlowSender, code.NotFound for a missing input object, and errors of the
+// store.
 func (s *Service) Submit(ctx context.Context, account, key string, r Request) (Job, error) {
 	r.Settings = r.Settings.withDefaults()
 	if err := r.Settings.check(); err != nil {
@@ -111,12 +117,12 @@
 	if doc == nil {
 		return Job{}, code.New(code.NoConfiguration, "the instance has no configuration yet")
 	}
-	select {
-	case s.uploads <- struct{}{}:
-		defer func() { <-s.uploads }()
-	default:
-		return Job{}, code.New(code.Overloaded, "%d submissions are being read", cap(s.uploads)).WithRetryAfter(time.Second)
+	if err := s.admit(account); err != nil {
+		return Job{}, err
 	}
+	defer s.release(account)
+	ctx, cancel := context.WithTimeout(ctx, uploadTime)
+	defer cancel()
 	input, err := s.open(ctx, account, r)
 	if err != nil {
 		return Job{}, err
@@ -131,6 +137,31 @@
 	return job, nil
 }
 
+// admit takes a place for a submission. An account has at most half of them, so
+// that slow senders of one account leave room for others.
+func (s *Service) admit(account string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := s.uploads[account]; n >= max(s.opts.MaxUploads/2, 1) {
+		return code.New(code.AccountLimit, "%d submissions of the account are being read", n).WithRetryAfter(time.Second)
+	}
+	if s.reading == s.opts.MaxUploads {
+		return code.New(code.Overloaded, "%d submissions are being read", s.reading).WithRetryAfter(time.Second)
+	}
+	s.uploads[account]++
+	s.reading++
+	return nil
+}
+
+func (s *Service) release(account string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reading--
+	if s.uploads[account]--; s.uploads[account] == 0 {
+		delete(s.uploads, account)
+	}
+}
+
 func (s *Service) open(ctx context.Context, account string, r Request) (io.ReadCloser, error) {
 	if r.InputObject == "" {
 		if r.Input == nil {
@@ -326,13 +357,11 @@
 			{Key: key},
 			{Key: uploadKey(u.name), Version: u.version},
 		},
-		Writes: []platform.Write{
-			{Key: jobKey(row.ID), Value: encode(row)},
-			{Key: key, Value: encode(keyRow{Job: row.ID})},
-			{Key: uploadKey(u.name), Delete: true},
-			{Key: row.OpenKey, Value: encode(open)},
-			{Key: accountKey(u.account, row.CreatedAt, row.ID), Value: encode(keyRow{Job: row.ID})},
-			{Key: expiryKey(row.CreatedAt.Add(u.service.opts.Retention), row.ID), Value: encode(expiryRow{Job: row.ID, Upload: u.name})},
-		},
+		Writes: append(row.writes(),
+			platform.Write{Key: key, Value: encode(keyRow{Job: row.ID})},
+			platform.Write{Key: uploadKey(u.name), Delete: true},
+			platform.Write{Key: row.OpenKey, Value: encode(open)},
+			platform.Write{Key: expiryKey(row.CreatedAt.Add(u.service.opts.Retention), row.ID), Value: encode(expiryRow{Job: row.ID, Upload: u.name})},
+		),
 	}
 }
--- a/batch/state.go
+++ b/batch/state.go
@@ -92,5 +92,7 @@
 
 // State returns the submissions under way.
 func (s *Service) State() ServiceState {
-	return ServiceState{Uploads: len(s.uploads), MaxUploads: cap(s.uploads)}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ServiceState{Uploads: s.reading, MaxUploads: s.opts.MaxUploads}
 }
