--- /dev/null
+++ b/upstream/digest.go
@@ -0,0 +1,135 @@
+package upstream
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// PeerLoad is what one instance has in flight on one upstream.
+type PeerLoad struct {
+	Upstream string
+	Online   int
+	Batch    int
+}
+
+// Digest is the load of one instance on the upstreams that it uses now.
+// Upstreams without requests are left out. A later digest has a higher
+// Sequence.
+type Digest struct {
+	Sequence uint64
+	Loads    []PeerLoad
+}
+
+// peerLoad is the sum of what the other instances have in flight.
+type peerLoad struct {
+	online int
+	batch  int
+}
+
+type peerDigest struct {
+	Digest
+	received time.Time
+}
+
+const (
+	// onlineLifetime is how long the online requests of a digest count. Old
+	// ones must not keep online work from free slots.
+	onlineLifetime = 2 * time.Second
+	// batchLifetime is how long its batch requests count.
+	batchLifetime = 10 * time.Second
+	// peerInterval is the time between two looks at the age of the digests.
+	peerInterval = 200 * time.Millisecond
+)
+
+// Digest returns this instance's load for its peers.
+func (d *Dispatcher) Digest() Digest {
+	s := d.sched
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	digest := Digest{Sequence: uint64(time.Now().UnixNano())}
+	for id, t := range s.fleet.targets {
+		if t.online+t.batch > 0 {
+			digest.Loads = append(digest.Loads, PeerLoad{id, t.online, t.batch})
+		}
+	}
+	slices.SortFunc(digest.Loads, func(a, b PeerLoad) int { return strings.Compare(a.Upstream, b.Upstream) })
+	return digest
+}
+
+// ObserveDigest takes in the load of a peer. Batch attempts of this instance
+// yield at once to online work that the peer reports.
+func (d *Dispatcher) ObserveDigest(peer string, digest Digest) {
+	s := d.sched
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if before, ok := s.peers[peer]; ok && before.Sequence >= digest.Sequence {
+		return
+	}
+	now := time.Now()
+	s.peers[peer] = &peerDigest{digest, now}
+	s.applyPeers(now)
+	for _, load := range digest.Loads {
+		if t, ok := s.fleet.targets[load.Upstream]; ok && load.Online > 0 {
+			s.yield(t, now)
+		}
+	}
+}
+
+// batchPeers returns the peers whose batch work is in the way of online work,
+// as far as their digests tell.
+func (d *Dispatcher) batchPeers() map[string]bool {
+	s := d.sched
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	holders := map[string]bool{}
+	for peer, digest := range s.peers {
+		for _, load := range digest.Loads {
+			if t, ok := s.fleet.targets[load.Upstream]; ok && load.Batch > 0 && t.online > 0 {
+				holders[peer] = true
+			}
+		}
+	}
+	return holders
+}
+
+// expirePeers forgets old digests. The lock is held.
+func (s *scheduler) expirePeers(now time.Time) {
+	if now.Sub(s.peersAt) < peerInterval {
+		return
+	}
+	for peer, digest := range s.peers {
+		if now.Sub(digest.received) > batchLifetime {
+			delete(s.peers, peer)
+		}
+	}
+	s.applyPeers(now)
+}
+
+// applyPeers sums the digests up. The lock is held.
+func (s *scheduler) applyPeers(now time.Time) {
+	s.peersAt = now
+	for _, t := range s.fleet.targets {
+		t.peers = peerLoad{}
+	}
+	for _, digest := range s.peers {
+		counts := now.Sub(digest.received) <= onlineLifetime
+		for _, load := range digest.Loads {
+			t, ok := s.fleet.targets[load.Upstream]
+			if !ok {
+				continue
+			}
+			t.peers.batch += load.Batch
+			if counts {
+				t.peers.online += load.Online
+			}
+		}
+	}
+}
+
+// setUrgent sets what is called when batch work of peers is in the way.
+func (s *scheduler) setUrgent(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.urgent = f
+}
