--- a/batch/fake_test.go
+++ b/batch/fake_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -209,14 +210,15 @@
 	return &testRunner{Runner: r, view: view, stop: stop}
 }
 
-// waitFor polls until the condition holds. Under synctest the wait is virtual.
+// waitFor polls, ever more rarely, until the condition holds. Under synctest the
+// wait is virtual.
 func waitFor(t testing.TB, what string, holds func() bool) {
 	t.Helper()
-	for range 50_000 {
+	for i := range 2000 {
 		if holds() {
 			return
 		}
-		time.Sleep(time.Second)
+		time.Sleep(min(time.Second*time.Duration(1+i/60), time.Minute))
 	}
 	t.Fatalf("never: %s", what)
 }
@@ -433,3 +435,28 @@
 		t.Conditions = nil
 	}
 }
+
+// missingInput is a store that lacks the first bytes of an object.
+type missingInput struct {
+	Store
+	object string
+
+	mu   sync.Mutex
+	asks int
+}
+
+func (m *missingInput) asked() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.asks
+}
+
+func (m *missingInput) Open(ctx context.Context, key string, offset, length int64) (io.ReadCloser, error) {
+	if key != m.object || offset != 0 {
+		return m.Store.Open(ctx, key, offset, length)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.asks++
+	return nil, code.New(code.StoreNotFound, "no object %q", key)
+}
--- a/batch/items_test.go
+++ b/batch/items_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -82,6 +83,7 @@
 }
 
 func TestStragglersHoldUpNeitherSegmentNorSlot(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		store := memory.New()
 		service := newTestService(t, store)
@@ -213,3 +215,75 @@
 		}
 	})
 }
+
+func TestItemThatStopsItsInstancesIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		service := newTestService(t, store)
+		job := submit(t, service, "k", chatLines(100))
+		deaths := 0
+		for {
+			way := newGate(store)
+			poisoned := newExecutor(func(ctx context.Context, id string) (string, error) {
+				if strings.HasSuffix(id, "-40") {
+					way.kill(true)
+				}
+				if way.isDead() != nil {
+					return blocked(ctx, id)
+				}
+				return "done", nil
+			})
+			r := startRunner(t, RunnerOptions{Store: way, Executor: poisoned, View: newView(fmt.Sprintf("i%d", deaths))})
+			waitFor(t, "job finished or instance dead", func() bool {
+				now, err := service.Status(context.Background(), account, job.ID)
+				return way.isDead() != nil || err == nil && now.State == StateFinished
+			})
+			dead := way.isDead() != nil
+			r.stop()
+			if !dead {
+				break
+			}
+			deaths++
+		}
+		lines := results(t, service, job.ID)
+		checkOnce(t, lines, 100)
+		if e := lines[40].Error; e == nil || e.Number != code.AttemptsUsedUp {
+			t.Errorf("item 40: %+v, want AttemptsUsedUp", e)
+		}
+		if now, err := service.Status(context.Background(), account, job.ID); err != nil || now.Counts.Failed != 1 {
+			t.Errorf("counts %+v, %v: want 1 failed", now.Counts, err)
+		}
+		if most := cautiousLapses + 2 + 3; deaths > most {
+			t.Errorf("%d instances lost, want at most %d: before the groups, with groups of 16 and 4, and 3 alone", deaths, most)
+		}
+	})
+}
+
+func TestMissingInputCausesNoStormOfLeases(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		service := newTestService(t, store)
+		job := submit(t, service, "k", chatLines(5))
+		row, err := store.Get(context.Background(), jobKey(job.ID))
+		if err != nil {
+			t.Fatal(err)
+		}
+		stored, err := decode[jobRow](row)
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The manifest stays readable, the lines before it do not.
+		way := &missingInput{Store: store, object: inputObject(stored.Upload, 0)}
+		r := startRunner(t, RunnerOptions{Store: way, Executor: newExecutor(nil)})
+		before := store.Faults().Counts()
+		time.Sleep(time.Hour)
+		after := store.Faults().Counts()
+		r.stop()
+		if way.asked() == 0 {
+			t.Fatal("the input was never asked for")
+		}
+		if n := after.Writes - before.Writes; n > 30 {
+			t.Errorf("%d writes in an hour for a segment without input", n)
+		}
+	})
+}
