--- a/upstream/answer.go
+++ b/upstream/answer.go
@@ -23,13 +23,12 @@
 }
 
 type wireChoice struct {
-	Index        int       `json:"index"`
 	Delta        wireDelta `json:"delta"`
-	FinishReason *string   `json:"finish_reason"`
+	FinishReason string    `json:"finish_reason"`
 }
 
 type wireDelta struct {
-	Content   *string         `json:"content"`
+	Content   string          `json:"content"`
 	ToolCalls json.RawMessage `json:"tool_calls"`
 }
 
@@ -41,6 +40,16 @@
 type binding struct {
 	attempt  string
 	answerID string
+	// wire is used for one chunk after another.
+	wire wireChunk
+}
+
+// reset clears the wire chunk and keeps its memory.
+func (b *binding) reset() *wireChunk {
+	choices := b.wire.Choices
+	clear(choices)
+	b.wire = wireChunk{Choices: choices[:0]}
+	return &b.wire
 }
 
 // check refuses a chunk that belongs to another answer.
@@ -59,8 +68,8 @@
 
 // decodeChunk reads one event of an answer and checks whose it is.
 func (b *binding) decodeChunk(data []byte) (contract.Chunk, error) {
-	var w wireChunk
-	if err := json.Unmarshal(data, &w); err != nil {
+	w := b.reset()
+	if err := json.Unmarshal(data, w); err != nil {
 		return contract.Chunk{}, errBadChunk
 	}
 	if w.Error != nil || len(w.Choices) > 1 {
@@ -73,16 +82,12 @@
 	if len(w.Choices) == 0 {
 		return chunk, nil
 	}
-	c := w.Choices[0]
+	c := &w.Choices[0]
 	if len(c.Delta.ToolCalls) > 0 && string(c.Delta.ToolCalls) != "null" {
 		return contract.Chunk{}, errToolCalls
 	}
-	if c.Delta.Content != nil {
-		chunk.Text = *c.Delta.Content
-	}
-	if c.FinishReason != nil {
-		chunk.FinishReason = *c.FinishReason
-	}
+	chunk.Text = c.Delta.Content
+	chunk.FinishReason = c.FinishReason
 	return chunk, nil
 }
 
