Keep slots for the recent peak of short work

Ruled out: a larger fixed share, which would idle where short work is rare. Change: long work leaves free the highest recent number of short calls that ran or waited, with one slot to spare on each upstream; the peak fades by half in 10 s.

--- a/route/choose.go
+++ b/route/choose.go
@@ -35,6 +35,9 @@
 type Query struct {
 	Class contract.Class
 	Long  bool
+	// ShortReserve is the number of slots per upstream that long work leaves to
+	// short work.
+	ShortReserve int
 	// Affinity is a hash of the prompt's beginning; 0 means none.
 	Affinity uint64
 	// Avoid is the key of an upstream that just failed the request; 0 means
@@ -134,7 +137,7 @@
 	if c.OnlineTotal() >= c.Limit {
 		return false
 	}
-	return !q.Long || c.Long < LongLimit(c.Limit)
+	return !q.Long || c.Long < LongLimit(c.Limit, q.ShortReserve)
 }
 
 // affinityCost is how much more than the best candidate the upstream that may
--- a/route/length.go
+++ b/route/length.go
@@ -1,5 +1,10 @@
 package route
 
+import (
+	"math"
+	"time"
+)
+
 // Length estimates how long the answers of a service are. The zero value knows
 // nothing. It is a value; its caller stores it.
 type Length struct {
@@ -60,5 +65,27 @@
 	return service.Seen == lengthWarmup && work > longFactor*service.Median
 }
 
-// LongLimit returns how many of an upstream's slots long work may take.
-func LongLimit(slots int) int { return max(slots-max(slots/4, 1), 1) }
+// LongLimit returns how many of an upstream's slots long work may take when
+// reserve slots are kept for short work; a quarter is kept at least.
+func LongLimit(slots, reserve int) int { return max(slots-max(slots/4, reserve, 1), 1) }
+
+// Peak follows the highest recent demand. It is a value; its caller stores it.
+type Peak struct {
+	Value float64
+	At    time.Time
+}
+
+// peakHalfLife is the time in which a peak fades by half.
+const peakHalfLife = 10 * time.Second
+
+// Observe returns the peak at now with a present demand.
+func (p Peak) Observe(now time.Time, demand int) Peak {
+	faded := p.Value * math.Exp2(-float64(now.Sub(p.At))/float64(peakHalfLife))
+	return Peak{max(faded, float64(demand)), now}
+}
+
+// ShortReserve returns how many slots of each of n upstreams are kept for
+// short work of which the peak ran at once, with one slot to spare.
+func (p Peak) ShortReserve(n int) int {
+	return int(math.Ceil(p.Value/float64(max(n, 1)))) + 1
+}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -305,3 +305,15 @@
 		}
 	}
 }
+
+func TestLongWorkLeavesThePeakOfShortWorkFree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, slots := rapid.IntRange(1, 40).Draw(t, "upstreams"), rapid.IntRange(2, 64).Draw(t, "slots")
+		demand := rapid.IntRange(0, n*(slots-2)).Draw(t, "demand")
+		peak := Peak{}.Observe(time.Unix(1, 0), demand)
+		long := LongLimit(slots, peak.ShortReserve(n))
+		if long < 1 || n*(slots-long) < demand {
+			t.Fatalf("long work may take %d of %d slots; short work wants %d on %d upstreams", long, slots, demand, n)
+		}
+	})
+}
--- a/upstream/policy_test.go
+++ b/upstream/policy_test.go
@@ -220,7 +220,7 @@
 	for _, base := range baselines {
 		b.Run(base.name, func(b *testing.B) {
 			alone := trial{policy: base.policy, rate: 120, tokens: 12}.run(b)
-			r := trial{policy: base.policy, rate: 120, tokens: 12, longShare: 0.1, longTokens: 300}.run(b)
+			r := trial{policy: base.policy, rate: 120, tokens: 12, longShare: 0.3, longTokens: 300}.run(b)
 			r.report(b)
 			b.ReportMetric(alone.first(99), "alone-p99-ms")
 			b.ReportMetric(r.first(99), "p99-ms")
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -37,6 +37,10 @@
 	short queue
 	long  queue
 	batch []*waiter
+	// shortRunning counts the short online calls that hold a slot, shortPeak
+	// the most that did or wanted to lately.
+	shortRunning int
+	shortPeak    route.Peak
 
 	// prior is the median of the targets' times to the first token, spacing
 	// that of the times between tokens.
@@ -84,6 +88,11 @@
 	return p, nil
 }
 
+// noteDemand brings the peak of short online calls up to date.
+func (h *history) noteDemand(now time.Time) {
+	h.shortPeak = h.shortPeak.Observe(now, h.shortRunning+h.short.waiting)
+}
+
 // slots counts the slots of the open targets, and those in use by this
 // instance's online work.
 func (h *history) slots() (used, all int) {
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -142,6 +142,7 @@
 		return
 	}
 	w.queue().push(w)
+	w.pool.noteDemand(time.Now())
 }
 
 // abandon takes a waiter out of the queue, or gives back what it was granted.
@@ -178,6 +179,9 @@
 		Policy:   s.policy,
 		Turn:     r.pool.turn,
 	}
+	if r.long {
+		q.ShortReserve = r.pool.shortPeak.ShortReserve(len(v.targets))
+	}
 	if len(v.targets) == 1 {
 		q.Avoid = 0
 	}
@@ -210,6 +214,7 @@
 	given := &slot{target: t, pool: r.pool, class: r.class, long: r.long, firm: r.firm, expected: r.expected, started: now}
 	given.ctx, given.cancel = context.WithCancelCause(ctx)
 	t.add(given)
+	r.pool.noteDemand(now)
 	if r.pool.isEjected(t) {
 		t.probed = now
 		r.pool.open = slices.DeleteFunc(r.pool.open, func(o *target) bool { return o == t && len(r.pool.open) > 1 })
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -155,7 +155,9 @@
 	t.online += n
 	if g.long {
 		t.long += n
+		return
 	}
+	g.pool.shortRunning += n
 }
 
 // slot is the right of one attempt to run on an upstream, and what was
