--- a/load/jobs.go
+++ b/load/jobs.go
@@ -17,7 +17,7 @@
 
 // Times of the calls about jobs.
 const (
-	statusInterval = 500 * time.Millisecond
+	statusInterval = time.Second
 	jobTimeout     = 10 * time.Second
 )
 
