--- a/cmd/daisylb/config.go
+++ b/cmd/daisylb/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -14,7 +15,9 @@
 
 	"github.com/daisylb/daisylb/config"
 	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/daemon"
 	"github.com/daisylb/daisylb/settings"
+	"github.com/daisylb/daisylb/standin"
 )
 
 // configCommands returns the commands of the configuration and the presets.
@@ -29,8 +32,18 @@
 	}
 }
 
-// configCheck checks documents without an instance.
-type configCheck struct{ json bool }
+// configCheck checks files without an instance.
+type configCheck struct {
+	kind string
+	json bool
+}
+
+// Kinds of files that configCheck knows.
+const (
+	kindDocument = "document"
+	kindInstance = "instance"
+	kindStandIn  = "standin"
+)
 
 // checked is the result for one file.
 type checked struct {
@@ -40,39 +53,56 @@
 	Error string `json:"error,omitempty"`
 }
 
-func check(name string) checked {
+func check(kind, name string) checked {
 	r := checked{File: name}
-	_, err := readDocument(name)
+	err := checkFile(kind, name)
 	if err != nil && !errors.As(err, &r.Faults) {
 		r.Error = err.Error()
 	}
 	return r
 }
 
+func checkFile(kind, name string) error {
+	switch kind {
+	case kindInstance:
+		_, err := daemon.Load(name)
+		return err
+	case kindStandIn:
+		_, err := standin.Load(name)
+		return err
+	}
+	_, err := readDocument(name)
+	return err
+}
+
 func (r checked) valid() bool { return len(r.Faults) == 0 && r.Error == "" }
 
-func (*configCheck) Name() string     { return "check" }
-func (*configCheck) Synopsis() string { return "check configuration documents and list every fault" }
+func (*configCheck) Name() string { return "check" }
+func (*configCheck) Synopsis() string {
+	return "check documents and settings files and list every fault"
+}
 func (*configCheck) Usage() string {
-	return "config check [-json] FILE...\n  Exits with 2 when a document has faults.\n"
+	return "config check [-kind document|instance|standin] [-json] FILE...\n  Exits with 2 when a file has faults.\n"
 }
 
 // SetFlags implements subcommands.Command.
 func (c *configCheck) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.kind, "kind", kindDocument, "what the files are: document, instance or standin")
 	f.BoolVar(&c.json, "json", false, "print JSON")
 }
 
 // Execute implements subcommands.Command.
 func (c *configCheck) Execute(_ context.Context, f *flag.FlagSet, args ...any) subcommands.ExitStatus {
 	o := operatorOf(args)
-	if f.NArg() == 0 {
+	known := []string{kindDocument, kindInstance, kindStandIn}
+	if f.NArg() == 0 || !slices.Contains(known, c.kind) {
 		fmt.Fprint(o.stderr(), c.Usage())
 		return subcommands.ExitUsageError
 	}
 	status := subcommands.ExitSuccess
 	results := make([]checked, 0, f.NArg())
 	for _, name := range f.Args() {
-		r := check(name)
+		r := check(c.kind, name)
 		results = append(results, r)
 		if !r.valid() {
 			status = exitSettings
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -10,7 +10,6 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/daisylb/daisylb/settings"
 	"github.com/daisylb/daisylb/standin"
 )
 
@@ -28,16 +27,11 @@
 }
 
 func run(path string) int {
-	data, err := os.ReadFile(path)
+	s, err := standin.Load(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	var s standin.Settings
-	if err := settings.Decode(path, data, &s).Err(); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitSettings
-	}
 	group, err := standin.Start(s)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/daisylb/daisylb/code"
@@ -73,6 +74,20 @@
 	c.Expect(err == nil && a.Addr().IsLoopback(), "found %q, expected IP:port on the loopback", address)
 }
 
+// Load reads a settings file. All faults are reported at once under
+// code.InvalidSettings.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, code.Wrap(code.InvalidSettings, err, "%s cannot be read: %v", path, err)
+	}
+	var s Settings
+	if err := settings.Decode(path, data, &s).Err(); err != nil {
+		return Settings{}, err
+	}
+	return s, nil
+}
+
 // Group is a set of running stand-ins.
 type Group struct {
 	// Store is the platform's memory, or nil.
