Release claims of batch items that never ran

Cause: an item that may run once is claimed before it waits for capacity. A planned stop then left the claim behind, and the next holder completed the item with 3006 although it had never run.

Ruled out: a claim after capacity is found, since the executor hides that moment; a new method on Claims, which would break its users.

Change: Claims may implement Releaser; the runner releases the claim of a call whose every try was refused as not run when the lease ends.

Conclusion: a stop costs no item that waits for capacity, once the adapter of the claims implements Release.

--- a/batch/executor.go
+++ b/batch/executor.go
@@ -43,6 +43,13 @@
 	Finish(ctx context.Context, account, service, key string, answer *contract.PlainAnswer) error
 }
 
+// Releaser is implemented by Claims that can take a granted claim back. It is
+// called only for a call that was never dispatched, so that a later holder may
+// run it. Without it, such an item completes with code.OutcomeUnknown.
+type Releaser interface {
+	Release(ctx context.Context, account, service, key string) error
+}
+
 // View is the live view of the instances. It is safe for concurrent use.
 type View interface {
 	// Members returns the ids of the live instances.
--- a/batch/fake_test.go
+++ b/batch/fake_test.go
@@ -114,6 +114,13 @@
 	return nil
 }
 
+func (c *fakeClaims) Release(_ context.Context, account, service, key string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.claimed, account+service+key)
+	return nil
+}
+
 type fakeView struct {
 	self string
 
--- a/batch/items_test.go
+++ b/batch/items_test.go
@@ -287,3 +287,35 @@
 		}
 	})
 }
+
+func TestClaimsOfItemsThatNeverRanAreReleased(t *testing.T) {
+	for _, releases := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			store := memory.New()
+			service := newTestService(t, store)
+			job := submit(t, service, "k", plainLines("pickup", 50))
+			var claims Claims = newClaims()
+			if !releases {
+				claims = struct{ Claims }{claims}
+			}
+			// No capacity is free, so no call is dispatched before the stop.
+			waiting := newExecutor(func(ctx context.Context, _ string) (string, error) {
+				<-ctx.Done()
+				return "", code.New(code.Overloaded, "no capacity")
+			})
+			first := startRunner(t, RunnerOptions{Store: store, Executor: waiting, Claims: claims, View: newView("i1", "i2")})
+			waitFor(t, "items claimed", func() bool { return waiting.started() == 16 })
+			first.stop()
+			executor := newExecutor(nil)
+			second := startRunner(t, RunnerOptions{Store: store, Executor: executor, Claims: claims, View: newView("i2")})
+			defer second.stop()
+			job = waitState(t, service, job.ID, StateFinished)
+			if want := 16; !releases && job.Counts.Failed != want {
+				t.Errorf("%d items failed without a release, want the %d claimed", job.Counts.Failed, want)
+			}
+			if releases && (job.Counts.Completed != 50 || executor.started() != 50) {
+				t.Errorf("counts %+v with %d runs, want each item run by the second holder", job.Counts, executor.started())
+			}
+		})
+	}
+}
--- a/batch/takeover_test.go
+++ b/batch/takeover_test.go
@@ -206,7 +206,6 @@
 	})
 }
 
-// pickupRun counts the runs of each key at a service that must run it once.
 func TestNonIdempotentItemsRunAtMostOnceAcrossATakeover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := memory.New()
@@ -241,14 +240,15 @@
 			}
 			if l.Error != nil && l.Error.Number == code.OutcomeUnknown {
 				unknown++
+				continue
+			}
+			var answer string
+			if l.Response == nil || json.Unmarshal(l.Response.Body, &answer) != nil || answer != "picked up" {
+				t.Errorf("item %d: %+v, want the answer of its one run", i, l)
 			}
 		}
 		if unknown == 0 || unknown > 16 || begun < 41 {
 			t.Errorf("%d items of unknown outcome of %d begun, want those in flight", unknown, begun)
 		}
-		var answer string
-		if err := json.Unmarshal(lines[0].Response.Body, &answer); err != nil || answer != "picked up" {
-			t.Errorf("stored answer %s", lines[0].Response.Body)
-		}
 	})
 }
--- a/batch/task.go
+++ b/batch/task.go
@@ -26,7 +26,8 @@
 	started time.Time
 	inLane  bool
 
-	// claimed is set when the claim of a call that may run once was granted.
+	// claimed is set while the claim of a call that may run once is granted and
+	// the call is known not to have run.
 	claimed bool
 }
 
@@ -70,9 +71,23 @@
 			break
 		}
 	}
+	t.release(item)
 	return event{task: t}
 }
 
+// release gives the claim of a call that was never dispatched back.
+func (t *task) release(i *item) {
+	releaser, ok := t.l.r.opts.Claims.(Releaser)
+	if !t.claimed || !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(t.l.ctx), storeTime)
+	defer cancel()
+	if err := releaser.Release(ctx, t.l.job.row.Account, i.service, t.id()); err != nil {
+		t.l.r.log.Info("claim not released", zap.String("item", t.id()), zap.Error(err))
+	}
+}
+
 func (t *task) end(r ResultLine) event {
 	r.ID = t.id()
 	return event{task: t, line: encode(r), failed: r.failed()}
@@ -234,9 +249,11 @@
 	if !t.l.live() {
 		return ResultLine{}, errLapsed
 	}
+	t.claimed = false
 	answer, err := t.l.r.opts.Executor.Call(t.l.ctx, t.plainCall(i, false))
 	if err != nil {
 		if e := code.From(err); e.Outcome == code.NotRun {
+			t.claimed = true
 			return ResultLine{}, e
 		}
 		return ResultLine{}, code.Wrap(code.OutcomeUnknown, err, "the item was dispatched and its outcome is not known")
