--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -36,6 +36,8 @@
 
 type batchKey struct{ account, service, key string }
 
+var _ batch.Releaser = (*batchClaims)(nil)
+
 func newBatchClaims(s *claim.Service) *batchClaims {
 	return &batchClaims{service: s, grants: map[batchKey]claim.Grant{}}
 }
@@ -68,6 +70,15 @@
 	return b.service.Finish(ctx, grant, *answer)
 }
 
+// Release implements batch.Releaser.
+func (b *batchClaims) Release(ctx context.Context, account, service, key string) error {
+	grant, ok := b.take(batchKey{account, service, key})
+	if !ok {
+		return nil
+	}
+	return b.service.Release(ctx, grant)
+}
+
 // keep stores a grant. Grants whose deadline has passed belong to items that
 // ended without an answer; their outcome is recorded as unknown.
 func (b *batchClaims) keep(k batchKey, g claim.Grant) {
