--- a/route/choose.go
+++ b/route/choose.go
@@ -21,7 +21,8 @@
 type Policy int
 
 const (
-	// Adaptive weighs a few random candidates by their cost.
+	// Adaptive weighs a few random candidates by their cost, and keeps slots
+	// for short work. The others do neither.
 	Adaptive Policy = iota
 	// Random takes any upstream.
 	Random
@@ -137,7 +138,7 @@
 	if c.OnlineTotal() >= c.Limit {
 		return false
 	}
-	return !q.Long || c.Long < LongLimit(c.Limit, q.ShortReserve)
+	return !q.Long || q.Policy != Adaptive || c.Long < LongLimit(c.Limit, q.ShortReserve)
 }
 
 // affinityCost is how much more than the best candidate the upstream that may
--- a/upstream/dispatcher.go
+++ b/upstream/dispatcher.go
@@ -54,8 +54,11 @@
 const (
 	// DefaultSubsetSize is enough upstreams for two random choices to be even.
 	DefaultSubsetSize = 32
-	// DefaultPollInterval keeps the news of a draining upstream under 3 s.
-	DefaultPollInterval = 500 * time.Millisecond
+	// DefaultPollInterval keeps the news of a draining upstream under 3 s. A
+	// shorter one costs more bytes than the report is worth: it is late anyway.
+	DefaultPollInterval = 2 * time.Second
+	// probePollInterval is the time between two looks for probes that are due.
+	probePollInterval = 500 * time.Millisecond
 )
 
 // Dispatcher gives requests to upstreams. It is safe for concurrent use. Run
@@ -108,7 +111,7 @@
 	defer d.links.closeIdle()
 	var wait sync.WaitGroup
 	wait.Go(func() { repeat(ctx, d.options.PollInterval, d.poll) })
-	wait.Go(func() { repeat(ctx, d.options.PollInterval, d.runProbes) })
+	wait.Go(func() { repeat(ctx, probePollInterval, d.runProbes) })
 	wait.Go(func() {
 		repeat(ctx, sweepInterval, func(context.Context) {
 			d.current()
--- a/upstream/policy_test.go
+++ b/upstream/policy_test.go
@@ -52,6 +52,8 @@
 	unprotected bool
 	// slowed upstreams are ten times slower from slowedAfter of the measurement on.
 	slowed int
+	// batchShare of the preset; 0 means 1.
+	batchShare float64
 }
 
 // result of a trial.
@@ -89,6 +91,9 @@
 		o.PollInterval = 0
 		p := d.Presets["normal"]
 		p.HeadroomSlots = 2
+		if tr.batchShare > 0 {
+			p.BatchShare = tr.batchShare
+		}
 		d.Presets["normal"] = p
 	})
 	defer f.close()
@@ -198,13 +203,21 @@
 	online := trial{rate: 150, tokens: 16}
 	alone := online.run(b)
 	batch := trial{batch: 16 * policyUpstreams, unprotected: true, policy: route.LeastInFlight}.run(b)
-	for _, protected := range []bool{true, false} {
-		b.Run(map[bool]string{true: "protected", false: "unprotected"}[protected], func(b *testing.B) {
+	for _, variant := range []struct {
+		name        string
+		share       float64
+		unprotected bool
+		policy      route.Policy
+	}{
+		{name: "protected", share: 1},
+		{name: "protected-share-0.8", share: 0.8},
+		{name: "protected-share-0.6", share: 0.6},
+		{name: "unprotected", unprotected: true, policy: route.LeastInFlight},
+	} {
+		b.Run(variant.name, func(b *testing.B) {
 			tr := online
 			tr.batch = 16 * policyUpstreams
-			if !protected {
-				tr.unprotected, tr.policy = true, route.LeastInFlight
-			}
+			tr.batchShare, tr.unprotected, tr.policy = variant.share, variant.unprotected, variant.policy
 			r := tr.run(b)
 			r.report(b)
 			b.ReportMetric(alone.first(99), "alone-p99-ms")
