--- /dev/null
+++ b/caller/stream.go
@@ -0,0 +1,189 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+)
+
+// chunkHead is what all events of one answer begin with.
+type chunkHead struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	Model   string `json:"model"`
+}
+
+type chunkChoice struct {
+	Index        int        `json:"index"`
+	Delta        chunkDelta `json:"delta"`
+	FinishReason *string    `json:"finish_reason"`
+}
+
+type chunkDelta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// eventStream writes server-sent events of one answer. It is for one
+// goroutine.
+type eventStream struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	// head is the encoded chunkHead without its closing brace; it is the same in
+	// every event and encoded once.
+	head    []byte
+	event   []byte
+	usage   bool
+	started bool
+}
+
+func newEventStream(w http.ResponseWriter, call *contract.Completion, now time.Time) *eventStream {
+	head, err := json.Marshal(chunkHead{
+		ID:      completionID(call),
+		Object:  "chat.completion.chunk",
+		Created: now.Unix(),
+		Model:   call.Service,
+	})
+	if err != nil {
+		// Strings and numbers always have an encoding.
+		panic(err)
+	}
+	return &eventStream{
+		w:       w,
+		control: http.NewResponseController(w),
+		head:    head[:len(head)-1],
+		usage:   call.Chat.IncludeUsage,
+	}
+}
+
+// start sends the headers; errors after it travel inside the stream.
+func (s *eventStream) start() {
+	if s.started {
+		return
+	}
+	s.started = true
+	s.w.Header().Set("Content-Type", "text/event-stream")
+	s.w.Header().Set("Cache-Control", "no-cache")
+	s.w.WriteHeader(http.StatusOK)
+}
+
+// chunk sends one piece of the answer.
+func (s *eventStream) chunk(c contract.Chunk) error {
+	first := !s.started
+	s.start()
+	if c.Text != "" || c.FinishReason != "" || first {
+		if err := s.sendChoice(c, first); err != nil {
+			return err
+		}
+	}
+	if c.Usage != nil && s.usage {
+		if err := s.sendUsage(c.Usage); err != nil {
+			return err
+		}
+	}
+	if c.More || c.FinishReason != "" {
+		// What follows at once, the end mark at the latest, flushes this too.
+		return nil
+	}
+	return s.flush()
+}
+
+func (s *eventStream) flush() error {
+	if err := s.control.Flush(); err != nil {
+		return code.Wrap(code.CallerGone, err, "the caller closed the connection")
+	}
+	return nil
+}
+
+func (s *eventStream) sendChoice(c contract.Chunk, first bool) error {
+	choice := chunkChoice{Delta: chunkDelta{Content: c.Text}}
+	if first {
+		choice.Delta.Role = "assistant"
+	}
+	if c.FinishReason != "" {
+		choice.FinishReason = &c.FinishReason
+	}
+	data, err := json.Marshal(&choice)
+	if err != nil {
+		return code.Wrap(code.Internal, err, "the event could not be encoded")
+	}
+	return s.write(s.head, []byte(`,"choices":[`), data, []byte(`]}`))
+}
+
+func (s *eventStream) sendUsage(u *contract.Usage) error {
+	data, err := json.Marshal(u)
+	if err != nil {
+		return code.Wrap(code.Internal, err, "the event could not be encoded")
+	}
+	return s.write(s.head, []byte(`,"choices":[],"usage":`), data, []byte(`}`))
+}
+
+// done ends a whole answer.
+func (s *eventStream) done() error {
+	if err := s.write([]byte("[DONE]")); err != nil {
+		return err
+	}
+	return s.flush()
+}
+
+// fail ends a started stream with a numbered error and without the end mark.
+func (s *eventStream) fail(requestID string, err error) {
+	data, encoding := json.Marshal(code.NewBody(requestID, code.From(err)))
+	if encoding == nil {
+		_ = s.write(data)
+	}
+	_ = s.flush()
+}
+
+// write sends one event whose data is the parts together.
+func (s *eventStream) write(parts ...[]byte) error {
+	s.event = append(s.event[:0], "data: "...)
+	for _, part := range parts {
+		s.event = append(s.event, part...)
+	}
+	s.event = append(s.event, "\n\n"...)
+	if _, err := s.w.Write(s.event); err != nil {
+		return code.Wrap(code.CallerGone, err, "the caller closed the connection")
+	}
+	return nil
+}
+
+// chatStream relays an answer as it is made.
+func (l *Listener) chatStream(ctx context.Context, w http.ResponseWriter, call *contract.Completion) error {
+	stream := newEventStream(w, call, time.Now())
+	err := l.dispatcher.Complete(ctx, call, stream.chunk)
+	if err == nil {
+		return stream.done()
+	}
+	if !stream.started {
+		return err
+	}
+	stream.fail(call.RequestID, err)
+	return &sentError{err}
+}
+
+// replay sends a stored answer as a stream.
+func replay(w http.ResponseWriter, call *contract.Completion, stored []byte) error {
+	var answer chatAnswer
+	if err := json.Unmarshal(stored, &answer); err != nil || len(answer.Choices) != 1 {
+		return code.New(code.Internal, "the stored answer is damaged")
+	}
+	stream := newEventStream(w, call, time.Unix(answer.Created, 0))
+	choice := answer.Choices[0]
+	chunk := contract.Chunk{Text: choice.Message.Content, FinishReason: choice.FinishReason, Usage: answer.Usage}
+	if err := stream.chunk(chunk); err != nil {
+		return err
+	}
+	return stream.done()
+}
+
+// sentError is an error that the caller has already been told of.
+type sentError struct{ error }
+
+// Unwrap returns the error that was sent.
+func (e *sentError) Unwrap() error { return e.error }
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,242 @@
+// Package daemon puts the parts of one instance together: three listeners, the
+// configuration, the membership view, the dispatcher, claims and batch. The
+// daemon's main and the dev command run it; other programs may embed it.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/daisylb/daisylb/batch"
+	"github.com/daisylb/daisylb/caller"
+	"github.com/daisylb/daisylb/claim"
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/config"
+	"github.com/daisylb/daisylb/datacentre"
+	"github.com/daisylb/daisylb/instance"
+	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/platform/guard"
+	"github.com/daisylb/daisylb/platform/httpstore"
+	"github.com/daisylb/daisylb/upstream"
+)
+
+// Options of a Daemon.
+type Options struct {
+	// Settings of the instance.
+	Settings Settings
+	// Store is the platform; nil means the one that the settings name.
+	Store platform.Store
+	// Logger may be nil.
+	Logger *zap.Logger
+}
+
+// Daemon is one instance. New opens its listeners, Run serves until the context
+// ends and the planned stop is over.
+type Daemon struct {
+	settings Settings
+	log      *zap.Logger
+	registry *prometheus.Registry
+	started  time.Time
+	identity instance.Identity
+	// process differs between two runs under the same identity.
+	process   string
+	lifecycle *instance.Lifecycle
+	members   *instance.Membership
+
+	adapter   *httpstore.Store
+	store     *guard.Guard
+	transport *http.Client
+	config    *config.Store
+
+	dispatcher *upstream.Dispatcher
+	exchange   *upstream.Exchange
+	claims     *claim.Service
+	jobs       *batch.Service
+	runner     *batch.Runner
+	sweeper    *batch.Sweeper
+	batches    *batch.Handler
+	endpoints  *datacentre.Handler
+	listener   *caller.Listener
+
+	callers   *listener
+	peers     *listener
+	operators *listener
+}
+
+// New builds an instance and opens its listeners. Errors:
+// code.InvalidSettings.
+func New(o Options) (*Daemon, error) {
+	d := &Daemon{
+		settings: o.Settings,
+		log:      o.Logger,
+		registry: prometheus.NewRegistry(),
+		started:  time.Now(),
+		process:  uuid.NewString(),
+	}
+	if d.log == nil {
+		d.log = zap.NewNop()
+	}
+	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	if err := d.open(); err != nil {
+		d.Close()
+		return nil, err
+	}
+	if err := d.build(o.Store); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// open binds the listeners and draws the identity from their addresses.
+func (d *Daemon) open() error {
+	var err error
+	if d.callers, err = openListener("callers", d.settings.Callers, d.log); err != nil {
+		return err
+	}
+	if d.peers, err = openListener("peers", d.settings.Peers, d.log); err != nil {
+		return err
+	}
+	if d.operators, err = openListener("operators", d.settings.Operators, d.log); err != nil {
+		return err
+	}
+	d.identity = instance.Identity{
+		ID:            d.settings.ID,
+		DataCentre:    d.settings.DataCentre,
+		CallerAddress: d.callers.advertised,
+		PeerAddress:   d.peers.advertised,
+	}
+	if d.identity.ID == "" {
+		d.identity.ID = d.settings.DataCentre + "-" + uuid.NewString()
+	}
+	d.log = d.log.With(zap.String("instance", d.identity.ID))
+	return nil
+}
+
+// CallerAddress, PeerAddress and OperatorAddress are what others are told.
+func (d *Daemon) CallerAddress() string { return d.callers.advertised }
+
+// PeerAddress is the advertised address of the peers' listener.
+func (d *Daemon) PeerAddress() string { return d.peers.advertised }
+
+// OperatorAddress is the advertised address of the operators' listener.
+func (d *Daemon) OperatorAddress() string { return d.operators.advertised }
+
+// ready returns nil when callers are served.
+func (d *Daemon) ready() error {
+	if err := d.config.Ready(); err != nil {
+		return err
+	}
+	if state := d.lifecycle.State(); state != instance.Serving {
+		return code.New(code.Draining, "the instance is %s", state)
+	}
+	return nil
+}
+
+// Run serves until ctx ends, then carries out a planned stop: endpoint answers
+// leave the instance out, late callers are still taken, open requests finish.
+// A second signal through hurry skips the wait for late callers.
+func (d *Daemon) Run(ctx, hurry context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var tasks errgroup.Group
+	failed := make(chan error, 1)
+	d.startTasks(background, &tasks)
+	// Batch leases are handed over first, while late callers are still taken.
+	batchRun, endBatch := context.WithCancel(background)
+	defer endBatch()
+	tasks.Go(func() error { return ignoreCancel(d.runner.Run(batchRun)) })
+	go func() { failed <- tasks.Wait() }()
+	if err := d.lifecycle.Serve(); err != nil {
+		return err
+	}
+	d.log.Info("serving",
+		zap.String("callers", d.CallerAddress()),
+		zap.String("peers", d.PeerAddress()),
+		zap.String("operators", d.OperatorAddress()))
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	endBatch()
+	err := d.drain(hurry)
+	held := d.claims.Drain(hurry)
+	if held > 0 {
+		d.log.Error("answers not stored at the end", zap.Int("answers", held))
+	}
+	d.leave()
+	d.shutdown(hurry)
+	stop()
+	return errors.Join(err, <-failed)
+}
+
+// startTasks starts the listeners and the parts' own loops.
+func (d *Daemon) startTasks(ctx context.Context, g *errgroup.Group) {
+	d.callers.start(ctx, g)
+	d.peers.start(ctx, g)
+	d.operators.start(ctx, g)
+	g.Go(func() error { return ignoreCancel(d.config.Run(ctx)) })
+	g.Go(func() error { return ignoreCancel(d.members.Run(ctx)) })
+	g.Go(func() error { return ignoreCancel(d.dispatcher.Run(ctx)) })
+	g.Go(func() error { return ignoreCancel(d.exchange.Run(ctx)) })
+	g.Go(func() error { return ignoreCancel(d.claims.Run(ctx)) })
+	g.Go(func() error { return ignoreCancel(d.sweeper.Run(ctx)) })
+}
+
+// drain takes late callers for as long as they may hold an old answer.
+func (d *Daemon) drain(hurry context.Context) error {
+	result, err := d.lifecycle.Drain(hurry, instance.Drain{
+		AnswerTTL: datacentre.TTL(d.config.Current()),
+		Margin:    d.settings.Drain.Margin,
+		Bound:     d.settings.Drain.Bound,
+		InFlight:  d.listener.InFlight,
+	})
+	d.log.Info("drained", zap.Duration("accepted", result.Accepted), zap.Duration("finished", result.Finished), zap.Int("cut_off", result.CutOff))
+	return err
+}
+
+// leave tells the members that watch this instance that it has stopped.
+func (d *Daemon) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	d.members.Leave(ctx)
+}
+
+// leaveTimeout bounds the farewell to the other members.
+const leaveTimeout = time.Second
+
+// shutdownTimeout bounds the end of connections that carry no request.
+const shutdownTimeout = 5 * time.Second
+
+// shutdown closes the listeners, callers first.
+func (d *Daemon) shutdown(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	for _, l := range []*listener{d.callers, d.peers, d.operators} {
+		if err := l.server.Shutdown(ctx); err != nil {
+			d.log.Warn("listener closed with open connections", zap.String("listener", l.name), zap.Error(err))
+			_ = l.server.Close()
+		}
+	}
+}
+
+// Configuration is the versioned document and its changes.
+func (d *Daemon) Configuration() *config.Store { return d.config }
+
+// Close releases the sockets of a daemon that was not run.
+func (d *Daemon) Close() {
+	for _, l := range []*listener{d.callers, d.peers, d.operators} {
+		if l != nil && l.socket != nil {
+			_ = l.socket.Close()
+		}
+	}
+}
