Hold the reading of streams by properties and a fuzz target

Cause: that a short answer is never taken for a whole one rested on a few scripted faults. Ruled out: more scripted faults, which cut at a few places only. Change: streams cut at any byte fail, whole ones give their text, chunks of another answer are refused; FuzzEventStream holds that without a finish reason nothing is whole.

--- /dev/null
+++ b/upstream/stream_test.go
@@ -0,0 +1,86 @@
+package upstream
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/daisylb/daisylb/contract"
+)
+
+// readAll reads an event stream as an attempt does.
+func readAll(body string) (text, finish string, f *failure) {
+	c := &completion{maxAnswer: 1 << 20, sink: func(chunk contract.Chunk) error {
+		text += chunk.Text
+		finish = chunk.FinishReason
+		return nil
+	}}
+	s := &stream{
+		slot: &slot{started: time.Now()}, body: io.NopCloser(strings.NewReader(body)),
+		events: newEventReader(strings.NewReader(body), wireBudget(c.maxAnswer)), binding: binding{attempt: "dlb-1"},
+		timer: time.NewTimer(time.Hour), patience: time.Hour,
+	}
+	defer s.close()
+	if f = s.advance(); f == nil {
+		f = s.deliver(c)
+	}
+	return text, finish, f
+}
+
+func eventStream(n int, id string) (body, answer string) {
+	for i := range n {
+		word := fmt.Sprintf(" ñ%d", i)
+		body += fmt.Sprintf("data: {\"id\":%q,\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", id, word)
+		answer += word
+	}
+	return body + fmt.Sprintf("data: {\"id\":%q,\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n", id), answer
+}
+
+func TestStreamThatIsCutAnywhereIsNeverTakenForWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		body, answer := eventStream(rapid.IntRange(1, 20).Draw(t, "chunks"), "chatcmpl-dlb-1")
+		end := strings.Index(body, `"finish_reason"`)
+		if _, _, f := readAll(body[:rapid.IntRange(0, end).Draw(t, "cut")]); f == nil {
+			t.Fatal("a cut stream was taken for whole")
+		}
+		if text, finish, f := readAll(body); f != nil || text != answer || finish != "stop" {
+			t.Fatalf("got %q with finish reason %q and %+v, want %q", text, finish, f, answer)
+		}
+	})
+}
+
+func TestChunkOfAnotherAnswerIsRefused(t *testing.T) {
+	own, _ := eventStream(2, "chatcmpl-dlb-1")
+	other, _ := eventStream(2, "chatcmpl-dlb-2")
+	plain, _ := eventStream(2, "x")
+	for name, body := range map[string]string{
+		"from the start":          other,
+		"after own chunks":        own[:strings.Index(own, "\n\n")+2] + other,
+		"without our identifiers": plain[:strings.Index(plain, "\n\n")+2] + own,
+	} {
+		if _, _, f := readAll(body); f == nil || !errors.Is(f.err, errSwapped) {
+			t.Errorf("%s: got %+v, want %v", name, f, errSwapped)
+		}
+	}
+}
+
+func FuzzEventStream(f *testing.F) {
+	body, _ := eventStream(3, "x")
+	f.Add(body)
+	f.Add("data: {\"choices\":[{},{}]}\n\n")
+	f.Fuzz(func(t *testing.T, body string) {
+		text, finish, failed := readAll(body)
+		if failed == nil && finish == "" || len(text) > len(body)*maxGrowth {
+			t.Fatalf("%q was taken for a whole answer %q", body, text)
+		}
+	})
+}
+
+// maxGrowth is how much longer a decoded string may be than its JSON: a byte
+// that is not UTF-8 becomes three.
+const maxGrowth = 3
