Forbid hedges where the preset's share is 0

Cause: the load tool counted 11 hedges under a hedge share of 0: the reserve of 12 was full from the start. Ruled out: a smaller reserve, which would only lower the number. Figures: TestNoHedgeWithoutAShare fails without the change and passes with it; the experiment was not run again. Conclusion: presets without hedges have none.

--- a/route/hedge.go
+++ b/route/hedge.go
@@ -15,8 +15,13 @@
 // hedgeReserve is the number of hedges that may be saved up.
 const hedgeReserve = 12
 
-// Earn returns the budget after a first attempt; share is hedges per attempt.
+// Earn returns the budget after a first attempt; share is hedges per attempt. A
+// share of 0 forbids hedges, also those that were saved up.
 func (h Hedges) Earn(share float64) Hedges {
+	if share <= 0 {
+		h.Balance = min(h.Balance, 0)
+		return h
+	}
 	h.Balance = min(h.Balance+share, hedgeReserve)
 	return h
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -317,3 +317,13 @@
 		}
 	})
 }
+
+func TestNoHedgeWithoutAShare(t *testing.T) {
+	h := NewHedges().Earn(0)
+	if _, ok := h.Spend(0, 0, 16); ok {
+		t.Error("a hedge is allowed with a share of 0")
+	}
+	if _, ok := NewHedges().Earn(0.05).Spend(0, 0, 16); !ok {
+		t.Error("no hedge is allowed with a share of 0.05")
+	}
+}
