--- a/batch/task.go
+++ b/batch/task.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -169,7 +167,7 @@
 
 // complete runs a call of a model service.
 func (t *task) complete(i *item) (ResultLine, error) {
-	answer := answerBuilder{max: t.maxAnswerBytes()}
+	answer := boundedAnswer{maxBytes: t.maxAnswerBytes()}
 	err := t.l.r.opts.Executor.Complete(t.l.ctx, &contract.Completion{
 		RequestID: t.id(),
 		Account:   t.l.job.row.Account,
@@ -183,10 +181,10 @@
 	if err != nil {
 		return ResultLine{}, err
 	}
-	if answer.finish == "" {
+	if !answer.IsWhole() {
 		return ResultLine{}, code.New(code.StreamBroken, "the answer has no finish reason")
 	}
-	body := answer.body(t.id(), i.service, time.Now())
+	body := encode(answer.Answer(t.id(), i.service, time.Now()))
 	return ResultLine{CustomID: i.customID, Response: &ResultResponse{StatusCode: http.StatusOK, RequestID: t.id(), Body: body}}, nil
 }
 
@@ -278,56 +276,16 @@
 	}
 }
 
-// answerBuilder joins the chunks of one answer.
-type answerBuilder struct {
-	max    int64
-	text   strings.Builder
-	finish string
-	usage  *contract.Usage
+// boundedAnswer joins the chunks of one answer up to a bound.
+type boundedAnswer struct {
+	contract.AnswerBuilder
+	maxBytes int64
 }
 
-func (b *answerBuilder) add(c contract.Chunk) error {
-	if int64(b.text.Len()+len(c.Text)) > b.max {
-		return code.New(code.UpstreamAnswerSize, "the answer is over %d bytes", b.max)
-	}
-	b.text.WriteString(c.Text)
-	if c.FinishReason != "" {
-		b.finish = c.FinishReason
-	}
-	if c.Usage != nil {
-		b.usage = c.Usage
+func (b *boundedAnswer) add(c contract.Chunk) error {
+	if int64(b.Len()+len(c.Text)) > b.maxBytes {
+		return code.New(code.UpstreamAnswerSize, "the answer is over %d bytes", b.maxBytes)
 	}
+	b.Add(c)
 	return nil
 }
-
-// chatCompletion is an OpenAI chat completion.
-type chatCompletion struct {
-	ID      string          `json:"id"`
-	Object  string          `json:"object"`
-	Created int64           `json:"created"`
-	Model   string          `json:"model"`
-	Choices []chatChoice    `json:"choices"`
-	Usage   *contract.Usage `json:"usage,omitempty"`
-}
-
-type chatChoice struct {
-	Index        int         `json:"index"`
-	Message      chatMessage `json:"message"`
-	FinishReason string      `json:"finish_reason"`
-}
-
-type chatMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
-func (b *answerBuilder) body(id, model string, created time.Time) []byte {
-	return encode(chatCompletion{
-		ID:      fmt.Sprintf("chatcmpl-%s", id),
-		Object:  "chat.completion",
-		Created: created.Unix(),
-		Model:   model,
-		Choices: []chatChoice{{Message: chatMessage{Role: "assistant", Content: b.text.String()}, FinishReason: b.finish}},
-		Usage:   b.usage,
-	})
-}
--- a/caller/chat.go
+++ b/caller/chat.go
@@ -4,33 +4,12 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 )
 
-type chatAnswer struct {
-	ID      string          `json:"id"`
-	Object  string          `json:"object"`
-	Created int64           `json:"created"`
-	Model   string          `json:"model"`
-	Choices []chatChoice    `json:"choices"`
-	Usage   *contract.Usage `json:"usage,omitempty"`
-}
-
-type chatChoice struct {
-	Index        int         `json:"index"`
-	Message      chatMessage `json:"message"`
-	FinishReason string      `json:"finish_reason"`
-}
-
-type chatMessage struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
 // chat answers POST /v1/chat/completions.
 func (l *Listener) chat(w http.ResponseWriter, r *http.Request) error {
 	id := IdentityOf(r)
@@ -100,36 +79,15 @@
 }
 
 // collect runs a call and returns its whole answer.
-func (l *Listener) collect(ctx context.Context, call *contract.Completion) (chatAnswer, error) {
-	var text strings.Builder
-	answer := newChatAnswer(call, time.Now())
-	choice := &answer.Choices[0]
+func (l *Listener) collect(ctx context.Context, call *contract.Completion) (contract.ChatAnswer, error) {
+	var answer contract.AnswerBuilder
 	err := l.dispatcher.Complete(ctx, call, func(c contract.Chunk) error {
-		text.WriteString(c.Text)
-		if c.FinishReason != "" {
-			choice.FinishReason = c.FinishReason
-		}
-		if c.Usage != nil {
-			answer.Usage = c.Usage
-		}
+		answer.Add(c)
 		return nil
 	})
-	choice.Message.Content = text.String()
-	return answer, err
-}
-
-func newChatAnswer(call *contract.Completion, now time.Time) chatAnswer {
-	return chatAnswer{
-		ID:      completionID(call),
-		Object:  "chat.completion",
-		Created: now.Unix(),
-		Model:   call.Service,
-		Choices: []chatChoice{{Message: chatMessage{Role: "assistant"}}},
-	}
+	return answer.Answer(call.RequestID, call.Service, time.Now()), err
 }
 
-func completionID(call *contract.Completion) string { return "chatcmpl-" + call.RequestID }
-
 func (l *Listener) chatWhole(ctx context.Context, w http.ResponseWriter, call *contract.Completion) error {
 	answer, err := l.collect(ctx, call)
 	if err != nil {
--- a/caller/stream.go
+++ b/caller/stream.go
@@ -44,7 +44,7 @@
 
 func newEventStream(w http.ResponseWriter, call *contract.Completion, now time.Time) *eventStream {
 	head, err := json.Marshal(chunkHead{
-		ID:      completionID(call),
+		ID:      contract.CompletionID(call.RequestID),
 		Object:  "chat.completion.chunk",
 		Created: now.Unix(),
 		Model:   call.Service,
@@ -169,7 +169,7 @@
 
 // replay sends a stored answer as a stream.
 func replay(w http.ResponseWriter, call *contract.Completion, stored []byte) error {
-	var answer chatAnswer
+	var answer contract.ChatAnswer
 	if err := json.Unmarshal(stored, &answer); err != nil || len(answer.Choices) != 1 {
 		return code.New(code.Internal, "the stored answer is damaged")
 	}
