Serve only when configured and joined, and end when a part fails

Cause: read as a newcomer, Run served at once, so that an instance without a configuration could stand in endpoint answers; a listener that failed left the others waiting for ever, since the group had no context. Ruled out: refusing while starting with the number of a stop (2003), which is not what callers should read. Conclusion: restarts send nobody to an instance that would refuse.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -140,6 +140,12 @@
 	return instance.Load{RunningRequests: uint32(d.listener.InFlight())}
 }
 
+// refusing reports whether the time for new requests is over. A starting
+// instance refuses by itself as long as it has no configuration.
+func (d *Daemon) refusing() bool {
+	return d.lifecycle.State() != instance.Starting && !d.lifecycle.Accepting()
+}
+
 // serving is the configuration that new work may be served under, or nil.
 func (d *Daemon) serving() *contract.Document {
 	if d.config.Ready() != nil {
@@ -306,7 +312,7 @@
 		Claims:     callerClaims{d.claims},
 		Endpoints:  d.endpoints,
 		Batches:    d.batches,
-		Stopped:    func() bool { return !d.lifecycle.Accepting() },
+		Stopped:    d.refusing,
 		Logger:     d.log,
 		Registerer: d.registry,
 	})
@@ -329,7 +335,7 @@
 	configuration := config.Handler(d.config, operator.NameOf)
 	l := operator.NewListener(operator.Options{
 		Keys:     d.settings.OperatorKeys,
-		Ready:    d.ready,
+		Ready:    d.Ready,
 		State:    d.dump,
 		Gatherer: d.registry,
 		Mounts: map[string]http.Handler{
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -130,11 +130,14 @@
 // OperatorAddress is the advertised address of the operators' listener.
 func (d *Daemon) OperatorAddress() string { return d.operators.advertised }
 
-// ready returns nil when callers are served.
-func (d *Daemon) ready() error {
+// Ready returns nil when callers are served.
+func (d *Daemon) Ready() error {
 	if err := d.config.Ready(); err != nil {
 		return err
 	}
+	if d.lifecycle.State() == instance.Starting {
+		return code.New(code.NoConfiguration, "the instance is starting")
+	}
 	if state := d.lifecycle.State(); state != instance.Serving {
 		return code.New(code.Draining, "the instance is %s", state)
 	}
@@ -143,40 +146,34 @@
 
 // Run serves until ctx ends, then carries out a planned stop: endpoint answers
 // leave the instance out, late callers are still taken, open requests finish.
-// A second signal through hurry skips the wait for late callers.
+// The end of hurry skips the wait for late callers. A part that fails ends the
+// instance with its error.
 func (d *Daemon) Run(ctx, hurry context.Context) error {
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	var tasks errgroup.Group
-	failed := make(chan error, 1)
-	d.startTasks(background, &tasks)
+	tasks, running := errgroup.WithContext(background)
 	// Batch leases are handed over first, while late callers are still taken.
-	batchRun, endBatch := context.WithCancel(background)
+	batchRun, endBatch := context.WithCancel(running)
 	defer endBatch()
+	d.startTasks(running, tasks)
 	tasks.Go(func() error { return ignoreCancel(d.runner.Run(batchRun)) })
-	go func() { failed <- tasks.Wait() }()
-	if err := d.lifecycle.Serve(); err != nil {
-		return err
-	}
-	d.log.Info("serving",
+	d.log.Info("listening",
 		zap.String("callers", d.CallerAddress()),
 		zap.String("peers", d.PeerAddress()),
 		zap.String("operators", d.OperatorAddress()))
+	tasks.Go(func() error { return d.serveWhenReady(running) })
+	var err error
 	select {
-	case err := <-failed:
-		return err
+	case <-running.Done():
 	case <-ctx.Done():
+		endBatch()
+		err = d.drain(hurry)
+		d.storeAnswers(hurry)
+		d.leave()
 	}
-	endBatch()
-	err := d.drain(hurry)
-	held := d.claims.Drain(hurry)
-	if held > 0 {
-		d.log.Error("answers not stored at the end", zap.Int("answers", held))
-	}
-	d.leave()
 	d.shutdown(hurry)
 	stop()
-	return errors.Join(err, <-failed)
+	return errors.Join(err, tasks.Wait())
 }
 
 // startTasks starts the listeners and the parts' own loops.
@@ -192,6 +189,32 @@
 	g.Go(func() error { return ignoreCancel(d.sweeper.Run(ctx)) })
 }
 
+// serveWhenReady enters the endpoint answers when the instance has a
+// configuration and knows the other members, so that nobody is sent to an
+// instance that would refuse.
+func (d *Daemon) serveWhenReady(ctx context.Context) error {
+	if _, err := d.config.Watch(ctx, 0); err != nil {
+		return ignoreCancel(err)
+	}
+	select {
+	case <-d.members.Joined():
+	case <-ctx.Done():
+		return nil
+	}
+	// A planned stop may have come first.
+	if d.lifecycle.State() != instance.Starting {
+		return nil
+	}
+	return d.lifecycle.Serve()
+}
+
+// storeAnswers waits for answers that the store has not taken yet.
+func (d *Daemon) storeAnswers(hurry context.Context) {
+	if held := d.claims.Drain(hurry); held > 0 {
+		d.log.Error("answers not stored at the end", zap.Int("answers", held))
+	}
+}
+
 // drain takes late callers for as long as they may hold an old answer.
 func (d *Daemon) drain(hurry context.Context) error {
 	result, err := d.lifecycle.Drain(hurry, instance.Drain{
