--- a/batch/machine_test.go
+++ b/batch/machine_test.go
@@ -95,10 +95,8 @@
 	h := fnv.New32a()
 	h.Write([]byte(id))
 	n := h.Sum32()
-	select {
-	case <-time.After(time.Duration(n%20) * time.Second):
-	case <-ctx.Done():
-		return "", ctx.Err()
+	if err := pause(ctx, time.Duration(n%20)*time.Second); err != nil {
+		return "", err
 	}
 	if n%16 == 0 && w.executor.count(id) == 1 {
 		return "", code.New(code.UpstreamFailed, "made to fail")
@@ -106,6 +104,21 @@
 	return fmt.Sprintf("run %d", w.executor.count(id)), nil
 }
 
+// pause waits for d. It makes no timer of zero: under the race detector a bubble
+// that receives from expired timers on two threads at once crashes in Go 1.26.8
+// (the bubble has one race context for its timers).
+func pause(ctx context.Context, d time.Duration) error {
+	if d == 0 {
+		return ctx.Err()
+	}
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // start adds an instance. Every instance sees those that did not crash.
 func (w *world) start() {
 	w.started++
--- a/load/caller_test.go
+++ b/load/caller_test.go
@@ -112,7 +112,7 @@
 	running.Go(func() { _ = environment.Run(ctx) })
 	defer running.Wait()
 	defer cancel()
-	for environment.Daemon.Configuration().Ready() != nil {
+	for environment.Daemon.Ready() != nil {
 		time.Sleep(time.Millisecond)
 	}
 	e, err := Parse("e", fmt.Appendf(nil, `{
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -37,7 +37,11 @@
 // Sleep waits before retry number attempt. It returns the context's error when
 // ctx ends first.
 func (b Backoff) Sleep(ctx context.Context, attempt int) error {
-	timer := time.NewTimer(b.Wait(attempt))
+	wait := b.Wait(attempt)
+	if wait <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
