--- a/batch/commit.go
+++ b/batch/commit.go
@@ -10,7 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // pending is a commit that is not known to have taken effect. It is repeated as
@@ -234,8 +234,8 @@
 // endJob writes the final row of a job. A job that has ended already is left as
 // it is.
 func (m *meteredStore) endJob(ctx context.Context, end jobRow, version uint64) error {
-	t := platform.Transaction{
-		Conditions: []platform.Condition{{Key: jobKey(end.ID), Version: version}},
+	t := storage.Transaction{
+		Conditions: []storage.Condition{{Key: jobKey(end.ID), Version: version}},
 		Writes:     endWrites(end),
 	}
 	_, err := m.settle(ctx, t, func(ctx context.Context) (bool, error) {
--- a/batch/cost_test.go
+++ b/batch/cost_test.go
@@ -17,8 +17,8 @@
 	"time"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 // The stated sizes of a day and of the largest job.
@@ -100,7 +100,7 @@
 	t.Helper()
 	for range 1000 {
 		time.Sleep(time.Minute)
-		rows, err := store.Range(context.Background(), openPrefix, platform.PrefixEnd(openPrefix), 1)
+		rows, err := store.Range(context.Background(), openPrefix, storage.PrefixEnd(openPrefix), 1)
 		if err == nil && len(rows) == 0 {
 			return
 		}
--- a/batch/fake_test.go
+++ b/batch/fake_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 const account = "loomcare"
@@ -293,7 +293,7 @@
 	mu       sync.Mutex
 	writes   int
 	injected int
-	onWrite  func(n int, t *platform.Transaction) fault
+	onWrite  func(n int, t *storage.Transaction) fault
 	dead     bool
 	frozen   chan struct{}
 }
@@ -301,7 +301,7 @@
 func newGate(store Store) *gate { return &gate{Store: store} }
 
 // hook sets what happens to writes. n counts them from 1; t is nil for objects.
-func (g *gate) hook(onWrite func(n int, t *platform.Transaction) fault) {
+func (g *gate) hook(onWrite func(n int, t *storage.Transaction) fault) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.onWrite = onWrite
@@ -363,7 +363,7 @@
 	return code.New(code.StoreUnavailable, "cut off")
 }
 
-func (g *gate) write(t *platform.Transaction, apply func() error) error {
+func (g *gate) write(t *storage.Transaction, apply func() error) error {
 	g.mu.Lock()
 	g.writes++
 	n, onWrite := g.writes, g.onWrite
@@ -393,13 +393,13 @@
 	return err
 }
 
-func (g *gate) Apply(ctx context.Context, t platform.Transaction) (applied platform.Applied, err error) {
+func (g *gate) Apply(ctx context.Context, t storage.Transaction) (applied storage.Applied, err error) {
 	err = g.write(&t, func() error {
 		applied, err = g.Store.Apply(ctx, t)
 		return err
 	})
 	if code.Of(err) == code.StoreUnknown {
-		applied = platform.Applied{}
+		applied = storage.Applied{}
 	}
 	return applied, err
 }
@@ -408,14 +408,14 @@
 	return g.write(nil, func() error { return g.Store.Put(ctx, key, body) })
 }
 
-func (g *gate) Get(ctx context.Context, key string) (platform.Row, error) {
+func (g *gate) Get(ctx context.Context, key string) (storage.Row, error) {
 	if err := g.isDead(); err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	return g.Store.Get(ctx, key)
 }
 
-func (g *gate) Range(ctx context.Context, start, end string, limit int) ([]platform.Row, error) {
+func (g *gate) Range(ctx context.Context, start, end string, limit int) ([]storage.Row, error) {
 	if err := g.isDead(); err != nil {
 		return nil, err
 	}
@@ -423,7 +423,7 @@
 }
 
 // commits reports whether the transaction commits results of a segment.
-func commits(t *platform.Transaction) bool {
+func commits(t *storage.Transaction) bool {
 	if t == nil {
 		return false
 	}
@@ -437,7 +437,7 @@
 
 // withoutConditions makes a gate's commits those of a naive holder that checks
 // neither token nor job.
-func withoutConditions(t *platform.Transaction) {
+func withoutConditions(t *storage.Transaction) {
 	if commits(t) {
 		t.Conditions = nil
 	}
--- a/batch/finder.go
+++ b/batch/finder.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // finder looks for segments to lease. Only Runner.find uses it, so it needs no
@@ -97,7 +97,7 @@
 // candidates reads a window of the index of open jobs: the jobs that must start
 // first, and when all of those are quiet, the ones behind them.
 func (f *finder) candidates(ctx context.Context) ([]Candidate, error) {
-	rows, err := f.r.store.once(ctx, openPrefix, platform.PrefixEnd(openPrefix), window)
+	rows, err := f.r.store.once(ctx, openPrefix, storage.PrefixEnd(openPrefix), window)
 	if err != nil {
 		return nil, err
 	}
@@ -118,7 +118,7 @@
 // behind reads the next window behind the first one, in turn.
 func (f *finder) behind(ctx context.Context, last string) ([]Candidate, error) {
 	start := max(f.cursor, last) + "\x00"
-	rows, err := f.r.store.once(ctx, start, platform.PrefixEnd(openPrefix), window)
+	rows, err := f.r.store.once(ctx, start, storage.PrefixEnd(openPrefix), window)
 	if err != nil {
 		return nil, err
 	}
@@ -130,7 +130,7 @@
 }
 
 // decode returns the jobs of index rows that are not quiet.
-func (f *finder) decode(rows []platform.Row) ([]Candidate, error) {
+func (f *finder) decode(rows []storage.Row) ([]Candidate, error) {
 	now := time.Now()
 	candidates := make([]Candidate, 0, len(rows))
 	for _, row := range rows {
@@ -155,7 +155,7 @@
 const maxViews = 4 * window
 
 // prune forgets jobs that are not open any more, or that are too many to keep.
-func (f *finder) prune(rows []platform.Row, full bool) {
+func (f *finder) prune(rows []storage.Row, full bool) {
 	if full && len(f.jobs) <= maxViews {
 		return
 	}
--- a/batch/fleet_test.go
+++ b/batch/fleet_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 // fleetExecutor runs items of 5 s in a bounded number of places that all
--- a/batch/handler_test.go
+++ b/batch/handler_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 // newServer serves the store's jobs; the API key of a request is its account.
--- a/batch/items_test.go
+++ b/batch/items_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 func TestImpossibleItemsUseUpTheirAttempts(t *testing.T) {
@@ -192,7 +192,7 @@
 		job := submit(t, service, "k", chatLines(60))
 		way := newGate(store)
 		renewals := 0
-		way.hook(func(n int, tx *platform.Transaction) fault {
+		way.hook(func(n int, tx *storage.Transaction) fault {
 			if n > 1 && tx != nil && !commits(tx) {
 				renewals++
 				// The read that would settle the outcome fails as well.
--- a/batch/job.go
+++ b/batch/job.go
@@ -10,7 +10,7 @@
 	"github.com/looplab/fsm"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // State is the state of a job.
@@ -143,8 +143,8 @@
 }
 
 // writes are the writes of the job's row and of its copy in the account's list.
-func (j jobRow) writes() []platform.Write {
-	return []platform.Write{
+func (j jobRow) writes() []storage.Write {
+	return []storage.Write{
 		{Key: jobKey(j.ID), Value: encode(j)},
 		{Key: accountKey(j.Account, j.CreatedAt, j.ID), Value: encode(j.Job)},
 	}
@@ -192,7 +192,7 @@
 	return b
 }
 
-func decode[T any](row platform.Row) (T, error) {
+func decode[T any](row storage.Row) (T, error) {
 	var v T
 	if err := json.Unmarshal(row.Value, &v); err != nil {
 		return v, code.Wrap(code.Internal, err, "row %q is damaged", row.Key)
--- a/batch/machine_test.go
+++ b/batch/machine_test.go
@@ -14,8 +14,8 @@
 	"pgregory.net/rapid"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 // action is what a step of a random history does.
@@ -123,7 +123,7 @@
 func (w *world) start() {
 	w.started++
 	i := &worldInstance{way: newGate(w.store)}
-	i.way.hook(func(_ int, tx *platform.Transaction) fault {
+	i.way.hook(func(_ int, tx *storage.Transaction) fault {
 		if commits(tx) {
 			i.way.stall()
 		}
--- a/batch/order_test.go
+++ b/batch/order_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 func TestOrderPutsTheLeastLaxityFirst(t *testing.T) {
--- a/batch/query.go
+++ b/batch/query.go
@@ -7,12 +7,12 @@
 	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // job reads a job of the account. Errors: code.JobUnknown and errors of the
 // store.
-func (s *Service) job(ctx context.Context, account, id string) (jobRow, platform.Row, error) {
+func (s *Service) job(ctx context.Context, account, id string) (jobRow, storage.Row, error) {
 	row, err := s.store.get(ctx, jobKey(id))
 	if err != nil {
 		return jobRow{}, row, err
@@ -57,9 +57,9 @@
 func (m *meteredStore) tally(ctx context.Context, job string) (tally, error) {
 	var t tally
 	prefix := segmentsPrefix(job)
-	start, end := prefix, platform.PrefixEnd(prefix)
+	start, end := prefix, storage.PrefixEnd(prefix)
 	for {
-		rows, err := m.rows(ctx, start, end, platform.MaxRangeRows)
+		rows, err := m.rows(ctx, start, end, storage.MaxRangeRows)
 		if err != nil {
 			return tally{}, err
 		}
@@ -70,7 +70,7 @@
 			}
 			t.add(segment)
 		}
-		if len(rows) < platform.MaxRangeRows {
+		if len(rows) < storage.MaxRangeRows {
 			return t, nil
 		}
 		start = rows[len(rows)-1].Key + "\x00"
@@ -103,7 +103,7 @@
 		}
 		start = accountKey(account, last.CreatedAt, after) + "\x00"
 	}
-	rows, err := s.store.rows(ctx, start, platform.PrefixEnd(prefix), limit)
+	rows, err := s.store.rows(ctx, start, storage.PrefixEnd(prefix), limit)
 	if err != nil {
 		return nil, err
 	}
@@ -148,9 +148,9 @@
 		return code.Wrap(code.JobCancelled, err, "job %s is %s", job.ID, job.State)
 	}
 	job.State = StateCancelled
-	t := platform.Transaction{
-		Conditions: []platform.Condition{{Key: jobKey(job.ID), Version: version}},
-		Writes: append(endWrites(job), platform.Write{
+	t := storage.Transaction{
+		Conditions: []storage.Condition{{Key: jobKey(job.ID), Version: version}},
+		Writes: append(endWrites(job), storage.Write{
 			Key:   cancelKey(time.Now(), job.ID),
 			Value: encode(keyRow{Job: job.ID}),
 		}),
--- a/batch/runner.go
+++ b/batch/runner.go
@@ -13,8 +13,8 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/platform"
 	"github.com/daisylb/daisylb/retry"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // RunnerOptions are the parts and bounds of a Runner. Zero numbers and times
@@ -308,7 +308,7 @@
 	defer cancel()
 	start := cancelStart(time.Now().Add(-cancelWindow))
 	for {
-		rows, err := r.store.once(ctx, start, platform.PrefixEnd(cancelPrefix), watchPage)
+		rows, err := r.store.once(ctx, start, storage.PrefixEnd(cancelPrefix), watchPage)
 		if err != nil {
 			return err
 		}
--- a/batch/runner_test.go
+++ b/batch/runner_test.go
@@ -6,7 +6,7 @@
 
 	"go.uber.org/goleak"
 
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/batch/service.go
+++ b/batch/service.go
@@ -12,14 +12,14 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/platform"
 	"github.com/daisylb/daisylb/retry"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // Store is what the package needs of the platform.
 type Store interface {
-	platform.Table
-	platform.Objects
+	storage.Table
+	storage.Objects
 }
 
 // ServiceOptions are the parts of a Service.
@@ -348,20 +348,20 @@
 	}
 }
 
-func (u *upload) transaction(row jobRow) platform.Transaction {
+func (u *upload) transaction(row jobRow) storage.Transaction {
 	open := openRow{Items: row.Counts.Total, Segments: row.Segments, Deadline: row.Deadline.UnixMilli()}
 	key := keyKey(u.account, row.boundKey())
-	return platform.Transaction{
-		Conditions: []platform.Condition{
+	return storage.Transaction{
+		Conditions: []storage.Condition{
 			{Key: jobKey(row.ID)},
 			{Key: key},
 			{Key: uploadKey(u.name), Version: u.version},
 		},
 		Writes: append(row.writes(),
-			platform.Write{Key: key, Value: encode(keyRow{Job: row.ID})},
-			platform.Write{Key: uploadKey(u.name), Delete: true},
-			platform.Write{Key: row.OpenKey, Value: encode(open)},
-			platform.Write{Key: expiryKey(row.CreatedAt.Add(u.service.opts.Retention), row.ID), Value: encode(expiryRow{Job: row.ID, Upload: u.name})},
+			storage.Write{Key: key, Value: encode(keyRow{Job: row.ID})},
+			storage.Write{Key: uploadKey(u.name), Delete: true},
+			storage.Write{Key: row.OpenKey, Value: encode(open)},
+			storage.Write{Key: expiryKey(row.CreatedAt.Add(u.service.opts.Retention), row.ID), Value: encode(expiryRow{Job: row.ID, Upload: u.name})},
 		),
 	}
 }
--- a/batch/service_test.go
+++ b/batch/service_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 // longLines returns lines whose segments fill more than one input object.
@@ -51,7 +51,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					store := memory.New()
 					way := newGate(store)
-					way.hook(func(n int, _ *platform.Transaction) fault {
+					way.hook(func(n int, _ *storage.Transaction) fault {
 						if n != step {
 							return none
 						}
--- a/batch/store.go
+++ b/batch/store.go
@@ -8,7 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // meteredStore counts the operations on the store and, with a limit, spaces
@@ -84,7 +84,7 @@
 }
 
 // get reads a row.
-func (m *meteredStore) get(ctx context.Context, key string) (row platform.Row, err error) {
+func (m *meteredStore) get(ctx context.Context, key string) (row storage.Row, err error) {
 	err = m.retry(ctx, m.reads, func() error {
 		row, err = m.Store.Get(ctx, key)
 		return err
@@ -93,7 +93,7 @@
 }
 
 // rows reads at most limit rows from start.
-func (m *meteredStore) rows(ctx context.Context, start, end string, limit int) (rows []platform.Row, err error) {
+func (m *meteredStore) rows(ctx context.Context, start, end string, limit int) (rows []storage.Row, err error) {
 	err = m.retry(ctx, m.reads, func() error {
 		rows, err = m.Store.Range(ctx, start, end, limit)
 		return err
@@ -102,7 +102,7 @@
 }
 
 // once is rows without retries, for callers that repeat on their own account.
-func (m *meteredStore) once(ctx context.Context, start, end string, limit int) ([]platform.Row, error) {
+func (m *meteredStore) once(ctx context.Context, start, end string, limit int) ([]storage.Row, error) {
 	if err := m.begin(ctx, m.reads); err != nil {
 		return nil, err
 	}
@@ -154,9 +154,9 @@
 
 // insert writes a row under a key that no one else uses and returns its version.
 func (m *meteredStore) insert(ctx context.Context, key string, value []byte) (uint64, error) {
-	t := platform.Transaction{
-		Conditions: []platform.Condition{{Key: key}},
-		Writes:     []platform.Write{{Key: key, Value: value}},
+	t := storage.Transaction{
+		Conditions: []storage.Condition{{Key: key}},
+		Writes:     []storage.Write{{Key: key, Value: value}},
 	}
 	applied, err := m.settle(ctx, t, func(ctx context.Context) (bool, error) {
 		row, err := m.get(ctx, key)
@@ -178,7 +178,7 @@
 // the answer was read back. A conflict of an earlier try with itself counts as
 // success; StoreConflict means that the transaction did not take effect and
 // cannot.
-func (m *meteredStore) settle(ctx context.Context, t platform.Transaction, took func(context.Context) (bool, error)) (platform.Applied, error) {
+func (m *meteredStore) settle(ctx context.Context, t storage.Transaction, took func(context.Context) (bool, error)) (storage.Applied, error) {
 	for attempt := 0; ; attempt++ {
 		applied, err := m.apply(ctx, t)
 		if err == nil {
@@ -191,7 +191,7 @@
 			case readErr != nil:
 				return applied, code.Wrap(code.StoreUnknown, readErr, "the outcome of a transaction is not known")
 			case done:
-				return platform.Applied{}, nil
+				return storage.Applied{}, nil
 			case number == code.StoreConflict:
 				return applied, err
 			}
@@ -205,9 +205,9 @@
 }
 
 // apply runs a transaction once.
-func (m *meteredStore) apply(ctx context.Context, t platform.Transaction) (platform.Applied, error) {
+func (m *meteredStore) apply(ctx context.Context, t storage.Transaction) (storage.Applied, error) {
 	if err := m.begin(ctx, m.writes); err != nil {
-		return platform.Applied{}, err
+		return storage.Applied{}, err
 	}
 	applied, err := m.Apply(ctx, t)
 	m.end(err)
@@ -244,9 +244,9 @@
 	if err != nil || !row.Exists() {
 		return err
 	}
-	mark := platform.Transaction{
-		Conditions: []platform.Condition{{Key: key, Version: row.Version}},
-		Writes:     []platform.Write{{Key: key, Value: encode(uploadRow{Dropped: true})}},
+	mark := storage.Transaction{
+		Conditions: []storage.Condition{{Key: key, Version: row.Version}},
+		Writes:     []storage.Write{{Key: key, Value: encode(uploadRow{Dropped: true})}},
 	}
 	if _, err := m.apply(ctx, mark); err != nil {
 		return err
@@ -254,7 +254,7 @@
 	if err := m.deleteObjects(ctx, inputPrefix+upload+"/"); err != nil {
 		return err
 	}
-	_, err = m.apply(ctx, platform.Transaction{Writes: []platform.Write{{Key: key, Delete: true}}})
+	_, err = m.apply(ctx, storage.Transaction{Writes: []storage.Write{{Key: key, Delete: true}}})
 	return err
 }
 
@@ -276,7 +276,7 @@
 	}
 }
 
-func (m *meteredStore) list(ctx context.Context, prefix string) (infos []platform.ObjectInfo, err error) {
+func (m *meteredStore) list(ctx context.Context, prefix string) (infos []storage.ObjectInfo, err error) {
 	err = m.retry(ctx, m.reads, func() error {
 		infos, err = m.List(ctx, prefix, "", deletePage)
 		return err
--- a/batch/sweep.go
+++ b/batch/sweep.go
@@ -9,7 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // SweeperOptions are the parts of a Sweeper. Zero times and rates mean the
@@ -28,7 +28,7 @@
 // Bounds of one pass of the sweeper.
 const (
 	sweepUploads = 1000
-	sweepCancels = platform.MaxTransactionWrites
+	sweepCancels = storage.MaxTransactionWrites
 	sweepJobs    = 20
 	// cancelAge is how long a cancellation is listed for the watchers.
 	cancelAge = 10 * time.Minute
@@ -102,7 +102,7 @@
 }
 
 func (s *Sweeper) uploads(ctx context.Context) error {
-	rows, err := s.store.once(ctx, uploadPrefix+s.cursor, platform.PrefixEnd(uploadPrefix), sweepUploads)
+	rows, err := s.store.once(ctx, uploadPrefix+s.cursor, storage.PrefixEnd(uploadPrefix), sweepUploads)
 	if err != nil {
 		return err
 	}
@@ -136,10 +136,10 @@
 }
 
 // deleteRows removes rows that no one writes any more.
-func (m *meteredStore) deleteRows(ctx context.Context, rows []platform.Row) error {
-	var t platform.Transaction
+func (m *meteredStore) deleteRows(ctx context.Context, rows []storage.Row) error {
+	var t storage.Transaction
 	for _, row := range rows {
-		t.Writes = append(t.Writes, platform.Write{Key: row.Key, Delete: true})
+		t.Writes = append(t.Writes, storage.Write{Key: row.Key, Delete: true})
 	}
 	_, err := m.apply(ctx, t)
 	return err
@@ -166,7 +166,7 @@
 
 // expire removes a job: first from the sight of callers and holders, then its
 // segments and objects. The caller removes the row that remembers to do so.
-func (s *Sweeper) expire(ctx context.Context, row platform.Row) error {
+func (s *Sweeper) expire(ctx context.Context, row storage.Row) error {
 	expiry, err := decode[expiryRow](row)
 	if err != nil {
 		return err
@@ -195,22 +195,22 @@
 // hideSegments is the number of segments that go with the job's row.
 const hideSegments = 150
 
-func (s *Sweeper) hide(ctx context.Context, row platform.Row) error {
+func (s *Sweeper) hide(ctx context.Context, row storage.Row) error {
 	job, err := decode[jobRow](row)
 	if err != nil {
 		return err
 	}
-	t := platform.Transaction{Conditions: []platform.Condition{{Key: row.Key, Version: row.Version}}}
+	t := storage.Transaction{Conditions: []storage.Condition{{Key: row.Key, Version: row.Version}}}
 	for _, key := range []string{row.Key, job.OpenKey, keyKey(job.Account, job.boundKey()), accountKey(job.Account, job.CreatedAt, job.ID)} {
-		t.Writes = append(t.Writes, platform.Write{Key: key, Delete: true})
+		t.Writes = append(t.Writes, storage.Write{Key: key, Delete: true})
 	}
 	prefix := segmentsPrefix(job.ID)
-	segments, err := s.store.rows(ctx, prefix, platform.PrefixEnd(prefix), hideSegments)
+	segments, err := s.store.rows(ctx, prefix, storage.PrefixEnd(prefix), hideSegments)
 	if err != nil {
 		return err
 	}
 	for _, segment := range segments {
-		t.Writes = append(t.Writes, platform.Write{Key: segment.Key, Delete: true})
+		t.Writes = append(t.Writes, storage.Write{Key: segment.Key, Delete: true})
 	}
 	_, err = s.store.apply(ctx, t)
 	return err
@@ -219,7 +219,7 @@
 func (s *Sweeper) dropSegments(ctx context.Context, job string) error {
 	prefix := segmentsPrefix(job)
 	for {
-		rows, err := s.store.rows(ctx, prefix, platform.PrefixEnd(prefix), platform.MaxTransactionWrites)
+		rows, err := s.store.rows(ctx, prefix, storage.PrefixEnd(prefix), storage.MaxTransactionWrites)
 		if err != nil || len(rows) == 0 {
 			return err
 		}
--- a/batch/takeover_test.go
+++ b/batch/takeover_test.go
@@ -11,8 +11,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 func blocked(ctx context.Context, _ string) (string, error) {
@@ -63,13 +63,13 @@
 // frozenCommit lets a first holder freeze just before a commit until a second
 // one has finished the job, and returns the visible results before and after
 // the first holder wakes.
-func frozenCommit(t *testing.T, change func(*platform.Transaction)) (before, after []ResultLine, frozen *testRunner) {
+func frozenCommit(t *testing.T, change func(*storage.Transaction)) (before, after []ResultLine, frozen *testRunner) {
 	store := memory.New()
 	service := newTestService(t, store)
 	job := submit(t, service, "k", chatLines(50))
 	way := newGate(store)
 	thaw, reached := make(chan struct{}), make(chan struct{})
-	way.hook(func(_ int, tx *platform.Transaction) fault {
+	way.hook(func(_ int, tx *storage.Transaction) fault {
 		if commits(tx) {
 			select {
 			case <-reached:
@@ -95,7 +95,7 @@
 
 func TestFrozenHolderCannotCommitAfterATakeover(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		before, after, _ := frozenCommit(t, func(*platform.Transaction) {})
+		before, after, _ := frozenCommit(t, func(*storage.Transaction) {})
 		checkOnce(t, after, 50)
 		if diff := cmp.Diff(before, after); diff != "" {
 			t.Errorf("committed results changed (-before +after):\n%s", diff)
@@ -119,7 +119,7 @@
 		service := newTestService(t, store)
 		job := submit(t, service, "k", chatLines(1500))
 		way := newGate(store)
-		way.hook(func(int, *platform.Transaction) fault { return loses })
+		way.hook(func(int, *storage.Transaction) fault { return loses })
 		executor := newExecutor(nil)
 		r := startRunner(t, RunnerOptions{Store: way, Executor: executor})
 		defer r.stop()
@@ -135,14 +135,14 @@
 }
 
 // cancelAtCommit cancels the job when its holder is about to commit.
-func cancelAtCommit(t *testing.T, change func(*platform.Transaction)) (acknowledged Job, after []ResultLine) {
+func cancelAtCommit(t *testing.T, change func(*storage.Transaction)) (acknowledged Job, after []ResultLine) {
 	store := memory.New()
 	service := newTestService(t, store)
 	job := submit(t, service, "k", chatLines(50))
 	way := newGate(store)
 	var err error
 	cancelled := make(chan struct{})
-	way.hook(func(_ int, tx *platform.Transaction) fault {
+	way.hook(func(_ int, tx *storage.Transaction) fault {
 		if commits(tx) {
 			acknowledged, err = service.Cancel(context.Background(), account, job.ID)
 			change(tx)
@@ -162,7 +162,7 @@
 
 func TestNoItemCompletesAfterACancellationIsAcknowledged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		acknowledged, after := cancelAtCommit(t, func(*platform.Transaction) {})
+		acknowledged, after := cancelAtCommit(t, func(*storage.Transaction) {})
 		if acknowledged.State != StateCancelled || len(after) != 0 {
 			t.Errorf("state %s with %d results after the acknowledgement", acknowledged.State, len(after))
 		}
--- a/batch/write.go
+++ b/batch/write.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // maxBufferBytes bounds the results that wait for a commit.
@@ -46,17 +46,17 @@
 // with the same row after any error.
 func (l *lease) write(ctx context.Context, row segmentRow, end *jobRow) (uint64, error) {
 	key := segmentKey(l.job.row.ID, l.number)
-	t := platform.Transaction{
-		Conditions: []platform.Condition{
+	t := storage.Transaction{
+		Conditions: []storage.Condition{
 			{Key: jobKey(l.job.row.ID), Version: l.job.version},
 			{Key: key, Version: l.version},
 		},
-		Writes: []platform.Write{{Key: key, Value: encode(row)}},
+		Writes: []storage.Write{{Key: key, Value: encode(row)}},
 	}
 	if end != nil {
 		t.Writes = append(t.Writes, endWrites(*end)...)
 	}
-	var found platform.Row
+	var found storage.Row
 	applied, err := l.r.store.settle(ctx, t, func(ctx context.Context) (took bool, err error) {
 		found, err = l.r.store.get(ctx, key)
 		return err == nil && bytes.Equal(found.Value, t.Writes[0].Value), err
@@ -68,7 +68,7 @@
 		return found.Version, nil
 	case code.Of(err) != code.StoreConflict:
 		return 0, err
-	case slices.ContainsFunc(applied.Conflicts, func(row platform.Row) bool { return row.Key == jobKey(l.job.row.ID) }):
+	case slices.ContainsFunc(applied.Conflicts, func(row storage.Row) bool { return row.Key == jobKey(l.job.row.ID) }):
 		return 0, errCancelled
 	default:
 		return 0, l.rebase(found)
@@ -78,7 +78,7 @@
 // rebase looks at the row that a write met. A renewal whose answer was lost
 // leaves a newer version of the same lease; the write can be repeated on top of
 // it. Otherwise the lease is lost.
-func (l *lease) rebase(found platform.Row) error {
+func (l *lease) rebase(found storage.Row) error {
 	row, err := decode[segmentRow](found)
 	if err != nil {
 		return err
@@ -91,6 +91,6 @@
 }
 
 // endWrites are the writes that end a job.
-func endWrites(job jobRow) []platform.Write {
-	return append(job.writes(), platform.Write{Key: job.OpenKey, Delete: true})
+func endWrites(job jobRow) []storage.Write {
+	return append(job.writes(), storage.Write{Key: job.OpenKey, Delete: true})
 }
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -14,8 +14,8 @@
 	"github.com/daisylb/daisylb/claim"
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/guard"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/guard"
 )
 
 func inBubble(t *testing.T, f func(t *testing.T)) {
@@ -117,7 +117,7 @@
 // the target size, with the shares of a fleet of 550 instances.
 func TestOwnerStoresAnswersOfWholeFleet(t *testing.T) {
 	adjust := func(o *claim.Options) {
-		g, err := guard.New(guard.Options{Store: o.Objects.(platform.Store), Live: func() int { return 550 }})
+		g, err := guard.New(guard.Options{Store: o.Objects.(storage.Store), Live: func() int { return 550 }})
 		if err != nil {
 			panic(err)
 		}
--- a/claim/committer.go
+++ b/claim/committer.go
@@ -7,8 +7,8 @@
 	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
 	"github.com/daisylb/daisylb/retry"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // commitAttempts bounds the tries of a group commit whose answer was lost.
@@ -20,12 +20,12 @@
 // committer writes the rows of many callers in shared transactions.
 type committer struct {
 	*batcher
-	table   platform.Table
+	table   storage.Table
 	metrics *metrics
 	logger  *zap.Logger
 }
 
-func newCommitter(table platform.Table, interval time.Duration, m *metrics, l *zap.Logger) *committer {
+func newCommitter(table storage.Table, interval time.Duration, m *metrics, l *zap.Logger) *committer {
 	c := &committer{table: table, metrics: m, logger: l}
 	c.batcher = newBatcher(interval, distinct, c.commit)
 	return c
@@ -36,7 +36,7 @@
 func distinct(queue []*entry) (batch, rest []*entry) {
 	seen := make(map[string]bool, len(queue))
 	for _, e := range queue {
-		if seen[e.key] || len(batch) == platform.MaxTransactionWrites {
+		if seen[e.key] || len(batch) == storage.MaxTransactionWrites {
 			rest = append(rest, e)
 			continue
 		}
@@ -93,22 +93,22 @@
 	}
 }
 
-func transaction(batch []*entry) (platform.Transaction, error) {
-	var t platform.Transaction
+func transaction(batch []*entry) (storage.Transaction, error) {
+	var t storage.Transaction
 	for _, e := range batch {
 		w, err := e.write()
 		if err != nil {
 			return t, err
 		}
 		t.Writes = append(t.Writes, w)
-		t.Conditions = append(t.Conditions, platform.Condition{Key: e.key, Version: e.version})
+		t.Conditions = append(t.Conditions, storage.Condition{Key: e.key, Version: e.version})
 	}
 	return t, nil
 }
 
 // dropConflicts ends the entries whose conditions failed and returns the rest.
-func (c *committer) dropConflicts(batch []*entry, rows []platform.Row) []*entry {
-	present := make(map[string]platform.Row, len(rows))
+func (c *committer) dropConflicts(batch []*entry, rows []storage.Row) []*entry {
+	present := make(map[string]storage.Row, len(rows))
 	for _, row := range rows {
 		present[row.Key] = row
 	}
@@ -124,7 +124,7 @@
 	return rest
 }
 
-func (c *committer) conflictReply(e *entry, row platform.Row) reply {
+func (c *committer) conflictReply(e *entry, row storage.Row) reply {
 	record, err := decodeRow(row)
 	if err != nil {
 		c.logger.Error("claim not decoded", zap.Error(err))
--- a/claim/cost_test.go
+++ b/claim/cost_test.go
@@ -16,7 +16,7 @@
 	"github.com/daisylb/daisylb/claim"
 	"github.com/daisylb/daisylb/claim/claimpb/claimpbconnect"
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 // storeDelay is the time that the store of the benchmark takes.
--- a/claim/entry.go
+++ b/claim/entry.go
@@ -8,7 +8,7 @@
 
 	"github.com/daisylb/daisylb/claim/claimpb"
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // outcome is what became of a row's commit.
@@ -67,15 +67,15 @@
 }
 
 // write is the entry's part of a transaction.
-func (e *entry) write() (platform.Write, error) {
+func (e *entry) write() (storage.Write, error) {
 	if e.record.State == claimpb.State_STATE_RELEASED {
-		return platform.Write{Key: e.key, Delete: true}, nil
+		return storage.Write{Key: e.key, Delete: true}, nil
 	}
 	value, err := proto.Marshal(e.record)
 	if err != nil {
-		return platform.Write{}, code.Wrap(code.Internal, err, "a claim cannot be encoded")
+		return storage.Write{}, code.Wrap(code.Internal, err, "a claim cannot be encoded")
 	}
-	return platform.Write{Key: e.key, Value: value}, nil
+	return storage.Write{Key: e.key, Value: value}, nil
 }
 
 // landed reports whether the row shows that the entry took effect before.
@@ -91,7 +91,7 @@
 }
 
 // decodeRow returns the record of a row, or nil for a row that does not exist.
-func decodeRow(row platform.Row) (*claimpb.Record, error) {
+func decodeRow(row storage.Row) (*claimpb.Record, error) {
 	if !row.Exists() {
 		return nil, nil
 	}
--- a/claim/history_test.go
+++ b/claim/history_test.go
@@ -15,7 +15,7 @@
 	"github.com/daisylb/daisylb/claim"
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 const (
--- a/claim/naive_test.go
+++ b/claim/naive_test.go
@@ -7,7 +7,7 @@
 	"github.com/daisylb/daisylb/claim"
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // claimAfterDispatch looks for an answer, runs, and stores the answer.
@@ -57,15 +57,15 @@
 	finish := insert(p.Key, answer.Body)
 	finish.Conditions = nil
 	if len(applied.Versions) > 0 {
-		finish.Conditions = []platform.Condition{{Key: p.Key, Version: applied.Versions[0]}}
+		finish.Conditions = []storage.Condition{{Key: p.Key, Version: applied.Versions[0]}}
 	}
 	_, err = f.store.Apply(ctx, finish)
 	return answer, err
 }
 
-func insert(key string, value []byte) platform.Transaction {
-	return platform.Transaction{
-		Conditions: []platform.Condition{{Key: key}},
-		Writes:     []platform.Write{{Key: key, Value: value}},
+func insert(key string, value []byte) storage.Transaction {
+	return storage.Transaction{
+		Conditions: []storage.Condition{{Key: key}},
+		Writes:     []storage.Write{{Key: key, Value: value}},
 	}
 }
--- a/claim/options.go
+++ b/claim/options.go
@@ -9,7 +9,7 @@
 
 	"github.com/daisylb/daisylb/claim/claimpb/claimpbconnect"
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // Defaults of Options.
@@ -54,17 +54,17 @@
 	PeerID string
 	// Table and Objects are the platform; required. Table carries commits that
 	// this instance makes in place of an owner.
-	Table   platform.Table
-	Objects platform.Objects
+	Table   storage.Table
+	Objects storage.Objects
 	// OwnerTable and OwnerObjects carry the group commits of an owner and its
 	// objects of answers; Table and Objects when nil. They need a rate of their
 	// own: an owner writes for the whole fleet.
-	OwnerTable   platform.Table
-	OwnerObjects platform.Objects
+	OwnerTable   storage.Table
+	OwnerObjects storage.Objects
 	// SweepTable and SweepObjects carry the removal of old claims; Table and
 	// Objects when nil.
-	SweepTable   platform.Table
-	SweepObjects platform.Objects
+	SweepTable   storage.Table
+	SweepObjects storage.Objects
 	// View is the live view; required.
 	View View
 	// Dial returns the Claims service of a peer; plain HTTP when nil.
@@ -156,8 +156,8 @@
 		return code.New(code.InvalidSettings, "claims need a table, objects and a view")
 	case o.Groups < 1 || o.Groups > maxGroups:
 		return code.New(code.InvalidSettings, "%d claim groups, 1 to %d are allowed", o.Groups, maxGroups)
-	case o.InlineBytes < 0 || o.InlineBytes > platform.MaxValueBytes/2:
-		return code.New(code.InvalidSettings, "%d inline bytes, 0 to %d are allowed", o.InlineBytes, platform.MaxValueBytes/2)
+	case o.InlineBytes < 0 || o.InlineBytes > storage.MaxValueBytes/2:
+		return code.New(code.InvalidSettings, "%d inline bytes, 0 to %d are allowed", o.InlineBytes, storage.MaxValueBytes/2)
 	case o.PackBytes < 0 || o.MaxHeldBytes < 0:
 		return code.New(code.InvalidSettings, "sizes of claims must not be negative")
 	case min(o.CommitInterval, o.PackInterval, o.ClaimTimeout, o.OwnerTimeout, o.MaxRun, o.Margin, o.Retention, o.SweepInterval) < 0:
--- a/claim/packer.go
+++ b/claim/packer.go
@@ -8,8 +8,8 @@
 
 	"github.com/daisylb/daisylb/claim/claimpb"
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/guard"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/guard"
 )
 
 // objectPrefix precedes the objects of answers; the hour follows it.
@@ -22,13 +22,13 @@
 // rows to a committer.
 type packer struct {
 	*batcher
-	objects platform.Objects
+	objects storage.Objects
 	maximum int
 	next    *committer
 	metrics *metrics
 }
 
-func newPacker(objects platform.Objects, o Options, next *committer, m *metrics) *packer {
+func newPacker(objects storage.Objects, o Options, next *committer, m *metrics) *packer {
 	p := &packer{objects: objects, maximum: o.PackBytes, next: next, metrics: m}
 	p.batcher = newBatcher(o.PackInterval, p.choose, p.pack)
 	return p
--- a/claim/service.go
+++ b/claim/service.go
@@ -7,7 +7,7 @@
 
 	"go.uber.org/zap"
 
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // Service claims calls and keeps their answers for one instance. It is safe for
@@ -68,7 +68,7 @@
 	return s, nil
 }
 
-func (s *Service) newPath(table platform.Table, objects platform.Objects) (*committer, *packer) {
+func (s *Service) newPath(table storage.Table, objects storage.Objects) (*committer, *packer) {
 	c := newCommitter(table, s.options.CommitInterval, s.metrics, s.logger)
 	return c, newPacker(objects, s.options, c, s.metrics)
 }
--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/claim/claimpb"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // sweepRows is the number of rows that one step of the removal reads.
@@ -52,16 +52,16 @@
 	if err != nil {
 		return from
 	}
-	var t platform.Transaction
+	var t storage.Transaction
 	last := ""
 	for _, row := range rows {
-		if len(t.Writes) == platform.MaxTransactionWrites {
+		if len(t.Writes) == storage.MaxTransactionWrites {
 			break
 		}
 		last = row.Key
 		if s.isOld(row) {
-			t.Conditions = append(t.Conditions, platform.Condition{Key: row.Key, Version: row.Version})
-			t.Writes = append(t.Writes, platform.Write{Key: row.Key, Delete: true})
+			t.Conditions = append(t.Conditions, storage.Condition{Key: row.Key, Version: row.Version})
+			t.Writes = append(t.Writes, storage.Write{Key: row.Key, Delete: true})
 		}
 	}
 	s.removeRows(ctx, t)
@@ -73,7 +73,7 @@
 
 // removeRows applies a removal. It is not repeated: what is left is found by
 // the next sweep.
-func (s *Service) removeRows(ctx context.Context, t platform.Transaction) {
+func (s *Service) removeRows(ctx context.Context, t storage.Transaction) {
 	if len(t.Writes) == 0 {
 		return
 	}
@@ -84,7 +84,7 @@
 	s.metrics.swept.Add(float64(len(t.Writes)))
 }
 
-func (s *Service) isOld(row platform.Row) bool {
+func (s *Service) isOld(row storage.Row) bool {
 	record, err := decodeRow(row)
 	if err != nil || record == nil {
 		return false
--- a/claim/target_test.go
+++ b/claim/target_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/daisylb/daisylb/claim"
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/guard"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/guard"
 )
 
 // Sizes of the target's peak.
@@ -44,7 +44,7 @@
 func atTarget(t *testing.T, breakSome func(f *fleet) (broken string)) (c targetCost) {
 	t.Helper()
 	adjust := func(o *claim.Options) {
-		g, err := guard.New(guard.Options{Store: o.Objects.(platform.Store), Live: func() int { return targetInstances }})
+		g, err := guard.New(guard.Options{Store: o.Objects.(storage.Store), Live: func() int { return targetInstances }})
 		if err != nil {
 			panic(err)
 		}
--- a/claim/wire_test.go
+++ b/claim/wire_test.go
@@ -17,12 +17,12 @@
 	"github.com/daisylb/daisylb/claim/claimpb/claimpbconnect"
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/platform/guard"
-	"github.com/daisylb/daisylb/platform/httpstore"
-	"github.com/daisylb/daisylb/platform/memory"
 	"github.com/daisylb/daisylb/retry"
 	platformstandin "github.com/daisylb/daisylb/standin/platform"
 	"github.com/daisylb/daisylb/standin/service"
+	"github.com/daisylb/daisylb/storage/guard"
+	"github.com/daisylb/daisylb/storage/httpstore"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 // wired is a fleet on sockets: instances, a platform and a plain service.
--- a/cmd/daisylb/config_test.go
+++ b/cmd/daisylb/config_test.go
@@ -15,7 +15,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/daisylb/daisylb/config"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 // alone is the peers of the only instance.
--- a/cmd/daisylb/job_test.go
+++ b/cmd/daisylb/job_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/daisylb/daisylb/batch"
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 // jobServer serves jobs of whoever sends a key.
--- a/cmd/daisylbd/main.go
+++ b/cmd/daisylbd/main.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/daemon"
+	"github.com/daisylb/daisylb/platform"
 )
 
 // Exit codes.
@@ -24,6 +25,9 @@
 func main() {
 	path := flag.String("settings", "", "file with the instance's settings")
 	flag.Parse()
+	if hostedPath := os.Getenv(platform.SettingsVariable); *path == "" && hostedPath != "" {
+		os.Exit(runHosted(hostedPath))
+	}
 	os.Exit(run(*path))
 }
 
--- a/code/table.go
+++ b/code/table.go
@@ -49,6 +49,7 @@
 	OrderFenced        Number = 3008
 	OrderUnsafe        Number = 3009
 	UpstreamAnswerSize Number = 3010
+	UpstreamSilent     Number = 3011
 )
 
 // Results of the platform's table and object store.
@@ -59,6 +60,7 @@
 	StoreThrottled   Number = 4004
 	StoreNotFound    Number = 4005
 	StoreTooLarge    Number = 4006
+	StoreHistoryGone Number = 4007
 )
 
 // Results of settings and configuration changes.
@@ -80,6 +82,7 @@
 	AttemptsUsedUp  Number = 6006
 	LeaseLost       Number = 6007
 	ResultsNotReady Number = 6008
+	QuotaExceeded   Number = 6009
 )
 
 // Results between peers.
@@ -161,6 +164,7 @@
 	register(OrderFenced, "order_fenced", http.StatusConflict, NotRun, "The upstream refused an order with an old fencing token.", "Another instance owns the upstream; read the state again.")
 	register(OrderUnsafe, "order_unsafe", http.StatusServiceUnavailable, NotRun, "The lease has too little time left for an order.", "Retry after the lease is renewed.")
 	register(UpstreamAnswerSize, "upstream_answer_too_large", http.StatusBadGateway, Unknown, "The upstream's answer is over the limit.", "Ask for a shorter answer.")
+	register(UpstreamSilent, "upstream_silent", http.StatusGatewayTimeout, Unknown, "The upstream sent nothing for longer than a caller waits.", "Retry when the request is idempotent.")
 }
 
 func registerStore() {
@@ -170,6 +174,7 @@
 	register(StoreThrottled, "store_throttled", http.StatusServiceUnavailable, NotRun, "The instance's share of the store's rate is used up.", "Retry after the hint.")
 	register(StoreNotFound, "store_not_found", http.StatusNotFound, NotRun, "The object does not exist.", "Check the reference.")
 	register(StoreTooLarge, "store_too_large", http.StatusRequestEntityTooLarge, NotRun, "A value or transaction is over the store's limit.", "Split the operation.")
+	register(StoreHistoryGone, "store_history_gone", http.StatusGone, NotRun, "The store no longer has the changes after the version asked for.", "Read the table anew and follow it from there.")
 }
 
 func registerConfig() {
@@ -189,6 +194,7 @@
 	register(AttemptsUsedUp, "attempts_used_up", http.StatusOK, Unknown, "The item failed on every allowed attempt and is complete as failed.", "Correct the item and submit it in a new job.")
 	register(LeaseLost, "lease_lost", http.StatusConflict, Unknown, "The holder's lease lapsed or passed to another.", "None; the next holder runs the items again.")
 	register(ResultsNotReady, "results_not_ready", http.StatusConflict, NotRun, "No result of the requested range is committed yet.", "Ask again later.")
+	register(QuotaExceeded, "quota_exceeded", http.StatusTooManyRequests, NotRun, "The job's tokens do not fit beside those that wait on the route.", "Submit the job again after the hint.")
 }
 
 func registerPeers() {
--- a/config/accept.go
+++ b/config/accept.go
@@ -10,8 +10,8 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/platform"
 	"github.com/daisylb/daisylb/settings"
+	"github.com/daisylb/daisylb/storage"
 )
 
 const (
@@ -194,7 +194,7 @@
 		}
 	}
 	next := head{Version: c.Version, ChangeID: c.ID, Snapshot: s.snapshot(ctx, h, base)}
-	t := platform.Transaction{Conditions: []platform.Condition{{Key: headKey, Version: h.row}, {Key: idPrefix + c.ID}}}
+	t := storage.Transaction{Conditions: []storage.Condition{{Key: headKey, Version: h.row}, {Key: idPrefix + c.ID}}}
 	for _, w := range []struct {
 		key   string
 		value any
@@ -203,7 +203,7 @@
 		if err != nil {
 			return code.Wrap(code.Internal, err, "encoding row %q", w.key)
 		}
-		t.Writes = append(t.Writes, platform.Write{Key: w.key, Value: value})
+		t.Writes = append(t.Writes, storage.Write{Key: w.key, Value: value})
 	}
 	_, err = s.options.Table.Apply(ctx, t)
 	s.metrics.writes.Inc()
--- a/config/http_test.go
+++ b/config/http_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/platform/memory"
 	"github.com/daisylb/daisylb/settings"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 // forgetful loses the answer of the next POST after the instance has acted.
--- a/config/retention.go
+++ b/config/retention.go
@@ -6,7 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 const (
@@ -21,7 +21,7 @@
 	// trimRows is the number of changes that are deleted at once. It is over
 	// snapshotInterval, so that deleting keeps up with new changes, and each
 	// takes two writes of the transaction.
-	trimRows = platform.MaxTransactionWrites / 2
+	trimRows = storage.MaxTransactionWrites / 2
 )
 
 // snapshot stores the base document when the last snapshot is an interval old.
@@ -70,7 +70,7 @@
 	if err != nil || len(rows) == 0 {
 		return err
 	}
-	var t platform.Transaction
+	var t storage.Transaction
 	for _, row := range rows {
 		var c changeRow
 		if err := decodeRow(row, &c); err != nil {
@@ -81,7 +81,7 @@
 				return err
 			}
 		}
-		t.Writes = append(t.Writes, platform.Write{Key: row.Key, Delete: true}, platform.Write{Key: idPrefix + c.ID, Delete: true})
+		t.Writes = append(t.Writes, storage.Write{Key: row.Key, Delete: true}, storage.Write{Key: idPrefix + c.ID, Delete: true})
 	}
 	_, err = s.options.Table.Apply(ctx, t)
 	s.metrics.writes.Inc()
--- a/config/rows.go
+++ b/config/rows.go
@@ -10,7 +10,7 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // Keys of the table and of the object store.
@@ -143,7 +143,7 @@
 	return changes, nil
 }
 
-func (s *Store) decodeChange(ctx context.Context, row platform.Row) (*Change, error) {
+func (s *Store) decodeChange(ctx context.Context, row storage.Row) (*Change, error) {
 	var c changeRow
 	if err := decodeRow(row, &c); err != nil {
 		return nil, err
@@ -195,7 +195,7 @@
 	return err
 }
 
-func decodeRow(row platform.Row, into any) error {
+func decodeRow(row storage.Row, into any) error {
 	if err := json.Unmarshal(row.Value, into); err != nil {
 		return code.Wrap(code.Internal, err, "row %q is not readable", row.Key)
 	}
--- a/config/store.go
+++ b/config/store.go
@@ -12,8 +12,8 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/platform"
 	"github.com/daisylb/daisylb/retry"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // Peers gives access to the other live instances.
@@ -27,8 +27,8 @@
 
 // Options of a Store. Table, Objects, Peers and Address are required.
 type Options struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   storage.Table
+	Objects storage.Objects
 	Peers   Peers
 	// Address is this instance's peer address, IP:port.
 	Address string
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/platform"
 	"github.com/daisylb/daisylb/settings"
+	"github.com/daisylb/daisylb/storage"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -313,7 +313,7 @@
 		y.preset(t, 0, fmt.Sprintf("c%d", i), []string{"peak", "ordinary"}[i%2])
 	}
 	for _, prefix := range []string{changePrefix, idPrefix} {
-		rows, err := y.platform.Range(t.Context(), prefix, platform.PrefixEnd(prefix), 0)
+		rows, err := y.platform.Range(t.Context(), prefix, storage.PrefixEnd(prefix), 0)
 		if n := len(rows); err != nil || n < minKeptChanges || n > minKeptChanges+2*snapshotInterval {
 			t.Errorf("%d rows under %s for %d kept changes: %v", n, prefix, minKeptChanges, err)
 		}
--- a/config/system_test.go
+++ b/config/system_test.go
@@ -14,8 +14,8 @@
 	"connectrpc.com/connect"
 
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/platform/memory"
 	"github.com/daisylb/daisylb/retry"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 // network carries calls between the stores of one process and cuts links on
--- a/contract/document.go
+++ b/contract/document.go
@@ -70,6 +70,9 @@
 	KindModel ServiceKind = "model"
 	// KindPlain is served by plain HTTP upstreams under /s/{service}/.
 	KindPlain ServiceKind = "plain"
+	// KindRouted is served by upstreams that register themselves; its requests
+	// are opaque and come by host and path.
+	KindRouted ServiceKind = "routed"
 )
 
 // Service is what callers ask for by name.
@@ -100,6 +103,9 @@
 	Slots int `json:"slots"`
 	// ChecksFencing says whether the upstream refuses orders with an old token.
 	ChecksFencing bool `json:"checks_fencing,omitempty"`
+	// Started tells incarnations of an id apart, in Unix milliseconds; 0 when the
+	// id is not used again.
+	Started int64 `json:"started_ms,omitempty"`
 	// Leaving is set when the upstream must get no new work.
 	Leaving bool `json:"leaving,omitempty"`
 }
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -17,14 +17,14 @@
 	"github.com/daisylb/daisylb/instance"
 	"github.com/daisylb/daisylb/link"
 	"github.com/daisylb/daisylb/operator"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/guard"
-	"github.com/daisylb/daisylb/platform/httpstore"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/guard"
+	"github.com/daisylb/daisylb/storage/httpstore"
 	"github.com/daisylb/daisylb/upstream"
 )
 
 // build creates the parts in the order in which they need each other.
-func (d *Daemon) build(store platform.Store) error {
+func (d *Daemon) build(store storage.Store) error {
 	d.lifecycle = instance.NewLifecycle(d.log)
 	steps := []func() error{
 		func() error { return d.buildStore(store) },
@@ -48,7 +48,7 @@
 }
 
 // buildStore puts the guard before the platform's store.
-func (d *Daemon) buildStore(store platform.Store) error {
+func (d *Daemon) buildStore(store storage.Store) error {
 	s := d.settings.Platform
 	if store == nil {
 		adapter, err := httpstore.New(httpstore.Options{URL: s.URL, Timeout: s.Timeout})
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,9 +22,9 @@
 	"github.com/daisylb/daisylb/config"
 	"github.com/daisylb/daisylb/datacentre"
 	"github.com/daisylb/daisylb/instance"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/guard"
-	"github.com/daisylb/daisylb/platform/httpstore"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/guard"
+	"github.com/daisylb/daisylb/storage/httpstore"
 	"github.com/daisylb/daisylb/upstream"
 )
 
@@ -33,7 +33,7 @@
 	// Settings of the instance.
 	Settings Settings
 	// Store is the platform; nil means the one that the settings name.
-	Store platform.Store
+	Store storage.Store
 	// Logger may be nil.
 	Logger *zap.Logger
 }
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/daemon"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 // TestStartingInstanceIsNotReady takes the platform away at the start: the
--- a/daemon/dump.go
+++ b/daemon/dump.go
@@ -10,7 +10,7 @@
 	"github.com/daisylb/daisylb/config"
 	"github.com/daisylb/daisylb/datacentre"
 	"github.com/daisylb/daisylb/instance"
-	"github.com/daisylb/daisylb/platform/guard"
+	"github.com/daisylb/daisylb/storage/guard"
 	"github.com/daisylb/daisylb/upstream"
 )
 
--- a/daemon/idle_test.go
+++ b/daemon/idle_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/daisylb/daisylb/daemon"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 // idleTime is how long the control work of idle instances is measured.
@@ -66,7 +66,7 @@
 // startFleet runs n instances that find each other through the store's list.
 func startFleet(tb testing.TB, store *memory.Store, n int) ([]*daemon.Daemon, func()) {
 	tb.Helper()
-	var list []platform.ListedInstance
+	var list []storage.ListedInstance
 	var daemons []*daemon.Daemon
 	for i := range n {
 		s := daemon.Default()
@@ -78,7 +78,7 @@
 			tb.Fatal(err)
 		}
 		daemons = append(daemons, d)
-		list = append(list, platform.ListedInstance{ID: s.ID, DataCentre: s.DataCentre, CallerAddress: d.CallerAddress(), PeerAddress: d.PeerAddress()})
+		list = append(list, storage.ListedInstance{ID: s.ID, DataCentre: s.DataCentre, CallerAddress: d.CallerAddress(), PeerAddress: d.PeerAddress()})
 	}
 	store.SetInstances(list)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/daemon/overhead_test.go
+++ b/daemon/overhead_test.go
@@ -18,7 +18,7 @@
 	"github.com/daisylb/daisylb/config"
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/daemon"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 // The load of the overhead benchmark.
--- a/daemon/tls_test.go
+++ b/daemon/tls_test.go
@@ -23,8 +23,8 @@
 
 	"github.com/daisylb/daisylb/daemon"
 	"github.com/daisylb/daisylb/operator"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 // writeCertificate writes a self-signed certificate for the loopback, which is
@@ -70,7 +70,7 @@
 
 const operatorKey = "operator-key"
 
-func startTLS(t *testing.T, store platform.Store, id string, files *daemon.TLSSettings) *daemon.Daemon {
+func startTLS(t *testing.T, store storage.Store, id string, files *daemon.TLSSettings) *daemon.Daemon {
 	t.Helper()
 	sum := sha256.Sum256([]byte(operatorKey))
 	s := daemon.Default()
@@ -94,7 +94,7 @@
 	files := writeCertificate(t, t.TempDir(), 1)
 	store := memory.New()
 	first, second := startTLS(t, store, "one", files), startTLS(t, store, "two", files)
-	store.SetInstances([]platform.ListedInstance{
+	store.SetInstances([]storage.ListedInstance{
 		{ID: "one", DataCentre: "kochi", CallerAddress: first.CallerAddress(), PeerAddress: first.PeerAddress()},
 		{ID: "two", DataCentre: "kochi", CallerAddress: second.CallerAddress(), PeerAddress: second.PeerAddress()},
 	})
--- /dev/null
+++ b/entry/jobs.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/job"
+	"github.com/daisylb/daisylb/platform"
+)
+
+// Jobs keeps the jobs of batch routes.
+type Jobs interface {
+	// Submit accepts a job once, however often it is sent.
+	Submit(ctx context.Context, s job.Submission) error
+	// Results returns the number of items and the results from a position on; it
+	// may wait until there is one.
+	Results(ctx context.Context, id string, after int, wait time.Duration) (int, []job.Result, error)
+	// Body returns the body of an item that is not listed yet.
+	Body(ctx context.Context, id, item string) ([]byte, error)
+	// End stops a job.
+	End(ctx context.Context, id string) error
+}
+
+func (h *Handler) submit(w http.ResponseWriter, r *http.Request, route *contract.Route, body []byte) error {
+	if r.Method != http.MethodPost {
+		return code.New(code.MethodNotAllowed, "a job is submitted with POST")
+	}
+	id := platform.RequestID(r.Header)
+	if id == "" {
+		return code.New(code.InvalidField, "the job has no request id")
+	}
+	items, err := platform.DecodeItems(body)
+	if err != nil {
+		return err
+	}
+	s := job.Submission{ID: id, Route: route, Host: r.Host, Items: items, Raw: body}
+	if err := h.options.Jobs.Submit(r.Context(), s); err != nil {
+		return err
+	}
+	w.WriteHeader(http.StatusAccepted)
+	return nil
+}
+
+func (h *Handler) results(w http.ResponseWriter, r *http.Request, call platform.Call) error {
+	total, results, err := h.options.Jobs.Results(r.Context(), call.Job, call.After, call.Wait)
+	if err != nil {
+		return err
+	}
+	platform.WriteResults(w, total, call.After, results)
+	return nil
+}
+
+func (h *Handler) end(w http.ResponseWriter, r *http.Request, call platform.Call) error {
+	if err := h.options.Jobs.End(r.Context(), call.Job); err != nil {
+		return err
+	}
+	w.WriteHeader(http.StatusOK)
+	return nil
+}
+
+func (h *Handler) itemBody(w http.ResponseWriter, r *http.Request, call platform.Call) error {
+	body, err := h.options.Jobs.Body(r.Context(), call.Job, call.Item)
+	if err != nil {
+		return err
+	}
+	w.Header()["Content-Type"] = nil
+	_, _ = w.Write(body)
+	return nil
+}
--- /dev/null
+++ b/feed/feed.go
@@ -0,0 +1,213 @@
+// Package feed follows one part of a table of the platform's store and tells
+// its owner of every change. It bridges outages, lost answers, dropped history
+// and reads that lag, and never goes back to an older version of a row. It
+// decides nothing about the rows.
+package feed
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/storage"
+)
+
+// Options configure a Follower.
+type Options struct {
+	// Rows is the store. Required.
+	Rows storage.Rows
+	// Table and Part are what is followed.
+	Table string
+	Part  string
+	// Wait is how long the store may hold a call without a change; 0 means
+	// DefaultWait. A connection that delivers nothing any more is found out soon
+	// after it.
+	Wait time.Duration
+	// Pause is the least time between two calls after a change, so that many
+	// changes cost one call; 0 means none.
+	Pause time.Duration
+	// Update is told of changes, from one goroutine. Required.
+	Update func(Update)
+	// Log may be nil.
+	Log *zap.Logger
+}
+
+// Update is a set of changes.
+type Update struct {
+	// Rows have changed; those that are gone have Removed set.
+	Rows []storage.TableRow
+	// Complete is set when the rows were read anew, so that changes in between
+	// were not seen.
+	Complete bool
+	// Regained is set in the first update after the store could not be reached.
+	Regained bool
+	// Now is the store's clock.
+	Now time.Duration
+}
+
+const (
+	// DefaultWait bounds how late a silent connection is found out.
+	DefaultWait = time.Second
+	// Bounds of the pause after a failed call, with jitter.
+	minBackoff = 50 * time.Millisecond
+	maxBackoff = 600 * time.Millisecond
+)
+
+// Follower follows a table. Its methods are safe for concurrent use.
+type Follower struct {
+	options Options
+	known   map[string]uint64
+	version uint64
+	synced  bool
+	lost    bool
+	heard   atomic.Int64
+	started time.Time
+}
+
+// New returns a Follower.
+func New(o Options) *Follower {
+	if o.Wait == 0 {
+		o.Wait = DefaultWait
+	}
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	return &Follower{options: o, known: map[string]uint64{}, started: time.Now()}
+}
+
+// Age returns the time since the store last answered, and false before the
+// first answer.
+func (f *Follower) Age() (time.Duration, bool) {
+	at := f.heard.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return time.Since(f.started) - time.Duration(at), true
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	backoff := minBackoff
+	for ctx.Err() == nil {
+		changed, err := f.step(ctx)
+		pause := time.Duration(0)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case code.Of(err) == code.StoreHistoryGone:
+			f.options.Log.Info("history dropped, reading anew", zap.String("table", f.options.Table), zap.Uint64("version", f.version))
+			f.synced = false
+			pause = backoff
+		case err != nil:
+			f.fail(err)
+			pause = backoff/2 + rand.N(backoff/2)
+			backoff = min(2*backoff, maxBackoff)
+		default:
+			backoff = minBackoff
+			if changed {
+				pause = f.options.Pause
+			}
+		}
+		if pause > 0 {
+			select {
+			case <-ctx.Done():
+			case <-time.After(pause):
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Follower) fail(err error) {
+	if f.lost {
+		return
+	}
+	f.lost = true
+	f.options.Log.Warn("store not reached", zap.String("table", f.options.Table), zap.Uint64("version", f.version), zap.Error(err))
+}
+
+// step reads once and reports whether there were changes.
+func (f *Follower) step(ctx context.Context) (bool, error) {
+	if !f.synced {
+		return f.read(ctx)
+	}
+	page, err := f.options.Rows.RowChanges(ctx, f.options.Table, f.version, f.options.Wait)
+	if err != nil {
+		return false, err
+	}
+	u := Update{Now: page.Now}
+	for _, r := range page.Rows {
+		if r.Part == f.options.Part && f.note(r) {
+			u.Rows = append(u.Rows, r)
+		}
+		f.version = max(f.version, r.Version)
+	}
+	if len(page.Rows) == 0 {
+		f.version = max(f.version, page.Version)
+	}
+	f.deliver(u)
+	return len(page.Rows) > 0, nil
+}
+
+// read takes the whole part. An answer that is older than what is known already
+// is not used.
+func (f *Follower) read(ctx context.Context) (bool, error) {
+	page, err := f.options.Rows.GetRows(ctx, f.options.Table, f.options.Part, "", "")
+	if err != nil {
+		return false, err
+	}
+	if page.Version < f.version {
+		return false, code.New(code.StoreUnavailable, "the store answered with version %d, older than %d", page.Version, f.version)
+	}
+	u := Update{Complete: true, Now: page.Now}
+	present := make(map[string]bool, len(page.Rows))
+	for _, r := range page.Rows {
+		present[r.Key] = true
+		if f.note(r) {
+			u.Rows = append(u.Rows, r)
+		}
+	}
+	for key := range f.known {
+		if !present[key] {
+			delete(f.known, key)
+			u.Rows = append(u.Rows, storage.TableRow{
+				RowKey:  storage.RowKey{Table: f.options.Table, Part: f.options.Part, Key: key},
+				Version: page.Version,
+				Removed: true,
+			})
+		}
+	}
+	f.version, f.synced = page.Version, true
+	f.deliver(u)
+	return true, nil
+}
+
+// note remembers the version of a row and reports whether it is news.
+func (f *Follower) note(r storage.TableRow) bool {
+	if r.Version != 0 && r.Version <= f.known[r.Key] {
+		return false
+	}
+	if r.Removed {
+		_, ok := f.known[r.Key]
+		delete(f.known, r.Key)
+		return ok
+	}
+	f.known[r.Key] = r.Version
+	return true
+}
+
+func (f *Follower) deliver(u Update) {
+	f.heard.Store(int64(max(time.Since(f.started), 1)))
+	if f.lost {
+		f.lost = false
+		u.Regained = true
+		f.options.Log.Info("store reached again", zap.String("table", f.options.Table), zap.Uint64("version", f.version))
+	}
+	if len(u.Rows) > 0 || u.Regained || u.Complete {
+		f.options.Update(u)
+	}
+}
--- /dev/null
+++ b/hosted/instance.go
@@ -0,0 +1,291 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/entry"
+	"github.com/daisylb/daisylb/feed"
+	"github.com/daisylb/daisylb/job"
+	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/roster"
+	"github.com/daisylb/daisylb/routing"
+	"github.com/daisylb/daisylb/upstream"
+)
+
+// Instance is one process on the platform. New builds it, Run serves until its
+// context ends and the planned stop is over.
+type Instance struct {
+	settings platform.Settings
+	log      *zap.Logger
+	registry *prometheus.Registry
+	process  string
+
+	store      *platform.Client
+	document   *routing.Document
+	workers    *routing.Workers
+	feeds      []*feed.Follower
+	roster     *roster.Roster
+	dispatcher *upstream.Dispatcher
+	broadcast  *upstream.Broadcast
+	jobs       *job.Service
+
+	callers   *http.Server
+	directory *http.Server
+	readiness *http.Server
+
+	mu      sync.Mutex
+	leaving bool
+}
+
+// New builds an instance. Errors: code.InvalidSettings and those of the sockets.
+func New(o Options) (*Instance, error) {
+	i := &Instance{
+		settings: o.Settings,
+		log:      o.Log,
+		registry: prometheus.NewRegistry(),
+		process:  o.Settings.Name + "/" + uuid.NewString()[:8],
+		store:    platform.NewClient(o.Settings.Store.Address),
+	}
+	if i.log == nil {
+		i.log = zap.NewNop()
+	}
+	i.log = i.log.With(zap.String("instance", i.process))
+	for _, step := range []func() error{i.buildRouting, i.buildDispatcher, i.buildRoster, i.buildJobs} {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	i.buildServers()
+	return i, nil
+}
+
+func (i *Instance) buildRouting() error {
+	i.document = &routing.Document{Key: platform.DocumentKey, Decode: platform.DecodeRouting, Log: i.log}
+	i.workers = &routing.Workers{Decode: platform.DecodeWorker, DataCentres: i.settings.Regions, Log: i.log}
+	i.feeds = []*feed.Follower{
+		feed.New(feed.Options{Rows: i.store, Table: platform.OperatorTable, Update: i.document.Update, Log: i.log}),
+		feed.New(feed.Options{Rows: i.store, Table: platform.WorkerTable, Update: i.workers.Update, Log: i.log}),
+	}
+	return nil
+}
+
+func (i *Instance) buildDispatcher() error {
+	var err error
+	i.dispatcher, err = upstream.New(upstream.Options{
+		Document:   i.workers.Current,
+		DataCentre: i.settings.DataCentre,
+		InstanceID: i.process,
+		Wire:       platform.WorkerWire{},
+		Logger:     i.log,
+		Registerer: i.registry,
+		SubsetSize: allUpstreams,
+	})
+	return err
+}
+
+// allUpstreams lets every instance use every upstream: their loads are told to
+// all of them.
+const allUpstreams = 1 << 10
+
+func (i *Instance) buildRoster() error {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(i.settings.IP), Port: i.settings.FirstPort})
+	if err != nil {
+		return err
+	}
+	i.roster = roster.New(roster.Options{Rows: i.store, Log: i.log, Self: roster.Member{
+		Name:       i.settings.Name,
+		ID:         i.process,
+		Callers:    i.settings.Callers,
+		Peers:      conn.LocalAddr().String(),
+		DataCentre: i.settings.DataCentre,
+	}})
+	i.broadcast, err = upstream.NewBroadcast(upstream.BroadcastOptions{
+		Dispatcher: i.dispatcher,
+		InstanceID: i.process,
+		Peers:      func() []netip.AddrPort { return i.roster.View().Peers },
+		Conn:       conn,
+		Log:        i.log,
+	})
+	return err
+}
+
+func (i *Instance) buildJobs() error {
+	i.jobs = job.New(job.Options{
+		Store:     i.store,
+		Process:   i.process,
+		Forwarder: i.dispatcher,
+		Routing:   i.document.Current,
+		Decode:    platform.DecodeItems,
+		Describe:  func(f *contract.Forwarding, it *job.Item) { platform.Describe(f, it.Header) },
+		Retention: i.settings.Bounds.StatusFor,
+		Log:       i.log,
+		Fleet: func() job.Fleet {
+			return job.Fleet{Known: i.roster.Followed(), Alive: i.roster.View().Processes}
+		},
+	})
+	return nil
+}
+
+func (i *Instance) buildServers() {
+	handler := entry.NewHandler(entry.Options{Routing: i.document.Current, Forwarder: i.dispatcher, Jobs: i.jobs, Log: i.log})
+	i.callers = newServer(handler)
+	i.directory = newServer(http.HandlerFunc(i.serveDirectory))
+	i.readiness = newServer(http.HandlerFunc(i.serveReadiness))
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          zap.NewStdLog(zap.NewNop()),
+	}
+}
+
+// ready reports whether callers can be served.
+func (i *Instance) ready() bool {
+	return i.document.Current() != nil && i.workers.Known() && !i.isLeaving()
+}
+
+func (i *Instance) isLeaving() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.leaving
+}
+
+func (i *Instance) serveReadiness(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case !platform.IsReadyCall(r):
+		w.WriteHeader(http.StatusNotFound)
+	case i.ready():
+		w.WriteHeader(http.StatusOK)
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (i *Instance) serveDirectory(w http.ResponseWriter, r *http.Request) {
+	query, ok := platform.DecodeEndpointQuery(r)
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	addresses := i.endpoints(query)
+	if len(addresses) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	platform.WriteEndpoints(w, addresses, min(endpointTTL, i.settings.Bounds.MaxTTL))
+}
+
+// endpoints returns the addresses of the instances that take callers.
+func (i *Instance) endpoints(platform.EndpointQuery) []string {
+	var addresses []string
+	for _, m := range i.roster.View().Alive {
+		if m.Ready && !m.Leaving && len(addresses) < maxEndpoints {
+			addresses = append(addresses, m.Callers)
+		}
+	}
+	return addresses
+}
+
+// Run serves until ctx ends, then carries out a planned stop.
+func (i *Instance) Run(ctx context.Context) error {
+	i.log.Info("starting", zap.String("data_centre", i.settings.DataCentre))
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	group, work := errgroup.WithContext(work)
+	for _, f := range i.feeds {
+		group.Go(func() error { return f.Run(work) })
+	}
+	for _, run := range []func(context.Context) error{i.dispatcher.Run, i.broadcast.Run, i.roster.Run, i.jobs.Run, i.announceReady} {
+		group.Go(func() error { return run(work) })
+	}
+	for server, address := range map[*http.Server]string{i.callers: i.settings.Callers, i.directory: i.settings.Directory, i.readiness: i.settings.Readiness} {
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			return err
+		}
+		group.Go(func() error { return serve(server, listener) })
+	}
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+	}
+	i.leave()
+	stop()
+	err := group.Wait()
+	i.store.Close()
+	i.log.Info("stopped", zap.Error(err))
+	return err
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	err := server.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// readyInterval is the time between two looks at the readiness of a starting
+// instance.
+const readyInterval = 20 * time.Millisecond
+
+// announceReady tells the fleet once this instance can serve.
+func (i *Instance) announceReady(ctx context.Context) error {
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+	for !i.ready() {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+	i.log.Info("ready")
+	i.roster.Announce(func(m *roster.Member) { m.Ready = true })
+	return nil
+}
+
+// leave carries out the planned stop: the instance leaves the endpoint answers,
+// serves on for as long as callers may keep an old one, hands its jobs over and
+// lets open requests end.
+func (i *Instance) leave() {
+	began := time.Now()
+	end := began.Add(i.settings.Bounds.Grace - exitReserve)
+	i.mu.Lock()
+	i.leaving = true
+	i.mu.Unlock()
+	i.log.Info("leaving")
+	i.roster.Announce(func(m *roster.Member) { m.Leaving, m.Ready = true, false })
+	late := min(lateCallers, i.settings.Bounds.Grace/2)
+	time.Sleep(late / 2)
+	// Callers on kept connections are told to go elsewhere.
+	i.callers.SetKeepAlivesEnabled(false)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	handOver, cancelHandOver := context.WithTimeout(ctx, late/2)
+	i.jobs.Stop(handOver)
+	cancelHandOver()
+	time.Sleep(time.Until(began.Add(late)))
+	if err := i.callers.Shutdown(ctx); err != nil {
+		i.log.Warn("requests were open at the end of the grace", zap.Error(err))
+		_ = i.callers.Close()
+	}
+	_ = i.directory.Close()
+	_ = i.readiness.Close()
+}
--- /dev/null
+++ b/hosted/options.go
@@ -0,0 +1,41 @@
+// Package hosted puts the parts of an instance together that runs on the users'
+// platform: callers' listener, directory and readiness, the document and the
+// workers by feeds of the store, the dispatcher, and the jobs. All instances are
+// equal and keep nothing. The daemon's main runs it.
+package hosted
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/platform"
+)
+
+// Options of an Instance.
+type Options struct {
+	Settings platform.Settings
+	// Log may be nil.
+	Log *zap.Logger
+}
+
+const (
+	// endpointTTL is how long callers keep an endpoint answer. A short one keeps
+	// callers off an instance that is lost.
+	endpointTTL = time.Second
+	// endpointLinger is how many lifetimes some callers keep an answer.
+	endpointLinger = 3
+	// lateCallers is the longest time for which an instance that stops goes on
+	// accepting callers.
+	lateCallers = endpointLinger*endpointTTL + 500*time.Millisecond
+	// exitReserve is kept of the grace to hand over and exit.
+	exitReserve = 900 * time.Millisecond
+	// maxEndpoints bounds an endpoint answer.
+	maxEndpoints = 64
+
+	headerTimeout = 10 * time.Second
+	// idleTimeout is far over the time for which callers use an idle connection
+	// again, so that their requests do not cross a close.
+	idleTimeout    = 75 * time.Second
+	maxHeaderBytes = 64 << 10
+)
--- a/instance/loopback_test.go
+++ b/instance/loopback_test.go
@@ -17,8 +17,8 @@
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/instance/instancepb"
 	"github.com/daisylb/daisylb/link"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 const peerKey = "a-peer-key-of-thirty-two-letters"
@@ -95,7 +95,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	var closers []func()
-	var list []platform.ListedInstance
+	var list []storage.ListedInstance
 	var listeners []net.Listener
 	for range n {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -104,7 +104,7 @@
 		}
 		listeners = append(listeners, listener)
 		address := listener.Addr().String()
-		list = append(list, platform.ListedInstance{ID: uuid.NewString(), DataCentre: fmt.Sprint("dc-", len(list)%4), CallerAddress: address, PeerAddress: address})
+		list = append(list, storage.ListedInstance{ID: uuid.NewString(), DataCentre: fmt.Sprint("dc-", len(list)%4), CallerAddress: address, PeerAddress: address})
 	}
 	store.SetInstances(list)
 	for i, listed := range list {
@@ -139,7 +139,7 @@
 	return &countedConn{c, &l.traffic}, nil
 }
 
-func (l *loopback) member(t testing.TB, listed platform.ListedInstance, list platform.InstanceList, client *http.Client, seed uint64, all bool) *Membership {
+func (l *loopback) member(t testing.TB, listed storage.ListedInstance, list storage.InstanceList, client *http.Client, seed uint64, all bool) *Membership {
 	o := Options{
 		Self:      Identity{ID: listed.ID, DataCentre: listed.DataCentre, CallerAddress: listed.CallerAddress, PeerAddress: listed.PeerAddress},
 		Lifecycle: NewLifecycle(nil),
--- a/instance/membership_test.go
+++ b/instance/membership_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/instance/instancepb"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 func TestCrashIsDetected(t *testing.T) {
--- a/instance/network_test.go
+++ b/instance/network_test.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"github.com/daisylb/daisylb/instance/instancepb"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 const latency = 1500 * time.Microsecond
@@ -178,9 +178,9 @@
 
 // list makes the platform's list name the first n instances.
 func (c *cluster) list(n int) {
-	var list []platform.ListedInstance
+	var list []storage.ListedInstance
 	for i := range n {
-		list = append(list, platform.ListedInstance{ID: fmt.Sprintf("i%03d", i), DataCentre: dataCentreOf(i), CallerAddress: addressOf(i), PeerAddress: addressOf(i)})
+		list = append(list, storage.ListedInstance{ID: fmt.Sprintf("i%03d", i), DataCentre: dataCentreOf(i), CallerAddress: addressOf(i), PeerAddress: addressOf(i)})
 	}
 	c.store.SetInstances(list)
 }
--- a/instance/options.go
+++ b/instance/options.go
@@ -8,7 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // Defaults of Options.
@@ -56,7 +56,7 @@
 	// Lifecycle is the own state; required.
 	Lifecycle *Lifecycle
 	// List gives candidates; required.
-	List platform.InstanceList
+	List storage.InstanceList
 	// Prober carries the messages; required.
 	Prober Prober
 	// Version returns the configuration version in force here. Nil means 0.
--- a/instance/table.go
+++ b/instance/table.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // maxMembers bounds the members that one instance takes in.
@@ -204,7 +204,7 @@
 }
 
 // setList takes a new list of the platform.
-func (t *table) setList(now time.Time, list []platform.ListedInstance) {
+func (t *table) setList(now time.Time, list []storage.ListedInstance) {
 	listed := make(map[handle]bool, len(list))
 	candidates := map[handle]Identity{}
 	for _, l := range list {
--- /dev/null
+++ b/job/adopt.go
@@ -0,0 +1,237 @@
+package job
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/storage"
+)
+
+const (
+	// adoptInterval is the time between two looks for jobs without a living owner.
+	adoptInterval = 100 * time.Millisecond
+	// adoptTurn is how much longer the next instance waits before it takes a job
+	// over, so that as a rule one of them writes.
+	adoptTurn = 250 * time.Millisecond
+	// maxAdoptRank bounds that wait.
+	maxAdoptRank = 8
+)
+
+// adoptOrphans takes over jobs whose owner has handed them over or lives no
+// more.
+func (s *Service) adoptOrphans(ctx context.Context) {
+	ticker := time.NewTicker(adoptInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, id := range s.due(time.Now()) {
+			s.adopt(ctx, id)
+		}
+	}
+}
+
+// due returns the orphans that this instance takes over now.
+func (s *Service) due(now time.Time) []string {
+	fleet := s.options.Fleet()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping || !fleet.Known {
+		return nil
+	}
+	var ids []string
+	for id, v := range s.heads {
+		if !v.open() {
+			continue
+		}
+		own := v.Owner == s.options.Process
+		if _, running := s.owned[id]; own && running || !own && v.Owner != "" && fleet.Alive[v.Owner] {
+			delete(s.orphans, id)
+			continue
+		}
+		since, ok := s.orphans[id]
+		if !ok {
+			s.orphans[id] = now
+			since = now
+		}
+		if own || now.Sub(since) >= time.Duration(s.rank(id, fleet))*adoptTurn {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// rank is the place of this instance among those that may take a job over.
+func (s *Service) rank(id string, fleet Fleet) int {
+	own := weight(id, s.options.Process)
+	rank := 0
+	for process := range fleet.Alive {
+		if process != s.options.Process && weight(id, process) > own {
+			rank++
+		}
+	}
+	return min(rank, maxAdoptRank)
+}
+
+func weight(id, process string) uint64 { return xxhash.Sum64String(id + "\x00" + process) }
+
+// adopt makes this process the owner of a job and runs what is left of it.
+func (s *Service) adopt(ctx context.Context, id string) {
+	s.mu.Lock()
+	v, ok := s.heads[id]
+	s.mu.Unlock()
+	if !ok || !v.open() {
+		return
+	}
+	items, err := s.load(ctx, id)
+	if err != nil {
+		s.options.Log.Warn("job not taken over", zap.String("job", id), zap.Error(err))
+		return
+	}
+	done, err := s.loadProgress(ctx, id)
+	if err != nil {
+		return
+	}
+	next := v.head
+	next.Owner = s.options.Process
+	page, err := s.options.Store.ApplyRows(ctx, storage.RowTransaction{
+		Conditions: []storage.RowCondition{{RowKey: headKey(id), Version: v.version}},
+		Puts:       []storage.TableRow{headRow(id, &next)},
+	})
+	switch code.Of(err) {
+	case 0:
+		s.options.Log.Info("job taken over", zap.String("job", id), zap.String("from", v.Owner), zap.Int("listed", v.Listed), zap.Int("with_progress", len(done)))
+		s.begin(id, versioned{next, page.Version}, items, done)
+	case code.StoreConflict:
+		s.learnRows(page.Rows)
+	}
+}
+
+// learnRows takes in the heads among rows.
+func (s *Service) learnRows(rows []storage.TableRow) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range rows {
+		if r.Table != headTable || r.Removed || r.Version == 0 {
+			continue
+		}
+		if v, err := decodeHead(r); err == nil {
+			s.learn(r.Key, v)
+		}
+	}
+}
+
+// load returns the items of a job.
+func (s *Service) load(ctx context.Context, id string) ([]Item, error) {
+	s.mu.Lock()
+	items, ok := s.bodies.get(id)
+	s.mu.Unlock()
+	if ok {
+		return items, nil
+	}
+	raw, err := s.options.Store.GetBlob(ctx, blobPrefix+id)
+	if err != nil {
+		return nil, err
+	}
+	items, err = s.options.Decode(raw)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	s.bodies.put(id, items)
+	s.mu.Unlock()
+	return items, nil
+}
+
+func (s *Service) loadProgress(ctx context.Context, id string) (map[int]progress, error) {
+	page, err := s.options.Store.GetRows(ctx, progressTable, part, id+"/", id+"0")
+	if err != nil {
+		return nil, err
+	}
+	numbers, values, err := joinPieces(page.Rows)
+	if err != nil {
+		return nil, err
+	}
+	done := map[int]progress{}
+	for i, n := range numbers {
+		var p progress
+		if err := json.Unmarshal(values[i], &p); err == nil {
+			done[n] = p
+		}
+	}
+	return done, nil
+}
+
+const (
+	// sweepInterval is the time between two looks for jobs to remove.
+	sweepInterval = 20 * time.Second
+	// sweepBatch bounds the rows of one transaction.
+	sweepBatch = 80
+)
+
+// sweep removes jobs that need not be readable any more.
+func (s *Service) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, id := range s.expired() {
+			if err := s.remove(ctx, id); err != nil {
+				s.options.Log.Info("old job not removed", zap.String("job", id), zap.Error(err))
+			}
+		}
+	}
+}
+
+// expired returns the jobs that this instance removes: each has one instance
+// that does.
+func (s *Service) expired() []string {
+	fleet := s.options.Fleet()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []string
+	for id, v := range s.heads {
+		if !v.open() && s.options.Retention > 0 && s.age(&v.head) > 2*s.options.Retention && s.rank(id, fleet) == 0 {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// remove drops the rows of a job, its head last, so that a sweep that broke off
+// is taken up again.
+func (s *Service) remove(ctx context.Context, id string) error {
+	for _, table := range []string{resultTable, progressTable} {
+		page, err := s.options.Store.GetRows(ctx, table, part, id+"/", id+"0")
+		if err != nil {
+			return err
+		}
+		for rows := range slices.Chunk(page.Rows, sweepBatch) {
+			t := storage.RowTransaction{}
+			for _, r := range rows {
+				t.Removes = append(t.Removes, r.RowKey)
+			}
+			if _, err := s.options.Store.ApplyRows(ctx, t); err != nil {
+				return err
+			}
+		}
+	}
+	if err := s.options.Store.DropBlob(ctx, blobPrefix+id); err != nil {
+		return err
+	}
+	_, err := s.options.Store.ApplyRows(ctx, storage.RowTransaction{Removes: []storage.RowKey{headKey(id)}})
+	return err
+}
--- /dev/null
+++ b/job/run.go
@@ -0,0 +1,239 @@
+package job
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/upstream"
+)
+
+// run is a job that this process owns.
+type run struct {
+	service *Service
+	id      string
+	host    string
+	items   []Item
+	cancel  context.CancelFunc
+	ctx     context.Context
+	// finished has the results that are not committed yet.
+	finished chan finished
+	// giveUp asks for the job to be handed over; gave is closed when that is done.
+	giveUp chan context.Context
+	gave   chan struct{}
+	expiry time.Time
+	// head is the state that this process wrote last; only commitAll uses it.
+	head versioned
+
+	mu      sync.Mutex
+	running map[int]*collector
+}
+
+// finished is the result of the item with an index.
+type finished struct {
+	index  int
+	result Result
+}
+
+// begin runs the items of a job that this process owns and that are not listed.
+func (s *Service) begin(id string, v versioned, items []Item, done map[int]progress) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.learn(id, v)
+	if _, ok := s.owned[id]; ok || s.heads[id].version != v.version || !v.open() || v.Owner != s.options.Process {
+		return
+	}
+	ctx, cancel := context.WithCancel(s.base)
+	r := &run{
+		service:  s,
+		id:       id,
+		host:     v.Host,
+		items:    items,
+		ctx:      ctx,
+		cancel:   cancel,
+		finished: make(chan finished, len(items)),
+		giveUp:   make(chan context.Context, 1),
+		gave:     make(chan struct{}),
+		expiry:   time.Now().Add(v.keep() - s.age(&v.head)),
+		running:  map[int]*collector{},
+		head:     v,
+	}
+	s.owned[id] = r
+	for i := range items {
+		if slices.Contains(v.Done, i) {
+			continue
+		}
+		p := done[i]
+		c := &collector{last: p.LastEvent, failures: p.Failures}
+		c.text.WriteString(p.Text)
+		r.running[i] = c
+		s.runs.Go(func() { r.runItem(i, c) })
+	}
+	s.runs.Go(func() { r.commitAll() })
+}
+
+const (
+	// itemPause follows a failed run of an item, routeGrace is how long the route
+	// of an item may be missing before the item is given up.
+	itemPause  = 100 * time.Millisecond
+	routeGrace = 3 * time.Second
+	// itemAttempts bounds the upstreams of one call; the item goes on afterwards
+	// from where it was.
+	itemAttempts = 4
+	// itemSilence is the longest pause between two events of an item.
+	itemSilence = 2 * time.Second
+)
+
+// runItem runs an item until it has a result or the job is not ours any more.
+func (r *run) runItem(index int, c *collector) {
+	item := &r.items[index]
+	routeless := time.Time{}
+	for r.ctx.Err() == nil {
+		route := r.route(item)
+		now := time.Now()
+		switch {
+		case route == nil && routeless.IsZero():
+			routeless = now
+		case route != nil:
+			routeless = time.Time{}
+		}
+		if now.After(r.expiry) || route == nil && now.Sub(routeless) > routeGrace {
+			r.finish(index, Result{Item: item.ID})
+			return
+		}
+		if route != nil && r.attempt(item, route, c) {
+			r.finish(index, c.result(item.ID))
+			return
+		}
+		select {
+		case <-r.ctx.Done():
+		case <-time.After(itemPause):
+		}
+	}
+}
+
+func (r *run) route(item *Item) *contract.Route {
+	document := r.service.options.Routing()
+	if document == nil {
+		return nil
+	}
+	return document.Match(r.host, item.Path)
+}
+
+// attempt runs an item once and reports whether it has a result.
+func (r *run) attempt(item *Item, route *contract.Route, c *collector) bool {
+	f := &contract.Forwarding{
+		Service:     route.Service(),
+		Class:       contract.Batch,
+		Method:      http.MethodPost,
+		Target:      item.Path,
+		Host:        r.host,
+		Body:        item.Body,
+		Repeatable:  true,
+		MaxAttempts: itemAttempts,
+		Stream:      true,
+		Resumable:   true,
+		Deadline:    r.expiry,
+		Silence:     itemSilence,
+	}
+	r.service.options.Describe(f, item)
+	f.LastEvent = c.last
+	c.status = 0
+	err := r.service.options.Forwarder.Forward(r.ctx, f, c)
+	if r.ctx.Err() != nil {
+		return false
+	}
+	var answered *upstream.StatusError
+	switch {
+	case errors.As(err, &answered):
+		c.status = answered.Status
+	case err != nil:
+		return false
+	}
+	switch c.status {
+	case http.StatusOK:
+		c.succeeded = true
+		return true
+	case http.StatusUnprocessableEntity:
+		return true
+	case http.StatusInternalServerError:
+		c.failures++
+		r.service.options.Log.Info("item failed", zap.String("job", r.id), zap.String("request", item.ID), zap.Int("failures", c.failures))
+		return c.failures >= route.MaxAttempts
+	}
+	return false
+}
+
+func (r *run) finish(index int, result Result) {
+	r.mu.Lock()
+	delete(r.running, index)
+	r.mu.Unlock()
+	r.finished <- finished{index, result}
+}
+
+// collector gathers the data of an item's events. One goroutine writes it; the
+// text and the last event are read under the lock when a job is handed over.
+type collector struct {
+	mu        sync.Mutex
+	text      strings.Builder
+	last      string
+	status    int
+	failures  int
+	succeeded bool
+}
+
+var _ contract.ForwardSink = (*collector)(nil)
+
+// Begin implements contract.ForwardSink.
+func (c *collector) Begin(status int, _ http.Header) error {
+	c.status = status
+	return nil
+}
+
+var (
+	dataField = []byte("data:")
+	idField   = []byte("id:")
+)
+
+// Write implements contract.ForwardSink.
+func (c *collector) Write(event []byte) error {
+	if c.status != http.StatusOK {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimRight(line, "\r\n")
+		if id, ok := bytes.CutPrefix(line, idField); ok {
+			c.last = string(bytes.TrimSpace(id))
+		}
+		if data, ok := bytes.CutPrefix(line, dataField); ok {
+			if c.text.Len() > 0 {
+				c.text.WriteByte('\n')
+			}
+			c.text.Write(bytes.TrimPrefix(data, []byte(" ")))
+		}
+	}
+	return nil
+}
+
+func (c *collector) result(item string) Result {
+	if !c.succeeded {
+		return Result{Item: item}
+	}
+	return Result{Item: item, Succeeded: true, Text: c.text.String()}
+}
+
+func (c *collector) progress() progress {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return progress{LastEvent: c.last, Text: c.text.String(), Failures: c.failures}
+}
--- /dev/null
+++ b/job/submit.go
@@ -0,0 +1,243 @@
+package job
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/storage"
+)
+
+// Submission is a job as it was sent.
+type Submission struct {
+	ID    string
+	Route *contract.Route
+	Host  string
+	Items []Item
+	// Raw is the body that Items were read from.
+	Raw []byte
+}
+
+func (s *Submission) tokens() int64 {
+	var sum int64
+	for i := range s.Items {
+		sum += s.Items[i].Tokens
+	}
+	return sum
+}
+
+const (
+	// submitTries bounds the transactions that lose against others, submitTime
+	// the time for which a caller is held while the store fails.
+	submitTries = 12
+	submitTime  = 1500 * time.Millisecond
+	submitPause = 40 * time.Millisecond
+	// quotaHint is about the time in which a few items end.
+	quotaHint = time.Second
+)
+
+// Submit accepts a job: its bodies are an object, its head a row, both stored
+// before Submit returns. A job that was accepted before is accepted again.
+//
+// Errors: code.QuotaExceeded, StoreUnavailable and StoreThrottled when nothing
+// of the job is kept or ever will be; code.StoreUnknown when it may be.
+func (s *Service) Submit(ctx context.Context, sub Submission) error {
+	if s.isKnown(sub.ID) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, submitTime)
+	defer cancel()
+	a := acceptance{service: s, submission: &sub}
+	var err error
+	for range submitTries {
+		err = a.try(ctx)
+		switch code.Of(err) {
+		case 0:
+			s.options.Log.Info("job accepted", zap.String("job", sub.ID), zap.Int("items", len(sub.Items)), zap.Int64("tokens", sub.tokens()))
+			return nil
+		case code.QuotaExceeded, code.StoreTooLarge:
+			return a.refusal(err)
+		}
+		select {
+		case <-ctx.Done():
+			return a.refusal(err)
+		case <-time.After(submitPause):
+		}
+	}
+	return a.refusal(err)
+}
+
+func (s *Service) isKnown(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.heads[id]
+	return ok
+}
+
+// acceptance is the state of one Submit.
+type acceptance struct {
+	service    *Service
+	submission *Submission
+	stored     bool
+	// sent is set when a transaction may have taken effect or may do so later.
+	sent bool
+}
+
+// refusal returns the error to the caller. After a transaction whose answer was
+// lost nothing may be said about the job.
+func (a *acceptance) refusal(err error) error {
+	e := code.From(err)
+	if a.sent {
+		return code.Wrap(code.StoreUnknown, err, "the store may have taken the job")
+	}
+	if e.Number == code.StoreUnknown {
+		// Only the object was sent, which without a head is no job.
+		e = code.Wrap(code.StoreUnavailable, err, "the store did not take the job")
+	}
+	if e.RetryAfter == 0 {
+		e = e.WithRetryAfter(storeHint)
+	}
+	return e.WithOutcome(code.NotRun)
+}
+
+// try reads all heads and the gate of the route, and adds the job if it fits.
+// Whoever accepts a job changes the gate, so that no two instances count the
+// same free tokens; what ends meanwhile only frees more.
+func (a *acceptance) try(ctx context.Context) error {
+	s, sub := a.service, a.submission
+	if sub.Route.MaxWaitingTokens == 0 {
+		return a.put(ctx, nil)
+	}
+	gates, err := s.options.Store.GetRows(ctx, gateTable, part, sub.Route.ID(), sub.Route.ID()+"\x00")
+	if err != nil {
+		return err
+	}
+	gate := storage.RowCondition{RowKey: gateKey(sub.Route.ID())}
+	if len(gates.Rows) > 0 {
+		gate.Version = gates.Rows[0].Version
+	}
+	page, err := s.options.Store.GetRows(ctx, headTable, part, "", "")
+	if err != nil {
+		return err
+	}
+	waiting, known, err := s.count(page, sub)
+	if known || err != nil {
+		return err
+	}
+	if waiting+sub.tokens() > sub.Route.MaxWaitingTokens {
+		s.options.Log.Info("job refused", zap.String("job", sub.ID), zap.Int64("tokens", sub.tokens()),
+			zap.Int64("waiting", waiting), zap.Int64("quota", sub.Route.MaxWaitingTokens), zap.Uint64("store_version", page.Version))
+		return code.New(code.QuotaExceeded, "%d tokens wait on the route, %d more are over %d", waiting, sub.tokens(), sub.Route.MaxWaitingTokens).WithRetryAfter(quotaHint)
+	}
+	return a.put(ctx, &gate)
+}
+
+// count sums the tokens that wait on the route and reports whether the job is
+// there already.
+func (s *Service) count(page storage.RowPage, sub *Submission) (waiting int64, known bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if page.Version < s.version {
+		return 0, false, code.New(code.StoreUnavailable, "the store answered from the past")
+	}
+	s.noteClock(page.Now)
+	for _, r := range page.Rows {
+		v, err := decodeHead(r)
+		if err != nil {
+			continue
+		}
+		if r.Key == sub.ID {
+			s.learn(r.Key, v)
+			return 0, true, nil
+		}
+		if v.Route == sub.Route.ID() && v.open() {
+			waiting += v.Tokens
+		}
+	}
+	return waiting, false, nil
+}
+
+// put stores the bodies once and then the head under the condition of the gate.
+func (a *acceptance) put(ctx context.Context, gate *storage.RowCondition) error {
+	s, sub := a.service, a.submission
+	if !a.stored {
+		err := s.options.Store.PutBlob(ctx, blobPrefix+sub.ID, sub.Raw)
+		if err != nil && code.Of(err) != code.StoreConflict {
+			return err
+		}
+		a.stored = true
+	}
+	now := s.now()
+	h := head{
+		Route:      sub.Route.ID(),
+		Host:       sub.Host,
+		Total:      len(sub.Items),
+		Tokens:     sub.tokens(),
+		AcceptedMS: now.Milliseconds(),
+		KeepMS:     sub.Route.Keep.Milliseconds(),
+		Owner:      s.options.Process,
+	}
+	if s.isStopping() {
+		h.Owner = ""
+	}
+	t := storage.RowTransaction{
+		Conditions: []storage.RowCondition{{RowKey: headKey(sub.ID)}},
+		Puts:       []storage.TableRow{headRow(sub.ID, &h)},
+	}
+	if gate != nil {
+		t.Conditions = append(t.Conditions, *gate)
+		t.Puts = append(t.Puts, storage.TableRow{RowKey: gate.RowKey, Value: []byte(sub.ID)})
+	}
+	page, err := s.options.Store.ApplyRows(ctx, t)
+	switch code.Of(err) {
+	case 0:
+		s.begin(sub.ID, versioned{h, page.Version}, sub.Items, nil)
+		return nil
+	case code.StoreUnknown:
+		a.sent = true
+	case code.StoreConflict:
+		return a.lostRace(page, err)
+	}
+	return err
+}
+
+// lostRace looks at the rows that the conditions asked for: the job may be there
+// by an earlier try.
+func (a *acceptance) lostRace(page storage.RowPage, err error) error {
+	for _, r := range page.Rows {
+		if r.Table != headTable || r.Key != a.submission.ID || r.Version == 0 || r.Removed {
+			continue
+		}
+		v, decodeErr := decodeHead(r)
+		if decodeErr != nil {
+			return decodeErr
+		}
+		a.service.mu.Lock()
+		a.service.learn(r.Key, v)
+		a.service.mu.Unlock()
+		if v.Owner == a.service.options.Process {
+			a.service.begin(r.Key, v, a.submission.Items, nil)
+		}
+		return nil
+	}
+	return err
+}
+
+func (s *Service) isStopping() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopping
+}
+
+// now returns the store's clock as far as it is known.
+func (s *Service) now() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.clockAt.IsZero() {
+		return 0
+	}
+	return s.clock + time.Since(s.clockAt)
+}
--- a/order/lease.go
+++ b/order/lease.go
@@ -12,8 +12,8 @@
 	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/guard"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/guard"
 )
 
 // States and events of a lease.
@@ -65,7 +65,7 @@
 
 	// seen and seenAt are used by Run only: the row last seen, and when it was
 	// first seen at that version.
-	seen   platform.Row
+	seen   storage.Row
 	seenAt time.Time
 }
 
@@ -289,11 +289,11 @@
 	if err != nil {
 		return 0, code.Wrap(code.Internal, err, "a lease cannot be encoded")
 	}
-	t := platform.Transaction{
-		Conditions: []platform.Condition{{Key: l.row, Version: version}},
-		Writes:     []platform.Write{{Key: l.row, Value: value}},
+	t := storage.Transaction{
+		Conditions: []storage.Condition{{Key: l.row, Version: version}},
+		Writes:     []storage.Write{{Key: l.row, Value: value}},
 	}
-	applied, err := guard.ApplyOnce(ctx, l.options.Table, t, func(row platform.Row) bool {
+	applied, err := guard.ApplyOnce(ctx, l.options.Table, t, func(row storage.Row) bool {
 		var present record
 		return json.Unmarshal(row.Value, &present) == nil && present.Mark == r.Mark
 	})
--- a/order/options.go
+++ b/order/options.go
@@ -7,7 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // Defaults of Options.
@@ -24,7 +24,7 @@
 	// Group names the upstreams under the lease; required.
 	Group string
 	// Table keeps the lease; required.
-	Table platform.Table
+	Table storage.Table
 	// Eligible reports whether this instance should hold the lease, such as by
 	// rendezvous hashing over the live view; nil means always. Two eligible
 	// instances take turns only when one releases or fails.
--- a/order/order_test.go
+++ b/order/order_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/order"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 func TestMain(m *testing.M) {
@@ -103,7 +103,7 @@
 
 // cutTable is a table that an instance can be cut off from.
 type cutTable struct {
-	platform.Table
+	storage.Table
 
 	mu  sync.Mutex
 	cut bool
@@ -124,16 +124,16 @@
 	return nil
 }
 
-func (c *cutTable) Get(ctx context.Context, key string) (platform.Row, error) {
+func (c *cutTable) Get(ctx context.Context, key string) (storage.Row, error) {
 	if err := c.err(); err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	return c.Table.Get(ctx, key)
 }
 
-func (c *cutTable) Apply(ctx context.Context, t platform.Transaction) (platform.Applied, error) {
+func (c *cutTable) Apply(ctx context.Context, t storage.Transaction) (storage.Applied, error) {
 	if err := c.err(); err != nil {
-		return platform.Applied{}, err
+		return storage.Applied{}, err
 	}
 	return c.Table.Apply(ctx, t)
 }
@@ -142,7 +142,7 @@
 // the next holder comes.
 const longestOrder = 9 * time.Second
 
-func start(table platform.Table, id string) *holder {
+func start(table storage.Table, id string) *holder {
 	h := &holder{cut: &cutTable{Table: table}, done: make(chan struct{})}
 	lease, err := order.New(order.Options{InstanceID: id, Group: "g", Table: h.cut, LongestOrder: longestOrder})
 	if err != nil {
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,254 @@
+// Package roster keeps the list of instances in the platform's store: each
+// writes a row of its own at intervals and reads those of the others by a feed.
+// Liveness is judged by rows that stay unchanged on one's own steady clock; no
+// clock of another process is believed. It replaces probes and gossip where the
+// store can be followed.
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/feed"
+	"github.com/daisylb/daisylb/storage"
+)
+
+// Table has a row for each instance by its name.
+const Table = "instances"
+
+// Member is what an instance says of itself.
+type Member struct {
+	// Name is that of the machine, ID that of the process.
+	Name string `json:"name"`
+	ID   string `json:"id"`
+	// Callers and Peers are addresses, IP:port.
+	Callers    string `json:"callers"`
+	Peers      string `json:"peers"`
+	DataCentre string `json:"data_centre"`
+	// Ready members take callers; Leaving ones are about to end.
+	Ready   bool `json:"ready"`
+	Leaving bool `json:"leaving"`
+	// Beat grows with each write.
+	Beat uint64 `json:"beat"`
+}
+
+// entry is a member with the time at which its row last changed.
+type entry struct {
+	Member
+	seen time.Time
+}
+
+const (
+	// beatInterval is the time between two writes of a row in a small fleet;
+	// beatPerMember stretches it so that all together write and read a bounded
+	// number of rows a second.
+	beatInterval  = time.Second
+	beatPerMember = 15 * time.Millisecond
+	// aliveIntervals is how many intervals a row may stay unchanged.
+	aliveIntervals = 2.6
+	// retryPause follows a write that failed.
+	retryPause = 150 * time.Millisecond
+	// feedPause bounds the calls of the feed.
+	feedPause = 400 * time.Millisecond
+	feedWait  = 2 * time.Second
+)
+
+// Options configure a Roster.
+type Options struct {
+	Rows storage.Rows
+	Self Member
+	Log  *zap.Logger
+	// Changed is called when a member came, left or is no longer alive.
+	Changed func()
+}
+
+// Roster is the list. It is safe for concurrent use.
+type Roster struct {
+	options  Options
+	follower *feed.Follower
+	wake     chan struct{}
+	self     atomic.Pointer[Member]
+
+	mu      sync.Mutex
+	members map[string]entry
+	// unsure is set while the store has not been followed for long enough to
+	// judge rows that stay unchanged.
+	heardSince time.Time
+	view       atomic.Pointer[View]
+}
+
+// View is the list at one time.
+type View struct {
+	// Alive members, this one included, by name.
+	Alive []Member
+	// Peers are the addresses of the others.
+	Peers []netip.AddrPort
+	// Processes are the ids of all members that are alive.
+	Processes map[string]bool
+}
+
+// New returns a Roster.
+func New(o Options) *Roster {
+	r := &Roster{options: o, wake: make(chan struct{}, 1), members: map[string]entry{}}
+	if r.options.Changed == nil {
+		r.options.Changed = func() {}
+	}
+	self := o.Self
+	r.self.Store(&self)
+	r.view.Store(&View{Processes: map[string]bool{}})
+	r.follower = feed.New(feed.Options{Rows: o.Rows, Table: Table, Wait: feedWait, Pause: feedPause, Update: r.update, Log: o.Log})
+	return r
+}
+
+// View returns the present list.
+func (r *Roster) View() *View { return r.view.Load() }
+
+// Followed reports whether the list has been read and is up to date.
+func (r *Roster) Followed() bool {
+	age, ok := r.follower.Age()
+	return ok && age < feedWait+beatInterval
+}
+
+// Announce changes what this instance says of itself and writes it soon.
+func (r *Roster) Announce(change func(*Member)) {
+	next := *r.self.Load()
+	change(&next)
+	r.self.Store(&next)
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run writes and follows until ctx ends.
+func (r *Roster) Run(ctx context.Context) error {
+	var wait sync.WaitGroup
+	wait.Go(func() { _ = r.follower.Run(ctx) })
+	wait.Go(func() { r.write(ctx) })
+	wait.Go(func() { r.judge(ctx) })
+	wait.Wait()
+	return nil
+}
+
+// interval is the time between two writes at the present size.
+func (r *Roster) interval() time.Duration {
+	return max(beatInterval, time.Duration(len(r.View().Alive))*beatPerMember)
+}
+
+func (r *Roster) write(ctx context.Context) {
+	var beat uint64
+	for ctx.Err() == nil {
+		beat++
+		m := *r.self.Load()
+		m.Beat = beat
+		pause := r.interval()
+		if err := r.put(ctx, m); err != nil {
+			r.options.Log.Debug("own row not written", zap.Error(err))
+			pause = retryPause + rand.N(retryPause)
+		}
+		select {
+		case <-ctx.Done():
+		case <-r.wake:
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (r *Roster) put(ctx context.Context, m Member) error {
+	value, err := json.Marshal(m)
+	if err != nil {
+		return err
+	}
+	row := storage.TableRow{RowKey: storage.RowKey{Table: Table, Key: m.Name}, Value: value}
+	_, err = r.options.Rows.ApplyRows(ctx, storage.RowTransaction{Puts: []storage.TableRow{row}})
+	return err
+}
+
+// update takes in changed rows.
+func (r *Roster) update(u feed.Update) {
+	r.mu.Lock()
+	now := time.Now()
+	if u.Regained || u.Complete && len(r.members) == 0 {
+		r.heardSince = now
+	}
+	for _, row := range u.Rows {
+		if row.Removed {
+			delete(r.members, row.Key)
+			continue
+		}
+		var m Member
+		if err := json.Unmarshal(row.Value, &m); err != nil || m.Name != row.Key {
+			r.options.Log.Warn("instance row left out", zap.String("key", row.Key), zap.Error(err))
+			continue
+		}
+		r.members[m.Name] = entry{m, now}
+	}
+	r.mu.Unlock()
+	r.refresh()
+}
+
+// judgeInterval is the time between two looks at rows that stay unchanged.
+const judgeInterval = 250 * time.Millisecond
+
+func (r *Roster) judge(ctx context.Context) {
+	ticker := time.NewTicker(judgeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			r.refresh()
+		}
+	}
+}
+
+// refresh builds the view.
+func (r *Roster) refresh() {
+	r.mu.Lock()
+	now := time.Now()
+	limit := time.Duration(aliveIntervals * float64(r.interval()))
+	// While the store cannot be followed, nothing is known to have changed.
+	age, ok := r.follower.Age()
+	frozen := !ok || age > feedWait || now.Sub(r.heardSince) < limit
+	v := &View{Processes: map[string]bool{}}
+	self := r.self.Load()
+	for _, e := range r.members {
+		if e.Name == self.Name {
+			continue
+		}
+		if !frozen && now.Sub(e.seen) > limit {
+			continue
+		}
+		v.Alive = append(v.Alive, e.Member)
+		v.Processes[e.ID] = true
+		if peer, err := netip.ParseAddrPort(e.Peers); err == nil {
+			v.Peers = append(v.Peers, peer)
+		}
+	}
+	v.Alive = append(v.Alive, *self)
+	v.Processes[self.ID] = true
+	slices.SortFunc(v.Alive, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	before := r.view.Swap(v)
+	r.mu.Unlock()
+	if !same(before, v) {
+		r.options.Log.Info("instances", zap.Int("alive", len(v.Alive)), zap.Bool("followed", !frozen))
+		r.options.Changed()
+	}
+}
+
+func same(a, b *View) bool {
+	return slices.EqualFunc(a.Alive, b.Alive, func(x, y Member) bool {
+		x.Beat, y.Beat = 0, 0
+		return x == y
+	})
+}
--- /dev/null
+++ b/routing/workers.go
@@ -0,0 +1,153 @@
+package routing
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/feed"
+)
+
+// ReturnGrace is how long after the return of the store an entry may be missing
+// whose worker lives: entries lapse while the store is away, and workers write
+// them again within about two seconds.
+const ReturnGrace = 2 * time.Second
+
+// Workers holds the upstreams that registered themselves. It is safe for
+// concurrent use.
+type Workers struct {
+	// Decode reads an entry. Required.
+	Decode func(id string, data []byte) (contract.Worker, error)
+	// DataCentres have the region of each.
+	DataCentres map[string]string
+	Log         *zap.Logger
+
+	mu      sync.Mutex
+	known   map[string]contract.Worker
+	missing map[string]time.Time
+	// regained is when the store came back last.
+	regained time.Time
+	current  atomic.Pointer[contract.Document]
+	heard    atomic.Bool
+}
+
+// Known reports whether the entries have been read.
+func (w *Workers) Known() bool { return w.heard.Load() }
+
+// Current returns the document of the dispatcher, or nil before the entries
+// have been read.
+func (w *Workers) Current() *contract.Document { return w.current.Load() }
+
+// Update takes in changes of the workers' table.
+func (w *Workers) Update(u feed.Update) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	if w.known == nil {
+		w.known = map[string]contract.Worker{}
+		w.missing = map[string]time.Time{}
+	}
+	if u.Regained {
+		w.regained = now
+	}
+	changed := !w.heard.Load()
+	for _, r := range u.Rows {
+		if r.Removed {
+			changed = w.remove(r.Key, now) || changed
+			continue
+		}
+		changed = w.take(r.Key, r.Value) || changed
+	}
+	w.heard.Store(true)
+	if changed {
+		w.publish()
+	}
+}
+
+// take keeps an entry; one that cannot be read names no worker to use.
+func (w *Workers) take(id string, value []byte) bool {
+	delete(w.missing, id)
+	next, err := w.Decode(id, value)
+	before, ok := w.known[id]
+	if err != nil {
+		w.Log.Warn("worker entry left out", zap.String("worker", id), zap.Error(err))
+		delete(w.known, id)
+		return ok
+	}
+	if ok && before == next {
+		return false
+	}
+	w.known[id] = next
+	w.Log.Info("worker", zap.String("worker", id), zap.String("address", next.Address), zap.String("service", next.Service),
+		zap.Bool("draining", next.Draining), zap.Int64("started", next.Started))
+	return true
+}
+
+// remove drops an entry. Soon after the return of the store it may only have
+// lapsed, and the worker stays in use until the grace is over.
+func (w *Workers) remove(id string, now time.Time) bool {
+	before, ok := w.known[id]
+	if !ok {
+		return false
+	}
+	if left := ReturnGrace - now.Sub(w.regained); left > 0 && !before.Draining && !w.regained.IsZero() {
+		w.missing[id] = now
+		w.Log.Info("worker entry missing after an outage", zap.String("worker", id), zap.Duration("grace", left))
+		time.AfterFunc(left, w.expire)
+		return false
+	}
+	delete(w.known, id)
+	w.Log.Info("worker gone", zap.String("worker", id))
+	return true
+}
+
+// expire drops the entries that did not come back.
+func (w *Workers) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Since(w.regained) < ReturnGrace {
+		return
+	}
+	for id := range w.missing {
+		delete(w.known, id)
+		w.Log.Info("worker did not come back", zap.String("worker", id))
+	}
+	changed := len(w.missing) > 0
+	clear(w.missing)
+	if changed {
+		w.publish()
+	}
+}
+
+// batchPreset leaves all idle capacity to batch work.
+const batchPreset = "ordinary"
+
+// publish makes the document of the dispatcher.
+func (w *Workers) publish() {
+	d := &contract.Document{
+		Preset:      batchPreset,
+		Presets:     map[string]contract.Preset{batchPreset: {BatchShare: 1, HeadroomSlots: 0, AdmitOnline: true}},
+		DataCentres: map[string]contract.DataCentre{},
+		Services:    map[string]contract.Service{},
+		Upstreams:   map[string]contract.Upstream{},
+		Limits:      contract.Limits{RetryShare: 1},
+	}
+	for name, region := range w.DataCentres {
+		d.DataCentres[name] = contract.DataCentre{Region: region}
+	}
+	for id, worker := range w.known {
+		d.Services[worker.Service] = contract.Service{Kind: contract.KindRouted}
+		d.Upstreams[id] = contract.Upstream{
+			Address:    worker.Address,
+			DataCentre: worker.DataCentre,
+			Services:   []string{worker.Service},
+			Slots:      worker.Slots,
+			Started:    worker.Started,
+			Leaving:    worker.Draining,
+		}
+	}
+	w.current.Store(d)
+}
--- a/standin/platform/handler.go
+++ b/standin/platform/handler.go
@@ -7,8 +7,8 @@
 	"strconv"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 // maxBodyBytes bounds a request to the stand-in.
@@ -19,7 +19,7 @@
 	Number  code.Number `json:"number"`
 	Message string      `json:"message"`
 	// Conflicts are the present rows of the conditions that did not hold.
-	Conflicts []platform.Row `json:"conflicts,omitempty"`
+	Conflicts []storage.Row `json:"conflicts,omitempty"`
 }
 
 type handler struct {
@@ -59,7 +59,7 @@
 }
 
 func (h *handler) apply(w http.ResponseWriter, r *http.Request) {
-	var t platform.Transaction
+	var t storage.Transaction
 	if !decode(w, r, &t) {
 		return
 	}
@@ -133,7 +133,7 @@
 }
 
 func (h *handler) setInstances(w http.ResponseWriter, r *http.Request) {
-	var list []platform.ListedInstance
+	var list []storage.ListedInstance
 	if !decode(w, r, &list) {
 		return
 	}
@@ -172,7 +172,7 @@
 }
 
 // fail answers with a Failure; a lost answer closes the connection instead.
-func fail(w http.ResponseWriter, err error, conflicts []platform.Row) {
+func fail(w http.ResponseWriter, err error, conflicts []storage.Row) {
 	e := code.From(err)
 	if e.Number == code.StoreUnknown {
 		panic(http.ErrAbortHandler)
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -14,12 +14,12 @@
 	"time"
 
 	"github.com/daisylb/daisylb/code"
-	store "github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/memory"
 	"github.com/daisylb/daisylb/settings"
 	"github.com/daisylb/daisylb/standin/engine"
 	"github.com/daisylb/daisylb/standin/platform"
 	"github.com/daisylb/daisylb/standin/service"
+	store "github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 // Settings name the stand-ins to start. Addresses are IP:port on the loopback.
--- a/platform/guard/guard.go
+++ b/storage/guard/guard.go
@@ -1,4 +1,4 @@
-// Package guard decorates a platform.Store with the one retry policy, the rate
+// Package guard decorates a storage.Store with the one retry policy, the rate
 // limits and the circuit breakers that every instance applies to the platform.
 // Each process wraps its adapter once and hands views of it to the parts. The
 // guard never repeats a write that may have taken effect: ApplyOnce and PutOnce
@@ -13,8 +13,8 @@
 	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
 	"github.com/daisylb/daisylb/retry"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // Lane separates the users of the store, so that none waits for the tokens of
@@ -57,7 +57,7 @@
 // Options configure a Guard. Zero values select the defaults named.
 type Options struct {
 	// Store is the adapter to decorate; required.
-	Store platform.Store
+	Store storage.Store
 	// Live returns the number of live instances that share the store; nil means
 	// one. It must not block.
 	Live func() int
@@ -152,7 +152,7 @@
 }
 
 // View returns the store as seen by users of a lane.
-func (g *Guard) View(l Lane) platform.Store { return &view{guard: g, lane: l} }
+func (g *Guard) View(l Lane) storage.Store { return &view{guard: g, lane: l} }
 
 // run tries an operation until it succeeds, fails for good, or uses up its
 // attempts or the budget.
--- a/platform/guard/guard_test.go
+++ b/storage/guard/guard_test.go
@@ -14,9 +14,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/guard"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/guard"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 func TestMain(m *testing.M) {
@@ -36,8 +36,8 @@
 	return g
 }
 
-func write(key string) platform.Transaction {
-	return platform.Transaction{Writes: []platform.Write{{Key: key, Value: []byte("v")}}}
+func write(key string) storage.Transaction {
+	return storage.Transaction{Writes: []storage.Write{{Key: key, Value: []byte("v")}}}
 }
 
 func TestUnknownTransactionIsNeverRepeated(t *testing.T) {
@@ -102,7 +102,7 @@
 }
 
 // run writes for the given time through the tables.
-func (f fleet) run(table func(i int) platform.Table, duration time.Duration) {
+func (f fleet) run(table func(i int) storage.Table, duration time.Duration) {
 	var wg sync.WaitGroup
 	end := time.Now().Add(duration)
 	for i := range f.instances {
@@ -125,9 +125,9 @@
 	measure := func(t *testing.T, guarded bool) (refused, peak int64) {
 		synctest.Test(t, func(t *testing.T) {
 			store := memory.New()
-			table := func(int) platform.Table { return store }
+			table := func(int) storage.Table { return store }
 			if guarded {
-				table = func(int) platform.Table {
+				table = func(int) storage.Table {
 					o := guard.Options{Store: store, WritesPerSecond: rate, OwnerWritesPerSecond: 1, Live: func() int { return instances }}
 					return newGuard(t, o).View(guard.Urgent)
 				}
@@ -196,15 +196,15 @@
 		store.Faults().HoldWrites(s.held)
 		marker := strconv.Itoa(i)
 		stale := s.stale && version > 0
-		condition := platform.Condition{Key: "k", Version: version}
+		condition := storage.Condition{Key: "k", Version: version}
 		if stale {
 			condition.Version--
 		}
-		tx := platform.Transaction{
-			Conditions: []platform.Condition{condition},
-			Writes:     []platform.Write{{Key: "k", Value: []byte(marker)}},
+		tx := storage.Transaction{
+			Conditions: []storage.Condition{condition},
+			Writes:     []storage.Write{{Key: "k", Value: []byte(marker)}},
 		}
-		applied, err := guard.ApplyOnce(ctx, releasing{store}, tx, func(row platform.Row) bool { return string(row.Value) == marker })
+		applied, err := guard.ApplyOnce(ctx, releasing{store}, tx, func(row storage.Row) bool { return string(row.Value) == marker })
 		switch {
 		case stale && code.Of(err) == code.StoreConflict:
 		case !stale && err == nil && applied.Versions[0] == version+1:
@@ -225,7 +225,7 @@
 // that late effects meet repeated transactions.
 type releasing struct{ *memory.Store }
 
-func (s releasing) Apply(ctx context.Context, t platform.Transaction) (platform.Applied, error) {
+func (s releasing) Apply(ctx context.Context, t storage.Transaction) (storage.Applied, error) {
 	if s.Faults().Settings().HoldNext == 0 {
 		defer s.ReleaseHeld()
 	}
--- a/platform/guard/once.go
+++ b/storage/guard/once.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
 	"github.com/daisylb/daisylb/retry"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // onceBackoff is the wait between the tries of ApplyOnce and PutOnce.
@@ -28,10 +28,10 @@
 // resolved, or landed must recognize its successors. Applied.Versions is zero
 // for written keys without a condition when the answer was lost.
 //
-// Errors: as platform.Table; code.StoreUnknown when an answer stayed lost.
-func ApplyOnce(ctx context.Context, table platform.Table, t platform.Transaction, landed func(platform.Row) bool) (platform.Applied, error) {
+// Errors: as storage.Table; code.StoreUnknown when an answer stayed lost.
+func ApplyOnce(ctx context.Context, table storage.Table, t storage.Transaction, landed func(storage.Row) bool) (storage.Applied, error) {
 	if !isConditioned(t) {
-		return platform.Applied{}, code.New(code.Internal, "a transaction without a condition on a written key cannot be resolved")
+		return storage.Applied{}, code.New(code.Internal, "a transaction without a condition on a written key cannot be resolved")
 	}
 	var lost error
 	for attempt := 0; ; attempt++ {
@@ -54,12 +54,12 @@
 			return applied, err
 		}
 		if attempt+1 >= onceAttempts || onceBackoff.Sleep(ctx, attempt) != nil {
-			return platform.Applied{}, lost
+			return storage.Applied{}, lost
 		}
 	}
 }
 
-func isConditioned(t platform.Transaction) bool {
+func isConditioned(t storage.Transaction) bool {
 	for _, c := range t.Conditions {
 		for _, w := range t.Writes {
 			if w.Key == c.Key {
@@ -72,8 +72,8 @@
 
 // resolve decides from the conflicts of a repeated transaction whether an
 // earlier attempt took effect.
-func resolve(t platform.Transaction, applied platform.Applied, conflict error, landed func(platform.Row) bool) (platform.Applied, error) {
-	present := make(map[string]platform.Row, len(applied.Conflicts))
+func resolve(t storage.Transaction, applied storage.Applied, conflict error, landed func(storage.Row) bool) (storage.Applied, error) {
+	present := make(map[string]storage.Row, len(applied.Conflicts))
 	for _, row := range applied.Conflicts {
 		present[row.Key] = row
 	}
@@ -89,14 +89,14 @@
 	if !marked {
 		return applied, conflict
 	}
-	return platform.Applied{Versions: versions}, nil
+	return storage.Applied{Versions: versions}, nil
 }
 
 // PutOnce stores an object under a key that only the caller uses, and resolves
 // lost answers: an object that exists after a lost answer is the caller's own.
 //
-// Errors: as platform.Objects; code.StoreUnknown when an answer stayed lost.
-func PutOnce(ctx context.Context, objects platform.Objects, key string, body []byte) error {
+// Errors: as storage.Objects; code.StoreUnknown when an answer stayed lost.
+func PutOnce(ctx context.Context, objects storage.Objects, key string, body []byte) error {
 	var lost error
 	for attempt := 0; ; attempt++ {
 		err := objects.Put(ctx, key, body)
--- a/platform/guard/view.go
+++ b/storage/guard/view.go
@@ -5,7 +5,7 @@
 	"io"
 	"time"
 
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // view is the guarded store for one lane.
@@ -14,7 +14,7 @@
 	lane  Lane
 }
 
-var _ platform.Store = (*view)(nil)
+var _ storage.Store = (*view)(nil)
 
 // read runs a read with the timeout of an attempt.
 func (v *view) read(ctx context.Context, operation func(context.Context) error) error {
@@ -34,8 +34,8 @@
 	}
 }
 
-// Get implements platform.Table.
-func (v *view) Get(ctx context.Context, key string) (row platform.Row, err error) {
+// Get implements storage.Table.
+func (v *view) Get(ctx context.Context, key string) (row storage.Row, err error) {
 	err = v.read(ctx, func(ctx context.Context) (err error) {
 		row, err = v.guard.options.Store.Get(ctx, key)
 		return err
@@ -43,8 +43,8 @@
 	return row, err
 }
 
-// Range implements platform.Table.
-func (v *view) Range(ctx context.Context, start, end string, limit int) (rows []platform.Row, err error) {
+// Range implements storage.Table.
+func (v *view) Range(ctx context.Context, start, end string, limit int) (rows []storage.Row, err error) {
 	err = v.read(ctx, func(ctx context.Context) (err error) {
 		rows, err = v.guard.options.Store.Range(ctx, start, end, limit)
 		return err
@@ -52,8 +52,8 @@
 	return rows, err
 }
 
-// Apply implements platform.Table. A code.StoreUnknown is given back at once.
-func (v *view) Apply(ctx context.Context, t platform.Transaction) (applied platform.Applied, err error) {
+// Apply implements storage.Table. A code.StoreUnknown is given back at once.
+func (v *view) Apply(ctx context.Context, t storage.Transaction) (applied storage.Applied, err error) {
 	err = v.write(ctx, func(ctx context.Context) (err error) {
 		applied, err = v.guard.options.Store.Apply(ctx, t)
 		return err
@@ -61,14 +61,14 @@
 	return applied, err
 }
 
-// Put implements platform.Objects. A code.StoreUnknown is given back at once.
+// Put implements storage.Objects. A code.StoreUnknown is given back at once.
 func (v *view) Put(ctx context.Context, key string, body []byte) error {
 	return v.write(ctx, func(ctx context.Context) error {
 		return v.guard.options.Store.Put(ctx, key, body)
 	})
 }
 
-// Open implements platform.Objects. The timeout covers the time to the first
+// Open implements storage.Objects. The timeout covers the time to the first
 // byte; the stream ends with the caller's context.
 func (v *view) Open(ctx context.Context, key string, offset, length int64) (body io.ReadCloser, err error) {
 	err = v.guard.run(ctx, v.guard.reads, v.lane, func(ctx context.Context) (err error) {
@@ -102,8 +102,8 @@
 	return s.ReadCloser.Close()
 }
 
-// Stat implements platform.Objects.
-func (v *view) Stat(ctx context.Context, key string) (info platform.ObjectInfo, err error) {
+// Stat implements storage.Objects.
+func (v *view) Stat(ctx context.Context, key string) (info storage.ObjectInfo, err error) {
 	err = v.read(ctx, func(ctx context.Context) (err error) {
 		info, err = v.guard.options.Store.Stat(ctx, key)
 		return err
@@ -111,8 +111,8 @@
 	return info, err
 }
 
-// List implements platform.Objects.
-func (v *view) List(ctx context.Context, prefix, after string, limit int) (infos []platform.ObjectInfo, err error) {
+// List implements storage.Objects.
+func (v *view) List(ctx context.Context, prefix, after string, limit int) (infos []storage.ObjectInfo, err error) {
 	err = v.read(ctx, func(ctx context.Context) (err error) {
 		infos, err = v.guard.options.Store.List(ctx, prefix, after, limit)
 		return err
@@ -120,7 +120,7 @@
 	return infos, err
 }
 
-// Delete implements platform.Objects. A code.StoreUnknown is given back at
+// Delete implements storage.Objects. A code.StoreUnknown is given back at
 // once.
 func (v *view) Delete(ctx context.Context, key string) error {
 	return v.write(ctx, func(ctx context.Context) error {
@@ -128,8 +128,8 @@
 	})
 }
 
-// Instances implements platform.InstanceList.
-func (v *view) Instances(ctx context.Context) (list []platform.ListedInstance, err error) {
+// Instances implements storage.InstanceList.
+func (v *view) Instances(ctx context.Context) (list []storage.ListedInstance, err error) {
 	err = v.read(ctx, func(ctx context.Context) (err error) {
 		list, err = v.guard.options.Store.Instances(ctx)
 		return err
--- a/platform/httpstore/call.go
+++ b/storage/httpstore/call.go
@@ -11,14 +11,14 @@
 	"sync/atomic"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // failure is the body of an answer that is not a success.
 type failure struct {
-	Number    code.Number    `json:"number"`
-	Message   string         `json:"message"`
-	Conflicts []platform.Row `json:"conflicts,omitempty"`
+	Number    code.Number   `json:"number"`
+	Message   string        `json:"message"`
+	Conflicts []storage.Row `json:"conflicts,omitempty"`
 }
 
 // call is one operation on the wire.
@@ -33,7 +33,7 @@
 
 // do runs c and decodes a successful JSON answer into target. The rows are the
 // conflicts of a failed transaction.
-func (s *Store) do(ctx context.Context, c call, target any) ([]platform.Row, error) {
+func (s *Store) do(ctx context.Context, c call, target any) ([]storage.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
 	response, err := s.send(ctx, c)
@@ -87,7 +87,7 @@
 // readFailure turns an answer that is not a success into an error. An answer
 // without a known number comes from something between us and the store, so a
 // write may have taken effect.
-func readFailure(c call, response *http.Response) ([]platform.Row, error) {
+func readFailure(c call, response *http.Response) ([]storage.Row, error) {
 	var f failure
 	err := json.NewDecoder(io.LimitReader(response.Body, maxFailureBytes)).Decode(&f)
 	if err != nil {
--- a/platform/httpstore/httpstore.go
+++ b/storage/httpstore/httpstore.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // Timeouts and limits of the connection to the platform.
@@ -21,7 +21,7 @@
 	maxIdle           = 16
 	defaultOpTimeout  = 10 * time.Second
 	maxAnswerBytes    = 512 << 20
-	maxFailureBytes   = platform.MaxTransactionWrites * (platform.MaxValueBytes*4/3 + 4096)
+	maxFailureBytes   = storage.MaxTransactionWrites * (storage.MaxValueBytes*4/3 + 4096)
 	headerContentType = "Content-Type"
 )
 
@@ -45,7 +45,7 @@
 	own     *http.Transport
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ storage.Store = (*Store)(nil)
 
 // New returns a Store. It fails with code.InvalidSettings for a URL that is
 // not http or https with a host.
--- a/platform/httpstore/httpstore_test.go
+++ b/storage/httpstore/httpstore_test.go
@@ -16,10 +16,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/httpstore"
-	"github.com/daisylb/daisylb/platform/memory"
 	standin "github.com/daisylb/daisylb/standin/platform"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/httpstore"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 func TestMain(m *testing.M) {
@@ -46,11 +46,11 @@
 
 // outcome is all that an operation gives back.
 type outcome struct {
-	Row     platform.Row
-	Rows    []platform.Row
-	Applied platform.Applied
-	Info    platform.ObjectInfo
-	Infos   []platform.ObjectInfo
+	Row     storage.Row
+	Rows    []storage.Row
+	Applied storage.Applied
+	Info    storage.ObjectInfo
+	Infos   []storage.ObjectInfo
 	Body    string
 	Number  code.Number
 }
@@ -83,7 +83,7 @@
 	})
 }
 
-func drawOperation(r *rapid.T, prefix string) func(platform.Store) outcome {
+func drawOperation(r *rapid.T, prefix string) func(storage.Store) outcome {
 	ctx := context.Background()
 	key := prefix + rapid.SampledFrom([]string{"a", "b", "c d", "c/é"}).Draw(r, "key")
 	value := rapid.SliceOfN(rapid.Byte(), 0, 20).Draw(r, "value")
@@ -94,43 +94,43 @@
 	remove := rapid.Bool().Draw(r, "remove")
 	switch rapid.SampledFrom([]string{"get", "range", "apply", "put", "open", "stat", "list", "delete"}).Draw(r, "op") {
 	case "get":
-		return func(s platform.Store) (o outcome) {
+		return func(s storage.Store) (o outcome) {
 			row, err := s.Get(ctx, key)
 			return outcome{Row: row, Number: code.Of(err)}
 		}
 	case "range":
-		return func(s platform.Store) outcome {
-			rows, err := s.Range(ctx, prefix, platform.PrefixEnd(prefix), limit)
+		return func(s storage.Store) outcome {
+			rows, err := s.Range(ctx, prefix, storage.PrefixEnd(prefix), limit)
 			return outcome{Rows: rows, Number: code.Of(err)}
 		}
 	case "apply":
-		tx := platform.Transaction{
-			Conditions: []platform.Condition{{Key: key, Version: version}},
-			Writes:     []platform.Write{{Key: key, Value: value, Delete: remove}},
+		tx := storage.Transaction{
+			Conditions: []storage.Condition{{Key: key, Version: version}},
+			Writes:     []storage.Write{{Key: key, Value: value, Delete: remove}},
 		}
-		return func(s platform.Store) outcome {
+		return func(s storage.Store) outcome {
 			applied, err := s.Apply(ctx, tx)
 			return outcome{Applied: applied, Number: code.Of(err)}
 		}
 	case "put":
-		return func(s platform.Store) outcome { return outcome{Number: code.Of(s.Put(ctx, key, value))} }
+		return func(s storage.Store) outcome { return outcome{Number: code.Of(s.Put(ctx, key, value))} }
 	case "open":
-		return func(s platform.Store) outcome { return open(ctx, s, key, offset, length) }
+		return func(s storage.Store) outcome { return open(ctx, s, key, offset, length) }
 	case "stat":
-		return func(s platform.Store) outcome {
+		return func(s storage.Store) outcome {
 			info, err := s.Stat(ctx, key)
 			return outcome{Info: info, Number: code.Of(err)}
 		}
 	case "list":
-		return func(s platform.Store) outcome {
+		return func(s storage.Store) outcome {
 			infos, err := s.List(ctx, prefix, key, limit)
 			return outcome{Infos: infos, Number: code.Of(err)}
 		}
 	}
-	return func(s platform.Store) outcome { return outcome{Number: code.Of(s.Delete(ctx, key))} }
+	return func(s storage.Store) outcome { return outcome{Number: code.Of(s.Delete(ctx, key))} }
 }
 
-func open(ctx context.Context, s platform.Store, key string, offset, length int64) outcome {
+func open(ctx context.Context, s storage.Store, key string, offset, length int64) outcome {
 	body, err := s.Open(ctx, key, offset, length)
 	if err != nil {
 		return outcome{Number: code.Of(err)}
@@ -142,7 +142,7 @@
 
 func TestWriteWithoutAnswerIsUnknown(t *testing.T) {
 	withoutAnswer(t, func(ctx context.Context, s *httpstore.Store) {
-		_, err := s.Apply(ctx, platform.Transaction{Writes: []platform.Write{{Key: "k"}}})
+		_, err := s.Apply(ctx, storage.Transaction{Writes: []storage.Write{{Key: "k"}}})
 		if code.Of(err) != code.StoreUnknown {
 			t.Errorf("transaction without an answer: %v", err)
 		}
@@ -185,7 +185,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	_, err = store.Apply(context.Background(), platform.Transaction{})
+	_, err = store.Apply(context.Background(), storage.Transaction{})
 	if code.Of(err) != code.StoreUnavailable {
 		t.Errorf("refused connection: %v", err)
 	}
--- a/platform/httpstore/operations.go
+++ b/storage/httpstore/operations.go
@@ -10,51 +10,51 @@
 	"time"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // empty is the answer of an operation without a result.
 type empty struct{}
 
-// Get implements platform.Table.
-func (s *Store) Get(ctx context.Context, key string) (platform.Row, error) {
-	var row platform.Row
+// Get implements storage.Table.
+func (s *Store) Get(ctx context.Context, key string) (storage.Row, error) {
+	var row storage.Row
 	c := call{method: http.MethodGet, path: "/table/row", query: url.Values{"key": {key}}}
 	_, err := s.do(ctx, c, &row)
 	return row, err
 }
 
-// Range implements platform.Table.
-func (s *Store) Range(ctx context.Context, start, end string, limit int) ([]platform.Row, error) {
+// Range implements storage.Table.
+func (s *Store) Range(ctx context.Context, start, end string, limit int) ([]storage.Row, error) {
 	query := url.Values{"start": {start}, "end": {end}, "limit": {strconv.Itoa(limit)}}
-	var rows []platform.Row
+	var rows []storage.Row
 	_, err := s.do(ctx, call{method: http.MethodGet, path: "/table/range", query: query}, &rows)
 	return rows, err
 }
 
-// Apply implements platform.Table.
-func (s *Store) Apply(ctx context.Context, t platform.Transaction) (platform.Applied, error) {
+// Apply implements storage.Table.
+func (s *Store) Apply(ctx context.Context, t storage.Transaction) (storage.Applied, error) {
 	body, err := json.Marshal(t)
 	if err != nil {
-		return platform.Applied{}, code.Wrap(code.Internal, err, "the transaction cannot be encoded")
+		return storage.Applied{}, code.Wrap(code.Internal, err, "the transaction cannot be encoded")
 	}
-	var applied platform.Applied
+	var applied storage.Applied
 	c := call{method: http.MethodPost, path: "/table/transaction", body: body, writes: true}
 	conflicts, err := s.do(ctx, c, &applied)
 	if err != nil {
-		return platform.Applied{Conflicts: conflicts}, err
+		return storage.Applied{Conflicts: conflicts}, err
 	}
 	return applied, nil
 }
 
-// Put implements platform.Objects.
+// Put implements storage.Objects.
 func (s *Store) Put(ctx context.Context, key string, body []byte) error {
 	c := call{method: http.MethodPut, path: "/objects/body", query: url.Values{"key": {key}}, body: body, writes: true}
 	_, err := s.do(ctx, c, &empty{})
 	return err
 }
 
-// Open implements platform.Objects. The body is streamed; a read error is
+// Open implements storage.Objects. The body is streamed; a read error is
 // code.StoreUnavailable.
 func (s *Store) Open(ctx context.Context, key string, offset, length int64) (io.ReadCloser, error) {
 	c := call{method: http.MethodGet, path: "/objects/body", query: url.Values{
@@ -101,32 +101,32 @@
 	return err
 }
 
-// Stat implements platform.Objects.
-func (s *Store) Stat(ctx context.Context, key string) (platform.ObjectInfo, error) {
-	var info platform.ObjectInfo
+// Stat implements storage.Objects.
+func (s *Store) Stat(ctx context.Context, key string) (storage.ObjectInfo, error) {
+	var info storage.ObjectInfo
 	c := call{method: http.MethodGet, path: "/objects/stat", query: url.Values{"key": {key}}}
 	_, err := s.do(ctx, c, &info)
 	return info, err
 }
 
-// List implements platform.Objects.
-func (s *Store) List(ctx context.Context, prefix, after string, limit int) ([]platform.ObjectInfo, error) {
+// List implements storage.Objects.
+func (s *Store) List(ctx context.Context, prefix, after string, limit int) ([]storage.ObjectInfo, error) {
 	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
-	var infos []platform.ObjectInfo
+	var infos []storage.ObjectInfo
 	_, err := s.do(ctx, call{method: http.MethodGet, path: "/objects/list", query: query}, &infos)
 	return infos, err
 }
 
-// Delete implements platform.Objects.
+// Delete implements storage.Objects.
 func (s *Store) Delete(ctx context.Context, key string) error {
 	c := call{method: http.MethodDelete, path: "/objects/body", query: url.Values{"key": {key}}, writes: true}
 	_, err := s.do(ctx, c, &empty{})
 	return err
 }
 
-// Instances implements platform.InstanceList.
-func (s *Store) Instances(ctx context.Context) ([]platform.ListedInstance, error) {
-	var list []platform.ListedInstance
+// Instances implements storage.InstanceList.
+func (s *Store) Instances(ctx context.Context) ([]storage.ListedInstance, error) {
+	var list []storage.ListedInstance
 	_, err := s.do(ctx, call{method: http.MethodGet, path: "/instances"}, &list)
 	return list, err
 }
--- a/platform/memory/memory.go
+++ b/storage/memory/memory.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // Store is an in-memory platform. It is safe for concurrent use.
@@ -21,7 +21,7 @@
 	faults *Faults
 
 	mu        sync.RWMutex
-	rows      map[string]platform.Row
+	rows      map[string]storage.Row
 	keys      []string
 	versions  map[string]uint64
 	objects   map[string][]byte
@@ -32,16 +32,16 @@
 // listing is the instance list that was set at a time.
 type listing struct {
 	since time.Time
-	list  []platform.ListedInstance
+	list  []storage.ListedInstance
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ storage.Store = (*Store)(nil)
 
 // New returns an empty store without faults.
 func New() *Store {
 	return &Store{
 		faults:   &Faults{},
-		rows:     map[string]platform.Row{},
+		rows:     map[string]storage.Row{},
 		versions: map[string]uint64{},
 		objects:  map[string][]byte{},
 	}
@@ -50,31 +50,31 @@
 // Faults returns the switchboard of the store's faults.
 func (s *Store) Faults() *Faults { return s.faults }
 
-// Get implements platform.Table.
-func (s *Store) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements storage.Table.
+func (s *Store) Get(ctx context.Context, key string) (storage.Row, error) {
 	if err := s.faults.read(ctx); err != nil {
-		return platform.Row{}, err
+		return storage.Row{}, err
 	}
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	row, ok := s.rows[key]
 	if !ok {
-		return platform.Row{Key: key}, nil
+		return storage.Row{Key: key}, nil
 	}
 	return clone(row), nil
 }
 
-// Range implements platform.Table.
-func (s *Store) Range(ctx context.Context, start, end string, limit int) ([]platform.Row, error) {
+// Range implements storage.Table.
+func (s *Store) Range(ctx context.Context, start, end string, limit int) ([]storage.Row, error) {
 	if err := s.faults.read(ctx); err != nil {
 		return nil, err
 	}
-	if limit <= 0 || limit > platform.MaxRangeRows {
-		limit = platform.MaxRangeRows
+	if limit <= 0 || limit > storage.MaxRangeRows {
+		limit = storage.MaxRangeRows
 	}
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	var rows []platform.Row
+	var rows []storage.Row
 	for i := sort.SearchStrings(s.keys, start); i < len(s.keys) && len(rows) < limit; i++ {
 		if end != "" && s.keys[i] >= end {
 			break
@@ -84,23 +84,23 @@
 	return rows, nil
 }
 
-// Apply implements platform.Table.
-func (s *Store) Apply(ctx context.Context, t platform.Transaction) (platform.Applied, error) {
+// Apply implements storage.Table.
+func (s *Store) Apply(ctx context.Context, t storage.Transaction) (storage.Applied, error) {
 	if err := checkSize(t); err != nil {
-		return platform.Applied{}, err
+		return storage.Applied{}, err
 	}
 	fate, err := s.faults.write(ctx)
 	if err != nil {
-		return platform.Applied{}, err
+		return storage.Applied{}, err
 	}
-	var applied platform.Applied
+	var applied storage.Applied
 	err = s.settle(fate, func() error {
 		var err error
 		applied, err = s.apply(t)
 		return err
 	})
 	if code.Of(err) == code.StoreUnknown {
-		return platform.Applied{}, err
+		return storage.Applied{}, err
 	}
 	return applied, err
 }
@@ -131,26 +131,26 @@
 	}
 }
 
-func checkSize(t platform.Transaction) error {
-	if len(t.Writes) > platform.MaxTransactionWrites {
-		return code.New(code.StoreTooLarge, "transaction has %d writes, at most %d are allowed", len(t.Writes), platform.MaxTransactionWrites)
+func checkSize(t storage.Transaction) error {
+	if len(t.Writes) > storage.MaxTransactionWrites {
+		return code.New(code.StoreTooLarge, "transaction has %d writes, at most %d are allowed", len(t.Writes), storage.MaxTransactionWrites)
 	}
 	for _, w := range t.Writes {
-		if len(w.Value) > platform.MaxValueBytes {
-			return code.New(code.StoreTooLarge, "value of %q has %d bytes, at most %d are allowed", w.Key, len(w.Value), platform.MaxValueBytes)
+		if len(w.Value) > storage.MaxValueBytes {
+			return code.New(code.StoreTooLarge, "value of %q has %d bytes, at most %d are allowed", w.Key, len(w.Value), storage.MaxValueBytes)
 		}
 	}
 	return nil
 }
 
-func (s *Store) apply(t platform.Transaction) (platform.Applied, error) {
+func (s *Store) apply(t storage.Transaction) (storage.Applied, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var applied platform.Applied
+	var applied storage.Applied
 	for _, c := range t.Conditions {
 		row, ok := s.rows[c.Key]
 		if !ok {
-			row = platform.Row{Key: c.Key}
+			row = storage.Row{Key: c.Key}
 		}
 		if row.Version != c.Version {
 			applied.Conflicts = append(applied.Conflicts, clone(row))
@@ -166,7 +166,7 @@
 }
 
 // put applies one write; s.mu is held.
-func (s *Store) put(w platform.Write) uint64 {
+func (s *Store) put(w storage.Write) uint64 {
 	s.versions[w.Key]++
 	version := s.versions[w.Key]
 	_, had := s.rows[w.Key]
@@ -183,11 +183,11 @@
 		copy(s.keys[i+1:], s.keys[i:])
 		s.keys[i] = w.Key
 	}
-	s.rows[w.Key] = platform.Row{Key: w.Key, Value: bytes.Clone(w.Value), Version: version}
+	s.rows[w.Key] = storage.Row{Key: w.Key, Value: bytes.Clone(w.Value), Version: version}
 	return version
 }
 
-// Put implements platform.Objects.
+// Put implements storage.Objects.
 func (s *Store) Put(ctx context.Context, key string, body []byte) error {
 	fate, err := s.faults.write(ctx)
 	if err != nil {
@@ -207,7 +207,7 @@
 	return nil
 }
 
-// Open implements platform.Objects.
+// Open implements storage.Objects.
 func (s *Store) Open(ctx context.Context, key string, offset, length int64) (io.ReadCloser, error) {
 	if err := s.faults.read(ctx); err != nil {
 		return nil, err
@@ -226,31 +226,31 @@
 	return io.NopCloser(bytes.NewReader(body[offset:end])), nil
 }
 
-// Stat implements platform.Objects.
-func (s *Store) Stat(ctx context.Context, key string) (platform.ObjectInfo, error) {
+// Stat implements storage.Objects.
+func (s *Store) Stat(ctx context.Context, key string) (storage.ObjectInfo, error) {
 	if err := s.faults.read(ctx); err != nil {
-		return platform.ObjectInfo{}, err
+		return storage.ObjectInfo{}, err
 	}
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	body, ok := s.objects[key]
 	if !ok {
-		return platform.ObjectInfo{}, code.New(code.StoreNotFound, "no object %q", key)
+		return storage.ObjectInfo{}, code.New(code.StoreNotFound, "no object %q", key)
 	}
-	return platform.ObjectInfo{Key: key, Size: int64(len(body))}, nil
+	return storage.ObjectInfo{Key: key, Size: int64(len(body))}, nil
 }
 
-// List implements platform.Objects.
-func (s *Store) List(ctx context.Context, prefix, after string, limit int) ([]platform.ObjectInfo, error) {
+// List implements storage.Objects.
+func (s *Store) List(ctx context.Context, prefix, after string, limit int) ([]storage.ObjectInfo, error) {
 	if err := s.faults.read(ctx); err != nil {
 		return nil, err
 	}
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	var infos []platform.ObjectInfo
+	var infos []storage.ObjectInfo
 	for key, body := range s.objects {
 		if strings.HasPrefix(key, prefix) && key > after {
-			infos = append(infos, platform.ObjectInfo{Key: key, Size: int64(len(body))})
+			infos = append(infos, storage.ObjectInfo{Key: key, Size: int64(len(body))})
 		}
 	}
 	sort.Slice(infos, func(i, j int) bool { return infos[i].Key < infos[j].Key })
@@ -260,7 +260,7 @@
 	return infos, nil
 }
 
-// Delete implements platform.Objects.
+// Delete implements storage.Objects.
 func (s *Store) Delete(ctx context.Context, key string) error {
 	fate, err := s.faults.write(ctx)
 	if err != nil {
@@ -274,39 +274,39 @@
 	})
 }
 
-// Instances implements platform.InstanceList.
-func (s *Store) Instances(ctx context.Context) ([]platform.ListedInstance, error) {
+// Instances implements storage.InstanceList.
+func (s *Store) Instances(ctx context.Context) ([]storage.ListedInstance, error) {
 	if err := s.faults.read(ctx); err != nil {
 		return nil, err
 	}
 	newest := time.Now().Add(-s.faults.Settings().InstanceLag)
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	var list []platform.ListedInstance
+	var list []storage.ListedInstance
 	for i, l := range s.instances {
 		if i > 0 && l.since.After(newest) {
 			break
 		}
 		list = l.list
 	}
-	return append([]platform.ListedInstance(nil), list...), nil
+	return append([]storage.ListedInstance(nil), list...), nil
 }
 
 // maxListings bounds the instance lists that are kept for a lagging answer.
 const maxListings = 1000
 
 // SetInstances replaces the instance list.
-func (s *Store) SetInstances(list []platform.ListedInstance) {
+func (s *Store) SetInstances(list []storage.ListedInstance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list = append([]platform.ListedInstance(nil), list...)
+	list = append([]storage.ListedInstance(nil), list...)
 	s.instances = append(s.instances, listing{since: time.Now(), list: list})
 	if len(s.instances) > maxListings {
 		s.instances = s.instances[1:]
 	}
 }
 
-func clone(r platform.Row) platform.Row {
+func clone(r storage.Row) storage.Row {
 	r.Value = bytes.Clone(r.Value)
 	return r
 }
--- a/platform/memory/memory_test.go
+++ b/storage/memory/memory_test.go
@@ -9,8 +9,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/daisylb/daisylb/code"
-	"github.com/daisylb/daisylb/platform"
-	"github.com/daisylb/daisylb/platform/memory"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 func TestInstanceListLags(t *testing.T) {
@@ -24,9 +24,9 @@
 			}
 			return got[0].ID
 		}
-		s.SetInstances([]platform.ListedInstance{{ID: "old"}})
+		s.SetInstances([]storage.ListedInstance{{ID: "old"}})
 		time.Sleep(time.Minute)
-		s.SetInstances([]platform.ListedInstance{{ID: "new"}})
+		s.SetInstances([]storage.ListedInstance{{ID: "new"}})
 		if got := list(); got != "old" {
 			t.Errorf("at once: %s", got)
 		}
@@ -43,7 +43,7 @@
 		s.Faults().Set(memory.FaultSettings{WritesPerSecond: 5})
 		counts := map[code.Number]int{}
 		for range 20 {
-			_, err := s.Apply(t.Context(), platform.Transaction{Writes: []platform.Write{{Key: "k"}}})
+			_, err := s.Apply(t.Context(), storage.Transaction{Writes: []storage.Write{{Key: "k"}}})
 			counts[code.Of(err)]++
 		}
 		if d := cmp.Diff(map[code.Number]int{0: 5, code.StoreThrottled: 15}, counts); d != "" {
@@ -59,7 +59,7 @@
 func TestHeldWriteTakesEffectOnRelease(t *testing.T) {
 	s, ctx := memory.New(), context.Background()
 	s.Faults().HoldWrites(1)
-	insert := platform.Transaction{Conditions: []platform.Condition{{Key: "k"}}, Writes: []platform.Write{{Key: "k"}}}
+	insert := storage.Transaction{Conditions: []storage.Condition{{Key: "k"}}, Writes: []storage.Write{{Key: "k"}}}
 	if _, err := s.Apply(ctx, insert); code.Of(err) != code.StoreUnknown {
 		t.Fatalf("held write: %v", err)
 	}
@@ -77,7 +77,7 @@
 		s := memory.New()
 		s.Faults().Set(memory.FaultSettings{LoseShare: 0.3, Seed: 7})
 		for i := range 50 {
-			_, err := s.Apply(context.Background(), platform.Transaction{})
+			_, err := s.Apply(context.Background(), storage.Transaction{})
 			if code.Of(err) == code.StoreUnknown {
 				lost = append(lost, i)
 			}
--- a/platform/platform.go
+++ b/storage/storage.go
@@ -1,8 +1,8 @@
-// Package platform defines what daisylb asks of the platform: a transactional
+// Package storage defines what daisylb asks of the platform: a transactional
 // table, an object store and a lagging instance list. Adapters implement the
 // interfaces over a wire protocol; callers of the interfaces decide what to do
 // in an outage. The package never keeps state of its own.
-package platform
+package storage
 
 import (
 	"context"
--- a/upstream/digest.go
+++ b/upstream/digest.go
@@ -67,13 +67,42 @@
 		return
 	}
 	now := time.Now()
-	s.peers[peer] = &peerDigest{digest, now}
-	s.applyPeers(now)
+	freed := s.replaceDigest(peer, &peerDigest{digest, now}, now)
 	for _, load := range digest.Loads {
 		if t, ok := s.fleet.targets[load.Upstream]; ok && load.Online > 0 {
 			s.yield(t, now)
 		}
 	}
+	if freed {
+		s.pump()
+	}
+}
+
+// replaceDigest takes the load of a peer's earlier digest off the targets and
+// adds that of the new one. It reports whether a target has less load than
+// before. The lock is held.
+func (s *scheduler) replaceDigest(peer string, digest *peerDigest, now time.Time) bool {
+	if before, ok := s.peers[peer]; !ok || now.Sub(before.received) > onlineLifetime {
+		s.peers[peer] = digest
+		s.applyPeers(now)
+		return false
+	}
+	freed := false
+	for _, load := range s.peers[peer].Loads {
+		if t, ok := s.fleet.targets[load.Upstream]; ok {
+			t.peers.online -= load.Online
+			t.peers.batch -= load.Batch
+			freed = true
+		}
+	}
+	for _, load := range digest.Loads {
+		if t, ok := s.fleet.targets[load.Upstream]; ok {
+			t.peers.online += load.Online
+			t.peers.batch += load.Batch
+		}
+	}
+	s.peers[peer] = digest
+	return freed
 }
 
 // batchPeers returns the peers whose batch work is in the way of online work,
--- a/upstream/dispatcher.go
+++ b/upstream/dispatcher.go
@@ -34,6 +34,8 @@
 	// Transport is the template of the connections to upstreams; online, batch
 	// and load reports each get their own copy. Nil takes a default.
 	Transport *http.Transport
+	// Wire speaks to the upstreams of routed services; nil when there are none.
+	Wire Wire
 	// Logger may be nil.
 	Logger *zap.Logger
 	// Registerer may be nil.
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -91,8 +91,8 @@
 	if r.Msg.GetInstance() == "" || r.Msg.GetInstance() == e.options.InstanceID {
 		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("the digest has no instance of a peer"))
 	}
-	e.observe(r.Msg.GetInstance(), r.Msg.GetDigest())
-	return connect.NewResponse(&upstreampb.PushResponse{Digest: e.digest()}), nil
+	e.options.Dispatcher.observeWire(r.Msg.GetInstance(), r.Msg.GetDigest())
+	return connect.NewResponse(&upstreampb.PushResponse{Digest: e.options.Dispatcher.wireDigest()}), nil
 }
 
 // Run exchanges digests until ctx ends.
@@ -125,7 +125,7 @@
 // exchange sends the digest to a peer and takes in its answer, unless the
 // budget of bytes is used up.
 func (e *Exchange) exchange(ctx context.Context, p Peer) {
-	message := &upstreampb.PushRequest{Instance: e.options.InstanceID, Digest: e.digest()}
+	message := &upstreampb.PushRequest{Instance: e.options.InstanceID, Digest: e.options.Dispatcher.wireDigest()}
 	size := 2*proto.Size(message) + exchangeOverhead
 	if !e.limiter.AllowN(time.Now(), min(size, exchangeBurst)) {
 		e.options.Dispatcher.metrics.exchangesSkipped.Inc()
@@ -139,11 +139,12 @@
 		e.options.Dispatcher.log.Debug("peer load exchange failed", zap.String("peer", p.ID), zap.Error(err))
 		return
 	}
-	e.observe(p.ID, answer.Msg.GetDigest())
+	e.options.Dispatcher.observeWire(p.ID, answer.Msg.GetDigest())
 }
 
-func (e *Exchange) digest() *upstreampb.Digest {
-	own := e.options.Dispatcher.Digest()
+// wireDigest returns this instance's load as peers exchange it.
+func (d *Dispatcher) wireDigest() *upstreampb.Digest {
+	own := d.Digest()
 	digest := &upstreampb.Digest{Sequence: own.Sequence}
 	for _, l := range own.Loads {
 		digest.Loads = append(digest.Loads, &upstreampb.Load{
@@ -158,8 +159,9 @@
 // maxPeerCount bounds a count in a peer's digest.
 const maxPeerCount = 1 << 16
 
-func (e *Exchange) observe(peer string, digest *upstreampb.Digest) {
-	f := e.options.Dispatcher.fleet.Load()
+// observeWire takes in the load of a peer.
+func (d *Dispatcher) observeWire(peer string, digest *upstreampb.Digest) {
+	f := d.fleet.Load()
 	observed := Digest{Sequence: digest.GetSequence()}
 	for _, l := range digest.GetLoads() {
 		if id, ok := f.hashed[l.GetUpstream()]; ok {
@@ -170,7 +172,7 @@
 			})
 		}
 	}
-	e.options.Dispatcher.ObserveDigest(peer, observed)
+	d.ObserveDigest(peer, observed)
 }
 
 // hashUpstream shortens an upstream's id for the wire.
--- a/upstream/fleet.go
+++ b/upstream/fleet.go
@@ -55,8 +55,9 @@
 	}
 	u := document.Upstreams[id]
 	t, ok := old.targets[id]
-	if !ok || t.address != u.Address {
+	if !ok || t.address != u.Address || t.started != u.Started {
 		t = newTarget(id, u.Address)
+		t.started = u.Started
 	}
 	f.targets[id] = t
 	f.hashed[hashUpstream(id)] = id
--- /dev/null
+++ b/upstream/forward.go
@@ -0,0 +1,401 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+)
+
+// forwarding is the state of one Forward call. One goroutine uses it.
+type forwarding struct {
+	call    *contract.Forwarding
+	pool    *pool
+	sink    contract.ForwardSink
+	request request
+	// runs counts the upstreams that may have run the request and failed,
+	// refusals those that said they did not, unreachable those that did not
+	// accept a connection.
+	runs        int
+	refusals    int
+	unreachable int
+	// dispatched is set when an upstream may have been given the request.
+	dispatched bool
+	// begun is set when the caller has been given headers.
+	begun  bool
+	last   string
+	events int
+	// placed is the upstream of the present attempt.
+	placed string
+}
+
+// Bounds of the attempts that reach an upstream without running there.
+const (
+	maxRefusals    = 4
+	maxUnreachable = 6
+)
+
+// Forward runs an opaque request on an upstream of a routed service and passes
+// the answer to sink, whole events at a time. A request that may not be
+// repeated is sent to one upstream; only an upstream that says that it did not
+// run it, or a connection that could not be made, allows another. A broken
+// stream goes on elsewhere when it is resumable. When Forward returns nil, the
+// answer was whole.
+//
+// Errors: an error of sink as it is; code.UnknownService, NoConfiguration,
+// NoUpstream, Overloaded, DeadlineTooShort and UpstreamRefused when nothing ran;
+// code.UpstreamFailed, UpstreamBadAnswer, UpstreamSilent, StreamBroken,
+// OutcomeUnknown, DeadlineExceeded and CallerGone.
+func (d *Dispatcher) Forward(ctx context.Context, call *contract.Forwarding, sink contract.ForwardSink) error {
+	d.calls.Add(1)
+	defer d.calls.Add(-1)
+	p, err := d.current().pool(call.Service, contract.KindRouted)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+	defer cancel()
+	f := &forwarding{call: call, pool: p, sink: sink, last: call.LastEvent, request: request{
+		pool:     p,
+		class:    call.Class,
+		firm:     !call.Repeatable,
+		affinity: call.Affinity,
+		expected: call.Tokens,
+		deadline: call.Deadline,
+	}}
+	if call.Class == contract.Online && call.Silence > 0 {
+		if patience := time.Now().Add(call.Silence); patience.Before(call.Deadline) {
+			f.request.deadline = patience
+		}
+	}
+	err = d.forwardAttempts(ctx, f)
+	d.logForward(f, err)
+	return err
+}
+
+func (d *Dispatcher) forwardAttempts(ctx context.Context, f *forwarding) error {
+	for {
+		given, err := d.acquireInTime(ctx, f)
+		if err != nil {
+			return f.ended(err)
+		}
+		f.placed = given.target.id
+		fail := d.forwardOnce(given, f)
+		d.conclude(given, fail)
+		if fail == nil {
+			return nil
+		}
+		var ended error
+		if ctx.Err() != nil {
+			ended = context.Cause(ctx)
+		}
+		if ended != nil {
+			return f.ended(ended)
+		}
+		if fail.final {
+			return fail.err
+		}
+		if fail.preempted {
+			continue
+		}
+		if !f.mayRepeat(fail) {
+			return f.failed(fail)
+		}
+		d.metrics.retries.Inc()
+		f.request.avoid = given.target.key
+		d.log.Info("forwarding again", zap.String("request", f.call.RequestID), zap.String("failed", given.target.id),
+			zap.String("after_event", f.last), zap.Error(fail.err))
+	}
+}
+
+// acquireInTime waits for a slot no longer than the caller bears to wait for a
+// first byte.
+func (d *Dispatcher) acquireInTime(ctx context.Context, f *forwarding) (*slot, error) {
+	given := d.sched.tryFirst(ctx, f.request)
+	if given != nil {
+		return given, nil
+	}
+	wait, cancel := context.WithDeadline(ctx, f.request.deadline)
+	defer cancel()
+	return d.sched.acquireFor(wait, ctx, f.request)
+}
+
+// mayRepeat counts a failed attempt and decides on another.
+func (f *forwarding) mayRepeat(fail *failure) bool {
+	switch {
+	case fail.unreachable:
+		f.unreachable++
+	case fail.refused:
+		f.refusals++
+	default:
+		f.runs++
+	}
+	if f.unreachable >= maxUnreachable || f.refusals >= maxRefusals && f.call.Class == contract.Online {
+		return false
+	}
+	if fail.unreachable || fail.refused {
+		return !f.begun || f.call.Resumable
+	}
+	if f.runs >= f.call.MaxAttempts || !f.call.Repeatable {
+		return false
+	}
+	return !f.begun || f.call.Resumable
+}
+
+// ended returns the error of a call that got no slot or whose context ended.
+func (f *forwarding) ended(cause error) error {
+	if errors.Is(cause, context.DeadlineExceeded) && f.begun {
+		return code.Wrap(code.StreamBroken, cause, "the answer was not whole at the deadline")
+	}
+	return endOf(cause, f.dispatched)
+}
+
+// failed returns the error of a call that has no attempt left.
+func (f *forwarding) failed(fail *failure) error {
+	switch {
+	case f.begun:
+		return code.Wrap(code.StreamBroken, fail.err, "the stream broke after event %q and could not be resumed", f.last)
+	case !f.dispatched:
+		return code.Wrap(code.UpstreamRefused, fail.err, "no upstream took the request").WithRetryAfter(refusedHint)
+	case !f.call.Repeatable:
+		return code.Wrap(code.OutcomeUnknown, fail.err, "the request was dispatched and its outcome is not known")
+	}
+	return code.From(fail.err).WithOutcome(code.Unknown)
+}
+
+// refusedHint is about the time in which a busy upstream ends a request.
+const refusedHint = 300 * time.Millisecond
+
+// forwardOnce makes one attempt. It returns nil when the answer was whole.
+func (d *Dispatcher) forwardOnce(given *slot, f *forwarding) *failure {
+	c, err := dialOnce(given.ctx, given.target.address)
+	if err != nil {
+		return &failure{err: code.Wrap(code.NoUpstream, err, "upstream %q can't be reached", given.target.id), unreachable: true}
+	}
+	defer c.close()
+	first, next := d.forwardPatience(given, f)
+	timer := time.AfterFunc(first, func() { given.cancel(errStalled) })
+	defer timer.Stop()
+	wire := d.options.Wire
+	header := wire.Header(f.call, given.target.id, f.last, time.Until(f.call.Deadline))
+	// From here on a failure may leave the request running.
+	before := f.dispatched
+	f.dispatched = true
+	if err := c.send(f.call, header); err != nil {
+		return broken(given, err)
+	}
+	response, err := c.receive(f.call.Method)
+	if err != nil {
+		return broken(given, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	head := wire.Head(response.StatusCode, response.Header)
+	d.sched.noteLoad(given.target, head)
+	if fail := f.check(response, head); fail != nil {
+		if fail.refused {
+			f.dispatched = before
+		}
+		return fail
+	}
+	a := &answer{slot: given, response: response, timer: timer, next: next, forwarding: f, header: wire.EndToEnd(response.Header)}
+	if response.StatusCode == http.StatusOK && isEventStream(response.Header) {
+		return d.passEvents(a)
+	}
+	return d.passBody(a)
+}
+
+func isEventStream(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+}
+
+func broken(given *slot, err error) *failure {
+	if errors.Is(context.Cause(given.ctx), errStalled) {
+		return &failure{err: code.Wrap(code.UpstreamSilent, err, "upstream %q was silent", given.target.id)}
+	}
+	return &failure{err: code.Wrap(code.UpstreamFailed, err, "upstream %q broke off", given.target.id)}
+}
+
+// check refuses answers that are not the upstream's to this request.
+func (f *forwarding) check(response *http.Response, head Head) *failure {
+	status := response.StatusCode
+	switch {
+	case head.NotRun && status != http.StatusBadRequest:
+		return &failure{err: code.New(code.UpstreamRefused, "the upstream refused with status %d", status), refused: true}
+	case head.RequestID != "" && head.RequestID != f.call.RequestID:
+		return &failure{err: code.New(code.UpstreamBadAnswer, "the answer belongs to request %q", head.RequestID)}
+	case status < http.StatusMultipleChoices && (!head.Signed || head.RequestID == ""):
+		return &failure{err: code.New(code.UpstreamBadAnswer, "the answer has no signature")}
+	case response.Header.Get("Content-Encoding") != "":
+		return &failure{err: code.New(code.UpstreamBadAnswer, "the answer is encoded")}
+	case f.begun && f.call.Class == contract.Batch && status >= http.StatusBadRequest && !isPromise(status):
+		return &failure{err: &StatusError{Status: status}, final: true}
+	case f.begun && (status != http.StatusOK || !isEventStream(response.Header)):
+		return &failure{err: code.New(code.UpstreamBadAnswer, "the upstream answered status %d to a resumption", status)}
+	case isPromise(status) || status >= http.StatusInternalServerError && f.call.Repeatable && f.call.Class == contract.Online && f.runs+1 < f.call.MaxAttempts:
+		return &failure{err: code.New(code.UpstreamFailed, "the upstream answered status %d", status)}
+	}
+	return nil
+}
+
+// StatusError is the failure of a batch request whose upstream answered a
+// resumption with a status of its own.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string { return "the upstream answered status " + strconv.Itoa(e.Status) }
+
+// isPromise reports whether callers take a status as proof that nothing ran.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// answer is an answer while it is passed on.
+type answer struct {
+	slot     *slot
+	response *http.Response
+	header   http.Header
+	timer    *time.Timer
+	next     time.Duration
+	*forwarding
+}
+
+func (a *answer) begin() error {
+	if a.begun {
+		return nil
+	}
+	a.begun = true
+	return a.sink.Begin(a.response.StatusCode, a.header)
+}
+
+// gone is the failure of a caller that takes no more.
+func gone(err error) *failure {
+	return &failure{err: code.Wrap(code.CallerGone, err, "the caller is gone"), final: true}
+}
+
+// passEvents passes whole events on as they arrive.
+func (d *Dispatcher) passEvents(a *answer) *failure {
+	events := newRawEvents(a.response.Body)
+	for {
+		e, err := events.next()
+		if errors.Is(err, io.EOF) {
+			if err := a.begin(); err != nil {
+				return gone(err)
+			}
+			return nil
+		}
+		if err != nil {
+			return broken(a.slot, err)
+		}
+		now := time.Now()
+		if a.slot.first.Load() == 0 {
+			d.sched.observeFirst(a.slot, now)
+		}
+		a.slot.token(now)
+		a.timer.Reset(a.next)
+		if e.id != "" && a.last != "" && !follows(e.id, a.last) {
+			continue
+		}
+		if err := a.begin(); err != nil {
+			return gone(err)
+		}
+		if err := a.sink.Write(e.bytes); err != nil {
+			return gone(err)
+		}
+		a.events++
+		if e.id != "" {
+			a.last = e.id
+		}
+	}
+}
+
+// wholeBody is the size up to which a body is read before it is passed on, so
+// that a broken one can be asked for again.
+const wholeBody = 256 << 10
+
+// passBody passes any other answer on.
+func (d *Dispatcher) passBody(a *answer) *failure {
+	body, err := io.ReadAll(io.LimitReader(a.response.Body, wholeBody))
+	if err != nil {
+		return broken(a.slot, err)
+	}
+	d.sched.observeFirst(a.slot, time.Now())
+	if err := a.begin(); err != nil {
+		return gone(err)
+	}
+	buffer := body
+	for {
+		if len(buffer) > 0 {
+			if err := a.sink.Write(buffer); err != nil {
+				return gone(err)
+			}
+		}
+		if len(body) < wholeBody {
+			return nil
+		}
+		n, err := a.response.Body.Read(body)
+		buffer = body[:n]
+		a.timer.Reset(a.next)
+		if errors.Is(err, io.EOF) {
+			if n > 0 {
+				if err := a.sink.Write(buffer); err != nil {
+					return gone(err)
+				}
+			}
+			return nil
+		}
+		if err != nil {
+			return broken(a.slot, err)
+		}
+	}
+}
+
+// forwardPatience returns how long an upstream may be silent. A request that
+// cannot go on elsewhere waits for as long as its caller does.
+func (d *Dispatcher) forwardPatience(given *slot, f *forwarding) (first, next time.Duration) {
+	rest := max(time.Until(f.call.Deadline), 0)
+	if !f.call.Repeatable || len(f.pool.targets) < 2 {
+		return rest, rest
+	}
+	first, next = d.sched.patience(given)
+	if f.call.Class == contract.Online && f.call.Silence > 0 {
+		first, next = min(first, f.call.Silence/2), min(next, f.call.Silence/2)
+	}
+	return first, next
+}
+
+// noteLoad takes in what an answer says about the upstream.
+func (s *scheduler) noteLoad(t *target, h Head) {
+	if h.LoadKnown {
+		t.report.Store(&loadReport{Running: h.Running, Waiting: h.Waiting, TakenAt: time.Now()})
+	}
+}
+
+// logForward writes the line at the end of a request.
+func (d *Dispatcher) logForward(f *forwarding, err error) {
+	fields := []zap.Field{
+		zap.String("request", f.call.RequestID),
+		zap.String("class", f.call.Class.String()),
+		zap.String("upstream", f.placed),
+		zap.Int("events", f.events),
+		zap.Int("runs", f.runs),
+		zap.Int("refusals", f.refusals),
+		zap.Int("unreachable", f.unreachable),
+	}
+	if err == nil {
+		d.log.Debug("forwarded", fields...)
+		return
+	}
+	d.log.Info("forwarding failed", append(fields, zap.Int("number", int(code.Of(err))), zap.Error(err))...)
+}
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -53,6 +53,9 @@
 	// urgent is called, with the lock held, when online work needs slots of an
 	// upstream that batch work of other instances holds. It must not block.
 	urgent func()
+	// changed is called, with the lock held, when what this instance has in
+	// flight has changed. It must not block.
+	changed func()
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -70,6 +73,7 @@
 		metrics: m,
 		policy:  policy,
 		urgent:  func() {},
+		changed: func() {},
 		random:  rand.New(rand.NewPCG(seed, seed)),
 		fleet:   &fleet{},
 		peers:   map[string]*peerDigest{},
@@ -90,9 +94,15 @@
 // acquire waits for a slot until ctx ends. It refuses at once when the wait
 // would last past the deadline.
 func (s *scheduler) acquire(ctx context.Context, r request) (*slot, error) {
+	return s.acquireFor(ctx, ctx, r)
+}
+
+// acquireFor is acquire for an attempt whose context is run; it waits until the
+// end of ctx only.
+func (s *scheduler) acquireFor(ctx, run context.Context, r request) (*slot, error) {
 	s.mu.Lock()
 	if s.mayPass(&r) {
-		if given := s.place(ctx, &r); given != nil {
+		if given := s.place(run, &r); given != nil {
 			s.mu.Unlock()
 			return given, nil
 		}
@@ -101,7 +111,7 @@
 		s.mu.Unlock()
 		return nil, err
 	}
-	w := &waiter{request: r, ctx: ctx, granted: make(chan *slot, 1)}
+	w := &waiter{request: r, ctx: run, granted: make(chan *slot, 1)}
 	s.enqueue(w)
 	s.mu.Unlock()
 	select {
@@ -120,6 +130,17 @@
 	return s.place(ctx, &r)
 }
 
+// tryFirst returns a slot that is free now for a request that may pass those
+// that wait, or nil.
+func (s *scheduler) tryFirst(ctx context.Context, r request) *slot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.mayPass(&r) {
+		return nil
+	}
+	return s.place(ctx, &r)
+}
+
 // mayPass reports whether a request may be placed before those that wait.
 func (s *scheduler) mayPass(r *request) bool {
 	if r.class == contract.Batch {
@@ -214,6 +235,7 @@
 	given := &slot{target: t, pool: r.pool, class: r.class, long: r.long, firm: r.firm, expected: r.expected, started: now}
 	given.ctx, given.cancel = context.WithCancelCause(ctx)
 	t.add(given)
+	s.changed()
 	r.pool.noteDemand(now)
 	if r.pool.isEjected(t) {
 		t.probed = now
@@ -246,6 +268,7 @@
 	for i := len(t.slots) - 1; i >= 0; i-- {
 		if victim := t.slots[i]; victim.class == contract.Batch && !victim.firm {
 			t.drop(victim)
+			s.changed()
 			victim.cancel(errPreempted)
 			s.metrics.preemptions.Inc()
 			return
@@ -265,6 +288,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if given.target.drop(given) {
+		s.changed()
 		s.observeEnd(given, now)
 		s.pump()
 	}
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -18,6 +18,8 @@
 	id      string
 	key     uint64
 	address string
+	// started tells incarnations of an id apart.
+	started int64
 	terms   atomic.Pointer[terms]
 	report  atomic.Pointer[loadReport]
 
