Take turns at free slots and refuse at once what would be late

Ruled out: more headroom alone (thrash stays, slots idle); proportional yielding, which cancels too many when digests are exact. Change: digests are broadcast with each change and carry who waits; instances take turns at a free slot by rendezvous order, and those last in that order yield. A request whose answer would begin after its objective is refused at once with a Retry-After, unless its caller has come back before.

--- a/contract/forward.go
+++ b/contract/forward.go
@@ -31,6 +31,9 @@
 	Deadline time.Time
 	// Objective is the time to the first byte within which an answer is on time.
 	Objective time.Duration
+	// MayReturn is set while the caller has enough of its time left to come back
+	// after a refusal.
+	MayReturn bool
 	// Silence is the longest pause that the caller bears.
 	Silence time.Duration
 	// Affinity is a hash of the beginning of the prompt; 0 means none.
--- a/route/batch.go
+++ b/route/batch.go
@@ -6,6 +6,10 @@
 	Share float64
 	// Headroom is the number of slots that batch leaves free on an upstream.
 	Headroom int
+	// Reserve is the number of slots that online requests must find free, so that
+	// batch yields for it; the rest of the headroom is the hysteresis between
+	// yielding and admitting.
+	Reserve int
 	// OnlineWaits is set while an online request waits for a slot.
 	OnlineWaits bool
 }
@@ -14,7 +18,7 @@
 // of what online work and the headroom leave, and nothing while online work
 // waits anywhere.
 func BatchRoom(c *Candidate, t BatchTerms) int {
-	if t.OnlineWaits || c.Report.Known && c.Report.Waiting > 0 && c.Report.Age < reportHalfLife {
+	if c.BatchHeld || t.OnlineWaits || c.Report.Known && c.Report.Waiting > 0 && c.Report.Age < reportHalfLife {
 		return 0
 	}
 	return max(batchAllowed(c, t)-c.BatchTotal(), 0)
@@ -26,11 +30,10 @@
 }
 
 // Excess returns how many of its own batch requests an instance has to cancel
-// on an upstream, so that online requests find half of the headroom free. The
-// other half is the hysteresis between cancelling and admitting. Instances
+// on an upstream, so that online requests find the reserve free. Instances
 // share the cancellations in proportion to their batch requests.
 func Excess(c *Candidate, t BatchTerms) int {
-	over := over(c, t)
+	over := Over(c, t)
 	if over <= 0 || c.Batch == 0 {
 		return 0
 	}
@@ -41,12 +44,11 @@
 // InTheWay reports whether batch requests of any instance have to be
 // cancelled on an upstream.
 func InTheWay(c *Candidate, t BatchTerms) bool {
-	return c.BatchTotal() > 0 && over(c, t) > 0
+	return c.BatchTotal() > 0 && Over(c, t) > 0
 }
 
-// over returns by how many requests an upstream is over what online requests
+// Over returns by how many requests an upstream is over what online requests
 // need free.
-func over(c *Candidate, t BatchTerms) int {
-	reserve := (t.Headroom + 1) / 2
-	return c.OnlineTotal() + c.BatchTotal() + reserve - min(c.Slots, c.Limit)
+func Over(c *Candidate, t BatchTerms) int {
+	return c.OnlineTotal() + c.BatchTotal() + t.Reserve - min(c.Slots, c.Limit)
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -93,7 +93,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		own := rapid.SliceOfN(rapid.IntRange(0, 9), 1, 6).Draw(t, "batch by instance")
 		online, slots := rapid.IntRange(0, 20).Draw(t, "online"), rapid.IntRange(1, 20).Draw(t, "slots")
-		terms := BatchTerms{Share: 1, Headroom: 1}
+		terms := BatchTerms{Share: 1, Headroom: 1, Reserve: 1}
 		total, cancelled := 0, 0
 		for _, n := range own {
 			total += n
--- a/upstream/broadcast.go
+++ b/upstream/broadcast.go
@@ -54,6 +54,7 @@
 		o.Log = zap.NewNop()
 	}
 	b := &Broadcast{options: o, wake: make(chan struct{}, 1)}
+	o.Dispatcher.sched.share(o.InstanceID)
 	o.Dispatcher.sched.setChanged(func() {
 		select {
 		case b.wake <- struct{}{}:
--- a/upstream/digest.go
+++ b/upstream/digest.go
@@ -19,6 +19,10 @@
 type Digest struct {
 	Sequence uint64
 	Loads    []PeerLoad
+	// BatchWaiting counts the batch requests that wait for a slot.
+	BatchWaiting int
+	// OnlineWaiting counts the online requests that do.
+	OnlineWaiting int
 }
 
 // peerLoad is the sum of what the other instances have in flight.
@@ -48,6 +52,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	digest := Digest{Sequence: uint64(time.Now().UnixNano())}
+	for _, p := range s.fleet.pools {
+		digest.BatchWaiting += len(p.batch)
+		digest.OnlineWaiting += p.short.waiting + p.history.long.waiting
+	}
 	for id, t := range s.fleet.targets {
 		if t.online+t.batch > 0 {
 			digest.Loads = append(digest.Loads, PeerLoad{id, t.online, t.batch})
@@ -90,15 +98,14 @@
 	freed := false
 	for _, load := range s.peers[peer].Loads {
 		if t, ok := s.fleet.targets[load.Upstream]; ok {
-			t.peers.online -= load.Online
-			t.peers.batch -= load.Batch
+			t.takeOff(peer, load)
 			freed = true
 		}
 	}
 	for _, load := range digest.Loads {
 		if t, ok := s.fleet.targets[load.Upstream]; ok {
 			t.peers.online += load.Online
-			t.peers.batch += load.Batch
+			t.hold(peer, load.Batch)
 		}
 	}
 	s.peers[peer] = digest
@@ -140,15 +147,16 @@
 	s.peersAt = now
 	for _, t := range s.fleet.targets {
 		t.peers = peerLoad{}
+		clear(t.holders)
 	}
-	for _, digest := range s.peers {
+	for peer, digest := range s.peers {
 		counts := now.Sub(digest.received) <= onlineLifetime
 		for _, load := range digest.Loads {
 			t, ok := s.fleet.targets[load.Upstream]
 			if !ok {
 				continue
 			}
-			t.peers.batch += load.Batch
+			t.hold(peer, load.Batch)
 			if counts {
 				t.peers.online += load.Online
 			}
@@ -162,3 +170,22 @@
 	defer s.mu.Unlock()
 	s.urgent = f
 }
+
+// hold adds batch requests of a peer.
+func (t *target) hold(peer string, batch int) {
+	t.peers.batch += batch
+	if batch == 0 {
+		return
+	}
+	if t.holders == nil {
+		t.holders = map[string]int{}
+	}
+	t.holders[peer] += batch
+}
+
+// takeOff removes what an earlier digest of a peer added.
+func (t *target) takeOff(peer string, load PeerLoad) {
+	t.peers.online -= load.Online
+	t.peers.batch -= load.Batch
+	delete(t.holders, peer)
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -145,7 +145,11 @@
 // wireDigest returns this instance's load as peers exchange it.
 func (d *Dispatcher) wireDigest() *upstreampb.Digest {
 	own := d.Digest()
-	digest := &upstreampb.Digest{Sequence: own.Sequence}
+	digest := &upstreampb.Digest{
+		Sequence:      own.Sequence,
+		BatchWaiting:  uint32(own.BatchWaiting),
+		OnlineWaiting: uint32(own.OnlineWaiting),
+	}
 	for _, l := range own.Loads {
 		digest.Loads = append(digest.Loads, &upstreampb.Load{
 			Upstream: hashUpstream(l.Upstream),
@@ -162,7 +166,11 @@
 // observeWire takes in the load of a peer.
 func (d *Dispatcher) observeWire(peer string, digest *upstreampb.Digest) {
 	f := d.fleet.Load()
-	observed := Digest{Sequence: digest.GetSequence()}
+	observed := Digest{
+		Sequence:      digest.GetSequence(),
+		BatchWaiting:  int(min(digest.GetBatchWaiting(), maxPeerCount)),
+		OnlineWaiting: int(min(digest.GetOnlineWaiting(), maxPeerCount)),
+	}
 	for _, l := range digest.GetLoads() {
 		if id, ok := f.hashed[l.GetUpstream()]; ok {
 			observed.Loads = append(observed.Loads, PeerLoad{
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -76,6 +76,9 @@
 			f.request.deadline = patience
 		}
 	}
+	if call.Class == contract.Online && call.Objective > 0 && call.MayReturn {
+		f.request.prompt = time.Now().Add(call.Objective)
+	}
 	err = d.forwardAttempts(ctx, f)
 	d.logForward(f, err)
 	return err
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -70,11 +70,17 @@
 	targets []*target
 	now     time.Time
 	prior   time.Duration
+	// held are targets whose free slots are left to batch work of others.
+	held map[*target]bool
 }
 
-func (v *view) Len() int                        { return len(v.targets) }
-func (v *view) Key(i int) uint64                { return v.targets[i].key }
-func (v *view) Candidate(i int) route.Candidate { return v.targets[i].candidate(v.now, v.prior) }
+func (v *view) Len() int         { return len(v.targets) }
+func (v *view) Key(i int) uint64 { return v.targets[i].key }
+func (v *view) Candidate(i int) route.Candidate {
+	c := v.targets[i].candidate(v.now, v.prior)
+	c.BatchHeld = v.held[v.targets[i]]
+	return c
+}
 
 // pool returns the pool of a service.
 func (f *fleet) pool(name string, kind contract.ServiceKind) (*pool, error) {
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -36,6 +36,10 @@
 	// avoid is the key of the upstream that just failed the request.
 	avoid    uint64
 	deadline time.Time
+	// prompt is the time after which an answer that begins is late; a request is
+	// refused at once when it would be, so that its caller can come back. The
+	// zero time lets it wait until the deadline.
+	prompt time.Time
 }
 
 // waiter is a request that waits for a slot.
@@ -61,6 +65,8 @@
 	random *rand.Rand
 	fleet  *fleet
 	peers  map[string]*peerDigest
+	// turns is nil when peers learn of each other's load at intervals only.
+	turns *turns
 	// peersAt is when the digests were summed up last.
 	peersAt time.Time
 }
@@ -160,9 +166,13 @@
 func (s *scheduler) enqueue(w *waiter) {
 	if w.class == contract.Batch {
 		w.pool.batch = append(w.pool.batch, w)
+		if len(w.pool.batch) == 1 {
+			s.changed()
+		}
 		return
 	}
 	w.queue().push(w)
+	s.changed()
 	w.pool.noteDemand(time.Now())
 }
 
@@ -190,6 +200,9 @@
 func (s *scheduler) place(ctx context.Context, r *request) *slot {
 	now := time.Now()
 	v := &view{targets: r.pool.open, now: now, prior: r.pool.prior}
+	if r.class == contract.Batch {
+		s.takeTurns(v, now)
+	}
 	q := route.Query{
 		Class:    r.class,
 		Long:     r.long,
@@ -218,6 +231,7 @@
 	return route.BatchTerms{
 		Share:       s.fleet.preset.BatchShare,
 		Headroom:    s.fleet.preset.HeadroomSlots,
+		Reserve:     s.reserve(),
 		OnlineWaits: s.onlineWaits(),
 	}
 }
@@ -228,7 +242,7 @@
 			return true
 		}
 	}
-	return false
+	return s.peersWaiting(time.Now()) > 0
 }
 
 func (s *scheduler) grant(ctx context.Context, r *request, t *target, now time.Time) *slot {
@@ -254,7 +268,7 @@
 	}
 	c := t.candidate(now, 0)
 	terms := s.batchTerms()
-	for range route.Excess(&c, terms) {
+	for range s.excess(t, &c, terms) {
 		s.preempt(t)
 	}
 	if t.peers.batch > 0 && route.InTheWay(&c, terms) {
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -30,6 +30,11 @@
 	batch  int
 	long   int
 	peers  peerLoad
+	// holders has the batch requests of each peer.
+	holders map[string]int
+	// roomSince is when slots that batch work may use were first seen free; the
+	// zero time when there are none.
+	roomSince time.Time
 
 	first   route.Average
 	spacing route.Average
