Order batch work by what can still be in time and keep its progress

Ruled out: more headroom (no effect beyond noise). Change: waiting batch requests that can still be done in time go first, by due time; late ones after them, shortest first; the one with the most time to spare yields.

--- a/contract/forward.go
+++ b/contract/forward.go
@@ -31,6 +31,9 @@
 	Deadline time.Time
 	// Objective is the time to the first byte within which an answer is on time.
 	Objective time.Duration
+	// Due is when the result of a batch request is due; the zero time means that
+	// it is not.
+	Due time.Time
 	// MayReturn is set while the caller has enough of its time left to come back
 	// after a refusal.
 	MayReturn bool
--- a/job/adopt.go
+++ b/job/adopt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"time"
 
@@ -152,25 +151,6 @@
 	return items, nil
 }
 
-func (s *Service) loadProgress(ctx context.Context, id string) (map[int]progress, error) {
-	page, err := s.options.Store.GetRows(ctx, progressTable, part, id+"/", id+"0")
-	if err != nil {
-		return nil, err
-	}
-	numbers, values, err := joinPieces(page.Rows)
-	if err != nil {
-		return nil, err
-	}
-	done := map[int]progress{}
-	for i, n := range numbers {
-		var p progress
-		if err := json.Unmarshal(values[i], &p); err == nil {
-			done[n] = p
-		}
-	}
-	return done, nil
-}
-
 const (
 	// sweepInterval is the time between two looks for jobs to remove.
 	sweepInterval = 20 * time.Second
--- a/job/commit.go
+++ b/job/commit.go
@@ -27,9 +27,16 @@
 // ours any more.
 func (r *run) commitAll() {
 	var waiting []finished
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
 	for {
 		if len(waiting) == 0 {
 			select {
+			case <-ticker.C:
+				if !r.saveProgress() {
+					return
+				}
+				continue
 			case <-r.ctx.Done():
 				return
 			case ctx := <-r.giveUp:
@@ -214,23 +221,8 @@
 	defer close(r.gave)
 	next := r.head.head
 	next.Owner = ""
-	t := storage.RowTransaction{}
-	r.mu.Lock()
-	size := 0
-	for i, c := range r.running {
-		p := c.progress()
-		if p.LastEvent == "" && p.Failures == 0 {
-			continue
-		}
-		rows := piecesOf(progressTable, r.id, i, p)
-		size += len(p.Text)*5/4 + 256
-		if size > storage.MaxRowTransactionBytes/2 || len(t.Puts)+len(rows) > storage.MaxRowWrites-4 {
-			break
-		}
-		t.Puts = append(t.Puts, rows...)
-	}
-	r.mu.Unlock()
-	held := r.apply(ctx, &next, t)
-	r.service.options.Log.Info("job handed over", zap.String("job", r.id), zap.Bool("written", held), zap.Int("items_with_progress", len(t.Puts)))
+	rows := append(r.unsaved, r.gatherProgress(0, r.unsaved)...)
+	held := r.apply(ctx, &next, storage.RowTransaction{Puts: rows})
+	r.service.options.Log.Info("job handed over", zap.String("job", r.id), zap.Bool("written", held), zap.Int("progress_rows", len(rows)))
 	r.forget()
 }
--- a/job/rows.go
+++ b/job/rows.go
@@ -122,10 +122,3 @@
 	}
 	return numbers, values, nil
 }
-
-// progress is how far an item got at an owner that handed its job over.
-type progress struct {
-	LastEvent string `json:"last"`
-	Text      string `json:"text"`
-	Failures  int    `json:"failures"`
-}
--- a/job/run.go
+++ b/job/run.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/storage"
 	"github.com/daisylb/daisylb/upstream"
 )
 
@@ -29,7 +30,12 @@
 	// giveUp asks for the job to be handed over; gave is closed when that is done.
 	giveUp chan context.Context
 	gave   chan struct{}
-	expiry time.Time
+	// accepted is when the job was accepted, expiry when its items may be given
+	// up.
+	accepted time.Time
+	expiry   time.Time
+	// unsaved are rows of progress whose write is not confirmed.
+	unsaved []storage.TableRow
 	// head is the state that this process wrote last; only commitAll uses it.
 	head versioned
 
@@ -44,7 +50,7 @@
 }
 
 // begin runs the items of a job that this process owns and that are not listed.
-func (s *Service) begin(id string, v versioned, items []Item, done map[int]progress) {
+func (s *Service) begin(id string, v versioned, items []Item, done map[int]saved) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.learn(id, v)
@@ -62,18 +68,18 @@
 		finished: make(chan finished, len(items)),
 		giveUp:   make(chan context.Context, 1),
 		gave:     make(chan struct{}),
-		expiry:   time.Now().Add(v.keep() - s.age(&v.head)),
+		accepted: time.Now().Add(-s.age(&v.head)),
 		running:  map[int]*collector{},
 		head:     v,
 	}
+	r.expiry = r.accepted.Add(v.keep())
 	s.owned[id] = r
 	for i := range items {
 		if slices.Contains(v.Done, i) {
 			continue
 		}
 		p := done[i]
-		c := &collector{last: p.LastEvent, failures: p.Failures}
-		c.text.WriteString(p.Text)
+		c := newCollector(p)
 		r.running[i] = c
 		s.runs.Go(func() { r.runItem(i, c) })
 	}
@@ -128,6 +134,14 @@
 	return document.Match(r.host, item.Path)
 }
 
+// due is when the results are due, the zero time when the route does not say.
+func (r *run) due(route *contract.Route) time.Time {
+	if route.Completion <= 0 {
+		return time.Time{}
+	}
+	return r.accepted.Add(route.Completion)
+}
+
 // attempt runs an item once and reports whether it has a result.
 func (r *run) attempt(item *Item, route *contract.Route, c *collector) bool {
 	f := &contract.Forwarding{
@@ -142,6 +156,7 @@
 		Stream:      true,
 		Resumable:   true,
 		Deadline:    r.expiry,
+		Due:         r.due(route),
 		Silence:     itemSilence,
 	}
 	r.service.options.Describe(f, item)
@@ -180,7 +195,7 @@
 }
 
 // collector gathers the data of an item's events. One goroutine writes it; the
-// text and the last event are read under the lock when a job is handed over.
+// text and the last event are read under the lock for the progress rows.
 type collector struct {
 	mu        sync.Mutex
 	text      strings.Builder
@@ -188,6 +203,18 @@
 	status    int
 	failures  int
 	succeeded bool
+	// kept is the part of the text that rows of progress have, keptLast its last
+	// event, next the number of the next row.
+	kept     int
+	keptLast string
+	next     int
+}
+
+func newCollector(p saved) *collector {
+	c := &collector{last: p.last, keptLast: p.last, failures: p.failures, next: p.rows}
+	c.text.WriteString(p.text)
+	c.kept = c.text.Len()
+	return c
 }
 
 var _ contract.ForwardSink = (*collector)(nil)
@@ -231,9 +258,3 @@
 	}
 	return Result{Item: item, Succeeded: true, Text: c.text.String()}
 }
-
-func (c *collector) progress() progress {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return progress{LastEvent: c.last, Text: c.text.String(), Failures: c.failures}
-}
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -13,6 +13,7 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/route"
 )
 
 // forwarding is the state of one Forward call. One goroutine uses it.
@@ -33,6 +34,8 @@
 	begun  bool
 	last   string
 	events int
+	// held is the time for which earlier attempts held slots.
+	held time.Duration
 	// placed is the upstream of the present attempt.
 	placed string
 }
@@ -86,6 +89,7 @@
 
 func (d *Dispatcher) forwardAttempts(ctx context.Context, f *forwarding) error {
 	for {
+		f.request.work = d.sched.batchWork(f)
 		given, err := d.acquireInTime(ctx, f)
 		if err != nil {
 			return f.ended(err)
@@ -93,7 +97,9 @@
 		f.placed = given.target.id
 		fail := d.forwardOnce(given, f)
 		d.conclude(given, fail)
+		f.held += time.Since(given.started)
 		if fail == nil {
+			d.sched.noteBatchWork(f)
 			return nil
 		}
 		var ended error
@@ -119,6 +125,36 @@
 	}
 }
 
+// defaultPerToken is the time on a slot for each output token before any has
+// been observed.
+const defaultPerToken = 4 * time.Millisecond
+
+// batchWork returns what orders a batch request.
+func (s *scheduler) batchWork(f *forwarding) route.BatchWork {
+	if f.call.Class != contract.Batch {
+		return route.BatchWork{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	perToken := f.pool.perToken.Value
+	if perToken == 0 {
+		perToken = defaultPerToken
+	}
+	left := time.Duration(f.call.Tokens)*perToken - f.held
+	return route.BatchWork{Due: f.call.Due, Left: max(left, 0)}
+}
+
+// noteBatchWork notes the time on a slot of a whole batch request.
+func (s *scheduler) noteBatchWork(f *forwarding) {
+	if f.call.Class != contract.Batch || f.call.Tokens <= 0 || f.call.LastEvent != "" {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := f.pool.history
+	h.perToken = h.perToken.Observe(time.Now(), f.held/time.Duration(f.call.Tokens))
+}
+
 // acquireInTime waits for a slot no longer than the caller bears to wait for a
 // first byte.
 func (d *Dispatcher) acquireInTime(ctx context.Context, f *forwarding) (*slot, error) {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -50,6 +50,9 @@
 	length  route.Length
 	// lengths by account.
 	lengths map[string]route.Length
+	// perToken is the average time on a slot of a whole batch request by its
+	// expected output tokens.
+	perToken route.Average
 	// occupied is the average time that a request holds a slot.
 	occupied route.Average
 	hedges   route.Hedges
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -40,6 +40,8 @@
 	// refused at once when it would be, so that its caller can come back. The
 	// zero time lets it wait until the deadline.
 	prompt time.Time
+	// work orders batch requests.
+	work route.BatchWork
 }
 
 // waiter is a request that waits for a slot.
@@ -246,7 +248,7 @@
 }
 
 func (s *scheduler) grant(ctx context.Context, r *request, t *target, now time.Time) *slot {
-	given := &slot{target: t, pool: r.pool, class: r.class, long: r.long, firm: r.firm, expected: r.expected, started: now}
+	given := &slot{target: t, pool: r.pool, class: r.class, long: r.long, firm: r.firm, expected: r.expected, work: r.work, started: now}
 	given.ctx, given.cancel = context.WithCancelCause(ctx)
 	t.add(given)
 	s.changed()
@@ -276,18 +278,26 @@
 	}
 }
 
-// preempt cancels the batch attempt on t that started last, which has the
-// least to compute again.
+// preempt cancels the batch attempt on t that can best wait; among equals the
+// one that started last, which has the least to compute again.
 func (s *scheduler) preempt(t *target) {
-	for i := len(t.slots) - 1; i >= 0; i-- {
-		if victim := t.slots[i]; victim.class == contract.Batch && !victim.firm {
-			t.drop(victim)
-			s.changed()
-			victim.cancel(errPreempted)
-			s.metrics.preemptions.Inc()
-			return
+	var victim *slot
+	now := time.Now()
+	for _, g := range slices.Backward(t.slots) {
+		if g.class != contract.Batch || g.firm {
+			continue
 		}
+		if victim == nil || g.workAt(now).YieldsBefore(victim.workAt(now), now) {
+			victim = g
+		}
+	}
+	if victim == nil {
+		return
 	}
+	t.drop(victim)
+	s.changed()
+	victim.cancel(errPreempted)
+	s.metrics.preemptions.Inc()
 }
 
 // discard ends an attempt whose result is not needed and frees its slot at
@@ -316,9 +326,23 @@
 		s.serve(&p.history.long)
 	}
 	for _, p := range s.fleet.pools {
-		for len(p.batch) > 0 && s.give(p.batch[0]) {
-			p.batch = slices.Delete(p.batch, 0, 1)
+		s.serveBatch(p)
+	}
+}
+
+// serveBatch grants free slots to batch requests in their order.
+func (s *scheduler) serveBatch(p *pool) {
+	for len(p.batch) > 0 {
+		first, now := 0, time.Now()
+		for i := range p.batch {
+			if p.batch[i].work.Before(p.batch[first].work, now) {
+				first = i
+			}
+		}
+		if !s.give(p.batch[first]) {
+			return
 		}
+		p.batch = slices.Delete(p.batch, first, first+1)
 	}
 }
 
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -178,6 +178,7 @@
 	started time.Time
 	// expected is the estimated number of tokens.
 	expected int
+	work     route.BatchWork
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 
@@ -208,3 +209,8 @@
 	g.last.Store(since)
 	g.tokens.Add(1)
 }
+
+// workAt returns what is left of a batch attempt's work.
+func (g *slot) workAt(now time.Time) route.BatchWork {
+	return route.BatchWork{Due: g.work.Due, Left: max(g.work.Left-now.Sub(g.started), 0)}
+}
