--- a/feed/feed.go
+++ b/feed/feed.go
@@ -27,9 +27,9 @@
 	// DefaultWait. A connection that delivers nothing any more is found out soon
 	// after it.
 	Wait time.Duration
-	// Pause is the least time between two calls after a change, so that many
-	// changes cost one call; 0 means none.
-	Pause time.Duration
+	// Pause returns the least time between two calls after a change, so that many
+	// changes cost one call; nil means none.
+	Pause func() time.Duration
 	// Update is told of changes, from one goroutine. Required.
 	Update func(Update)
 	// Log may be nil.
@@ -51,7 +51,7 @@
 
 const (
 	// DefaultWait bounds how late a silent connection is found out.
-	DefaultWait = time.Second
+	DefaultWait = 2 * time.Second
 	// Bounds of the pause after a failed call, with jitter.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 600 * time.Millisecond
@@ -108,8 +108,8 @@
 			backoff = min(2*backoff, maxBackoff)
 		default:
 			backoff = minBackoff
-			if changed {
-				pause = f.options.Pause
+			if changed && f.options.Pause != nil {
+				pause = f.options.Pause()
 			}
 		}
 		if pause > 0 {
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -40,6 +41,8 @@
 	dispatcher *upstream.Dispatcher
 	broadcast  *upstream.Broadcast
 	jobs       *job.Service
+	// peers are the addresses of the instances that share workers.
+	peers atomic.Pointer[[]netip.AddrPort]
 
 	callers   *http.Server
 	directory *http.Server
@@ -61,6 +64,7 @@
 	if i.log == nil {
 		i.log = zap.NewNop()
 	}
+	i.peers.Store(&[]netip.AddrPort{})
 	i.log = i.log.With(zap.String("instance", i.process))
 	for _, step := range []func() error{i.buildRouting, i.buildDispatcher, i.buildRoster, i.buildJobs} {
 		if err := step(); err != nil {
@@ -91,20 +95,25 @@
 		Logger:     i.log,
 		Registerer: i.registry,
 		SubsetSize: allUpstreams,
+		// Digests and answers serve the queues as they come; a sweep is left to
+		// find stalls.
+		SweepInterval: sweepInterval,
 	})
 	return err
 }
 
-// allUpstreams lets every instance use every upstream: their loads are told to
-// all of them.
-const allUpstreams = 1 << 10
+const (
+	// allUpstreams lets an instance use every upstream of its cell.
+	allUpstreams  = 1 << 10
+	sweepInterval = 100 * time.Millisecond
+)
 
 func (i *Instance) buildRoster() error {
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(i.settings.IP), Port: i.settings.FirstPort})
 	if err != nil {
 		return err
 	}
-	i.roster = roster.New(roster.Options{Rows: i.store, Log: i.log, Self: roster.Member{
+	i.roster = roster.New(roster.Options{Rows: i.store, Log: i.log, Changed: i.divide, Self: roster.Member{
 		Name:       i.settings.Name,
 		ID:         i.process,
 		Callers:    i.settings.Callers,
@@ -114,13 +123,27 @@
 	i.broadcast, err = upstream.NewBroadcast(upstream.BroadcastOptions{
 		Dispatcher: i.dispatcher,
 		InstanceID: i.process,
-		Peers:      func() []netip.AddrPort { return i.roster.View().Peers },
+		Peers:      func() []netip.AddrPort { return *i.peers.Load() },
 		Conn:       conn,
 		Log:        i.log,
 	})
 	return err
 }
 
+// divide brings the cell of this instance up to date after a change of the
+// fleet.
+func (i *Instance) divide() {
+	view := i.roster.View()
+	i.workers.SetInstances(i.settings.Name, view.Names())
+	var peers []netip.AddrPort
+	for _, name := range i.workers.Peers() {
+		if peer, ok := view.Peers[name]; ok {
+			peers = append(peers, peer)
+		}
+	}
+	i.peers.Store(&peers)
+}
+
 func (i *Instance) buildJobs() error {
 	i.jobs = job.New(job.Options{
 		Store:     i.store,
--- a/job/adopt.go
+++ b/job/adopt.go
@@ -14,7 +14,7 @@
 
 const (
 	// adoptInterval is the time between two looks for jobs without a living owner.
-	adoptInterval = 100 * time.Millisecond
+	adoptInterval = 200 * time.Millisecond
 	// adoptTurn is how much longer the next instance waits before it takes a job
 	// over, so that as a rule one of them writes.
 	adoptTurn = 250 * time.Millisecond
--- a/job/service.go
+++ b/job/service.go
@@ -71,9 +71,18 @@
 	stop context.CancelFunc
 }
 
-// feedPause bounds the calls of the feed; a reader learns of a result that much
-// later.
-const feedPause = 150 * time.Millisecond
+// The feed pauses between two calls, in larger fleets for longer, so that all
+// calls together stay within what the store takes. A reader at another instance
+// learns of a result that much later.
+const (
+	minFeedPause  = 150 * time.Millisecond
+	maxFeedPause  = 400 * time.Millisecond
+	feedPerMember = 5 * time.Millisecond
+)
+
+func (s *Service) feedPause() time.Duration {
+	return min(max(minFeedPause, time.Duration(len(s.options.Fleet().Alive))*feedPerMember), maxFeedPause)
+}
 
 // New returns a Service. Run must run for as long as it is used.
 func New(o Options) *Service {
@@ -87,7 +96,7 @@
 		bodies:  newBodyCache(),
 	}
 	s.base, s.stop = context.WithCancel(context.Background())
-	s.follower = feed.New(feed.Options{Rows: o.Store, Table: headTable, Part: part, Pause: feedPause, Update: s.update, Log: o.Log})
+	s.follower = feed.New(feed.Options{Rows: o.Store, Table: headTable, Part: part, Pause: s.feedPause, Update: s.update, Log: o.Log})
 	return s
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -57,8 +57,9 @@
 	aliveIntervals = 2.6
 	// retryPause follows a write that failed.
 	retryPause = 150 * time.Millisecond
-	// feedPause bounds the calls of the feed.
-	feedPause = 400 * time.Millisecond
+	// feedPause bounds the calls of the feed in a small fleet; it grows as the
+	// time between two writes does.
+	feedPause = 600 * time.Millisecond
 	feedWait  = 2 * time.Second
 )
 
@@ -90,8 +91,8 @@
 type View struct {
 	// Alive members, this one included, by name.
 	Alive []Member
-	// Peers are the addresses of the others.
-	Peers []netip.AddrPort
+	// Peers are the addresses of the others by name.
+	Peers map[string]netip.AddrPort
 	// Processes are the ids of all members that are alive.
 	Processes map[string]bool
 }
@@ -104,18 +105,27 @@
 	}
 	self := o.Self
 	r.self.Store(&self)
-	r.view.Store(&View{Processes: map[string]bool{}})
-	r.follower = feed.New(feed.Options{Rows: o.Rows, Table: Table, Wait: feedWait, Pause: feedPause, Update: r.update, Log: o.Log})
+	r.view.Store(&View{Processes: map[string]bool{}, Peers: map[string]netip.AddrPort{}})
+	r.follower = feed.New(feed.Options{Rows: o.Rows, Table: Table, Wait: feedWait, Pause: r.pause, Update: r.update, Log: o.Log})
 	return r
 }
 
 // View returns the present list.
 func (r *Roster) View() *View { return r.view.Load() }
 
+// Names returns the names of the members that are alive.
+func (v *View) Names() []string {
+	names := make([]string, 0, len(v.Alive))
+	for _, m := range v.Alive {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
 // Followed reports whether the list has been read and is up to date.
 func (r *Roster) Followed() bool {
 	age, ok := r.follower.Age()
-	return ok && age < feedWait+beatInterval
+	return ok && age < feedWait+2*r.interval()
 }
 
 // Announce changes what this instance says of itself and writes it soon.
@@ -144,6 +154,11 @@
 	return max(beatInterval, time.Duration(len(r.View().Alive))*beatPerMember)
 }
 
+// pause is the time between two calls of the feed.
+func (r *Roster) pause() time.Duration {
+	return time.Duration(float64(feedPause) * float64(r.interval()) / float64(beatInterval))
+}
+
 func (r *Roster) write(ctx context.Context) {
 	var beat uint64
 	for ctx.Err() == nil {
@@ -219,8 +234,8 @@
 	limit := time.Duration(aliveIntervals * float64(r.interval()))
 	// While the store cannot be followed, nothing is known to have changed.
 	age, ok := r.follower.Age()
-	frozen := !ok || age > feedWait || now.Sub(r.heardSince) < limit
-	v := &View{Processes: map[string]bool{}}
+	frozen := !ok || age > feedWait+r.pause() || now.Sub(r.heardSince) < limit
+	v := &View{Processes: map[string]bool{}, Peers: map[string]netip.AddrPort{}}
 	self := r.self.Load()
 	for _, e := range r.members {
 		if e.Name == self.Name {
@@ -232,7 +247,7 @@
 		v.Alive = append(v.Alive, e.Member)
 		v.Processes[e.ID] = true
 		if peer, err := netip.ParseAddrPort(e.Peers); err == nil {
-			v.Peers = append(v.Peers, peer)
+			v.Peers[e.Name] = peer
 		}
 	}
 	v.Alive = append(v.Alive, *self)
--- a/routing/workers.go
+++ b/routing/workers.go
@@ -9,6 +9,7 @@
 
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/feed"
+	"github.com/daisylb/daisylb/route"
 )
 
 // ReturnGrace is how long after the return of the store an entry may be missing
@@ -25,9 +26,12 @@
 	DataCentres map[string]string
 	Log         *zap.Logger
 
-	mu      sync.Mutex
-	known   map[string]contract.Worker
-	missing map[string]time.Time
+	mu sync.Mutex
+	// self and instances are the names by which the fleet is divided into cells.
+	self      string
+	instances []string
+	known     map[string]contract.Worker
+	missing   map[string]time.Time
 	// regained is when the store came back last.
 	regained time.Time
 	current  atomic.Pointer[contract.Document]
@@ -122,6 +126,56 @@
 	}
 }
 
+// SetInstances tells which instances share the workers, this one included. A
+// large fleet is divided, and each instance uses the workers of its cell.
+func (w *Workers) SetInstances(self string, instances []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.self, w.instances = self, instances
+	if w.heard.Load() {
+		w.publish()
+	}
+}
+
+// Peers returns the names of the instances that share workers with this one.
+func (w *Workers) Peers() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	cells := w.cells()
+	return route.CellPeers(w.instances, route.CellOf(w.instances, w.self, cells), cells)
+}
+
+// cells returns the number of cells. The lock is held.
+func (w *Workers) cells() int { return route.Cells(len(w.instances), len(w.known)) }
+
+// used returns the workers that this instance uses: those of its cell of each
+// service. The lock is held.
+func (w *Workers) used() map[string]contract.Worker {
+	cells := w.cells()
+	if cells <= 1 {
+		return w.known
+	}
+	byService := map[string][]string{}
+	for id, worker := range w.known {
+		if !worker.Draining {
+			byService[worker.Service] = append(byService[worker.Service], id)
+		}
+	}
+	used := map[string]contract.Worker{}
+	cell := route.CellOf(w.instances, w.self, cells)
+	for _, ids := range byService {
+		members := route.CellUpstreams(ids, cell, cells)
+		if len(members) == 0 {
+			// A service with fewer workers than cells is shared by all.
+			members = ids
+		}
+		for _, id := range members {
+			used[id] = w.known[id]
+		}
+	}
+	return used
+}
+
 // batchPreset leaves all idle capacity to batch work.
 const batchPreset = "ordinary"
 
@@ -138,8 +192,10 @@
 	for name, region := range w.DataCentres {
 		d.DataCentres[name] = contract.DataCentre{Region: region}
 	}
-	for id, worker := range w.known {
+	for _, worker := range w.known {
 		d.Services[worker.Service] = contract.Service{Kind: contract.KindRouted}
+	}
+	for id, worker := range w.used() {
 		d.Upstreams[id] = contract.Upstream{
 			Address:    worker.Address,
 			DataCentre: worker.DataCentre,
--- a/upstream/dispatcher.go
+++ b/upstream/dispatcher.go
@@ -46,6 +46,9 @@
 	// PollInterval is the time between load reports; 0 means
 	// DefaultPollInterval.
 	PollInterval time.Duration
+	// SweepInterval is the time between two assessments of all upstreams; 0 means
+	// DefaultSweepInterval.
+	SweepInterval time.Duration
 	// Policy of the choice among upstreams. Policies other than route.Adaptive
 	// neither eject nor hedge; they are for comparison.
 	Policy route.Policy
@@ -92,6 +95,9 @@
 	if o.PollInterval == 0 {
 		o.PollInterval = DefaultPollInterval
 	}
+	if o.SweepInterval == 0 {
+		o.SweepInterval = DefaultSweepInterval
+	}
 	if o.Logger == nil {
 		o.Logger = zap.NewNop()
 	}
@@ -105,8 +111,8 @@
 	return d, nil
 }
 
-// sweepInterval is the time between two assessments of all upstreams.
-const sweepInterval = 20 * time.Millisecond
+// DefaultSweepInterval finds a stall within a few token times.
+const DefaultSweepInterval = 20 * time.Millisecond
 
 // Run watches the upstreams until ctx ends, and then closes idle connections.
 func (d *Dispatcher) Run(ctx context.Context) error {
@@ -115,7 +121,7 @@
 	wait.Go(func() { repeat(ctx, d.options.PollInterval, d.poll) })
 	wait.Go(func() { repeat(ctx, probePollInterval, d.runProbes) })
 	wait.Go(func() {
-		repeat(ctx, sweepInterval, func(context.Context) {
+		repeat(ctx, d.options.SweepInterval, func(context.Context) {
 			d.current()
 			d.sched.sweep(time.Now())
 		})
