--- /dev/null
+++ b/job/service_test.go
@@ -0,0 +1,444 @@
+package job_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/job"
+	"github.com/daisylb/daisylb/storage/memory"
+)
+
+// fleet is a few services that share a store and run items on a fake upstream.
+type fleet struct {
+	t        *testing.T
+	store    *memory.Rows
+	route    contract.Route
+	services []*member
+
+	mu    sync.Mutex
+	alive map[string]bool
+	runs  map[string]int
+	// from has the events after which runs of an item began.
+	from map[string][]string
+}
+
+type member struct {
+	*job.Service
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+const (
+	itemEvents = 10
+	eventTime  = 500 * time.Millisecond
+)
+
+func newFleet(t *testing.T, n int, change func(*contract.Route)) *fleet {
+	f := &fleet{
+		t: t, store: memory.NewRows(), alive: map[string]bool{}, runs: map[string]int{}, from: map[string][]string{},
+		route: contract.Route{
+			Host: "h", Prefix: "/lot/", Kind: contract.RouteBatch, MaxAttempts: 3,
+			Completion: 18 * time.Second, Keep: time.Minute, Split: []contract.Share{{Service: "s", Weight: 1}},
+		},
+	}
+	if change != nil {
+		change(&f.route)
+	}
+	for i := range n {
+		f.start("p" + strconv.Itoa(i))
+	}
+	return f
+}
+
+func (f *fleet) start(process string) *member {
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &member{cancel: cancel, done: make(chan struct{})}
+	f.mu.Lock()
+	f.alive[process] = true
+	f.mu.Unlock()
+	m.Service = job.New(job.Options{
+		Store: f.store, Process: process, Forwarder: f, Retention: time.Hour, Log: zap.NewNop(),
+		Fleet: func() job.Fleet {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return job.Fleet{Known: true, Alive: copyOf(f.alive)}
+		},
+		Routing:  func() *contract.Routing { return &contract.Routing{Version: 1, Routes: []contract.Route{f.route}} },
+		Decode:   func(raw []byte) ([]job.Item, error) { return items(strings.Fields(string(raw))...), nil },
+		Describe: func(c *contract.Forwarding, it *job.Item) { c.RequestID = it.ID },
+	})
+	go func() { defer close(m.done); _ = m.Run(ctx) }()
+	f.services = append(f.services, m)
+	return m
+}
+
+func copyOf(m map[string]bool) map[string]bool {
+	c := map[string]bool{}
+	for k, v := range m {
+		c[k] = v
+	}
+	return c
+}
+
+// kill ends a member without a hand-over: its process is gone.
+func (f *fleet) kill(i int) {
+	f.mu.Lock()
+	delete(f.alive, "p"+strconv.Itoa(i))
+	f.mu.Unlock()
+	m := f.services[i]
+	m.cancel()
+	<-m.done
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	m.Stop(ended)
+}
+
+func (f *fleet) close() {
+	for i := range f.services {
+		f.kill(i)
+	}
+	f.store.Settle()
+}
+
+func items(ids ...string) []job.Item {
+	var list []job.Item
+	for _, id := range ids {
+		list = append(list, job.Item{ID: id, Path: "/lot/x", Body: []byte("body of " + id), Tokens: 100, Header: http.Header{}})
+	}
+	return list
+}
+
+func (f *fleet) submission(id string, names ...string) job.Submission {
+	route := f.route
+	return job.Submission{ID: id, Route: &route, Host: "h", Items: items(names...), Raw: []byte(strings.Join(names, " "))}
+}
+
+// Forward plays an upstream: an item is a stream of events; an item whose id
+// begins with "poison" or "broken" fails.
+func (f *fleet) Forward(ctx context.Context, c *contract.Forwarding, sink contract.ForwardSink) error {
+	f.mu.Lock()
+	f.runs[c.RequestID]++
+	f.from[c.RequestID] = append(f.from[c.RequestID], c.LastEvent)
+	f.mu.Unlock()
+	switch {
+	case strings.HasPrefix(c.RequestID, "poison"):
+		return sink.Begin(http.StatusUnprocessableEntity, nil)
+	case strings.HasPrefix(c.RequestID, "broken"):
+		return sink.Begin(http.StatusInternalServerError, nil)
+	}
+	if err := sink.Begin(http.StatusOK, nil); err != nil {
+		return err
+	}
+	first, _ := strconv.Atoi(c.LastEvent)
+	for n := first + 1; n <= itemEvents; n++ {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(eventTime):
+		}
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, eventData(c.RequestID, n))
+		if err := sink.Write([]byte(event)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// eventData is long enough for progress to be written.
+func eventData(id string, n int) string {
+	return fmt.Sprintf("%s-%d%s", id, n, strings.Repeat(".", 600))
+}
+
+func textOf(id string) string {
+	var data []string
+	for n := 1; n <= itemEvents; n++ {
+		data = append(data, eventData(id, n))
+	}
+	return strings.Join(data, "\n")
+}
+
+// read reads a job to its end at a member, as a caller does.
+func (f *fleet) read(m *member, id string) []job.Result {
+	f.t.Helper()
+	var all []job.Result
+	for range 400 {
+		total, results, err := m.Results(f.t.Context(), id, len(all), time.Second)
+		if err != nil {
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		all = append(all, results...)
+		if len(all) == total {
+			return all
+		}
+	}
+	f.t.Fatalf("job %s: %d results only", id, len(all))
+	return nil
+}
+
+func wantAll(t *testing.T, results []job.Result, names ...string) {
+	t.Helper()
+	got := map[string]job.Result{}
+	for _, r := range results {
+		if _, ok := got[r.Item]; ok {
+			t.Errorf("item %s is listed twice", r.Item)
+		}
+		got[r.Item] = r
+	}
+	want := map[string]job.Result{}
+	for _, n := range names {
+		want[n] = job.Result{Item: n, Succeeded: true, Text: textOf(n)}
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+}
+
+func TestJobIsReadWholeAtEveryInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, nil)
+		defer f.close()
+		if err := f.services[0].Submit(t.Context(), f.submission("j", "a", "b", "c")); err != nil {
+			t.Fatal(err)
+		}
+		first := f.read(f.services[0], "j")
+		wantAll(t, first, "a", "b", "c")
+		for _, m := range f.services[1:] {
+			if d := cmp.Diff(first, f.read(m, "j")); d != "" {
+				t.Errorf("instances list other results:\n%s", d)
+			}
+		}
+	})
+}
+
+func TestJobSentAgainIsOneJobAlsoAfterLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, delay := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second} {
+			f := newFleet(t, 2, func(r *contract.Route) { r.MaxWaitingTokens = 1000 })
+			f.store.SetFaults(memory.RowFaults{LoseAnswers: 1, Delay: delay})
+			err := f.services[0].Submit(t.Context(), f.submission("j", "a", "b"))
+			if e := code.From(err); err != nil && e.Outcome == code.NotRun {
+				t.Errorf("delay %v: %v says that the job is not kept", delay, err)
+			}
+			if f.store.Counts().Lost != 1 {
+				t.Fatal("no answer was lost")
+			}
+			if err := f.services[1].Submit(t.Context(), f.submission("j", "a", "b")); err != nil {
+				t.Errorf("delay %v: %v", delay, err)
+			}
+			wantAll(t, f.read(f.services[1], "j"), "a", "b")
+			f.close()
+		}
+	})
+}
+
+func TestResultsSurviveLostCommits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, nil)
+		defer f.close()
+		if err := f.services[0].Submit(t.Context(), f.submission("j", "a", "b", "c", "d")); err != nil {
+			t.Fatal(err)
+		}
+		f.store.SetFaults(memory.RowFaults{LoseAnswers: 6, Delay: 700 * time.Millisecond})
+		wantAll(t, f.read(f.services[1], "j"), "a", "b", "c", "d")
+		if f.store.Counts().Lost == 0 {
+			t.Error("no answer was lost")
+		}
+	})
+}
+
+func TestKilledOwnersJobGoesOnWhereItsProgressWasKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, nil)
+		defer f.close()
+		if err := f.services[0].Submit(t.Context(), f.submission("j", "a", "b")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3300 * time.Millisecond)
+		f.kill(0)
+		wantAll(t, f.read(f.services[1], "j"), "a", "b")
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, id := range []string{"a", "b"} {
+			if from := f.from[id]; len(from) != 2 || from[1] == "" {
+				t.Errorf("item %s ran after events %q; the second run must go on", id, from)
+			}
+		}
+	})
+}
+
+func TestPlannedStopHandsTheJobOverWithAllProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, nil)
+		defer f.close()
+		if err := f.services[0].Submit(t.Context(), f.submission("j", "a")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2600 * time.Millisecond)
+		f.services[0].Stop(t.Context())
+		wantAll(t, f.read(f.services[1], "j"), "a")
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if d := cmp.Diff([]string{"", "5"}, f.from["a"]); d != "" {
+			t.Errorf("runs began after other events:\n%s", d)
+		}
+	})
+}
+
+// TestFrozenOwnerCannotListAfterATakeover lets two owners run a job at once, as
+// after a pause of the first: only one of them lists each item.
+func TestFrozenOwnerCannotListAfterATakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, nil)
+		defer f.close()
+		if err := f.services[0].Submit(t.Context(), f.submission("j", "a", "b", "c")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		f.mu.Lock()
+		delete(f.alive, "p0")
+		f.mu.Unlock()
+		wantAll(t, f.read(f.services[1], "j"), "a", "b", "c")
+		f.mu.Lock()
+		runs := f.runs["a"]
+		f.mu.Unlock()
+		if runs != 2 {
+			t.Errorf("item a ran %d times, want 2", runs)
+		}
+	})
+}
+
+func TestEndedJobStopsEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, nil)
+		defer f.close()
+		if err := f.services[0].Submit(t.Context(), f.submission("j", "a", "b")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		for range 2 {
+			if err := f.services[1].End(t.Context(), "j"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Minute)
+		if total, results, err := f.services[1].Results(t.Context(), "j", 0, 0); err != nil || total != 2 || len(results) != 0 {
+			t.Errorf("%d, %v, %v", total, results, err)
+		}
+		if n := f.services[0].Owned(); n != 0 {
+			t.Errorf("%d jobs still run", n)
+		}
+		if err := f.services[0].Submit(t.Context(), f.submission("j", "a", "b")); err != nil {
+			t.Errorf("the job sent again: %v", err)
+		}
+	})
+}
+
+func TestQuotaIsNeverExceededAndFreedTokensCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 4, func(r *contract.Route) { r.MaxWaitingTokens = 450 })
+		defer f.close()
+		var wait sync.WaitGroup
+		var mu sync.Mutex
+		accepted := 0
+		for i := range 8 {
+			wait.Go(func() {
+				err := f.services[i%4].Submit(t.Context(), f.submission("j"+strconv.Itoa(i), "a"+strconv.Itoa(i), "b"+strconv.Itoa(i)))
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case err == nil:
+					accepted++
+				case code.Of(err) != code.QuotaExceeded || code.From(err).Outcome != code.NotRun || code.From(err).RetryAfter == 0:
+					t.Errorf("got %v", err)
+				}
+			})
+		}
+		wait.Wait()
+		if accepted != 2 {
+			t.Errorf("%d jobs of 200 tokens accepted under 450", accepted)
+		}
+		time.Sleep(itemEvents*eventTime + time.Second)
+		if err := f.services[0].Submit(t.Context(), f.submission("later", "x", "y")); err != nil {
+			t.Errorf("after the others were done: %v", err)
+		}
+	})
+}
+
+func TestImpossibleAndFailingItemsAreGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, nil)
+		defer f.close()
+		if err := f.services[0].Submit(t.Context(), f.submission("j", "poison", "broken", "fine")); err != nil {
+			t.Fatal(err)
+		}
+		got := map[string]bool{}
+		for _, r := range f.read(f.services[0], "j") {
+			got[r.Item] = r.Succeeded
+		}
+		if d := cmp.Diff(map[string]bool{"poison": false, "broken": false, "fine": true}, got); d != "" {
+			t.Error(d)
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if d := cmp.Diff(map[string]int{"poison": 1, "broken": 3, "fine": 1}, f.runs); d != "" {
+			t.Errorf("runs:\n%s", d)
+		}
+	})
+}
+
+func TestUnknownJobIsNotFoundOnlyWhenTheStoreSaysSo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, nil)
+		defer f.close()
+		if _, _, err := f.services[0].Results(t.Context(), "none", 0, 0); code.Of(err) != code.JobUnknown {
+			t.Errorf("got %v", err)
+		}
+		f.store.SetFaults(memory.RowFaults{Down: true})
+		_, _, err := f.services[0].Results(t.Context(), "none", 0, 0)
+		if code.Of(err) != code.StoreUnavailable {
+			t.Errorf("got %v", err)
+		}
+		if err := f.services[0].Submit(t.Context(), f.submission("j", "a")); code.From(err).Outcome != code.NotRun {
+			t.Errorf("got %v", err)
+		}
+	})
+}
+
+func TestOutageHoldsResultsAndSettledOnesAreServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, nil)
+		defer f.close()
+		if err := f.services[0].Submit(t.Context(), f.submission("early", "a")); err != nil {
+			t.Fatal(err)
+		}
+		wantAll(t, f.read(f.services[0], "early"), "a")
+		if err := f.services[0].Submit(t.Context(), f.submission("j", "b", "c")); err != nil {
+			t.Fatal(err)
+		}
+		f.store.SetFaults(memory.RowFaults{Down: true})
+		time.Sleep(20 * time.Second)
+		if _, results, err := f.services[0].Results(t.Context(), "early", 0, 0); err != nil || len(results) != 1 {
+			t.Errorf("a settled result in an outage: %v, %v", results, err)
+		}
+		f.store.SetFaults(memory.RowFaults{})
+		wantAll(t, f.read(f.services[0], "j"), "b", "c")
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.runs["b"] != 1 {
+			t.Errorf("item b ran %d times", f.runs["b"])
+		}
+	})
+}
--- a/upstream/faults_test.go
+++ b/upstream/faults_test.go
@@ -130,19 +130,47 @@
 		d.Services["chat"] = contract.Service{Kind: contract.KindModel, Model: "m", Idempotent: true}
 	})
 	b.load(t, contract.Online, 8, 8, 200)
-	var wait sync.WaitGroup
-	for i := range 8 {
-		wait.Go(func() { b.complete(t, call(contract.Online, fmt.Sprintf("holds-%d", i), 400)) })
-	}
-	waitFor(t, "full upstream", func() bool { return b.State().Upstreams[0].Online == 8 })
+	held := b.holdAllSlots(t, "chat")
+	b.expectOccupied(t, "chat", 10*time.Minute)
 	c := call(contract.Online, "late", 5)
-	c.Deadline = time.Now().Add(20 * time.Millisecond)
+	c.Deadline = time.Now().Add(30 * time.Second)
 	err := b.Complete(context.Background(), c, func(contract.Chunk) error { return nil })
 	e := code.From(err)
 	if e.Number != code.DeadlineTooShort || e.Outcome != code.NotRun || e.RetryAfter == 0 || !time.Now().Before(c.Deadline) {
 		t.Errorf("got %v, %s, retry after %v", e, e.Outcome, e.RetryAfter)
 	}
-	wait.Wait()
+	for _, g := range held {
+		b.sched.release(g, time.Now())
+	}
+	b.complete(t, call(contract.Online, "after", 5))
+}
+
+// holdAllSlots takes every slot that a service gives. On a busy machine slow
+// first tokens lower the limit of the upstream, so that the number varies.
+func (b *bench) holdAllSlots(t testing.TB, service string) []*slot {
+	t.Helper()
+	p := b.current().pools[service]
+	var held []*slot
+	for g := b.sched.tryAcquire(t.Context(), request{pool: p}); g != nil; g = b.sched.tryAcquire(t.Context(), request{pool: p}) {
+		held = append(held, g)
+	}
+	if len(held) == 0 || len(held) > 8 {
+		t.Fatalf("%d slots held of 8", len(held))
+	}
+	return held
+}
+
+// expectOccupied makes requests of a service hold their slots for a time, after
+// it has been learned from real ones.
+func (b *bench) expectOccupied(t testing.TB, service string, d time.Duration) {
+	t.Helper()
+	b.sched.mu.Lock()
+	defer b.sched.mu.Unlock()
+	h := b.current().pools[service].history
+	if h.occupied.Value <= 0 {
+		t.Fatal("the time on a slot was not learned from the requests")
+	}
+	h.occupied.Value = d
 }
 
 func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
