Answer at the deadline with the deadline's own number

Cause: an upstream's silence and the deadline ended an attempt in the same moment; a request that may run once was then answered 502 outcome_unknown in place of 504. Ruled out: the route's timeout (the same with any deadline).

--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,153 @@
+package feed_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/daisylb/daisylb/feed"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
+)
+
+// follow keeps the rows of a table as a follower tells them.
+type follow struct {
+	rows     map[string]string
+	versions map[string]uint64
+	regained int
+	back     bool
+}
+
+func (f *follow) update(u feed.Update) {
+	if u.Regained {
+		f.regained++
+	}
+	for _, r := range u.Rows {
+		if r.Removed {
+			delete(f.rows, r.Key)
+			continue
+		}
+		f.back = f.back || r.Version <= f.versions[r.Key]
+		f.versions[r.Key] = r.Version
+		f.rows[r.Key] = string(r.Value)
+	}
+}
+
+func start(t *testing.T, store storage.Rows) (*follow, *feed.Follower) {
+	t.Helper()
+	seen := &follow{rows: map[string]string{}, versions: map[string]uint64{}}
+	f := feed.New(feed.Options{Rows: store, Table: "t", Update: seen.update})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return seen, f
+}
+
+func put(t *testing.T, store storage.Rows, key, value string) {
+	t.Helper()
+	row := storage.TableRow{RowKey: storage.RowKey{Table: "t", Key: key}, Value: []byte(value)}
+	if _, err := store.ApplyRows(context.Background(), storage.RowTransaction{Puts: []storage.TableRow{row}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestChangesAreSeenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.NewRows()
+		put(t, store, "a", "1")
+		seen, _ := start(t, store)
+		synctest.Wait()
+		put(t, store, "b", "2")
+		put(t, store, "a", "3")
+		synctest.Wait()
+		if d := cmp.Diff(map[string]string{"a": "3", "b": "2"}, seen.rows); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+func TestDroppedHistoryIsBridgedByReadingAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.NewRows()
+		put(t, store, "a", "1")
+		put(t, store, "b", "1")
+		seen, _ := start(t, store)
+		synctest.Wait()
+		store.SetFaults(memory.RowFaults{Silent: true})
+		put(t, store, "a", "2")
+		remove := storage.RowTransaction{Removes: []storage.RowKey{{Table: "t", Key: "b"}}}
+		if _, err := store.ApplyRows(context.Background(), remove); err != nil {
+			t.Fatal(err)
+		}
+		store.DropHistory()
+		store.SetFaults(memory.RowFaults{})
+		time.Sleep(feed.DefaultWait + time.Second)
+		if d := cmp.Diff(map[string]string{"a": "2"}, seen.rows); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+func TestOutageIsToldOnceAndNothingIsForgottenInIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.NewRows()
+		put(t, store, "a", "1")
+		seen, f := start(t, store)
+		synctest.Wait()
+		store.SetFaults(memory.RowFaults{Down: true})
+		time.Sleep(10 * time.Second)
+		if age, ok := f.Age(); !ok || age < 9*time.Second {
+			t.Errorf("the age of what is known is %v", age)
+		}
+		if len(seen.rows) != 1 {
+			t.Error("rows were forgotten in the outage")
+		}
+		store.SetFaults(memory.RowFaults{})
+		put(t, store, "a", "2")
+		time.Sleep(time.Second)
+		if seen.rows["a"] != "2" || seen.regained != 1 {
+			t.Errorf("rows %v, regained %d times", seen.rows, seen.regained)
+		}
+	})
+}
+
+// staleReads answers reads from the past for a while.
+type staleReads struct {
+	storage.Rows
+	old   storage.RowPage
+	stale bool
+}
+
+func (s *staleReads) GetRows(ctx context.Context, table, part, from, to string) (storage.RowPage, error) {
+	if s.stale {
+		return s.old, nil
+	}
+	return s.Rows.GetRows(ctx, table, part, from, to)
+}
+
+func TestStaleReadNeverBringsAnOlderVersionBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.NewRows()
+		put(t, store, "a", "1")
+		reads := &staleReads{Rows: store}
+		reads.old, _ = store.GetRows(context.Background(), "t", "", "", "")
+		seen, _ := start(t, reads)
+		synctest.Wait()
+		put(t, store, "a", "2")
+		synctest.Wait()
+		reads.stale = true
+		put(t, store, "b", "1")
+		store.DropHistory()
+		store.SetFaults(memory.RowFaults{})
+		time.Sleep(3 * time.Second)
+		reads.stale = false
+		time.Sleep(3 * time.Second)
+		if d := cmp.Diff(map[string]string{"a": "2", "b": "1"}, seen.rows); d != "" || seen.back {
+			t.Errorf("went back: %v\n%s", seen.back, d)
+		}
+	})
+}
--- /dev/null
+++ b/route/cell_test.go
@@ -0,0 +1,139 @@
+package route
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func names(prefix string, n int) []string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = fmt.Sprintf("%s%d", prefix, i)
+	}
+	return list
+}
+
+func TestCellsCoverAllNamesOnceAndAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := names("n", rapid.IntRange(1, 120).Draw(t, "names"))
+		cells := 1 << rapid.IntRange(0, 4).Draw(t, "cells")
+		seen := map[string]int{}
+		for cell := range cells {
+			for _, name := range CellMembers(list, cell, cells) {
+				seen[name]++
+				if got := CellOf(list, name, cells); got != cell {
+					t.Fatalf("%s is in cell %d and says %d", name, cell, got)
+				}
+			}
+		}
+		for _, name := range list {
+			if seen[name] != 1 {
+				t.Fatalf("%s is in %d cells", name, seen[name])
+			}
+		}
+	})
+}
+
+func TestPeersAreThoseThatShareAnUpstream(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		instances := names("i", rapid.IntRange(2, 100).Draw(t, "instances"))
+		upstreams := names("u", rapid.IntRange(2, 100).Draw(t, "upstreams"))
+		cells := Cells(len(instances), len(upstreams))
+		a, b := rapid.SampledFrom(instances).Draw(t, "a"), rapid.SampledFrom(instances).Draw(t, "b")
+		cellA, cellB := CellOf(instances, a, cells), CellOf(instances, b, cells)
+		usedA := CellUpstreams(upstreams, cellA, cells)
+		share := slices.ContainsFunc(CellUpstreams(upstreams, cellB, cells), func(u string) bool { return slices.Contains(usedA, u) })
+		if tells := slices.Contains(CellPeers(instances, cellA, cells), b); tells != share {
+			t.Fatalf("%s tells %s: %v; they share an upstream: %v", a, b, tells, share)
+		}
+	})
+}
+
+func TestLossOfOneInstanceMovesFew(t *testing.T) {
+	list := names("i", 81)
+	cells := Cells(81, 60)
+	if cells < 4 {
+		t.Fatalf("81 instances in %d cells", cells)
+	}
+	fewer := slices.Delete(slices.Clone(list), 40, 41)
+	moved := 0
+	for _, name := range fewer {
+		if CellOf(list, name, cells) != CellOf(fewer, name, Cells(80, 60)) {
+			moved++
+		}
+	}
+	if moved > cells {
+		t.Errorf("%d of 80 instances moved to another cell", moved)
+	}
+}
+
+func TestThoseWhoKnowTheSameYieldExactlyWhatIsOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		batch := rapid.SliceOfN(rapid.IntRange(0, 5), 1, 8).Draw(t, "batch by instance")
+		over := rapid.IntRange(0, 20).Draw(t, "over")
+		upstream := rapid.Uint64().Draw(t, "upstream")
+		holders, total := make([]Holder, len(batch)), 0
+		for i, n := range batch {
+			holders[i] = Holder{Key: uint64(i)*7919 + 1, Batch: n}
+			total += n
+		}
+		yielded := 0
+		for i, self := range holders {
+			others := slices.Delete(slices.Clone(holders), i, i+1)
+			yielded += YieldShare(upstream, self, others, over)
+		}
+		if yielded != min(over, total) {
+			t.Fatalf("%d of %d yielded, %d over", yielded, total, over)
+		}
+	})
+}
+
+func TestOneInstanceTakesAFreeSlotFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 10).Draw(t, "instances")
+		upstream := rapid.Uint64().Draw(t, "upstream")
+		first := 0
+		for i := range n {
+			var others []uint64
+			for j := range n {
+				if j != i {
+					others = append(others, uint64(j)*104729+3)
+				}
+			}
+			if BatchWait(upstream, uint64(i)*104729+3, others, 1) == 0 {
+				first++
+			}
+		}
+		if first != 1 {
+			t.Fatalf("%d of %d instances take the slot at once", first, n)
+		}
+	})
+}
+
+func TestBatchOrderIsStrictAndLateWorkComesLast(t *testing.T) {
+	now := time.Unix(1000, 0)
+	work := rapid.Custom(func(t *rapid.T) BatchWork {
+		w := BatchWork{Left: time.Duration(rapid.IntRange(0, 20).Draw(t, "left s")) * time.Second}
+		if rapid.Bool().Draw(t, "due") {
+			w.Due = now.Add(time.Duration(rapid.IntRange(-20, 60).Draw(t, "due s")) * time.Second)
+		}
+		return w
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := work.Draw(t, "a"), work.Draw(t, "b"), work.Draw(t, "c")
+		if a.Before(b, now) && b.Before(a, now) {
+			t.Fatal("both come first")
+		}
+		if a.Before(b, now) && b.Before(c, now) && !a.Before(c, now) {
+			t.Fatal("the order is not transitive")
+		}
+		late := func(w BatchWork) bool { return !w.Due.IsZero() && now.Add(w.Left).After(w.Due) }
+		if late(a) && b.laxity(now) >= 0 && (a.Before(b, now) || b.YieldsBefore(a, now)) {
+			t.Fatal("late work goes before work that can be in time")
+		}
+	})
+}
--- /dev/null
+++ b/routing/routing_test.go
@@ -0,0 +1,155 @@
+package routing_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/feed"
+	"github.com/daisylb/daisylb/routing"
+	"github.com/daisylb/daisylb/storage"
+)
+
+func row(key, value string, version uint64) storage.TableRow {
+	return storage.TableRow{RowKey: storage.RowKey{Key: key}, Value: []byte(value), Version: version, Removed: value == ""}
+}
+
+func decodeRouting(data []byte) (*contract.Routing, error) {
+	var d contract.Routing
+	if err := json.Unmarshal(data, &d); err != nil {
+		return nil, code.Wrap(code.InvalidField, err, "bad document")
+	}
+	return &d, nil
+}
+
+func TestDocumentNeverGoesBack(t *testing.T) {
+	d := &routing.Document{Key: "c", Decode: decodeRouting, Log: zap.NewNop()}
+	var inForce []uint64
+	for i, value := range []string{`{"Version":2}`, `{"Version":7}`, `{"Version":5}`, `no document`, ``, `{"Version":9}`} {
+		d.Update(feed.Update{Rows: []storage.TableRow{row("c", value, uint64(i+1)), row("other", `{"Version":100}`, uint64(i+1))}})
+		inForce = append(inForce, d.Current().Version)
+	}
+	if diff := cmp.Diff([]uint64{2, 7, 7, 7, 7, 9}, inForce); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func decodeWorker(id string, data []byte) (contract.Worker, error) {
+	w := contract.Worker{ID: id, Service: "s", Address: "10.0.0.1:1", Slots: 8}
+	switch string(data) {
+	case "ready":
+	case "draining":
+		w.Draining = true
+	case "again":
+		w.Started = 2
+	default:
+		return w, code.New(code.InvalidField, "bad entry")
+	}
+	return w, nil
+}
+
+func newWorkers() *routing.Workers {
+	return &routing.Workers{Decode: decodeWorker, Log: zap.NewNop()}
+}
+
+// usable returns the workers that get new work.
+func usable(w *routing.Workers) []string {
+	var ids []string
+	for id, u := range w.Current().Upstreams {
+		if !u.Leaving {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func TestEntriesThatNameNobodyAreLeftOut(t *testing.T) {
+	w := newWorkers()
+	w.Update(feed.Update{Rows: []storage.TableRow{row("a", "ready", 1), row("b", "?", 1), row("c", "draining", 1), row("d", "ready", 1)}})
+	w.Update(feed.Update{Rows: []storage.TableRow{row("d", "?", 2)}})
+	if d := cmp.Diff([]string{"a"}, usable(w)); d != "" {
+		t.Error(d)
+	}
+}
+
+func TestRemovedWorkerGetsNothingAtOnce(t *testing.T) {
+	w := newWorkers()
+	w.Update(feed.Update{Rows: []storage.TableRow{row("a", "ready", 1), row("b", "ready", 1)}})
+	w.Update(feed.Update{Rows: []storage.TableRow{row("a", "", 2)}})
+	if d := cmp.Diff([]string{"b"}, usable(w)); d != "" {
+		t.Error(d)
+	}
+}
+
+func TestEntriesThatLapsedInAnOutageHaveTheirGrace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorkers()
+		w.Update(feed.Update{Rows: []storage.TableRow{row("back", "ready", 1), row("gone", "ready", 1), row("draining", "draining", 1)}})
+		w.Update(feed.Update{Regained: true, Complete: true, Rows: []storage.TableRow{row("back", "", 2), row("gone", "", 2), row("draining", "", 2)}})
+		time.Sleep(routing.ReturnGrace - time.Millisecond)
+		if d := cmp.Diff([]string{"back", "gone"}, usable(w)); d != "" {
+			t.Errorf("within the grace:\n%s", d)
+		}
+		w.Update(feed.Update{Rows: []storage.TableRow{row("back", "ready", 3)}})
+		time.Sleep(2 * time.Millisecond)
+		synctest.Wait()
+		if d := cmp.Diff([]string{"back"}, usable(w)); d != "" {
+			t.Errorf("after the grace:\n%s", d)
+		}
+	})
+}
+
+func TestWorkerThatStartsAgainUnderItsIDIsAnother(t *testing.T) {
+	w := newWorkers()
+	w.Update(feed.Update{Rows: []storage.TableRow{row("a", "ready", 1)}})
+	before := w.Current().Upstreams["a"]
+	w.Update(feed.Update{Rows: []storage.TableRow{row("a", "again", 2)}})
+	if after := w.Current().Upstreams["a"]; after.Started == before.Started {
+		t.Error("the new start is not told apart")
+	}
+}
+
+func TestLargeFleetUsesAllWorkersAndEachInstanceFew(t *testing.T) {
+	const instances, workers = 81, 60
+	var names []string
+	for i := range instances {
+		names = append(names, fmt.Sprintf("i%d", i))
+	}
+	var rows []storage.TableRow
+	for i := range workers {
+		rows = append(rows, row(fmt.Sprintf("w%d", i), "ready", 1))
+	}
+	users := map[string]int{}
+	for _, self := range names {
+		w := newWorkers()
+		w.Update(feed.Update{Rows: rows})
+		w.SetInstances(self, names)
+		ids := usable(w)
+		if len(ids) > workers/3 || len(ids) < 8 {
+			t.Errorf("%s uses %d workers", self, len(ids))
+		}
+		if n := len(w.Peers()); n > instances/2 {
+			t.Errorf("%s tells %d peers", self, n)
+		}
+		for _, id := range ids {
+			users[id]++
+		}
+	}
+	for id, n := range users {
+		if n < 10 || n > 40 {
+			t.Errorf("worker %s is used by %d instances", id, n)
+		}
+	}
+	if len(users) != workers {
+		t.Errorf("%d of %d workers are used", len(users), workers)
+	}
+}
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -403,7 +403,8 @@
 // forwardPatience returns how long an upstream may be silent. A request that
 // cannot go on elsewhere waits for as long as its caller does.
 func (d *Dispatcher) forwardPatience(given *slot, f *forwarding) (first, next time.Duration) {
-	rest := max(time.Until(f.call.Deadline), 0)
+	// The deadline ends the attempt before this does.
+	rest := max(time.Until(f.call.Deadline), 0) + time.Second
 	if !f.call.Repeatable || len(f.pool.targets) < 2 {
 		return rest, rest
 	}
