Test the callers' handler, the roster and the log sink

Ruled out: none. Change: tests that a cut answer never looks whole, that no header is added, that refusals are numbered; that an outage takes nobody off the list; that an output which nobody reads holds nobody up and stays bounded.

--- /dev/null
+++ b/entry/handler_test.go
@@ -0,0 +1,183 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/entry"
+	"github.com/daisylb/daisylb/job"
+)
+
+// upstream answers as a test says and keeps the last request.
+type upstream struct {
+	call  *contract.Forwarding
+	serve func(ctx context.Context, s contract.ForwardSink) error
+}
+
+func (u *upstream) Forward(ctx context.Context, f *contract.Forwarding, s contract.ForwardSink) error {
+	u.call = f
+	return u.serve(ctx, s)
+}
+
+// jobs is a job service of one job.
+type jobs struct{ submitted *job.Submission }
+
+func (j *jobs) Submit(_ context.Context, s job.Submission) error { j.submitted = &s; return nil }
+func (j *jobs) Results(context.Context, string, int, time.Duration) (int, []job.Result, error) {
+	return 2, []job.Result{{Item: "a", Succeeded: true, Text: "x\ny"}}, nil
+}
+func (j *jobs) Body(context.Context, string, string) ([]byte, error) { return []byte{0, 255}, nil }
+func (j *jobs) End(context.Context, string) error {
+	return code.New(code.JobUnknown, "no such job")
+}
+
+var document = &contract.Routing{
+	Version: 1,
+	Routes: []contract.Route{
+		{Name: "once", Host: "h", Prefix: "/once/", Kind: contract.RouteStream, Timeout: 5 * time.Second, Objective: 300 * time.Millisecond, MaxAttempts: 1, Split: []contract.Share{{Service: "s", Weight: 1}}},
+		{Name: "batch", Host: "h", Prefix: "/lot/", Kind: contract.RouteBatch, Split: []contract.Share{{Service: "s", Weight: 1}}},
+	},
+	Limits: contract.RequestLimits{MaxBodyBytes: 100},
+}
+
+type system struct {
+	*httptest.Server
+	upstream *upstream
+	jobs     *jobs
+}
+
+func newSystem(t *testing.T, routing *contract.Routing, serve func(context.Context, contract.ForwardSink) error) *system {
+	s := &system{upstream: &upstream{serve: serve}, jobs: &jobs{}}
+	s.Server = httptest.NewServer(entry.NewHandler(entry.Options{
+		Routing: func() *contract.Routing { return routing }, Forwarder: s.upstream, Jobs: s.jobs, Log: zap.NewNop(),
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func (s *system) do(t *testing.T, method, path, body string, header ...string) (*http.Response, string, error) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), method, s.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	for i := 0; i+1 < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	response, err := s.Client().Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), err
+}
+
+func answers(status int, header http.Header, parts ...string) func(context.Context, contract.ForwardSink) error {
+	return func(_ context.Context, s contract.ForwardSink) error {
+		if err := s.Begin(status, header); err != nil {
+			return err
+		}
+		for _, p := range parts {
+			if err := s.Write([]byte(p)); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+func TestAnswerPassesWithoutAddedHeaders(t *testing.T) {
+	s := newSystem(t, document, answers(500, http.Header{"X-Server-Stamp": {"sig"}}, "whole"))
+	response, body, err := s.do(t, http.MethodPost, "/once/x?y=%2F", "q", "X-Request-Id", "r", "X-Deadline-Ms", "4000")
+	if err != nil || response.StatusCode != 500 || body != "whole" || response.Header.Get("X-Server-Stamp") != "sig" {
+		t.Fatalf("%v, %+v, %q", err, response, body)
+	}
+	for _, added := range []string{"Date", "Content-Type"} {
+		if v := response.Header.Get(added); v != "" {
+			t.Errorf("%s %q was added", added, v)
+		}
+	}
+	f := s.upstream.call
+	left := time.Until(f.Deadline)
+	if f.Target != "/once/x?y=%2F" || string(f.Body) != "q" || f.RequestID != "r" || f.Repeatable || left > 4*time.Second {
+		t.Errorf("%+v, %v left", f, left)
+	}
+}
+
+func TestCutAnswerNeverLooksWhole(t *testing.T) {
+	s := newSystem(t, document, func(ctx context.Context, sink contract.ForwardSink) error {
+		_ = answers(200, http.Header{"Content-Type": {"text/event-stream"}}, "id: 1\ndata: x\n\n")(ctx, sink)
+		return code.New(code.StreamBroken, "broke")
+	})
+	if _, body, err := s.do(t, http.MethodPost, "/once/x", ""); err == nil {
+		t.Errorf("a cut answer was taken as whole: %q", body)
+	}
+}
+
+func TestRefusalsBeforeForwarding(t *testing.T) {
+	never := func(context.Context, contract.ForwardSink) error { return errors.New("forwarded") }
+	for name, c := range map[string]struct {
+		routing *contract.Routing
+		path    string
+		body    string
+		want    int
+	}{
+		"no document":    {nil, "/once/x", "", 503},
+		"no route":       {document, "/none/x", "", 404},
+		"body too large": {document, "/once/x", strings.Repeat("x", 101), 413},
+		"job unreadable": {document, "/lot/x", "{", 400},
+	} {
+		s := newSystem(t, c.routing, never)
+		response, _, err := s.do(t, http.MethodPost, c.path, c.body, "X-Request-Id", "r")
+		if err != nil || response.StatusCode != c.want || s.upstream.call != nil {
+			t.Errorf("%s: %v, %+v", name, err, response)
+		}
+	}
+}
+
+func TestCallerIsAskedBackOnlyWithItsWholeTime(t *testing.T) {
+	s := newSystem(t, document, answers(200, nil))
+	for ms, want := range map[string]bool{"5000": true, "3000": false} {
+		if _, _, err := s.do(t, http.MethodPost, "/once/x", "", "X-Deadline-Ms", ms); err != nil {
+			t.Fatal(err)
+		}
+		if s.upstream.call.MayReturn != want {
+			t.Errorf("with %s ms left: %v", ms, s.upstream.call.MayReturn)
+		}
+	}
+}
+
+func TestJobCalls(t *testing.T) {
+	s := newSystem(t, document, nil)
+	submission := `{"requests":[{"id":"a","path":"/lot/x","tokens":9}]}`
+	response, _, err := s.do(t, http.MethodPost, "/lot/x", submission, "X-Request-Id", "j")
+	if err != nil || response.StatusCode != 202 || s.jobs.submitted.ID != "j" || string(s.jobs.submitted.Raw) != submission {
+		t.Errorf("%v, %+v, %+v", err, response, s.jobs.submitted)
+	}
+	response, body, err := s.do(t, http.MethodGet, "/api/lots/j?after=1", "")
+	want := `{"total":2,"next":2,"results":[{"id":"a","state":"succeeded","text":"x\ny"}]}` + "\n"
+	if err != nil || response.StatusCode != 200 || body != want {
+		t.Errorf("%v, %+v, %s", err, response, body)
+	}
+	if response, body, err = s.do(t, http.MethodGet, "/api/items/j?id=a", ""); err != nil || response.StatusCode != 200 || body != "\x00\xff" {
+		t.Errorf("%v, %+v, %q", err, response, body)
+	}
+	if response, _, err = s.do(t, http.MethodDelete, "/api/lots/j", ""); err != nil || response.StatusCode != 404 {
+		t.Errorf("%v, %+v", err, response)
+	}
+	if response, _, err = s.do(t, http.MethodGet, "/api/lots/j?after=x", ""); err != nil || response.StatusCode != 400 {
+		t.Errorf("%v, %+v", err, response)
+	}
+}
--- /dev/null
+++ b/logging/sink_test.go
@@ -0,0 +1,58 @@
+package logging_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/logging"
+)
+
+// stuck is an output that nobody reads until it is opened.
+type stuck struct {
+	open chan struct{}
+	mu   sync.Mutex
+	got  bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.open
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.got.Write(p)
+}
+
+func TestOutputThatNobodyReadsHoldsNobodyUpAndStaysBounded(t *testing.T) {
+	out := &stuck{open: make(chan struct{})}
+	log, sink := logging.New(out, zap.InfoLevel)
+	text := strings.Repeat("x", 1000)
+	const lines = 5000
+	for range lines {
+		log.Info("line", zap.String("text", text))
+	}
+	if sink.Dropped() < lines*8/10 {
+		t.Errorf("%d of %d lines dropped; more were kept than the bound allows", sink.Dropped(), lines)
+	}
+	close(out.open)
+	sink.Close()
+	<-sink.Done()
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	whole := 0
+	told := false
+	for line := range strings.Lines(out.got.String()) {
+		var fields map[string]any
+		if err := json.Unmarshal([]byte(line), &fields); err != nil {
+			t.Fatalf("a line was cut: %.80q", line)
+		}
+		whole++
+		told = told || fields["msg"] == "log lines dropped"
+	}
+	if !told || uint64(whole-1)+sink.Dropped() < lines {
+		t.Errorf("%d lines written, %d dropped, told: %v", whole, sink.Dropped(), told)
+	}
+}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,90 @@
+package roster_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/roster"
+	"github.com/daisylb/daisylb/storage/memory"
+)
+
+type running struct {
+	*roster.Roster
+	stop func()
+}
+
+func start(store *memory.Rows, name string) *running {
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{Roster: roster.New(roster.Options{Rows: store, Log: zap.NewNop(), Self: roster.Member{
+		Name: name, ID: name + "/1", Callers: "10.0.0.1:1", Peers: "10.0.0.1:2",
+	}})}
+	done := make(chan struct{})
+	go func() { defer close(done); _ = r.Run(ctx) }()
+	r.stop = func() { cancel(); <-done }
+	return r
+}
+
+func TestMembersComeAndGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.NewRows()
+		var all []*running
+		for i := range 4 {
+			all = append(all, start(store, fmt.Sprint("i", i)))
+		}
+		time.Sleep(5 * time.Second)
+		for _, r := range all {
+			if v := r.View(); len(v.Alive) != 4 || len(v.Peers) != 3 || !r.Followed() {
+				t.Errorf("%d alive, %d peers", len(v.Alive), len(v.Peers))
+			}
+		}
+		all[3].stop()
+		time.Sleep(5 * time.Second)
+		if v := all[0].View(); len(v.Alive) != 3 || v.Processes["i3/1"] {
+			t.Errorf("%d alive after one was lost", len(v.Alive))
+		}
+		all[2].Announce(func(m *roster.Member) { m.Leaving = true })
+		time.Sleep(time.Second)
+		leaving := false
+		for _, m := range all[0].View().Alive {
+			leaving = leaving || m.Name == "i2" && m.Leaving
+		}
+		if !leaving {
+			t.Error("a member that leaves is not known to leave after a second")
+		}
+		for _, r := range all[:3] {
+			r.stop()
+		}
+	})
+}
+
+func TestOutageOfTheStoreTakesNobodyOffTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.NewRows()
+		a, b := start(store, "a"), start(store, "b")
+		time.Sleep(5 * time.Second)
+		store.SetFaults(memory.RowFaults{Down: true})
+		for range 200 {
+			time.Sleep(100 * time.Millisecond)
+			if len(a.View().Alive) != 2 {
+				t.Fatal("a member was taken off in the outage")
+			}
+		}
+		if a.Followed() {
+			t.Error("the list counts as up to date in the outage")
+		}
+		store.SetFaults(memory.RowFaults{})
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			if len(a.View().Alive) != 2 {
+				t.Fatal("a member was taken off when the store came back")
+			}
+		}
+		a.stop()
+		b.stop()
+	})
+}
