Log each request, show beliefs as metrics, explain an id

Cause: what an instance decided about a request could not be found afterwards. Ruled out: debug lines only for failures (a late success has a cause too). Change: a line at the end of each request with the upstream, its load as known, the age of its report, the time queued and to the first event, yields and failures; gauges of beliefs with their ages, counters and histograms of forwarding on port 9464; daisylb explain ID puts the lines of many instances in order.

--- a/cmd/daisylb/main.go
+++ b/cmd/daisylb/main.go
@@ -25,6 +25,7 @@
 	commander.Register(&loadCommand{}, "trying out")
 	register(commander, "operators", configCommands())
 	register(commander, "operators", viewCommands())
+	commander.Register(&explainCommand{}, "operators")
 	register(commander, "callers", callerCommands())
 	register(commander, "callers", jobCommands())
 	commander.ImportantFlag("operator")
--- a/cmd/daisylbd/hosted.go
+++ b/cmd/daisylbd/hosted.go
@@ -36,7 +36,7 @@
 	}()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	i, err := hosted.New(hosted.Options{Settings: settings, Log: log})
+	i, err := hosted.New(hosted.Options{Settings: settings, Log: log, DroppedLines: sink.Dropped})
 	if err == nil {
 		reload(log, path)
 		err = i.Run(ctx)
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -6,12 +6,14 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -47,6 +49,7 @@
 	callers   *http.Server
 	directory *http.Server
 	readiness *http.Server
+	metrics   *http.Server
 
 	mu      sync.Mutex
 	leaving bool
@@ -71,6 +74,7 @@
 			return nil, err
 		}
 	}
+	i.registerBeliefs(o.DroppedLines)
 	i.buildServers()
 	return i, nil
 }
@@ -166,6 +170,7 @@
 	i.callers = newServer(handler)
 	i.directory = newServer(http.HandlerFunc(i.serveDirectory))
 	i.readiness = newServer(http.HandlerFunc(i.serveReadiness))
+	i.metrics = newServer(promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{}))
 }
 
 func newServer(h http.Handler) *http.Server {
@@ -227,7 +232,8 @@
 
 // Run serves until ctx ends, then carries out a planned stop.
 func (i *Instance) Run(ctx context.Context) error {
-	i.log.Info("starting", zap.String("data_centre", i.settings.DataCentre))
+	i.log.Info("starting", zap.String("data_centre", i.settings.DataCentre), zap.String("callers", i.settings.Callers),
+		zap.Int("first_port", i.settings.FirstPort), zap.Int("last_port", i.settings.LastPort), zap.Int64("memory_bytes", i.settings.Memory))
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, work := errgroup.WithContext(work)
@@ -237,7 +243,13 @@
 	for _, run := range []func(context.Context) error{i.dispatcher.Run, i.broadcast.Run, i.roster.Run, i.jobs.Run, i.announceReady} {
 		group.Go(func() error { return run(work) })
 	}
-	for server, address := range map[*http.Server]string{i.callers: i.settings.Callers, i.directory: i.settings.Directory, i.readiness: i.settings.Readiness} {
+	servers := map[*http.Server]string{
+		i.callers:   i.settings.Callers,
+		i.directory: i.settings.Directory,
+		i.readiness: i.settings.Readiness,
+		i.metrics:   net.JoinHostPort(i.settings.IP, strconv.Itoa(metricsPort)),
+	}
+	for server, address := range servers {
 		listener, err := net.Listen("tcp4", address)
 		if err != nil {
 			return err
@@ -311,4 +323,5 @@
 	}
 	_ = i.directory.Close()
 	_ = i.readiness.Close()
+	_ = i.metrics.Close()
 }
--- /dev/null
+++ b/hosted/metrics.go
@@ -0,0 +1,51 @@
+package hosted
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/daisylb/daisylb/feed"
+)
+
+// registerBeliefs shows what this instance believes, and how old that is.
+func (i *Instance) registerBeliefs(dropped func() uint64) {
+	gauge := func(name, help string, value func() float64) {
+		i.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "daisylb_instance_" + name, Help: help}, value))
+	}
+	gauge("document_version", "Version of the operator's document in force; 0 before there is one.", func() float64 {
+		if d := i.document.Current(); d != nil {
+			return float64(d.Version)
+		}
+		return 0
+	})
+	gauge("document_age_seconds", "Time since the store last confirmed the document; -1 before it did.", ageOf(i.feeds[0]))
+	gauge("workers_age_seconds", "Time since the store last confirmed the workers' entries; -1 before it did.", ageOf(i.feeds[1]))
+	gauge("workers_used", "Upstreams that this instance uses.", func() float64 {
+		if d := i.workers.Current(); d != nil {
+			return float64(len(d.Upstreams))
+		}
+		return 0
+	})
+	gauge("instances_alive", "Instances that count as alive, this one included.", func() float64 {
+		return float64(len(i.roster.View().Alive))
+	})
+	gauge("peers", "Instances that are told of this one's load.", func() float64 { return float64(len(*i.peers.Load())) })
+	gauge("jobs_owned", "Jobs whose items this instance runs.", func() float64 { return float64(i.jobs.Owned()) })
+	gauge("requests_in_flight", "Calls to upstreams that have not ended, waiting ones included.", func() float64 {
+		return float64(i.dispatcher.InFlight())
+	})
+	if dropped != nil {
+		i.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "daisylb_log_lines_dropped_total", Help: "Log lines that did not fit into the buffer.",
+		}, func() float64 { return float64(dropped()) }))
+	}
+}
+
+func ageOf(f *feed.Follower) func() float64 {
+	return func() float64 {
+		age, ok := f.Age()
+		if !ok {
+			return -1
+		}
+		return age.Seconds()
+	}
+}
--- a/hosted/options.go
+++ b/hosted/options.go
@@ -17,6 +17,8 @@
 	Settings platform.Settings
 	// Log may be nil.
 	Log *zap.Logger
+	// DroppedLines counts the log lines that were dropped; it may be nil.
+	DroppedLines func() uint64
 }
 
 const (
@@ -30,6 +32,8 @@
 	lateCallers = endpointLinger*endpointTTL + 500*time.Millisecond
 	// exitReserve is kept of the grace to hand over and exit.
 	exitReserve = 900 * time.Millisecond
+	// metricsPort is where deploy/system.toml says that metrics are.
+	metricsPort = 9464
 	// maxEndpoints bounds an endpoint answer.
 	maxEndpoints = 64
 
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -36,8 +36,16 @@
 	events int
 	// held is the time for which earlier attempts held slots.
 	held time.Duration
-	// placed is the upstream of the present attempt.
+	// placed is the upstream of the present attempt, with what was known of it
+	// when it was chosen.
 	placed string
+	load   placement
+	// arrived is when the call began; queued and first are how long after it the
+	// last slot was given and the first event came.
+	arrived time.Time
+	queued  time.Duration
+	first   time.Duration
+	yields  int
 }
 
 // Bounds of the attempts that reach an upstream without running there.
@@ -66,7 +74,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	f := &forwarding{call: call, pool: p, sink: sink, last: call.LastEvent, request: request{
+	f := &forwarding{call: call, pool: p, sink: sink, last: call.LastEvent, arrived: time.Now(), request: request{
 		pool:     p,
 		class:    call.Class,
 		firm:     !call.Repeatable,
@@ -94,7 +102,7 @@
 		if err != nil {
 			return f.ended(err)
 		}
-		f.placed = given.target.id
+		f.placed, f.load, f.queued = given.target.id, given.load, given.started.Sub(f.arrived)
 		fail := d.forwardOnce(given, f)
 		d.conclude(given, fail)
 		f.held += time.Since(given.started)
@@ -113,6 +121,7 @@
 			return fail.err
 		}
 		if fail.preempted {
+			f.yields++
 			continue
 		}
 		if !f.mayRepeat(fail) {
@@ -340,6 +349,9 @@
 		now := time.Now()
 		if a.slot.first.Load() == 0 {
 			d.sched.observeFirst(a.slot, now)
+			if a.forwarding.first == 0 {
+				a.forwarding.first = now.Sub(a.arrived)
+			}
 		}
 		a.slot.token(now)
 		a.timer.Reset(a.next)
@@ -422,20 +434,55 @@
 	}
 }
 
+// placement is what was known of an upstream when it was chosen.
+type placement struct {
+	// online and batch count the requests of all instances there, slots what it
+	// runs at once.
+	online int
+	batch  int
+	slots  int
+	// reportAge is the age of the upstream's own figures, 0 when there are none.
+	reportAge time.Duration
+}
+
 // logForward writes the line at the end of a request.
 func (d *Dispatcher) logForward(f *forwarding, err error) {
 	fields := []zap.Field{
 		zap.String("request", f.call.RequestID),
 		zap.String("class", f.call.Class.String()),
 		zap.String("upstream", f.placed),
+		zap.Int("known_online", f.load.online),
+		zap.Int("known_batch", f.load.batch),
+		zap.Int("slots", f.load.slots),
+		zap.Duration("report_age", f.load.reportAge),
+		zap.Duration("queued", f.queued),
+		zap.Duration("first", f.first),
+		zap.Duration("took", time.Since(f.arrived)),
 		zap.Int("events", f.events),
-		zap.Int("runs", f.runs),
+		zap.String("last_event", f.last),
+		zap.Int("failed_runs", f.runs),
 		zap.Int("refusals", f.refusals),
 		zap.Int("unreachable", f.unreachable),
+		zap.Int("yields", f.yields),
+	}
+	d.metrics.forwarded.WithLabelValues(f.call.Class.String(), resultOf(err)).Inc()
+	if f.placed != "" {
+		d.metrics.forwardQueued.WithLabelValues(f.call.Class.String()).Observe(f.queued.Seconds())
+	}
+	if f.first > 0 {
+		d.metrics.forwardFirst.WithLabelValues(f.call.Class.String()).Observe(f.first.Seconds())
 	}
 	if err == nil {
-		d.log.Debug("forwarded", fields...)
+		d.log.Info("forwarded", fields...)
 		return
 	}
 	d.log.Info("forwarding failed", append(fields, zap.Int("number", int(code.Of(err))), zap.Error(err))...)
 }
+
+// resultOf names a result for metrics.
+func resultOf(err error) string {
+	if err == nil {
+		return "whole"
+	}
+	return code.Describe(code.Of(err)).Name
+}
--- a/upstream/metrics.go
+++ b/upstream/metrics.go
@@ -12,6 +12,9 @@
 	moves            prometheus.Counter
 	exchangesSkipped prometheus.Counter
 	firstToken       prometheus.Histogram
+	forwarded        *prometheus.CounterVec
+	forwardFirst     *prometheus.HistogramVec
+	forwardQueued    *prometheus.HistogramVec
 }
 
 func counter(name, help string) prometheus.Counter {
@@ -36,10 +39,24 @@
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 		}),
 	}
+	m.forwarded = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "daisylb_upstream_forwarded_total",
+		Help: "Requests to routed services by class and result.",
+	}, []string{"class", "result"})
+	m.forwardFirst = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "daisylb_upstream_forward_first_event_seconds",
+		Help:    "Time from the arrival of a request to a routed service to its first event.",
+		Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
+	}, []string{"class"})
+	m.forwardQueued = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name:    "daisylb_upstream_forward_queued_seconds",
+		Help:    "Time from the arrival of a request to a routed service to its last slot.",
+		Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
+	}, []string{"class"})
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.attempts, m.preemptions, m.retries, m.hedges, m.ejections, m.moves, m.exchangesSkipped, m.firstToken} {
+	for _, c := range []prometheus.Collector{m.attempts, m.preemptions, m.retries, m.hedges, m.ejections, m.moves, m.exchangesSkipped, m.firstToken, m.forwarded, m.forwardFirst, m.forwardQueued} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -249,6 +249,7 @@
 
 func (s *scheduler) grant(ctx context.Context, r *request, t *target, now time.Time) *slot {
 	given := &slot{target: t, pool: r.pool, class: r.class, long: r.long, firm: r.firm, expected: r.expected, work: r.work, started: now}
+	given.load = t.placement(now)
 	given.ctx, given.cancel = context.WithCancelCause(ctx)
 	t.add(given)
 	s.changed()
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -179,6 +179,7 @@
 	// expected is the estimated number of tokens.
 	expected int
 	work     route.BatchWork
+	load     placement
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 
@@ -214,3 +215,12 @@
 func (g *slot) workAt(now time.Time) route.BatchWork {
 	return route.BatchWork{Due: g.work.Due, Left: max(g.work.Left-now.Sub(g.started), 0)}
 }
+
+// placement returns what is known of the load.
+func (t *target) placement(now time.Time) placement {
+	p := placement{online: t.online + t.peers.online, batch: t.batch + t.peers.batch, slots: t.terms.Load().Slots}
+	if r := t.report.Load(); r != nil {
+		p.reportAge = now.Sub(r.TakenAt)
+	}
+	return p
+}
