--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -103,6 +103,7 @@
 			return f.ended(err)
 		}
 		f.placed, f.load, f.queued = given.target.id, given.load, given.started.Sub(f.arrived)
+		d.logSent(given, f)
 		fail := d.forwardOnce(given, f)
 		d.conclude(given, fail)
 		f.held += time.Since(given.started)
@@ -445,17 +446,29 @@
 	reportAge time.Duration
 }
 
-// logForward writes the line at the end of a request.
-func (d *Dispatcher) logForward(f *forwarding, err error) {
-	fields := []zap.Field{
+// logSent writes the line of an attempt, with what decided its place. It is the
+// only one of a request whose instance is killed.
+func (d *Dispatcher) logSent(given *slot, f *forwarding) {
+	d.log.Info("sent",
 		zap.String("request", f.call.RequestID),
 		zap.String("class", f.call.Class.String()),
 		zap.String("upstream", f.placed),
+		zap.String("address", given.target.address),
 		zap.Int("known_online", f.load.online),
 		zap.Int("known_batch", f.load.batch),
 		zap.Int("slots", f.load.slots),
 		zap.Duration("report_age", f.load.reportAge),
 		zap.Duration("queued", f.queued),
+		zap.String("after_event", f.last),
+	)
+}
+
+// logForward writes the line at the end of a request.
+func (d *Dispatcher) logForward(f *forwarding, err error) {
+	fields := []zap.Field{
+		zap.String("request", f.call.RequestID),
+		zap.String("class", f.call.Class.String()),
+		zap.String("upstream", f.placed),
 		zap.Duration("first", f.first),
 		zap.Duration("took", time.Since(f.arrived)),
 		zap.Int("events", f.events),
