--- a/job/adopt.go
+++ b/job/adopt.go
@@ -18,6 +18,8 @@
 	// adoptTurn is how much longer the next instance waits before it takes a job
 	// over, so that as a rule one of them writes.
 	adoptTurn = 250 * time.Millisecond
+	// adoptRetry follows a takeover that the store did not take.
+	adoptRetry = 700 * time.Millisecond
 	// maxAdoptRank bounds that wait.
 	maxAdoptRank = 8
 )
@@ -62,7 +64,7 @@
 			s.orphans[id] = now
 			since = now
 		}
-		if own || now.Sub(since) >= time.Duration(s.rank(id, fleet))*adoptTurn {
+		if own && !since.After(now) || now.Sub(since) >= time.Duration(s.rank(id, fleet))*adoptTurn {
 			ids = append(ids, id)
 		}
 	}
@@ -93,11 +95,12 @@
 	}
 	items, err := s.load(ctx, id)
 	if err != nil {
-		s.options.Log.Warn("job not taken over", zap.String("job", id), zap.Error(err))
+		s.postpone(id, err)
 		return
 	}
 	done, err := s.loadProgress(ctx, id)
 	if err != nil {
+		s.postpone(id, err)
 		return
 	}
 	next := v.head
@@ -112,9 +115,20 @@
 		s.begin(id, versioned{next, page.Version}, items, done)
 	case code.StoreConflict:
 		s.learnRows(page.Rows)
+	default:
+		s.postpone(id, err)
 	}
 }
 
+// postpone lets a takeover that the store did not take wait, so that an outage
+// is not met with calls that fail.
+func (s *Service) postpone(id string, err error) {
+	s.mu.Lock()
+	s.orphans[id] = time.Now().Add(adoptRetry)
+	s.mu.Unlock()
+	s.options.Log.Info("job not taken over", zap.String("job", id), zap.Duration("retry_after", adoptRetry), zap.Error(err))
+}
+
 // learnRows takes in the heads among rows.
 func (s *Service) learnRows(rows []storage.TableRow) {
 	s.mu.Lock()
