Reach the store through a peer when it refuses an instance

Ruled out: longer liveness limits (jobs of lost instances would wait as long). Change: package relay: a call that could not reach the store goes through up to two peers; a lost answer is never asked again; peers that fail as well are left alone, and an outage of the whole store is asked for through peers once a second at most.

--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -22,6 +22,7 @@
 	"github.com/daisylb/daisylb/feed"
 	"github.com/daisylb/daisylb/job"
 	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/relay"
 	"github.com/daisylb/daisylb/roster"
 	"github.com/daisylb/daisylb/routing"
 	"github.com/daisylb/daisylb/upstream"
@@ -35,7 +36,8 @@
 	registry *prometheus.Registry
 	process  string
 
-	store      *platform.Client
+	direct     *platform.Client
+	store      *relay.Store
 	document   *routing.Document
 	workers    *routing.Workers
 	feeds      []*feed.Follower
@@ -45,11 +47,14 @@
 	jobs       *job.Service
 	// peers are the addresses of the instances that share workers.
 	peers atomic.Pointer[[]netip.AddrPort]
+	// others are the addresses of all other instances.
+	others atomic.Pointer[[]string]
 
 	callers   *http.Server
 	directory *http.Server
 	readiness *http.Server
 	metrics   *http.Server
+	relay     *http.Server
 
 	mu      sync.Mutex
 	leaving bool
@@ -62,14 +67,15 @@
 		log:      o.Log,
 		registry: prometheus.NewRegistry(),
 		process:  o.Settings.Name + "/" + uuid.NewString()[:8],
-		store:    platform.NewClient(o.Settings.Store.Address),
+		direct:   platform.NewClient(o.Settings.Store.Address),
 	}
 	if i.log == nil {
 		i.log = zap.NewNop()
 	}
 	i.peers.Store(&[]netip.AddrPort{})
+	i.others.Store(&[]string{})
 	i.log = i.log.With(zap.String("instance", i.process))
-	for _, step := range []func() error{i.buildRouting, i.buildDispatcher, i.buildRoster, i.buildJobs} {
+	for _, step := range []func() error{i.buildStore, i.buildRouting, i.buildDispatcher, i.buildRoster, i.buildJobs} {
 		if err := step(); err != nil {
 			return nil, err
 		}
@@ -79,6 +85,22 @@
 	return i, nil
 }
 
+// buildStore puts the detour through peers before the store.
+func (i *Instance) buildStore() error {
+	i.store = relay.New(relay.Options{
+		Direct: i.direct,
+		Peers:  func() []string { return *i.others.Load() },
+		Client: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}).DialContext,
+			MaxIdleConnsPerHost: peerIdleConns,
+			IdleConnTimeout:     peerIdleTimeout,
+			DisableCompression:  true,
+		}},
+		Log: i.log,
+	})
+	return nil
+}
+
 func (i *Instance) buildRouting() error {
 	i.document = &routing.Document{Key: platform.DocumentKey, Decode: platform.DecodeRouting, Log: i.log}
 	i.workers = &routing.Workers{Decode: platform.DecodeWorker, DataCentres: i.settings.Regions, Log: i.log}
@@ -146,6 +168,11 @@
 		}
 	}
 	i.peers.Store(&peers)
+	others := make([]string, 0, len(view.Peers))
+	for _, peer := range view.Peers {
+		others = append(others, peer.String())
+	}
+	i.others.Store(&others)
 }
 
 func (i *Instance) buildJobs() error {
@@ -170,6 +197,9 @@
 	i.callers = newServer(handler)
 	i.directory = newServer(http.HandlerFunc(i.serveDirectory))
 	i.readiness = newServer(http.HandlerFunc(i.serveReadiness))
+	mux := http.NewServeMux()
+	mux.Handle(relay.NewHandler(i.direct))
+	i.relay = newServer(mux)
 	i.metrics = newServer(promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{}))
 }
 
@@ -247,6 +277,7 @@
 		i.callers:   i.settings.Callers,
 		i.directory: i.settings.Directory,
 		i.readiness: i.settings.Readiness,
+		i.relay:     net.JoinHostPort(i.settings.IP, strconv.Itoa(i.settings.FirstPort)),
 		i.metrics:   net.JoinHostPort(i.settings.IP, strconv.Itoa(metricsPort)),
 	}
 	for server, address := range servers {
@@ -263,7 +294,7 @@
 	i.leave()
 	stop()
 	err := group.Wait()
-	i.store.Close()
+	i.direct.Close()
 	i.log.Info("stopped", zap.Error(err))
 	return err
 }
@@ -324,4 +355,5 @@
 	_ = i.directory.Close()
 	_ = i.readiness.Close()
 	_ = i.metrics.Close()
+	_ = i.relay.Close()
 }
--- a/hosted/options.go
+++ b/hosted/options.go
@@ -32,6 +32,11 @@
 	lateCallers = endpointLinger*endpointTTL + 500*time.Millisecond
 	// exitReserve is kept of the grace to hand over and exit.
 	exitReserve = 900 * time.Millisecond
+	// Connections to peers, for calls of the store that take a detour. The dial
+	// time is many times the distance between two data centres.
+	peerDialTimeout = 250 * time.Millisecond
+	peerIdleConns   = 4
+	peerIdleTimeout = 10 * time.Second
 	// metricsPort is where deploy/system.toml says that metrics are.
 	metricsPort = 9464
 	// maxEndpoints bounds an endpoint answer.
--- /dev/null
+++ b/relay/handler.go
@@ -0,0 +1,69 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/link"
+	"github.com/daisylb/daisylb/relay/relaypb"
+	"github.com/daisylb/daisylb/relay/relaypb/relaypbconnect"
+	"github.com/daisylb/daisylb/storage"
+)
+
+// handler makes calls of the store for peers. It never relays further.
+type handler struct {
+	store storage.RowStore
+}
+
+// NewHandler returns the path and the handler that serve peers with store, which
+// must be the store itself and no relay.
+func NewHandler(store storage.RowStore) (string, http.Handler) {
+	return relaypbconnect.NewRelayServiceHandler(&handler{store}, link.HandlerOptions())
+}
+
+// GetRows implements the service.
+func (h *handler) GetRows(ctx context.Context, r *connect.Request[relaypb.GetRowsRequest]) (*connect.Response[relaypb.Page], error) {
+	page, err := h.store.GetRows(ctx, r.Msg.GetTable(), r.Msg.GetPart(), r.Msg.GetFrom(), r.Msg.GetTo())
+	return answer(page, err)
+}
+
+// ApplyRows implements the service.
+func (h *handler) ApplyRows(ctx context.Context, r *connect.Request[relaypb.ApplyRowsRequest]) (*connect.Response[relaypb.Page], error) {
+	page, err := h.store.ApplyRows(ctx, decodeTransaction(r.Msg))
+	return answer(page, err)
+}
+
+// RowChanges implements the service.
+func (h *handler) RowChanges(ctx context.Context, r *connect.Request[relaypb.RowChangesRequest]) (*connect.Response[relaypb.Page], error) {
+	wait := time.Duration(r.Msg.GetWaitMs()) * time.Millisecond
+	page, err := h.store.RowChanges(ctx, r.Msg.GetTable(), r.Msg.GetAfter(), wait)
+	return answer(page, err)
+}
+
+// PutBlob implements the service.
+func (h *handler) PutBlob(ctx context.Context, r *connect.Request[relaypb.Blob]) (*connect.Response[relaypb.Done], error) {
+	if err := h.store.PutBlob(ctx, r.Msg.GetName(), r.Msg.GetBody()); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&relaypb.Done{}), nil
+}
+
+// GetBlob implements the service.
+func (h *handler) GetBlob(ctx context.Context, r *connect.Request[relaypb.BlobName]) (*connect.Response[relaypb.Blob], error) {
+	body, err := h.store.GetBlob(ctx, r.Msg.GetName())
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&relaypb.Blob{Name: r.Msg.GetName(), Body: body}), nil
+}
+
+func answer(page storage.RowPage, err error) (*connect.Response[relaypb.Page], error) {
+	if err != nil && code.Of(err) != code.StoreConflict {
+		return nil, err
+	}
+	return connect.NewResponse(encodePage(page, err)), nil
+}
