Leave jobs with owners that are not known yet; keep failures across owners

Besides: at the begin of an outage members were taken off (a row's age was compared with the present, not with what had been heard); two goroutines wrote a job's map of running items (race detector). Ruled out: a longer liveness limit (the owners were alive and merely not known). Change: an owner that was never seen is left 2.5 s, unless its machine's row names another process written after the job's head; progress rows carry failures; results that are finished are listed before a hand-over; rows are judged by the time for which this instance's own row was read; the map is filled before the items start.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"maps"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +18,7 @@
 
 // follow keeps the rows of a table as a follower tells them.
 type follow struct {
+	mu       sync.Mutex
 	rows     map[string]string
 	versions map[string]uint64
 	regained int
@@ -22,6 +26,8 @@
 }
 
 func (f *follow) update(u feed.Update) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if u.Regained {
 		f.regained++
 	}
@@ -36,6 +42,14 @@
 	}
 }
 
+// state returns the rows, how often the store was regained, and whether a row
+// went back.
+func (f *follow) state() (rows map[string]string, regained int, back bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.rows), f.regained, f.back
+}
+
 func start(t *testing.T, store storage.Rows) (*follow, *feed.Follower) {
 	t.Helper()
 	seen := &follow{rows: map[string]string{}, versions: map[string]uint64{}}
@@ -47,6 +61,11 @@
 	return seen, f
 }
 
+func rowsOf(f *follow) map[string]string {
+	rows, _, _ := f.state()
+	return rows
+}
+
 func put(t *testing.T, store storage.Rows, key, value string) {
 	t.Helper()
 	row := storage.TableRow{RowKey: storage.RowKey{Table: "t", Key: key}, Value: []byte(value)}
@@ -64,7 +83,7 @@
 		put(t, store, "b", "2")
 		put(t, store, "a", "3")
 		synctest.Wait()
-		if d := cmp.Diff(map[string]string{"a": "3", "b": "2"}, seen.rows); d != "" {
+		if d := cmp.Diff(map[string]string{"a": "3", "b": "2"}, rowsOf(seen)); d != "" {
 			t.Error(d)
 		}
 	})
@@ -86,7 +105,7 @@
 		store.DropHistory()
 		store.SetFaults(memory.RowFaults{})
 		time.Sleep(feed.DefaultWait + time.Second)
-		if d := cmp.Diff(map[string]string{"a": "2"}, seen.rows); d != "" {
+		if d := cmp.Diff(map[string]string{"a": "2"}, rowsOf(seen)); d != "" {
 			t.Error(d)
 		}
 	})
@@ -103,14 +122,14 @@
 		if age, ok := f.Age(); !ok || age < 9*time.Second {
 			t.Errorf("the age of what is known is %v", age)
 		}
-		if len(seen.rows) != 1 {
+		if len(rowsOf(seen)) != 1 {
 			t.Error("rows were forgotten in the outage")
 		}
 		store.SetFaults(memory.RowFaults{})
 		put(t, store, "a", "2")
 		time.Sleep(time.Second)
-		if seen.rows["a"] != "2" || seen.regained != 1 {
-			t.Errorf("rows %v, regained %d times", seen.rows, seen.regained)
+		if rows, regained, _ := seen.state(); rows["a"] != "2" || regained != 1 {
+			t.Errorf("rows %v, regained %d times", rows, regained)
 		}
 	})
 }
@@ -119,11 +138,11 @@
 type staleReads struct {
 	storage.Rows
 	old   storage.RowPage
-	stale bool
+	stale atomic.Bool
 }
 
 func (s *staleReads) GetRows(ctx context.Context, table, part, from, to string) (storage.RowPage, error) {
-	if s.stale {
+	if s.stale.Load() {
 		return s.old, nil
 	}
 	return s.Rows.GetRows(ctx, table, part, from, to)
@@ -139,15 +158,16 @@
 		synctest.Wait()
 		put(t, store, "a", "2")
 		synctest.Wait()
-		reads.stale = true
+		reads.stale.Store(true)
 		put(t, store, "b", "1")
 		store.DropHistory()
 		store.SetFaults(memory.RowFaults{})
 		time.Sleep(3 * time.Second)
-		reads.stale = false
+		reads.stale.Store(false)
 		time.Sleep(3 * time.Second)
-		if d := cmp.Diff(map[string]string{"a": "2", "b": "1"}, seen.rows); d != "" || seen.back {
-			t.Errorf("went back: %v\n%s", seen.back, d)
+		rows, _, back := seen.state()
+		if d := cmp.Diff(map[string]string{"a": "2", "b": "1"}, rows); d != "" || back {
+			t.Errorf("went back: %v\n%s", back, d)
 		}
 	})
 }
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -186,7 +186,8 @@
 		Retention: i.settings.Bounds.StatusFor,
 		Log:       i.log,
 		Fleet: func() job.Fleet {
-			return job.Fleet{Known: i.roster.Followed(), Alive: i.roster.View().Processes}
+			view := i.roster.View()
+			return job.Fleet{Known: i.roster.Followed(), Alive: view.Processes, Replaced: view.Replaced}
 		},
 	})
 	return nil
--- a/job/adopt.go
+++ b/job/adopt.go
@@ -18,6 +18,11 @@
 	// adoptTurn is how much longer the next instance waits before it takes a job
 	// over, so that as a rule one of them writes.
 	adoptTurn = 250 * time.Millisecond
+	// unknownGrace is over the time in which the row of a new process is read,
+	// ownGrace over that in which the store answers an acceptance of this process
+	// that the feed has told of.
+	unknownGrace = 2500 * time.Millisecond
+	ownGrace     = 2500 * time.Millisecond
 	// adoptRetry follows a takeover that the store did not take.
 	adoptRetry = 700 * time.Millisecond
 	// maxAdoptRank bounds that wait.
@@ -49,13 +54,15 @@
 	if s.stopping || !fleet.Known {
 		return nil
 	}
+	for process := range fleet.Alive {
+		s.seen[process] = true
+	}
 	var ids []string
 	for id, v := range s.heads {
 		if !v.open() {
 			continue
 		}
-		own := v.Owner == s.options.Process
-		if _, running := s.owned[id]; own && running || !own && v.Owner != "" && fleet.Alive[v.Owner] {
+		if _, running := s.owned[id]; running || v.Owner != s.options.Process && fleet.Alive[v.Owner] {
 			delete(s.orphans, id)
 			continue
 		}
@@ -64,13 +71,28 @@
 			s.orphans[id] = now
 			since = now
 		}
-		if own && !since.After(now) || now.Sub(since) >= time.Duration(s.rank(id, fleet))*adoptTurn {
+		if now.Sub(since) >= s.patience(id, v, fleet) {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
+// patience returns how long a job without a known living owner is left alone. An
+// owner that has never been seen may just have started. The lock is held.
+func (s *Service) patience(id string, v versioned, fleet Fleet) time.Duration {
+	turn := time.Duration(s.rank(id, fleet)) * adoptTurn
+	switch {
+	case v.Owner == s.options.Process:
+		return ownGrace
+	case v.Owner == "" || s.seen[v.Owner]:
+		return turn
+	case fleet.Replaced != nil && fleet.Replaced(v.Owner, v.version):
+		return turn
+	}
+	return unknownGrace + turn
+}
+
 // rank is the place of this instance among those that may take a job over.
 func (s *Service) rank(id string, fleet Fleet) int {
 	own := weight(id, s.options.Process)
--- a/job/commit.go
+++ b/job/commit.go
@@ -40,7 +40,7 @@
 			case <-r.ctx.Done():
 				return
 			case ctx := <-r.giveUp:
-				r.release(ctx)
+				r.leave(ctx)
 				return
 			case f := <-r.finished:
 				waiting = append(waiting, f)
@@ -215,10 +215,26 @@
 	}
 }
 
+// leave lists what has finished and hands the rest over.
+func (r *run) leave(ctx context.Context) {
+	defer close(r.gave)
+	var waiting []finished
+	r.drain(&waiting)
+	for len(waiting) > 0 {
+		n := r.fit(waiting)
+		if !r.commit(waiting[:n]) {
+			return
+		}
+		waiting = waiting[n:]
+	}
+	if !r.done() {
+		r.release(ctx)
+	}
+}
+
 // release writes a head without owner. Items go on running until it is written,
 // and their progress up to then is kept.
 func (r *run) release(ctx context.Context) {
-	defer close(r.gave)
 	next := r.head.head
 	next.Owner = ""
 	rows := append(r.unsaved, r.gatherProgress(0, r.unsaved)...)
--- a/job/progress.go
+++ b/job/progress.go
@@ -95,7 +95,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	size := c.text.Len() - c.kept
-	if c.last == c.keptLast || size < least || size > chunkBytes {
+	news := c.last != c.keptLast && size >= least || c.failures != c.keptFailures
+	if !news || size > chunkBytes {
 		return storage.TableRow{}, false
 	}
 	p := progress{After: c.keptLast, Last: c.last, Text: c.text.String()[c.kept:], Failures: c.failures}
@@ -104,7 +105,7 @@
 		panic(err) // Strings and numbers only.
 	}
 	key := storage.RowKey{Table: progressTable, Part: part, Key: fmt.Sprintf(pieceKey, id, index, c.next)}
-	c.kept, c.keptLast = c.text.Len(), c.last
+	c.kept, c.keptLast, c.keptFailures = c.text.Len(), c.last, c.failures
 	c.next++
 	return storage.TableRow{RowKey: key, Value: value}, true
 }
--- a/job/run.go
+++ b/job/run.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -81,6 +82,8 @@
 		p := done[i]
 		c := newCollector(p)
 		r.running[i] = c
+	}
+	for i, c := range maps.Clone(r.running) {
 		s.runs.Go(func() { r.runItem(i, c) })
 	}
 	s.runs.Go(func() { r.commitAll() })
@@ -180,9 +183,9 @@
 	case http.StatusUnprocessableEntity:
 		return true
 	case http.StatusInternalServerError:
-		c.failures++
-		r.service.options.Log.Info("item failed", zap.String("job", r.id), zap.String("request", item.ID), zap.Int("failures", c.failures))
-		return c.failures >= route.MaxAttempts
+		failures := c.fail()
+		r.service.options.Log.Info("item failed", zap.String("job", r.id), zap.String("request", item.ID), zap.Int("failures", failures))
+		return failures >= route.MaxAttempts
 	}
 	return false
 }
@@ -204,14 +207,15 @@
 	failures  int
 	succeeded bool
 	// kept is the part of the text that rows of progress have, keptLast its last
-	// event, next the number of the next row.
-	kept     int
-	keptLast string
-	next     int
+	// event, keptFailures their failures, next the number of the next row.
+	kept         int
+	keptLast     string
+	keptFailures int
+	next         int
 }
 
 func newCollector(p saved) *collector {
-	c := &collector{last: p.last, keptLast: p.last, failures: p.failures, next: p.rows}
+	c := &collector{last: p.last, keptLast: p.last, failures: p.failures, keptFailures: p.failures, next: p.rows}
 	c.text.WriteString(p.text)
 	c.kept = c.text.Len()
 	return c
@@ -252,6 +256,14 @@
 	return nil
 }
 
+// fail counts a failed run and returns the number.
+func (c *collector) fail() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failures++
+	return c.failures
+}
+
 func (c *collector) result(item string) Result {
 	if !c.succeeded {
 		return Result{Item: item}
--- a/job/service.go
+++ b/job/service.go
@@ -24,6 +24,9 @@
 	Known bool
 	// Alive has the ids of the processes that live.
 	Alive map[string]bool
+	// Replaced reports whether the machine of a process has run another one since
+	// a version of the store. It may be nil.
+	Replaced func(process string, version uint64) bool
 }
 
 // Options configure a Service.
@@ -57,6 +60,8 @@
 	owned   map[string]*run
 	// orphans has when a job without a living owner was first seen.
 	orphans map[string]time.Time
+	// seen are processes that have been alive.
+	seen    map[string]bool
 	results *resultCache
 	bodies  *bodyCache
 	// version is the newest version of the store that was seen, clock the store's
@@ -92,6 +97,7 @@
 		changed: map[string]chan struct{}{},
 		owned:   map[string]*run{},
 		orphans: map[string]time.Time{},
+		seen:    map[string]bool{},
 		results: newResultCache(),
 		bodies:  newBodyCache(),
 	}
--- a/job/service_test.go
+++ b/job/service_test.go
@@ -29,7 +29,9 @@
 
 	mu    sync.Mutex
 	alive map[string]bool
-	runs  map[string]int
+	// replaced are processes whose machine runs another one now.
+	replaced map[string]bool
+	runs     map[string]int
 	// from has the events after which runs of an item began.
 	from map[string][]string
 }
@@ -47,7 +49,7 @@
 
 func newFleet(t *testing.T, n int, change func(*contract.Route)) *fleet {
 	f := &fleet{
-		t: t, store: memory.NewRows(), alive: map[string]bool{}, runs: map[string]int{}, from: map[string][]string{},
+		t: t, store: memory.NewRows(), alive: map[string]bool{}, replaced: map[string]bool{}, runs: map[string]int{}, from: map[string][]string{},
 		route: contract.Route{
 			Host: "h", Prefix: "/lot/", Kind: contract.RouteBatch, MaxAttempts: 3,
 			Completion: 18 * time.Second, Keep: time.Minute, Split: []contract.Share{{Service: "s", Weight: 1}},
@@ -73,7 +75,7 @@
 		Fleet: func() job.Fleet {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			return job.Fleet{Known: true, Alive: copyOf(f.alive)}
+			return job.Fleet{Known: true, Alive: copyOf(f.alive), Replaced: func(p string, _ uint64) bool { return f.replaced[p] }}
 		},
 		Routing:  func() *contract.Routing { return &contract.Routing{Version: 1, Routes: []contract.Route{f.route}} },
 		Decode:   func(raw []byte) ([]job.Item, error) { return items(strings.Fields(string(raw))...), nil },
@@ -442,3 +444,112 @@
 		}
 	})
 }
+
+// TestJobThatTheFeedTellsOfFirstIsNotTakenOver lets the store answer an
+// acceptance long after the feed has told of it.
+func TestJobThatTheFeedTellsOfFirstIsNotTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, nil)
+		defer f.close()
+		f.store.SetFaults(memory.RowFaults{AnswerDelay: 600 * time.Millisecond})
+		if err := f.services[0].Submit(t.Context(), f.submission("j", "a", "b")); err != nil {
+			t.Fatal(err)
+		}
+		f.store.SetFaults(memory.RowFaults{})
+		wantAll(t, f.read(f.services[1], "j"), "a", "b")
+		f.wantRuns(map[string]int{"a": 1, "b": 1})
+	})
+}
+
+func (f *fleet) wantRuns(want map[string]int) {
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if d := cmp.Diff(want, f.runs); d != "" {
+		f.t.Errorf("runs:\n%s", d)
+	}
+}
+
+// TestOwnerThatIsNotKnownYetKeepsItsJob starts an owner whose row the others
+// have not read yet, as after a rolling restart.
+func TestOwnerThatIsNotKnownYetKeepsItsJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, nil)
+		defer f.close()
+		f.start("new")
+		f.mu.Lock()
+		delete(f.alive, "new")
+		f.mu.Unlock()
+		if err := f.services[1].Submit(t.Context(), f.submission("j", "a", "b")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		f.mu.Lock()
+		f.alive["new"] = true
+		f.mu.Unlock()
+		wantAll(t, f.read(f.services[0], "j"), "a", "b")
+		f.wantRuns(map[string]int{"a": 1, "b": 1})
+	})
+}
+
+// TestJobOfAReplacedProcessIsTakenOverAtOnce is the restart after a loss of all.
+func TestJobOfAReplacedProcessIsTakenOverAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, nil)
+		defer f.close()
+		if err := f.services[0].Submit(t.Context(), f.submission("j", "a")); err != nil {
+			t.Fatal(err)
+		}
+		f.kill(0)
+		f.mu.Lock()
+		f.replaced["p0"] = true
+		f.mu.Unlock()
+		second := f.start("p0-again")
+		time.Sleep(time.Second)
+		if second.Owned() != 1 {
+			t.Error("the job was not taken over within a second")
+		}
+		wantAll(t, f.read(second, "j"), "a")
+	})
+}
+
+func TestFailuresOfAnItemCountAcrossOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, nil)
+		defer f.close()
+		if err := f.services[0].Submit(t.Context(), f.submission("j", "broken", "fine")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(150 * time.Millisecond)
+		f.services[0].Stop(t.Context())
+		f.read(f.services[1], "j")
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if n := f.runs["broken"]; n != 3 {
+			t.Errorf("the item failed %d times, want 3", n)
+		}
+	})
+}
+
+func TestFinishedItemsAreListedBeforeAHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, nil)
+		defer f.close()
+		if err := f.services[0].Submit(t.Context(), f.submission("j", "poison", "a")); err != nil {
+			t.Fatal(err)
+		}
+		f.store.SetFaults(memory.RowFaults{Down: true})
+		time.Sleep(2 * time.Second)
+		done := make(chan struct{})
+		go func() { defer close(done); f.services[0].Stop(t.Context()) }()
+		time.Sleep(time.Second)
+		f.store.SetFaults(memory.RowFaults{})
+		<-done
+		f.read(f.services[1], "j")
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if n := f.runs["poison"]; n != 1 {
+			t.Errorf("the impossible item ran %d times", n)
+		}
+	})
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -45,6 +45,8 @@
 type entry struct {
 	Member
 	seen time.Time
+	// since is the version of the store with which the process was first seen.
+	since uint64
 }
 
 const (
@@ -81,9 +83,10 @@
 
 	mu      sync.Mutex
 	members map[string]entry
-	// unsure is set while the store has not been followed for long enough to
-	// judge rows that stay unchanged.
+	// heardSince is when the store was followed again after a gap, which is judged
+	// by this instance's own row, ownSeen when that was last read.
 	heardSince time.Time
+	ownSeen    time.Time
 	view       atomic.Pointer[View]
 }
 
@@ -95,6 +98,25 @@
 	Peers map[string]netip.AddrPort
 	// Processes are the ids of all members that are alive.
 	Processes map[string]bool
+	// machines has the process of each row by the name of its machine.
+	machines map[string]process
+}
+
+// process is what the row of a machine says.
+type process struct {
+	id    string
+	since uint64
+}
+
+// Replaced reports whether the machine of a process has run another one since a
+// version of the store. A process names its machine before its last slash.
+func (v *View) Replaced(id string, version uint64) bool {
+	i := strings.LastIndexByte(id, '/')
+	if i < 0 {
+		return false
+	}
+	p, ok := v.machines[id[:i]]
+	return ok && p.id != id && p.since > version
 }
 
 // New returns a Roster.
@@ -205,12 +227,28 @@
 			r.options.Log.Warn("instance row left out", zap.String("key", row.Key), zap.Error(err))
 			continue
 		}
-		r.members[m.Name] = entry{m, now}
+		if m.ID == r.self.Load().ID {
+			r.noteOwn(now)
+		}
+		next := entry{Member: m, seen: now, since: row.Version}
+		if before, ok := r.members[m.Name]; ok && before.ID == m.ID {
+			next.since = before.since
+		}
+		r.members[m.Name] = next
 	}
 	r.mu.Unlock()
 	r.refresh()
 }
 
+// noteOwn notes that this instance's row has been read. A feed that does not
+// tell of it does not tell of others either. The lock is held.
+func (r *Roster) noteOwn(now time.Time) {
+	if now.Sub(r.ownSeen) > 2*r.interval()+r.pause() {
+		r.heardSince = now
+	}
+	r.ownSeen = now
+}
+
 // judgeInterval is the time between two looks at rows that stay unchanged.
 const judgeInterval = 250 * time.Millisecond
 
@@ -230,18 +268,18 @@
 // refresh builds the view.
 func (r *Roster) refresh() {
 	r.mu.Lock()
-	now := time.Now()
 	limit := time.Duration(aliveIntervals * float64(r.interval()))
-	// While the store cannot be followed, nothing is known to have changed.
-	age, ok := r.follower.Age()
-	frozen := !ok || age > feedWait+r.pause() || now.Sub(r.heardSince) < limit
+	// A row is judged by the time for which others changed while it did not.
+	frozen := r.ownSeen.Sub(r.heardSince) < limit
 	v := &View{Processes: map[string]bool{}, Peers: map[string]netip.AddrPort{}}
 	self := r.self.Load()
+	v.machines = make(map[string]process, len(r.members))
 	for _, e := range r.members {
+		v.machines[e.Name] = process{e.ID, e.since}
 		if e.Name == self.Name {
 			continue
 		}
-		if !frozen && now.Sub(e.seen) > limit {
+		if !frozen && r.ownSeen.Sub(e.seen) > limit {
 			continue
 		}
 		v.Alive = append(v.Alive, e.Member)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -88,3 +88,27 @@
 		b.stop()
 	})
 }
+
+func TestReplacedProcessIsToldFromOneThatHasJustStarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.NewRows()
+		a, b := start(store, "a"), start(store, "b")
+		time.Sleep(3 * time.Second)
+		page, err := store.GetRows(t.Context(), roster.Table, "", "", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		view := a.View()
+		if view.Replaced("b/1", page.Version) || view.Replaced("unknown/1", 1) {
+			t.Error("a process that runs counts as replaced")
+		}
+		if view.Replaced("b/2", page.Version) {
+			t.Error("a process whose row is not read yet counts as replaced")
+		}
+		if !view.Replaced("b/0", 0) {
+			t.Error("a process before the present one does not count as replaced")
+		}
+		a.stop()
+		b.stop()
+	})
+}
--- a/storage/memory/rows.go
+++ b/storage/memory/rows.go
@@ -39,6 +39,8 @@
 	LoseAnswers int
 	// Delay is how long after a lost answer the effect comes; 0 means at once.
 	Delay time.Duration
+	// AnswerDelay is how long after its effect a transaction is answered.
+	AnswerDelay time.Duration
 	// Silent feeds see no changes.
 	Silent bool
 }
@@ -121,7 +123,11 @@
 // ApplyRows implements storage.Rows.
 func (s *Rows) ApplyRows(_ context.Context, t storage.RowTransaction) (storage.RowPage, error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	delay := s.faults.AnswerDelay
+	defer func() {
+		s.mu.Unlock()
+		time.Sleep(delay)
+	}()
 	if err := s.down(); err != nil {
 		return storage.RowPage{}, err
 	}
