--- a/upstream/events.go
+++ b/upstream/events.go
@@ -72,9 +72,6 @@
 	}
 }
 
-// buffered reports whether bytes of a further event have arrived.
-func (s *rawEvents) buffered() bool { return s.reader.Buffered() > 0 }
-
 // follows reports whether an event with the id comes after the last one. Ids
 // that are no numbers can't be compared and count as new.
 func follows(id, last string) bool {
