Test whole instances: callers, jobs and a planned stop that cuts nothing

Ruled out: separate processes for it (scenario/ has them for the product's own daemon; the stand-ins in one process leave nothing to wait for but conditions). Change: two instances on loopback before a stand-in store and worker: a stream and a job are open while one stops; an instance without a document refuses with a hint.

--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
@@ -35,6 +36,7 @@
 	log      *zap.Logger
 	registry *prometheus.Registry
 	process  string
+	ttl      time.Duration
 
 	direct     *platform.Client
 	store      *relay.Store
@@ -68,6 +70,7 @@
 		registry: prometheus.NewRegistry(),
 		process:  o.Settings.Name + "/" + uuid.NewString()[:8],
 		direct:   platform.NewClient(o.Settings.Store.Address),
+		ttl:      cmp.Or(o.EndpointTTL, DefaultEndpointTTL),
 	}
 	if i.log == nil {
 		i.log = zap.NewNop()
@@ -247,7 +250,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	platform.WriteEndpoints(w, addresses, min(endpointTTL, i.settings.Bounds.MaxTTL))
+	platform.WriteEndpoints(w, addresses, min(i.ttl, i.settings.Bounds.MaxTTL))
 }
 
 // endpoints returns the addresses of the instances that take callers.
@@ -339,7 +342,7 @@
 	i.mu.Unlock()
 	i.log.Info("leaving")
 	i.roster.Announce(func(m *roster.Member) { m.Leaving, m.Ready = true, false })
-	late := min(lateCallers, i.settings.Bounds.Grace/2)
+	late := min(time.Duration(endpointLinger*float64(i.ttl)), i.settings.Bounds.Grace/2)
 	time.Sleep(late / 2)
 	// Callers on kept connections are told to go elsewhere.
 	i.callers.SetKeepAlivesEnabled(false)
--- /dev/null
+++ b/hosted/instance_test.go
@@ -0,0 +1,288 @@
+package hosted_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/daisylb/daisylb/hosted"
+	"github.com/daisylb/daisylb/platform"
+	standin "github.com/daisylb/daisylb/standin/platform"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
+)
+
+// site is a store with a document and a worker, and instances on addresses of
+// the loopback range.
+type site struct {
+	t      *testing.T
+	store  *memory.Rows
+	server *httptest.Server
+	worker *worker
+}
+
+// worker streams events; it holds a stream after its first event until go on.
+type worker struct {
+	*httptest.Server
+	hold    atomic.Pointer[chan struct{}]
+	started chan string
+}
+
+const workerEvents = 4
+
+func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	h := rw.Header()
+	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	h.Set("X-Server-Stamp", "signed")
+	h.Set("Content-Type", "text/event-stream")
+	for n := 1; n <= workerEvents; n++ {
+		fmt.Fprintf(rw, "id: %d\ndata: %s-%d\n\n", n, r.Header.Get("X-Request-Id"), n)
+		rw.(http.Flusher).Flush()
+		if gate := w.hold.Load(); n == 1 && gate != nil {
+			w.started <- r.Header.Get("X-Request-Id")
+			<-*gate
+		}
+	}
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, store: memory.NewRows(), worker: &worker{started: make(chan string, 8)}}
+	s.server = httptest.NewServer(standin.NewRows(s.store))
+	s.worker.Server = httptest.NewServer(s.worker)
+	t.Cleanup(func() { s.server.CloseClientConnections(); s.server.Close(); s.worker.Close() })
+	s.put(platform.OperatorTable, platform.DocumentKey, `{"version":3,"routes":[
+	 {"name":"r","hostname":"h","path_prefix":"/a/","kind":"streaming","timeout_ms":20000,"target_latency_ms":20000,"max_attempts":1,"service":"s"},
+	 {"name":"l","hostname":"h","path_prefix":"/l/","kind":"batch","timeout_ms":20000,"service":"s","max_attempts":3,"completion_target_ms":18000,"keep_s":60,"max_count":1000}]}`)
+	entry, err := json.Marshal(map[string]any{
+		"service": "s", "address": strings.TrimPrefix(s.worker.URL, "http://"), "zone": "z", "slots": 8, "state": "ready",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.put(platform.WorkerTable, "i-1", string(entry))
+	return s
+}
+
+func (s *site) put(table, key, value string) {
+	s.t.Helper()
+	row := storage.TableRow{RowKey: storage.RowKey{Table: table, Key: key}, Value: []byte(value)}
+	if _, err := s.store.ApplyRows(s.t.Context(), storage.RowTransaction{Puts: []storage.TableRow{row}}); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+type running struct {
+	settings platform.Settings
+	stop     context.CancelFunc
+	done     chan error
+}
+
+// freePort returns a port that nobody uses on an address, for both protocols.
+func freePort(t *testing.T, ip string) int {
+	t.Helper()
+	for range 50 {
+		l, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := l.Addr().(*net.TCPAddr).Port
+		u, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ip), Port: port})
+		_ = l.Close()
+		if err == nil {
+			_ = u.Close()
+			return port
+		}
+	}
+	t.Fatal("no free port")
+	return 0
+}
+
+func (s *site) start(ip string) *running {
+	s.t.Helper()
+	address := func() string { return fmt.Sprintf("%s:%d", ip, freePort(s.t, ip)) }
+	port := freePort(s.t, ip)
+	r := &running{done: make(chan error, 1), settings: platform.Settings{
+		Name: "m-" + ip, IP: ip, DataCentre: "z", Callers: address(), Readiness: address(), Directory: address(),
+		FirstPort: port, LastPort: port,
+		Bounds: platform.Bounds{Grace: 20 * time.Second, MaxTTL: 5 * time.Second, StatusFor: time.Minute},
+		Store:  platform.StoreSettings{Address: strings.TrimPrefix(s.server.URL, "http://")},
+	}}
+	i, err := hosted.New(hosted.Options{Settings: r.settings, EndpointTTL: 20 * time.Millisecond})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go func() { r.done <- i.Run(ctx) }()
+	s.t.Cleanup(cancel)
+	s.await("readiness", func() bool { return r.status("http://"+r.settings.Readiness+"/api/readyz") == http.StatusOK })
+	return r
+}
+
+func (r *running) status(url string) int {
+	response, err := http.Get(url)
+	if err != nil {
+		return 0
+	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// await waits for a condition.
+func (s *site) await(what string, holds func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(time.Minute); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			s.t.Fatalf("%s: not seen", what)
+		}
+	}
+}
+
+func (s *site) send(r *running, method, path, id, body string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(s.t.Context(), method, "http://"+r.settings.Callers+path, strings.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	request.Host = "h"
+	request.Header.Set("X-Request-Id", id)
+	return http.DefaultClient.Do(request)
+}
+
+func (r *running) endpoints() string {
+	response, err := http.Get("http://" + r.settings.Directory + "/api/resolve?name=h&zone=z")
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, _ := io.ReadAll(response.Body)
+	return string(text)
+}
+
+func wantStream(id string) string {
+	var b strings.Builder
+	for n := 1; n <= workerEvents; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %s-%d\n\n", n, id, n)
+	}
+	return b.String()
+}
+
+func TestCallersAndJobsAreServedAndAPlannedStopCutsNothing(t *testing.T) {
+	s := newSite(t)
+	a, b := s.start("127.0.0.2"), s.start("127.0.0.3")
+	s.await("both instances in the directory", func() bool {
+		answer := b.endpoints()
+		return strings.Contains(answer, a.settings.Callers) && strings.Contains(answer, b.settings.Callers)
+	})
+	response, err := s.send(a, http.MethodPost, "/a/x", "r1", "body")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := io.ReadAll(response.Body)
+	if err != nil || string(text) != wantStream("r1") || response.Header.Get("X-Server-Stamp") != "signed" {
+		t.Errorf("%v, %q", err, text)
+	}
+
+	gate := make(chan struct{})
+	s.worker.hold.Store(&gate)
+	job := `{"requests":[{"id":"item-1","path":"/l/x","tokens":5},{"id":"item-2","path":"/l/x","tokens":5}]}`
+	if response, err := s.send(a, http.MethodPost, "/l/x", "job-1", job); err != nil || response.StatusCode != http.StatusAccepted {
+		t.Fatalf("%v, %v", err, response)
+	}
+	open, err := s.send(a, http.MethodPost, "/a/x", "r2", "body")
+	if err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(open.Body)
+	if line, err := reader.ReadString('\n'); err != nil || line != "id: 1\n" {
+		t.Fatalf("%v, %q", err, line)
+	}
+	a.stop()
+	s.await("the instance to leave the directory", func() bool {
+		answer := b.endpoints()
+		return answer != "" && !strings.Contains(answer, a.settings.Callers)
+	})
+	if status := a.status("http://" + a.settings.Readiness + "/api/readyz"); status != http.StatusServiceUnavailable && status != 0 {
+		t.Errorf("a stopping instance answers readiness with %d", status)
+	}
+	s.worker.hold.Store(nil)
+	close(gate)
+	rest, err := io.ReadAll(reader)
+	if err != nil || "id: 1\n"+string(rest) != wantStream("r2") {
+		t.Errorf("the open stream was cut: %v, %q", err, rest)
+	}
+	if err := <-a.done; err != nil {
+		t.Errorf("the instance ended with %v", err)
+	}
+	s.await("the job at the other instance", func() bool {
+		response, err := s.send(b, http.MethodGet, "/api/lots/job-1?after=0", "", "")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = response.Body.Close() }()
+		var answer struct {
+			Total   int
+			Results []struct{ ID, State, Text string }
+		}
+		if err := json.NewDecoder(response.Body).Decode(&answer); err != nil || len(answer.Results) < 2 {
+			return false
+		}
+		for _, r := range answer.Results {
+			if r.State != "succeeded" || r.Text != r.ID+"-1\n"+r.ID+"-2\n"+r.ID+"-3\n"+r.ID+"-4" {
+				t.Errorf("%+v", r)
+			}
+		}
+		return answer.Total == 2
+	})
+	b.stop()
+	if err := <-b.done; err != nil {
+		t.Errorf("the instance ended with %v", err)
+	}
+}
+
+func TestInstanceWithoutADocumentRefusesWithAHint(t *testing.T) {
+	s := newSite(t)
+	s.store.SetFaults(memory.RowFaults{Down: true})
+	ip := "127.0.0.4"
+	address := func() string { return fmt.Sprintf("%s:%d", ip, freePort(t, ip)) }
+	port := freePort(t, ip)
+	r := &running{settings: platform.Settings{
+		Name: "m", IP: ip, DataCentre: "z", Callers: address(), Readiness: address(), Directory: address(), FirstPort: port, LastPort: port,
+		Bounds: platform.Bounds{Grace: time.Second, MaxTTL: time.Second},
+		Store:  platform.StoreSettings{Address: strings.TrimPrefix(s.server.URL, "http://")},
+	}}
+	i, err := hosted.New(hosted.Options{Settings: r.settings, EndpointTTL: 20 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- i.Run(ctx) }()
+	s.await("a refusal", func() bool {
+		response, err := s.send(r, http.MethodPost, "/a/x", "r1", "")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+			t.Fatalf("answered %d", response.StatusCode)
+		}
+		return true
+	})
+	if status := r.status("http://" + r.settings.Readiness + "/api/readyz"); status != http.StatusServiceUnavailable {
+		t.Errorf("readiness is %d", status)
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
--- a/hosted/options.go
+++ b/hosted/options.go
@@ -19,17 +19,17 @@
 	Log *zap.Logger
 	// DroppedLines counts the log lines that were dropped; it may be nil.
 	DroppedLines func() uint64
+	// EndpointTTL is how long callers keep an endpoint answer; 0 means
+	// DefaultEndpointTTL.
+	EndpointTTL time.Duration
 }
 
 const (
-	// endpointTTL is how long callers keep an endpoint answer. A short one keeps
-	// callers off an instance that is lost.
-	endpointTTL = time.Second
-	// endpointLinger is how many lifetimes some callers keep an answer.
-	endpointLinger = 3
-	// lateCallers is the longest time for which an instance that stops goes on
-	// accepting callers.
-	lateCallers = endpointLinger*endpointTTL + 500*time.Millisecond
+	// DefaultEndpointTTL keeps callers off an instance that is lost.
+	DefaultEndpointTTL = time.Second
+	// endpointLinger is how many lifetimes some callers keep an answer, with half
+	// of one for the others to learn that an instance leaves.
+	endpointLinger = 3.5
 	// exitReserve is kept of the grace to hand over and exit.
 	exitReserve = 900 * time.Millisecond
 	// Connections to peers, for calls of the store that take a detour. The dial
