Split forwarding and the job tests by job

Ruled out: none; nothing but the place of functions changes. Change: attempts, answers and log lines of forwarding in files of their own; the fleet of the job tests beside the tests.

--- /dev/null
+++ b/job/fleet_test.go
@@ -0,0 +1,261 @@
+package job_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/job"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
+)
+
+// fleet is a few services that share a store and run items on a fake upstream.
+type fleet struct {
+	t        *testing.T
+	store    *memory.Rows
+	route    contract.Route
+	services []*member
+
+	mu    sync.Mutex
+	alive map[string]bool
+	// replaced are processes whose machine runs another one now.
+	replaced map[string]bool
+	runs     map[string]int
+	// from has the events after which runs of an item began.
+	from map[string][]string
+}
+
+// access is the store as one member reaches it.
+type access struct {
+	*memory.Rows
+	// deaf members hear of no changes; latency is what an object takes to be
+	// stored.
+	deaf    atomic.Bool
+	latency atomic.Int64
+}
+
+func (a *access) RowChanges(ctx context.Context, table string, after uint64, wait time.Duration) (storage.RowPage, error) {
+	page, err := a.Rows.RowChanges(ctx, table, after, wait)
+	if !a.deaf.Load() {
+		return page, err
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+	return storage.RowPage{Version: after}, nil
+}
+
+func (a *access) PutBlob(ctx context.Context, name string, body []byte) error {
+	time.Sleep(time.Duration(a.latency.Load()))
+	return a.Rows.PutBlob(ctx, name, body)
+}
+
+type member struct {
+	*job.Service
+	fleet  *fleet
+	access *access
+	// frozen members hear of the end of an item late, of the last one first.
+	frozen atomic.Bool
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+const (
+	itemEvents = 10
+	eventTime  = 500 * time.Millisecond
+)
+
+// Forward runs an item on the fleet's upstream.
+func (m *member) Forward(ctx context.Context, c *contract.Forwarding, sink contract.ForwardSink) error {
+	err := m.fleet.Forward(ctx, c, sink)
+	if m.frozen.Load() {
+		time.Sleep(time.Duration('z'-c.RequestID[len(c.RequestID)-1]) * time.Second)
+	}
+	return err
+}
+
+func newFleet(t *testing.T, n int, change func(*contract.Route)) *fleet {
+	f := &fleet{
+		t: t, store: memory.NewRows(), alive: map[string]bool{}, replaced: map[string]bool{}, runs: map[string]int{}, from: map[string][]string{},
+		route: contract.Route{
+			Host: "h", Prefix: "/lot/", Kind: contract.RouteBatch, MaxAttempts: 3,
+			Completion: 18 * time.Second, Keep: time.Minute, Split: []contract.Share{{Service: "s", Weight: 1}},
+		},
+	}
+	if change != nil {
+		change(&f.route)
+	}
+	for i := range n {
+		f.start("p" + strconv.Itoa(i))
+	}
+	return f
+}
+
+func (f *fleet) start(process string) *member {
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &member{fleet: f, cancel: cancel, done: make(chan struct{}), access: &access{Rows: f.store}}
+	f.mu.Lock()
+	f.alive[process] = true
+	f.mu.Unlock()
+	m.Service = job.New(job.Options{
+		Store: m.access, Process: process, Forwarder: m, Retention: time.Hour, Log: zap.NewNop(),
+		Fleet: func() job.Fleet {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return job.Fleet{Known: true, Alive: copyOf(f.alive), Replaced: func(p string, _ uint64) bool { return f.replaced[p] }}
+		},
+		Routing:  func() *contract.Routing { return &contract.Routing{Version: 1, Routes: []contract.Route{f.route}} },
+		Decode:   func(raw []byte) ([]job.Item, error) { return items(strings.Fields(string(raw))...), nil },
+		Describe: func(c *contract.Forwarding, it *job.Item) { c.RequestID = it.ID },
+	})
+	go func() { defer close(m.done); _ = m.Run(ctx) }()
+	f.services = append(f.services, m)
+	return m
+}
+
+func copyOf(m map[string]bool) map[string]bool {
+	c := map[string]bool{}
+	for k, v := range m {
+		c[k] = v
+	}
+	return c
+}
+
+// kill ends a member without a hand-over: its process is gone.
+func (f *fleet) kill(i int) {
+	f.mu.Lock()
+	delete(f.alive, "p"+strconv.Itoa(i))
+	f.mu.Unlock()
+	m := f.services[i]
+	m.cancel()
+	<-m.done
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	m.Stop(ended)
+}
+
+func (f *fleet) close() {
+	for i := range f.services {
+		f.kill(i)
+	}
+	f.store.Settle()
+}
+
+func items(ids ...string) []job.Item {
+	var list []job.Item
+	for _, id := range ids {
+		list = append(list, job.Item{ID: id, Path: "/lot/x", Body: []byte("body of " + id), Tokens: 100, Header: http.Header{}})
+	}
+	return list
+}
+
+func (f *fleet) submission(id string, names ...string) job.Submission {
+	route := f.route
+	return job.Submission{ID: id, Route: &route, Host: "h", Items: items(names...), Raw: []byte(strings.Join(names, " "))}
+}
+
+// Forward plays an upstream: an item is a stream of events; an item whose id
+// begins with "poison" or "broken" fails.
+func (f *fleet) Forward(ctx context.Context, c *contract.Forwarding, sink contract.ForwardSink) error {
+	f.mu.Lock()
+	f.runs[c.RequestID]++
+	f.from[c.RequestID] = append(f.from[c.RequestID], c.LastEvent)
+	f.mu.Unlock()
+	switch {
+	case strings.HasPrefix(c.RequestID, "poison"):
+		return sink.Begin(http.StatusUnprocessableEntity, nil)
+	case strings.HasPrefix(c.RequestID, "broken"):
+		return sink.Begin(http.StatusInternalServerError, nil)
+	}
+	if err := sink.Begin(http.StatusOK, nil); err != nil {
+		return err
+	}
+	first, _ := strconv.Atoi(c.LastEvent)
+	for n := first + 1; n <= itemEvents; n++ {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(eventTime):
+		}
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, eventData(c.RequestID, n))
+		if err := sink.Write([]byte(event)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// eventData is long enough for progress to be written, unless the id begins with
+// "short".
+func eventData(id string, n int) string {
+	if strings.HasPrefix(id, "short") {
+		return fmt.Sprintf("%s-%d", id, n)
+	}
+	return fmt.Sprintf("%s-%d%s", id, n, strings.Repeat(".", 600))
+}
+
+func textOf(id string) string {
+	var data []string
+	for n := 1; n <= itemEvents; n++ {
+		data = append(data, eventData(id, n))
+	}
+	return strings.Join(data, "\n")
+}
+
+// read reads a job to its end at a member, as a caller does.
+func (f *fleet) read(m *member, id string) []job.Result {
+	f.t.Helper()
+	var all []job.Result
+	for range 400 {
+		total, results, err := m.Results(f.t.Context(), id, len(all), time.Second)
+		if err != nil {
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		all = append(all, results...)
+		if len(all) == total {
+			return all
+		}
+	}
+	f.t.Fatalf("job %s: %d results only", id, len(all))
+	return nil
+}
+
+func wantAll(t *testing.T, results []job.Result, names ...string) {
+	t.Helper()
+	got := map[string]job.Result{}
+	for _, r := range results {
+		if _, ok := got[r.Item]; ok {
+			t.Errorf("item %s is listed twice", r.Item)
+		}
+		got[r.Item] = r
+	}
+	want := map[string]job.Result{}
+	for _, n := range names {
+		want[n] = job.Result{Item: n, Succeeded: true, Text: textOf(n)}
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+}
+
+func (f *fleet) wantRuns(want map[string]int) {
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if d := cmp.Diff(want, f.runs); d != "" {
+		f.t.Errorf("runs:\n%s", d)
+	}
+}
--- /dev/null
+++ b/upstream/forward_answer.go
@@ -0,0 +1,166 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+)
+
+func isEventStream(h http.Header) bool {
+	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+}
+
+func broken(given *slot, err error) *failure {
+	if errors.Is(context.Cause(given.ctx), errStalled) {
+		return &failure{err: code.Wrap(code.UpstreamSilent, err, "upstream %q was silent", given.target.id)}
+	}
+	return &failure{err: code.Wrap(code.UpstreamFailed, err, "upstream %q broke off", given.target.id)}
+}
+
+// check refuses answers that are not the upstream's to this request.
+func (f *forwarding) check(response *http.Response, head Head) *failure {
+	status := response.StatusCode
+	switch {
+	case head.NotRun && status != http.StatusBadRequest:
+		return &failure{err: code.New(code.UpstreamRefused, "the upstream refused with status %d", status), refused: true}
+	case head.RequestID != "" && head.RequestID != f.call.RequestID:
+		return &failure{err: code.New(code.UpstreamBadAnswer, "the answer belongs to request %q", head.RequestID)}
+	case status < http.StatusMultipleChoices && (!head.Signed || head.RequestID == ""):
+		return &failure{err: code.New(code.UpstreamBadAnswer, "the answer has no signature")}
+	case response.Header.Get("Content-Encoding") != "":
+		return &failure{err: code.New(code.UpstreamBadAnswer, "the answer is encoded")}
+	case f.begun && f.call.Class == contract.Batch && status >= http.StatusBadRequest && !isPromise(status):
+		return &failure{err: &StatusError{Status: status}, final: true}
+	case f.begun && (status != http.StatusOK || !isEventStream(response.Header)):
+		return &failure{err: code.New(code.UpstreamBadAnswer, "the upstream answered status %d to a resumption", status)}
+	case isPromise(status) || status >= http.StatusInternalServerError && f.call.Repeatable && f.call.Class == contract.Online && f.runs+1 < f.call.MaxAttempts:
+		return &failure{err: code.New(code.UpstreamFailed, "the upstream answered status %d", status)}
+	}
+	return nil
+}
+
+// StatusError is the failure of a batch request whose upstream answered a
+// resumption with a status of its own.
+type StatusError struct{ Status int }
+
+// Error implements error.
+func (e *StatusError) Error() string { return "the upstream answered status " + strconv.Itoa(e.Status) }
+
+// isPromise reports whether callers take a status as proof that nothing ran.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// answer is an answer while it is passed on.
+type answer struct {
+	slot     *slot
+	response *http.Response
+	header   http.Header
+	timer    *time.Timer
+	next     time.Duration
+	*forwarding
+}
+
+func (a *answer) begin() error {
+	if a.begun {
+		return nil
+	}
+	a.begun = true
+	return a.sink.Begin(a.response.StatusCode, a.header)
+}
+
+// gone is the failure of a caller that takes no more.
+func gone(err error) *failure {
+	return &failure{err: code.Wrap(code.CallerGone, err, "the caller is gone"), final: true}
+}
+
+// passEvents passes whole events on as they arrive.
+func (d *Dispatcher) passEvents(a *answer) *failure {
+	events := newRawEvents(a.response.Body)
+	for {
+		e, err := events.next()
+		if errors.Is(err, io.EOF) {
+			if err := a.begin(); err != nil {
+				return gone(err)
+			}
+			return nil
+		}
+		if err != nil {
+			return broken(a.slot, err)
+		}
+		now := time.Now()
+		if a.slot.first.Load() == 0 {
+			d.sched.observeFirst(a.slot, now)
+			if a.forwarding.first == 0 {
+				a.forwarding.first = now.Sub(a.arrived)
+			}
+		}
+		a.slot.token(now)
+		a.timer.Reset(a.next)
+		if e.id != "" && a.last != "" && !follows(e.id, a.last) {
+			continue
+		}
+		if err := a.begin(); err != nil {
+			return gone(err)
+		}
+		if err := a.sink.Write(e.bytes); err != nil {
+			return gone(err)
+		}
+		a.events++
+		if e.id != "" {
+			a.last = e.id
+		}
+	}
+}
+
+// wholeBody is the size up to which a body is read before it is passed on, so
+// that a broken one can be asked for again.
+const wholeBody = 256 << 10
+
+// passBody passes any other answer on.
+func (d *Dispatcher) passBody(a *answer) *failure {
+	body, err := io.ReadAll(io.LimitReader(a.response.Body, wholeBody))
+	if err != nil {
+		return broken(a.slot, err)
+	}
+	d.sched.observeFirst(a.slot, time.Now())
+	if err := a.begin(); err != nil {
+		return gone(err)
+	}
+	buffer := body
+	for {
+		if len(buffer) > 0 {
+			if err := a.sink.Write(buffer); err != nil {
+				return gone(err)
+			}
+		}
+		if len(body) < wholeBody {
+			return nil
+		}
+		n, err := a.response.Body.Read(body)
+		buffer = body[:n]
+		a.timer.Reset(a.next)
+		if errors.Is(err, io.EOF) {
+			if n > 0 {
+				if err := a.sink.Write(buffer); err != nil {
+					return gone(err)
+				}
+			}
+			return nil
+		}
+		if err != nil {
+			return broken(a.slot, err)
+		}
+	}
+}
