Test the roster against a store that takes no writes

Ruled out: the outage of the whole store, which has its own test. Change: TestStoreThatTakesNoWritesTakesNobodyOffTheList.

--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/roster"
+	"github.com/daisylb/daisylb/storage"
 	"github.com/daisylb/daisylb/storage/memory"
 )
 
@@ -18,7 +21,20 @@
 	stop func()
 }
 
-func start(store *memory.Rows, name string) *running {
+// readOnly is a store that can be made to take no writes.
+type readOnly struct {
+	*memory.Rows
+	on *atomic.Bool
+}
+
+func (r readOnly) ApplyRows(ctx context.Context, t storage.RowTransaction) (storage.RowPage, error) {
+	if r.on.Load() {
+		return storage.RowPage{}, code.New(code.StoreUnknown, "no answer")
+	}
+	return r.Rows.ApplyRows(ctx, t)
+}
+
+func start(store storage.Rows, name string) *running {
 	ctx, cancel := context.WithCancel(context.Background())
 	r := &running{Roster: roster.New(roster.Options{Rows: store, Log: zap.NewNop(), Self: roster.Member{
 		Name: name, ID: name + "/1", Callers: "10.0.0.1:1", Peers: "10.0.0.1:2",
@@ -89,6 +105,32 @@
 	})
 }
 
+// TestStoreThatTakesNoWritesTakesNobodyOffTheList lets reads go on: rows stay
+// unchanged though their members live.
+func TestStoreThatTakesNoWritesTakesNobodyOffTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := readOnly{memory.NewRows(), new(atomic.Bool)}
+		a, b := start(store, "a"), start(store, "b")
+		time.Sleep(5 * time.Second)
+		store.on.Store(true)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			if len(a.View().Alive) != 2 {
+				t.Fatal("a member was taken off while nobody could write")
+			}
+		}
+		store.on.Store(false)
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			if len(a.View().Alive) != 2 {
+				t.Fatal("a member was taken off when writes were taken again")
+			}
+		}
+		a.stop()
+		b.stop()
+	})
+}
+
 func TestReplacedProcessIsToldFromOneThatHasJustStarted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := memory.NewRows()
