Serve what can be on time first instead of refusing what would be late

Cause: a request whose first event would have come after its objective was refused at once and asked back 0.5 to 1.2 s later. Its caller was served later than by waiting, and had lost its one retry: the rule served the accounting, not the caller. Ruled out: serving in the order of arrival without the refusal (trial): p99 of the first event falls, but fewer are on time, as a burst makes all that come after it late. Change: nobody is refused who can be served before the patience of the caller ends. A free slot goes to a caller about to leave, then to the first that can still be on time, then to the first late one (route.FirstOnline).

--- a/contract/forward.go
+++ b/contract/forward.go
@@ -34,9 +34,6 @@
 	// Due is when the result of a batch request is due; the zero time means that
 	// it is not.
 	Due time.Time
-	// MayReturn is set while the caller has enough of its time left to come back
-	// after a refusal.
-	MayReturn bool
 	// Silence is the longest pause that the caller bears.
 	Silence time.Duration
 	// Affinity is a hash of the beginning of the prompt; 0 means none.
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -124,7 +124,6 @@
 		return code.New(code.NoUpstream, "the route has no service").WithRetryAfter(noServiceHint)
 	}
 	f.Deadline = deadline(route, r, arrived)
-	f.MayReturn = mayReturn(route, f.Deadline.Sub(arrived))
 	s := &sink{w: w, controller: http.NewResponseController(w)}
 	_ = s.controller.SetWriteDeadline(f.Deadline.Add(writeGrace))
 	err := h.options.Forwarder.Forward(r.Context(), f, s)
@@ -156,14 +155,6 @@
 	return arrived.Add(limit)
 }
 
-// returnShare is the share of a route's time from which a caller may be asked
-// to come back: one that has been refused before has less.
-const returnShare = 0.95
-
-func mayReturn(route *contract.Route, left time.Duration) bool {
-	return float64(left) >= returnShare*float64(route.Timeout)
-}
-
 const (
 	// minSilence, silenceObjectives and silenceGaps say after which pause callers
 	// abandon a stream, also before its first event.
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -84,8 +84,8 @@
 			f.request.deadline = patience
 		}
 	}
-	if call.Class == contract.Online && call.Objective > 0 && call.MayReturn {
-		f.request.prompt = time.Now().Add(call.Objective)
+	if call.Class == contract.Online && call.Objective > 0 {
+		f.request.online = route.OnlineWork{Objective: f.arrived.Add(call.Objective), Patience: f.request.deadline}
 	}
 	err = d.forwardAttempts(ctx, f)
 	d.logForward(f, err)
--- a/upstream/queue.go
+++ b/upstream/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/daisylb/daisylb/route"
 )
@@ -49,21 +50,24 @@
 	return min(q.waiting, (own+1)*weights/max(weight, 1)-1)
 }
 
-// front returns the waiter that is served next, or nil.
-func (q *queue) front() *waiter {
-	if i := route.Next(q.tenants); i >= 0 {
-		return q.waiters[i][0]
+// front returns the waiter that is served next, or nil: the first of the account
+// whose turn it is, in the order of route.FirstOnline.
+func (q *queue) front(now time.Time, first time.Duration) *waiter {
+	i := route.Next(q.tenants)
+	if i < 0 {
+		return nil
 	}
-	return nil
+	waiters := q.waiters[i]
+	return waiters[route.FirstOnline(len(waiters), func(j int) route.OnlineWork { return waiters[j].online }, now, first)]
 }
 
-// pop takes the front out of the queue after it was served.
-func (q *queue) pop() {
-	i := route.Next(q.tenants)
+// pop takes a waiter out of the queue after it was served.
+func (q *queue) pop(w *waiter) {
+	i := slices.Index(q.accounts, w.account)
 	t := &q.tenants[i]
 	q.served = max(t.Virtual, q.served)
 	t.Virtual = t.Advance(t.Virtual)
-	q.take(i, 0)
+	q.take(i, slices.Index(q.waiters[i], w))
 }
 
 // remove takes a waiter out; it does nothing when the waiter is not queued.
--- a/upstream/refuse.go
+++ b/upstream/refuse.go
@@ -38,9 +38,6 @@
 	hint := min(max(wait, minRetryHint), maxRetryHint)
 	greedy := ahead > q.waiting/2 && len(q.accounts) > 1
 	late := !r.deadline.IsZero() && now.Add(wait+h.prior).After(r.deadline)
-	if !r.prompt.IsZero() && now.Add(wait+h.prior).After(r.prompt) {
-		return code.New(code.Overloaded, "the answer would begin after its objective").WithRetryAfter(s.comeBack(wait))
-	}
 	switch {
 	case !late && q.waiting < maxQueued:
 		return nil
@@ -52,19 +49,6 @@
 	return code.New(code.Overloaded, "no upstream has room within the deadline").WithRetryAfter(hint)
 }
 
-// Bounds of the hint to a caller whose answer would be late: the wait that it
-// would have had is over by then, and callers that were refused together do not
-// come back together.
-const (
-	minComeBack    = 500 * time.Millisecond
-	comeBackSpread = 700 * time.Millisecond
-)
-
-// comeBack returns when a caller finds a slot, as far as can be told.
-func (s *scheduler) comeBack(wait time.Duration) time.Duration {
-	return max(wait, minComeBack) + time.Duration(s.random.Int64N(int64(comeBackSpread)))
-}
-
 // lostFailures is the number of failures in a row from which an upstream
 // counts as lost rather than as restarting.
 const lostFailures = 3
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -36,12 +36,9 @@
 	// avoid is the key of the upstream that just failed the request.
 	avoid    uint64
 	deadline time.Time
-	// prompt is the time after which an answer that begins is late; a request is
-	// refused at once when it would be, so that its caller can come back. The
-	// zero time lets it wait until the deadline.
-	prompt time.Time
-	// work orders batch requests.
-	work route.BatchWork
+	// online orders the online requests of an account, work the batch requests.
+	online route.OnlineWork
+	work   route.BatchWork
 }
 
 // waiter is a request that waits for a slot.
@@ -323,8 +320,8 @@
 // then batch.
 func (s *scheduler) pump() {
 	for _, p := range s.fleet.pools {
-		s.serve(&p.short)
-		s.serve(&p.history.long)
+		s.serve(&p.short, p.prior)
+		s.serve(&p.history.long, p.prior)
 	}
 	for _, p := range s.fleet.pools {
 		s.serveBatch(p)
@@ -347,13 +344,15 @@
 	}
 }
 
-func (s *scheduler) serve(q *queue) {
+// serve grants free slots to online requests; first is the time from a slot to
+// the first byte.
+func (s *scheduler) serve(q *queue, first time.Duration) {
 	for {
-		w := q.front()
+		w := q.front(time.Now(), first)
 		if w == nil || !s.give(w) {
 			return
 		}
-		q.pop()
+		q.pop(w)
 	}
 }
 
