Number load digests by a counter and log ejections

Cause: a digest bore the time of day, and peers ignore one that is not newer: after a step back of the time of day an instance's load was unknown to the others for as long as the step. Ruled out: the steady clock instead, which two digests of one instant share. Figures: TestDigestsAreInOrderWhateverTheTimeOfDay fails on the sources before.

--- a/upstream/digest.go
+++ b/upstream/digest.go
@@ -51,7 +51,8 @@
 	s := d.sched
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	digest := Digest{Sequence: uint64(time.Now().UnixNano())}
+	s.sequence++
+	digest := Digest{Sequence: s.sequence}
 	for _, p := range s.fleet.pools {
 		digest.BatchWaiting += len(p.batch)
 		digest.OnlineWaiting += p.short.waiting + p.history.long.waiting
@@ -75,6 +76,7 @@
 		return
 	}
 	now := time.Now()
+	s.peerHeard = now
 	freed := s.replaceDigest(peer, &peerDigest{digest, now}, now)
 	for _, load := range digest.Loads {
 		if t, ok := s.fleet.targets[load.Upstream]; ok && load.Online > 0 {
@@ -86,6 +88,14 @@
 	}
 }
 
+// PeerHeard returns when a digest of any peer was taken in last, the zero time
+// before the first.
+func (d *Dispatcher) PeerHeard() time.Time {
+	d.sched.mu.Lock()
+	defer d.sched.mu.Unlock()
+	return d.sched.peerHeard
+}
+
 // replaceDigest takes the load of a peer's earlier digest off the targets and
 // adds that of the new one. It reports whether a target has less load than
 // before. The lock is held.
--- a/upstream/dispatcher.go
+++ b/upstream/dispatcher.go
@@ -106,7 +106,7 @@
 		return nil, err
 	}
 	d := &Dispatcher{options: o, log: o.Logger, links: newLinks(o.Transport), metrics: metrics}
-	d.sched = newScheduler(o.Seed, o.Policy, metrics)
+	d.sched = newScheduler(o.Seed, o.Policy, metrics, o.Logger)
 	d.fleet.Store(&fleet{})
 	return d, nil
 }
--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/daisylb/daisylb/contract"
@@ -70,6 +71,25 @@
 	}
 }
 
+// TestDigestsAreInOrderWhateverTheTimeOfDay makes digests faster than the clock
+// ticks, as after a step back: each is newer than the one before.
+func TestDigestsAreInOrderWhateverTheTimeOfDay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, err := New(Options{Document: func() *contract.Document { return &contract.Document{} }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		before := d.Digest()
+		for range 3 {
+			next := d.Digest()
+			if next.Sequence <= before.Sequence {
+				t.Errorf("digest %d after digest %d", next.Sequence, before.Sequence)
+			}
+			before = next
+		}
+	})
+}
+
 func TestBatchOfOneInstanceYieldsToOnlineOfAnother(t *testing.T) {
 	holder, other, finish := sharing(t)
 	b := &bench{Dispatcher: other}
--- a/upstream/health.go
+++ b/upstream/health.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/route"
 )
@@ -45,6 +47,7 @@
 	d := min(minSuspension<<min(t.failures-1, 8), maxSuspension)
 	// Jitter keeps instances from trying together.
 	t.suspended = now.Add(d/2 + time.Duration(s.random.Int64N(int64(d/2))))
+	s.log.Info("upstream suspended", zap.String("upstream", t.id), zap.Int("failures", t.failures), zap.Duration("pause", t.suspended.Sub(now)))
 }
 
 // reported notes the result of asking a target for its load: r is nil when
@@ -130,10 +133,14 @@
 	if ejected == p.isEjected(t) {
 		return
 	}
+	belief := []zap.Field{zap.String("service", p.name), zap.String("upstream", t.id), zap.Duration("first", t.first.Value),
+		zap.Duration("spacing", t.spacing.Value), zap.Float64("errors", t.errors), zap.Duration("median_first", p.prior)}
 	if !ejected {
+		s.log.Info("upstream returned", append(belief, zap.Duration("after", now.Sub(p.ejected[t])))...)
 		delete(p.ejected, t)
 		return
 	}
+	s.log.Info("upstream ejected", belief...)
 	p.ejected[t] = now
 	s.metrics.ejections.Inc()
 }
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/route"
 )
@@ -52,6 +54,7 @@
 // only, never for I/O.
 type scheduler struct {
 	metrics *metrics
+	log     *zap.Logger
 	policy  route.Policy
 	// urgent is called, with the lock held, when online work needs slots of an
 	// upstream that batch work of other instances holds. It must not block.
@@ -68,20 +71,29 @@
 	turns *turns
 	// peersAt is when the digests were summed up last.
 	peersAt time.Time
+	// sequence is that of the last digest. It begins at the time of the start, so
+	// that it goes on upwards after a restart, and is a counter from there on, so
+	// that a step of the time of day holds no digest back.
+	sequence uint64
+	// peerHeard is when a digest of any peer was taken in last.
+	peerHeard time.Time
 }
 
-func newScheduler(seed uint64, policy route.Policy, m *metrics) *scheduler {
+func newScheduler(seed uint64, policy route.Policy, m *metrics, log *zap.Logger) *scheduler {
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
 	return &scheduler{
 		metrics: m,
+		log:     log,
 		policy:  policy,
 		urgent:  func() {},
 		changed: func() {},
 		random:  rand.New(rand.NewPCG(seed, seed)),
 		fleet:   &fleet{},
 		peers:   map[string]*peerDigest{},
+
+		sequence: uint64(time.Now().UnixNano()),
 	}
 }
 
