Let the items of an isolated instance wait

Cause: an instance that reached neither the store nor another instance went on running the items of its jobs. Others had taken them over, or callers had ended them, and its requests filled upstreams that the others counted as free. Ruled out: waiting whenever the store is away, which would stop all batch work in every outage: while another instance is heard of, nobody else reaches the store either. Change: the roster tells when store and peers have been silent for as long as the others take to count an instance as lost; then the runs of items end, and go on from the last event when anybody is heard of again. The first commit that the store does not take is logged. Tests in job (fails without the change) and roster.

--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	i.roster = roster.New(roster.Options{Rows: i.store, Log: i.log, Changed: i.divide, Self: roster.Member{
+	i.roster = roster.New(roster.Options{Rows: i.store, Log: i.log, Changed: i.divide, PeerHeard: i.dispatcher.PeerHeard, Self: roster.Member{
 		Name:       i.settings.Name,
 		ID:         i.process,
 		Callers:    i.settings.Callers,
@@ -190,7 +190,7 @@
 		Log:       i.log,
 		Fleet: func() job.Fleet {
 			view := i.roster.View()
-			return job.Fleet{Known: i.roster.Followed(), Alive: view.Processes, Replaced: view.Replaced}
+			return job.Fleet{Known: i.roster.Followed(), Alive: view.Processes, Isolated: i.roster.Isolated(), Replaced: view.Replaced}
 		},
 	})
 	return nil
--- a/job/commit.go
+++ b/job/commit.go
@@ -158,7 +158,11 @@
 			}
 			continue
 		}
-		r.service.options.Log.Debug("commit not taken", zap.String("job", r.id), zap.Error(err))
+		if pause == minCommitPause {
+			// One line an outage; the line of what is listed in the end follows.
+			r.service.options.Log.Info("commit not taken, trying on", zap.String("job", r.id), zap.Int("listed", next.Listed),
+				zap.Uint64("version", r.head.version), zap.Error(err))
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause/2 + rand.N(pause/2)):
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -66,8 +66,10 @@
 	*job.Service
 	fleet  *fleet
 	access *access
-	// frozen members hear of the end of an item late, of the last one first.
-	frozen atomic.Bool
+	// frozen members hear of the end of an item late, of the last one first;
+	// isolated ones reach neither the store nor other members.
+	frozen   atomic.Bool
+	isolated atomic.Bool
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -114,7 +116,7 @@
 		Fleet: func() job.Fleet {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			return job.Fleet{Known: true, Alive: copyOf(f.alive), Replaced: func(p string, _ uint64) bool { return f.replaced[p] }}
+			return job.Fleet{Known: true, Alive: copyOf(f.alive), Isolated: m.isolated.Load(), Replaced: func(p string, _ uint64) bool { return f.replaced[p] }}
 		},
 		Routing:  func() *contract.Routing { return &contract.Routing{Version: 1, Routes: []contract.Route{f.route}} },
 		Decode:   func(raw []byte) ([]job.Item, error) { return items(strings.Fields(string(raw))...), nil },
--- a/job/run.go
+++ b/job/run.go
@@ -118,7 +118,7 @@
 			r.finish(index, Result{Item: item.ID})
 			return
 		}
-		if route != nil && r.attempt(item, route, c) {
+		if route != nil && r.service.inTouch() && r.attempt(item, route, c) {
 			r.finish(index, c.result(item.ID))
 			return
 		}
@@ -165,8 +165,10 @@
 	r.service.options.Describe(f, item)
 	f.LastEvent = c.last
 	c.status = 0
-	err := r.service.options.Forwarder.Forward(r.ctx, f, c)
-	if r.ctx.Err() != nil {
+	ctx, cancel := r.service.whileInTouch(r.ctx)
+	defer cancel()
+	err := r.service.options.Forwarder.Forward(ctx, f, c)
+	if r.ctx.Err() != nil || err != nil && ctx.Err() != nil {
 		return false
 	}
 	var answered *upstream.StatusError
--- a/job/service.go
+++ b/job/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,6 +25,10 @@
 	Known bool
 	// Alive has the ids of the processes that live.
 	Alive map[string]bool
+	// Isolated is set while nobody can be reached: neither the store nor another
+	// instance. Others may then have taken the jobs of this process over, or a
+	// caller may have ended them.
+	Isolated bool
 	// Replaced reports whether the machine of a process has run another one since
 	// a version of the store. It may be nil.
 	Replaced func(process string, version uint64) bool
@@ -74,6 +79,9 @@
 	runs sync.WaitGroup
 	base context.Context
 	stop context.CancelFunc
+
+	// touch holds while this instance is in touch; its runs of items end with it.
+	touch atomic.Pointer[touch]
 }
 
 // The feed pauses between two calls, in larger fleets for longer, so that all
@@ -102,6 +110,7 @@
 		bodies:  newBodyCache(),
 	}
 	s.base, s.stop = context.WithCancel(context.Background())
+	s.touch.Store(newTouch(s.base))
 	s.follower = feed.New(feed.Options{Rows: o.Store, Table: headTable, Part: part, Pause: s.feedPause, Update: s.update, Log: o.Log})
 	return s
 }
@@ -113,6 +122,7 @@
 	wait.Go(func() { _ = s.follower.Run(ctx) })
 	wait.Go(func() { s.adoptOrphans(ctx) })
 	wait.Go(func() { s.sweep(ctx) })
+	wait.Go(func() { s.watchTouch(ctx) })
 	wait.Wait()
 	return nil
 }
--- a/job/service_test.go
+++ b/job/service_test.go
@@ -300,6 +300,34 @@
 	})
 }
 
+// TestIsolatedOwnerRunsNothing cuts an owner off from everybody: it can't learn
+// that its job was ended, so its items wait, and go on from where they were when
+// it is back.
+func TestIsolatedOwnerRunsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, nil)
+		defer f.close()
+		if err := f.services[0].Submit(t.Context(), f.submission("j", "a", "b")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3*eventTime + eventTime/2)
+		f.services[0].isolated.Store(true)
+		time.Sleep(20 * time.Second)
+		f.wantRuns(map[string]int{"a": 1, "b": 1})
+		if total, results, err := f.services[0].Results(t.Context(), "j", 0, 0); err != nil || total != 2 || len(results) != 0 {
+			t.Errorf("%d results of %d while isolated, %v", len(results), total, err)
+		}
+		f.services[0].isolated.Store(false)
+		wantAll(t, f.read(f.services[0], "j"), "a", "b")
+		f.wantRuns(map[string]int{"a": 2, "b": 2})
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if d := cmp.Diff(map[string][]string{"a": {"", "3"}, "b": {"", "3"}}, f.from); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
 // TestJobThatTheFeedTellsOfFirstIsNotTakenOver lets the store answer an
 // acceptance long after the feed has told of it.
 func TestJobThatTheFeedTellsOfFirstIsNotTakenOver(t *testing.T) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -72,6 +72,9 @@
 	Log  *zap.Logger
 	// Changed is called when a member came, left or is no longer alive.
 	Changed func()
+	// PeerHeard returns when another instance was heard of last, other than through
+	// the store; the zero time means never. It may be nil.
+	PeerHeard func() time.Time
 }
 
 // Roster is the list. It is safe for concurrent use.
@@ -150,6 +153,18 @@
 	return ok && age < feedWait+2*r.interval()
 }
 
+// Isolated reports whether neither the store nor another instance has been heard
+// of for as long as the others take to count this one as lost. An instance that
+// knows of no other is never isolated: nobody can take its work over.
+func (r *Roster) Isolated() bool {
+	limit := time.Duration(aliveIntervals * float64(r.interval()))
+	age, ok := r.follower.Age()
+	if !ok || age < limit || len(r.View().Alive) < 2 || r.options.PeerHeard == nil {
+		return false
+	}
+	return time.Since(r.options.PeerHeard()) >= limit
+}
+
 // Announce changes what this instance says of itself and writes it soon.
 func (r *Roster) Announce(change func(*Member)) {
 	next := *r.self.Load()
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -19,6 +19,15 @@
 type running struct {
 	*roster.Roster
 	stop func()
+	// heard is when another member was heard of other than through the store.
+	heard atomic.Pointer[time.Time]
+}
+
+func (r *running) peerHeard() time.Time {
+	if at := r.heard.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
 }
 
 // readOnly is a store that can be made to take no writes.
@@ -36,9 +45,10 @@
 
 func start(store storage.Rows, name string) *running {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &running{Roster: roster.New(roster.Options{Rows: store, Log: zap.NewNop(), Self: roster.Member{
+	r := &running{}
+	r.Roster = roster.New(roster.Options{Rows: store, Log: zap.NewNop(), PeerHeard: r.peerHeard, Self: roster.Member{
 		Name: name, ID: name + "/1", Callers: "10.0.0.1:1", Peers: "10.0.0.1:2",
-	}})}
+	}})
 	done := make(chan struct{})
 	go func() { defer close(done); _ = r.Run(ctx) }()
 	r.stop = func() { cancel(); <-done }
@@ -154,3 +164,39 @@
 		b.stop()
 	})
 }
+
+// TestIsolatedWithoutStoreAndPeers takes the store away from an instance, then
+// its peers too.
+func TestIsolatedWithoutStoreAndPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.NewRows()
+		a, b, alone := start(store, "a"), start(store, "b"), start(memory.NewRows(), "alone")
+		hear := func(d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				now := time.Now()
+				a.heard.Store(&now)
+				if a.Isolated() {
+					t.Fatal("an instance that hears of a peer counts as isolated")
+				}
+			}
+		}
+		time.Sleep(5 * time.Second)
+		if a.Isolated() || alone.Isolated() {
+			t.Error("an instance that reaches the store counts as isolated")
+		}
+		store.SetFaults(memory.RowFaults{Down: true})
+		hear(20 * time.Second)
+		time.Sleep(5 * time.Second)
+		if !a.Isolated() || !b.Isolated() {
+			t.Error("an instance that reaches nobody does not count as isolated")
+		}
+		store.SetFaults(memory.RowFaults{})
+		time.Sleep(2 * time.Second)
+		if a.Isolated() {
+			t.Error("an instance that reaches the store again counts as isolated")
+		}
+		a.stop()
+		b.stop()
+		alone.stop()
+	})
+}
