Apply the document's limits and changed settings without a restart

Cause: the document's idle time and size of headers were read and not applied; a changed settings file was checked at SIGHUP only and used at the next start. Ruled out: http.Server.IdleTimeout, which is fixed once the server runs. Change: callers' connections close after the idle time of the document in force; headers over its size are answered 431 (1003); the settings file is looked at each 3 s and at SIGHUP, and bounds, regions and the store's address are taken into use. The document's header timeout stays fixed at 10 s.

--- a/cmd/daisylbd/hosted.go
+++ b/cmd/daisylbd/hosted.go
@@ -21,6 +21,9 @@
 
 // runHosted runs an instance on the users' platform.
 func runHosted(path string) int {
+	// What changes after this look is seen at the next one.
+	w := settingsWatch{path: path, interval: settingsInterval}
+	_ = w.read()
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -38,7 +41,8 @@
 	defer stop()
 	i, err := hosted.New(hosted.Options{Settings: settings, Log: log, DroppedLines: sink.Dropped})
 	if err == nil {
-		reload(log, path)
+		w.apply, w.log = i.Reload, log
+		go w.run(ctx)
 		err = i.Run(ctx)
 	}
 	if err != nil && !errors.Is(err, context.Canceled) {
@@ -47,19 +51,3 @@
 	}
 	return exitOK
 }
-
-// reload checks the settings at SIGHUP. What an instance uses of them is fixed
-// for the life of a process; a faulty file is reported before the next start.
-func reload(log *zap.Logger, path string) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	go func() {
-		for range hup {
-			if _, err := platform.LoadSettings(path); err != nil {
-				log.Error("settings have faults", zap.Error(err))
-				continue
-			}
-			log.Info("settings read again")
-		}
-	}()
-}
--- /dev/null
+++ b/cmd/daisylbd/reload_test.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/platform"
+)
+
+const settingsText = `{"node_name":"e-1","ip":"10.1.0.10","zone":"a","zones":{"a":"r"},
+ "listen":{"front":"10.1.0.10:8161","readiness":"10.1.0.10:8167","directory":"10.1.0.10:8164"},
+ "port_range":[7720,7735],"limits":{"memory_mb":334},"heartbeat_ms":1200,
+ "bounds":{"grace_s":8,"drain_ms":2000,"ttl_max_s":5,"status_s":120},
+ "provider":{"address":"10.200.1.7:8169","writes_per_s":800,"reads_per_s":2000,"row_bytes":65536,"blob_bytes":8388608}}`
+
+// TestChangedSettingsAreTakenInWithoutASignal also writes a file with faults,
+// which changes nothing.
+func TestChangedSettingsAreTakenInWithoutASignal(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	write := func(text string) {
+		t.Helper()
+		// A file is replaced as a whole, so that no half of it is read.
+		if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(path+".new", path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(settingsText)
+	applied := make(chan platform.Settings)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	w := settingsWatch{path: path, interval: time.Millisecond, apply: func(s platform.Settings) { applied <- s }, log: zap.NewNop()}
+	if err := w.read(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { defer close(ended); w.run(ctx) }()
+	write(strings.Replace(settingsText, `"grace_s":8`, `"grace_s":0`, 1))
+	write(strings.Replace(settingsText, `"grace_s":8`, `"grace_s":9`, 1))
+	if s := <-applied; s.Bounds.Grace != 9*time.Second {
+		t.Errorf("grace %v", s.Bounds.Grace)
+	}
+	cancel()
+	<-ended
+}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -54,6 +54,9 @@
 	if document == nil {
 		return code.New(code.NoConfiguration, "there is no document yet").WithRetryAfter(startHint)
 	}
+	if limit := document.Limits.MaxHeaderBytes; limit > 0 && headerBytes(r) > limit {
+		return code.New(code.HeaderTooLarge, "the headers are over %d bytes", limit)
+	}
 	call, err := platform.Classify(r)
 	if err != nil {
 		return err
@@ -80,6 +83,18 @@
 	return h.forward(w, r, route, body, arrived)
 }
 
+// headerBytes is about the size of the request line and the headers as sent.
+func headerBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + separators
+		}
+	}
+	return n
+}
+
 // startHint is about the time in which a starting instance reads the document.
 const startHint = 200 * time.Millisecond
 
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -47,7 +47,7 @@
 		{Name: "once", Host: "h", Prefix: "/once/", Kind: contract.RouteStream, Timeout: 5 * time.Second, Objective: 300 * time.Millisecond, MaxAttempts: 1, Split: []contract.Share{{Service: "s", Weight: 1}}},
 		{Name: "batch", Host: "h", Prefix: "/lot/", Kind: contract.RouteBatch, Split: []contract.Share{{Service: "s", Weight: 1}}},
 	},
-	Limits: contract.RequestLimits{MaxBodyBytes: 100},
+	Limits: contract.RequestLimits{MaxBodyBytes: 100, MaxHeaderBytes: 1000},
 }
 
 type system struct {
@@ -134,10 +134,11 @@
 		body    string
 		want    int
 	}{
-		"no document":    {nil, "/once/x", "", 503},
-		"no route":       {document, "/none/x", "", 404},
-		"body too large": {document, "/once/x", strings.Repeat("x", 101), 413},
-		"job unreadable": {document, "/lot/x", "{", 400},
+		"no document":      {nil, "/once/x", "", 503},
+		"no route":         {document, "/none/x", "", 404},
+		"body too large":   {document, "/once/x", strings.Repeat("x", 101), 413},
+		"header too large": {document, "/once/" + strings.Repeat("x", 2000), "", 431},
+		"job unreadable":   {document, "/lot/x", "{", 400},
 	} {
 		s := newSystem(t, c.routing, never)
 		response, _, err := s.do(t, http.MethodPost, c.path, c.body, "X-Request-Id", "r")
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -32,7 +32,7 @@
 // Instance is one process on the platform. New builds it, Run serves until its
 // context ends and the planned stop is over.
 type Instance struct {
-	settings platform.Settings
+	settings atomic.Pointer[platform.Settings]
 	log      *zap.Logger
 	registry *prometheus.Registry
 	process  string
@@ -65,13 +65,13 @@
 // New builds an instance. Errors: code.InvalidSettings and those of the sockets.
 func New(o Options) (*Instance, error) {
 	i := &Instance{
-		settings: o.Settings,
 		log:      o.Log,
 		registry: prometheus.NewRegistry(),
 		process:  o.Settings.Name + "/" + uuid.NewString()[:8],
 		direct:   platform.NewClient(o.Settings.Store.Address),
 		ttl:      cmp.Or(o.EndpointTTL, DefaultEndpointTTL),
 	}
+	i.settings.Store(&o.Settings)
 	if i.log == nil {
 		i.log = zap.NewNop()
 	}
@@ -106,7 +106,7 @@
 
 func (i *Instance) buildRouting() error {
 	i.document = &routing.Document{Key: platform.DocumentKey, Decode: platform.DecodeRouting, Log: i.log}
-	i.workers = &routing.Workers{Decode: platform.DecodeWorker, DataCentres: i.settings.Regions, Log: i.log}
+	i.workers = &routing.Workers{Decode: platform.DecodeWorker, DataCentres: i.settings.Load().Regions, Log: i.log}
 	i.feeds = []*feed.Follower{
 		feed.New(feed.Options{Rows: i.store, Table: platform.OperatorTable, Update: i.document.Update, Log: i.log}),
 		feed.New(feed.Options{Rows: i.store, Table: platform.WorkerTable, Update: i.workers.Update, Log: i.log}),
@@ -118,7 +118,7 @@
 	var err error
 	i.dispatcher, err = upstream.New(upstream.Options{
 		Document:   i.workers.Current,
-		DataCentre: i.settings.DataCentre,
+		DataCentre: i.settings.Load().DataCentre,
 		InstanceID: i.process,
 		Wire:       platform.WorkerWire{},
 		Logger:     i.log,
@@ -138,16 +138,17 @@
 )
 
 func (i *Instance) buildRoster() error {
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(i.settings.IP), Port: i.settings.FirstPort})
+	settings := i.settings.Load()
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(settings.IP), Port: settings.FirstPort})
 	if err != nil {
 		return err
 	}
 	i.roster = roster.New(roster.Options{Rows: i.store, Log: i.log, Changed: i.divide, PeerHeard: i.dispatcher.PeerHeard, Self: roster.Member{
-		Name:       i.settings.Name,
+		Name:       settings.Name,
 		ID:         i.process,
-		Callers:    i.settings.Callers,
+		Callers:    settings.Callers,
 		Peers:      conn.LocalAddr().String(),
-		DataCentre: i.settings.DataCentre,
+		DataCentre: settings.DataCentre,
 	}})
 	i.broadcast, err = upstream.NewBroadcast(upstream.BroadcastOptions{
 		Dispatcher: i.dispatcher,
@@ -163,7 +164,7 @@
 // fleet.
 func (i *Instance) divide() {
 	view := i.roster.View()
-	i.workers.SetInstances(i.settings.Name, view.Names())
+	i.workers.SetInstances(i.settings.Load().Name, view.Names())
 	var peers []netip.AddrPort
 	for _, name := range i.workers.Peers() {
 		if peer, ok := view.Peers[name]; ok {
@@ -186,7 +187,7 @@
 		Routing:   i.document.Current,
 		Decode:    platform.DecodeItems,
 		Describe:  func(f *contract.Forwarding, it *job.Item) { platform.Describe(f, it.Header) },
-		Retention: i.settings.Bounds.StatusFor,
+		Retention: i.settings.Load().Bounds.StatusFor,
 		Log:       i.log,
 		Fleet: func() job.Fleet {
 			view := i.roster.View()
@@ -199,6 +200,7 @@
 func (i *Instance) buildServers() {
 	handler := entry.NewHandler(entry.Options{Routing: i.document.Current, Forwarder: i.dispatcher, Jobs: i.jobs, Log: i.log})
 	i.callers = newServer(handler)
+	i.callers.ConnState = newIdleLimit(i.idleTime).note
 	i.directory = newServer(http.HandlerFunc(i.serveDirectory))
 	i.readiness = newServer(http.HandlerFunc(i.serveReadiness))
 	mux := http.NewServeMux()
@@ -207,6 +209,14 @@
 	i.metrics = newServer(promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{}))
 }
 
+// idleTime is how long the document in force lets callers' connections rest.
+func (i *Instance) idleTime() time.Duration {
+	if d := i.document.Current(); d != nil {
+		return d.Limits.IdleTimeout
+	}
+	return 0
+}
+
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           h,
@@ -250,7 +260,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	platform.WriteEndpoints(w, addresses, min(i.ttl, i.settings.Bounds.MaxTTL))
+	platform.WriteEndpoints(w, addresses, min(i.ttl, i.settings.Load().Bounds.MaxTTL))
 }
 
 // endpoints returns the addresses of the instances that take callers.
@@ -266,8 +276,9 @@
 
 // Run serves until ctx ends, then carries out a planned stop.
 func (i *Instance) Run(ctx context.Context) error {
-	i.log.Info("starting", zap.String("data_centre", i.settings.DataCentre), zap.String("callers", i.settings.Callers),
-		zap.Int("first_port", i.settings.FirstPort), zap.Int("last_port", i.settings.LastPort), zap.Int64("memory_bytes", i.settings.Memory))
+	settings := i.settings.Load()
+	i.log.Info("starting", zap.String("data_centre", settings.DataCentre), zap.String("callers", settings.Callers),
+		zap.Int("first_port", settings.FirstPort), zap.Int("last_port", settings.LastPort), zap.Int64("memory_bytes", settings.Memory))
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, work := errgroup.WithContext(work)
@@ -278,11 +289,11 @@
 		group.Go(func() error { return run(work) })
 	}
 	servers := map[*http.Server]string{
-		i.callers:   i.settings.Callers,
-		i.directory: i.settings.Directory,
-		i.readiness: i.settings.Readiness,
-		i.relay:     net.JoinHostPort(i.settings.IP, strconv.Itoa(i.settings.FirstPort)),
-		i.metrics:   net.JoinHostPort(i.settings.IP, strconv.Itoa(metricsPort)),
+		i.callers:   settings.Callers,
+		i.directory: settings.Directory,
+		i.readiness: settings.Readiness,
+		i.relay:     net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
+		i.metrics:   net.JoinHostPort(settings.IP, strconv.Itoa(metricsPort)),
 	}
 	for server, address := range servers {
 		listener, err := net.Listen("tcp4", address)
@@ -336,13 +347,14 @@
 // lets open requests end.
 func (i *Instance) leave() {
 	began := time.Now()
-	end := began.Add(i.settings.Bounds.Grace - exitReserve)
+	grace := i.settings.Load().Bounds.Grace
+	end := began.Add(grace - exitReserve)
 	i.mu.Lock()
 	i.leaving = true
 	i.mu.Unlock()
 	i.log.Info("leaving")
 	i.roster.Announce(func(m *roster.Member) { m.Leaving, m.Ready = true, false })
-	late := min(time.Duration(endpointLinger*float64(i.ttl)), i.settings.Bounds.Grace/2)
+	late := min(time.Duration(endpointLinger*float64(i.ttl)), grace/2)
 	time.Sleep(late / 2)
 	// Callers on kept connections are told to go elsewhere.
 	i.callers.SetKeepAlivesEnabled(false)
--- a/hosted/instance_test.go
+++ b/hosted/instance_test.go
@@ -82,6 +82,7 @@
 }
 
 type running struct {
+	*hosted.Instance
 	settings platform.Settings
 	stop     context.CancelFunc
 	done     chan error
@@ -122,7 +123,7 @@
 		s.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r.stop = cancel
+	r.Instance, r.stop = i, cancel
 	go func() { r.done <- i.Run(ctx) }()
 	s.t.Cleanup(cancel)
 	s.await("readiness", func() bool { return r.status("http://"+r.settings.Readiness+"/api/readyz") == http.StatusOK })
@@ -249,6 +250,47 @@
 	}
 }
 
+// TestChangedStoreAddressIsTakenInWithoutARestart moves the store while a stream
+// is open.
+func TestChangedStoreAddressIsTakenInWithoutARestart(t *testing.T) {
+	s := newSite(t)
+	r := s.start("127.0.0.5")
+	gate := make(chan struct{})
+	s.worker.hold.Store(&gate)
+	open, err := s.send(r, http.MethodPost, "/a/x", "r1", "body")
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-s.worker.started
+	moved := httptest.NewServer(standin.NewRows(s.store))
+	t.Cleanup(func() { moved.CloseClientConnections(); moved.Close() })
+	next := r.settings
+	next.Store.Address = strings.TrimPrefix(moved.URL, "http://")
+	r.Reload(next)
+	s.server.CloseClientConnections()
+	s.server.Close()
+	s.put(platform.OperatorTable, platform.DocumentKey, `{"version":9,"routes":[
+	 {"name":"r","hostname":"h","path_prefix":"/new/","kind":"streaming","timeout_ms":20000,"target_latency_ms":20000,"max_attempts":1,"service":"s"}]}`)
+	s.worker.hold.Store(nil)
+	close(gate)
+	if text, err := io.ReadAll(open.Body); err != nil || string(text) != wantStream("r1") {
+		t.Errorf("the open stream was cut: %v, %q", err, text)
+	}
+	s.await("the document of the moved store", func() bool {
+		response, err := s.send(r, http.MethodPost, "/new/x", "r2", "body")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = response.Body.Close() }()
+		text, err := io.ReadAll(response.Body)
+		return err == nil && string(text) == wantStream("r2")
+	})
+	r.stop()
+	if err := <-r.done; err != nil {
+		t.Errorf("the instance ended with %v", err)
+	}
+}
+
 func TestInstanceWithoutADocumentRefusesWithAHint(t *testing.T) {
 	s := newSite(t)
 	s.store.SetFaults(memory.RowFaults{Down: true})
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -70,8 +70,8 @@
 	// isolated ones reach neither the store nor other members.
 	frozen   atomic.Bool
 	isolated atomic.Bool
-	cancel context.CancelFunc
-	done   chan struct{}
+	cancel   context.CancelFunc
+	done     chan struct{}
 }
 
 const (
--- a/routing/workers.go
+++ b/routing/workers.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -126,6 +127,19 @@
 	}
 }
 
+// SetDataCentres takes in the regions of the data centres.
+func (w *Workers) SetDataCentres(regions map[string]string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if maps.Equal(regions, w.DataCentres) {
+		return
+	}
+	w.DataCentres = regions
+	if w.heard.Load() {
+		w.publish()
+	}
+}
+
 // SetInstances tells which instances share the workers, this one included. A
 // large fleet is divided, and each instance uses the workers of its cell.
 func (w *Workers) SetInstances(self string, instances []string) {
