Let every instance of a large fleet take callers

Cause: an endpoint answer has at most 64 addresses and named the first 64 by name: of 81 instances 17 took no callers, of 300 more than two thirds would not. Ruled out: a random part in each answer, with which callers would close their connections at each answer. Change: the answering instance names a part by rendezvous hashing on its own name.

--- /dev/null
+++ b/hosted/endpoints_test.go
@@ -0,0 +1,56 @@
+package hosted
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/daisylb/daisylb/roster"
+)
+
+func fleetOf(n int) []roster.Member {
+	var members []roster.Member
+	for i := range n {
+		members = append(members, roster.Member{Name: fmt.Sprint("m", i), Callers: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Ready: true})
+	}
+	return members
+}
+
+func TestEveryInstanceOfALargeFleetTakesCallers(t *testing.T) {
+	for _, n := range []int{9, 64, 81, 300, 550} {
+		members := fleetOf(n)
+		named := map[string]int{}
+		for _, m := range members {
+			answer := endpoints(members, m.Name)
+			if len(answer) != min(n, maxEndpoints) {
+				t.Fatalf("%d instances: %d addresses", n, len(answer))
+			}
+			for _, a := range answer {
+				named[a]++
+			}
+		}
+		least, most := n, 0
+		for _, m := range members {
+			least, most = min(least, named[m.Callers]), max(most, named[m.Callers])
+		}
+		if even := min(n, maxEndpoints); least < even/2 || most > 2*even {
+			t.Errorf("%d instances: each is in %d to %d answers, %d on average", n, least, most, even)
+		}
+	}
+}
+
+func TestAnswersChangeByOneMember(t *testing.T) {
+	members := fleetOf(300)
+	before := endpoints(members, "m7")
+	members[31].Leaving = true
+	after := endpoints(members, "m7")
+	changed := 0
+	for _, a := range after {
+		if !slices.Contains(before, a) {
+			changed++
+		}
+	}
+	if changed > 1 || slices.Contains(after, members[31].Callers) {
+		t.Errorf("%d addresses are new", changed)
+	}
+}
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -250,12 +250,11 @@
 }
 
 func (i *Instance) serveDirectory(w http.ResponseWriter, r *http.Request) {
-	query, ok := platform.DecodeEndpointQuery(r)
-	if !ok {
+	if _, ok := platform.DecodeEndpointQuery(r); !ok {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	addresses := i.endpoints(query)
+	addresses := endpoints(i.roster.View().Alive, i.settings.Load().Name)
 	if len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -263,17 +262,6 @@
 	platform.WriteEndpoints(w, addresses, min(i.ttl, i.settings.Load().Bounds.MaxTTL))
 }
 
-// endpoints returns the addresses of the instances that take callers.
-func (i *Instance) endpoints(platform.EndpointQuery) []string {
-	var addresses []string
-	for _, m := range i.roster.View().Alive {
-		if m.Ready && !m.Leaving && len(addresses) < maxEndpoints {
-			addresses = append(addresses, m.Callers)
-		}
-	}
-	return addresses
-}
-
 // Run serves until ctx ends, then carries out a planned stop.
 func (i *Instance) Run(ctx context.Context) error {
 	settings := i.settings.Load()
