Read long tables answer by answer and lose no change meanwhile

Cause: a read over several answers went on from the version of the last one, so that a row of an earlier answer that changed meanwhile was missed for good: over 500 workers, one that began to drain would have stayed in use. One refused answer threw the whole read away, so that many instances that start at once ask for far more than the store's rate. Ruled out: a first answer with room for all; the store bounds it at 500 rows. Change: GetRows is one answer and says whether more is to come; storage.ReadRows and the feed go on from the last key, the feed keeps what it has when an answer is refused and follows the changes since the first answer. Reading all entries at a start is one log line in place of one a worker. Figures: TestChangeDuringALongReadIsSeen and TestRefusedAnswerIsAskedForAgainAlone fail on the feed before.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -63,6 +63,9 @@
 	known   map[string]uint64
 	version uint64
 	synced  bool
+	// partial is the part of a table that a read has got so far, nil when none is
+	// under way.
+	partial *storage.RowPage
 	lost    bool
 	heard   atomic.Int64
 	started time.Time
@@ -100,7 +103,7 @@
 			return nil
 		case code.Of(err) == code.StoreHistoryGone:
 			f.options.Log.Info("history dropped, reading anew", zap.String("table", f.options.Table), zap.Uint64("version", f.version))
-			f.synced = false
+			f.synced, f.partial = false, nil
 			pause = backoff
 		case err != nil:
 			f.fail(err)
@@ -153,16 +156,19 @@
 	return len(page.Rows) > 0, nil
 }
 
-// read takes the whole part. An answer that is older than what is known already
-// is not used.
+// read takes the whole part, one answer at a time: an answer that the store
+// refuses is asked for again, not those before it. A large fleet that starts at
+// once would else ask for far more than the store's rate, again and again. An
+// answer that is older than what is known already is not used.
 func (f *Follower) read(ctx context.Context) (bool, error) {
-	page, err := f.options.Rows.GetRows(ctx, f.options.Table, f.options.Part, "", "")
-	if err != nil {
-		return false, err
-	}
-	if page.Version < f.version {
-		return false, code.New(code.StoreUnavailable, "the store answered with version %d, older than %d", page.Version, f.version)
+	for done := false; !done; {
+		var err error
+		if done, err = f.readOn(ctx); err != nil {
+			return false, err
+		}
 	}
+	page := f.partial
+	f.partial = nil
 	u := Update{Complete: true, Now: page.Now}
 	present := make(map[string]bool, len(page.Rows))
 	for _, r := range page.Rows {
@@ -186,6 +192,32 @@
 	return true, nil
 }
 
+// readOn asks for the next answer of a read and reports whether it was the last.
+func (f *Follower) readOn(ctx context.Context) (bool, error) {
+	from := ""
+	if f.partial != nil {
+		from = storage.NextKey(f.partial.Rows)
+	}
+	page, err := f.options.Rows.GetRows(ctx, f.options.Table, f.options.Part, from, "")
+	if err != nil {
+		return false, err
+	}
+	if f.partial == nil {
+		if page.Version < f.version {
+			return false, code.New(code.StoreUnavailable, "the store answered with version %d, older than %d", page.Version, f.version)
+		}
+		f.partial = &page
+		return !page.More, nil
+	}
+	// A change of a row that was read before is a change after the first answer,
+	// whose version the feed goes on from.
+	if page.Version < f.partial.Version {
+		return false, code.New(code.StoreUnavailable, "the store answered with version %d, older than %d", page.Version, f.partial.Version)
+	}
+	f.partial.Rows, f.partial.Now = append(f.partial.Rows, page.Rows...), page.Now
+	return !page.More, nil
+}
+
 // note remembers the version of a row and reports whether it is news.
 func (f *Follower) note(r storage.TableRow) bool {
 	if r.Version != 0 && r.Version <= f.known[r.Key] {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/feed"
 	"github.com/daisylb/daisylb/storage"
 	"github.com/daisylb/daisylb/storage/memory"
@@ -175,3 +176,74 @@
 		}
 	})
 }
+
+// paged is a store whose answers hold two rows; between is called before each
+// answer but the first, and may refuse it.
+type paged struct {
+	*memory.Rows
+	asked   int
+	between func(asked int) error
+}
+
+func (p *paged) GetRows(ctx context.Context, table, part, from, to string) (storage.RowPage, error) {
+	if p.asked++; p.asked > 1 {
+		if err := p.between(p.asked); err != nil {
+			return storage.RowPage{}, err
+		}
+	}
+	return p.Rows.GetRows(ctx, table, part, from, to)
+}
+
+func newPaged(t *testing.T) *paged {
+	store := &paged{Rows: memory.NewRows()}
+	for _, key := range []string{"a", "b", "c", "d", "e"} {
+		put(t, store.Rows, key, "1")
+	}
+	store.SetFaults(memory.RowFaults{PageRows: 2})
+	return store
+}
+
+// TestChangeDuringALongReadIsSeen changes and removes rows that have been read
+// while the rest is still to come.
+func TestChangeDuringALongReadIsSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newPaged(t)
+		store.between = func(asked int) error {
+			if asked == 2 {
+				put(t, store.Rows, "a", "2")
+				remove := storage.RowTransaction{Removes: []storage.RowKey{{Table: "t", Key: "b"}}}
+				if _, err := store.ApplyRows(context.Background(), remove); err != nil {
+					t.Error(err)
+				}
+			}
+			return nil
+		}
+		seen, _ := start(t, store)
+		time.Sleep(feed.DefaultWait)
+		if d := cmp.Diff(map[string]string{"a": "2", "c": "1", "d": "1", "e": "1"}, rowsOf(seen)); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+// TestRefusedAnswerIsAskedForAgainAlone refuses every other answer, as a store
+// does whose rate many instances share that start at once.
+func TestRefusedAnswerIsAskedForAgainAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newPaged(t)
+		store.between = func(asked int) error {
+			if asked%2 == 0 {
+				return code.New(code.StoreThrottled, "the rate is used up")
+			}
+			return nil
+		}
+		seen, _ := start(t, store)
+		time.Sleep(10 * time.Second)
+		if rows := rowsOf(seen); len(rows) != 5 {
+			t.Errorf("%d rows", len(rows))
+		}
+		if n := store.Counts().Reads; n != 3 {
+			t.Errorf("%d answers were read for three", n)
+		}
+	})
+}
--- a/job/adopt.go
+++ b/job/adopt.go
@@ -231,7 +231,7 @@
 // is taken up again.
 func (s *Service) remove(ctx context.Context, id string) error {
 	for _, table := range []string{resultTable, progressTable} {
-		page, err := s.options.Store.GetRows(ctx, table, part, id+"/", id+"0")
+		page, err := storage.ReadRows(ctx, s.options.Store, table, part, id+"/", id+"0")
 		if err != nil {
 			return err
 		}
--- a/job/progress.go
+++ b/job/progress.go
@@ -112,7 +112,7 @@
 
 // loadProgress returns how far the items of a job got.
 func (s *Service) loadProgress(ctx context.Context, id string) (map[int]saved, error) {
-	page, err := s.options.Store.GetRows(ctx, progressTable, part, id+"/", id+"0")
+	page, err := storage.ReadRows(ctx, s.options.Store, progressTable, part, id+"/", id+"0")
 	if err != nil {
 		return nil, err
 	}
--- a/job/read.go
+++ b/job/read.go
@@ -75,7 +75,7 @@
 	if len(have) > 0 {
 		return have, nil
 	}
-	page, err := s.options.Store.GetRows(ctx, resultTable, part, pieceStart(id, after), pieceStart(id, end))
+	page, err := storage.ReadRows(ctx, s.options.Store, resultTable, part, pieceStart(id, after), pieceStart(id, end))
 	if err != nil {
 		return nil, err
 	}
--- a/job/submit.go
+++ b/job/submit.go
@@ -119,7 +119,7 @@
 	if len(gates.Rows) > 0 {
 		gate.Version = gates.Rows[0].Version
 	}
-	page, err := s.options.Store.GetRows(ctx, headTable, part, "", "")
+	page, err := storage.ReadRows(ctx, s.options.Store, headTable, part, "", "")
 	if err != nil {
 		return err
 	}
--- a/routing/workers.go
+++ b/routing/workers.go
@@ -66,7 +66,10 @@
 		}
 		changed = w.take(r.Key, r.Value) || changed
 	}
-	w.heard.Store(true)
+	if !w.heard.Swap(true) {
+		// At a start one line stands for all entries.
+		w.Log.Info("workers read", zap.Int("workers", len(w.known)), zap.Int("entries", len(u.Rows)))
+	}
 	if changed {
 		w.publish()
 	}
@@ -86,6 +89,9 @@
 		return false
 	}
 	w.known[id] = next
+	if !w.heard.Load() {
+		return true
+	}
 	w.Log.Info("worker", zap.String("worker", id), zap.String("address", next.Address), zap.String("service", next.Service),
 		zap.Bool("draining", next.Draining), zap.Int64("started", next.Started))
 	return true
--- a/storage/memory/rows.go
+++ b/storage/memory/rows.go
@@ -43,12 +43,16 @@
 	AnswerDelay time.Duration
 	// Silent feeds see no changes.
 	Silent bool
+	// PageRows bounds the rows of one answer; 0 means no bound.
+	PageRows int
 }
 
 // RowCounts count what the store was asked for.
 type RowCounts struct {
 	Transactions int
 	Lost         int
+	// Reads counts the range reads that were answered.
+	Reads int
 }
 
 // NewRows returns an empty store.
@@ -110,6 +114,7 @@
 	if err := s.down(); err != nil {
 		return storage.RowPage{}, err
 	}
+	s.counts.Reads++
 	page := s.page()
 	for k, r := range s.rows {
 		if k.Table == table && k.Part == part && k.Key >= from && (to == "" || k.Key < to) {
@@ -117,6 +122,9 @@
 		}
 	}
 	slices.SortFunc(page.Rows, func(a, b storage.TableRow) int { return strings.Compare(a.Key, b.Key) })
+	if n := s.faults.PageRows; n > 0 && len(page.Rows) > n {
+		page.Rows, page.More = page.Rows[:n], true
+	}
 	return page, nil
 }
 
--- a/storage/rows.go
+++ b/storage/rows.go
@@ -62,7 +62,8 @@
 // when a feed cannot be continued and must be read anew.
 type Rows interface {
 	// GetRows returns the rows of a part with from <= key < to in key order, as
-	// of one moment; "" leaves an end open.
+	// of one moment; "" leaves an end open. More is set when the answer had no
+	// room for all of them.
 	GetRows(ctx context.Context, table, part, from, to string) (RowPage, error)
 	// ApplyRows runs a transaction. On a conflict the page has the present rows
 	// of the conditions.
@@ -90,3 +91,25 @@
 	Rows
 	Blobs
 }
+
+// ReadRows returns the rows of a range over as many answers as they take. Version
+// is that of the first answer: what changed during the read is a change after it.
+func ReadRows(ctx context.Context, rows Rows, table, part, from, to string) (RowPage, error) {
+	all, err := rows.GetRows(ctx, table, part, from, to)
+	for more := all.More; more && err == nil; {
+		var page RowPage
+		page, err = rows.GetRows(ctx, table, part, NextKey(all.Rows), to)
+		all.Rows, all.Now = append(all.Rows, page.Rows...), page.Now
+		more = page.More
+	}
+	all.More = false
+	return all, err
+}
+
+// NextKey returns the least key after the last of some rows.
+func NextKey(rows []TableRow) string {
+	if len(rows) == 0 {
+		return ""
+	}
+	return rows[len(rows)-1].Key + "\x00"
+}
