--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -186,3 +186,30 @@
 		t.Errorf("peers were asked %d times for 50 calls", asked)
 	}
 }
+
+// TestLostAnswerDoesNotEndTheDetour lets the writes of an instance get no answer
+// while its reads are refused: the reads go through a peer all the time.
+func TestLostAnswerDoesNotEndTheDetour(t *testing.T) {
+	s, own, _, _ := newFleet(t, 1)
+	ctx := t.Context()
+	own.refused.Store(true)
+	if _, err := s.GetRows(ctx, "t", "p", "", ""); err != nil {
+		t.Fatal(err)
+	}
+	s.EndDetour()
+	own.refused.Store(false)
+	own.lose.Store(true)
+	if _, err := s.ApplyRows(ctx, storage.RowTransaction{Puts: []storage.TableRow{row("k", "v")}}); code.Of(err) != code.StoreUnknown {
+		t.Fatalf("got %v", err)
+	}
+	if s.ReachedDirectly() {
+		t.Error("a write without an answer counts as the store reached")
+	}
+	own.lose.Store(false)
+	if _, err := s.ApplyRows(ctx, storage.RowTransaction{Puts: []storage.TableRow{row("k", "v")}}); err != nil {
+		t.Fatal(err)
+	}
+	if !s.ReachedDirectly() {
+		t.Error("an answered write does not count as the store reached")
+	}
+}
--- a/relay/store.go
+++ b/relay/store.go
@@ -95,7 +95,10 @@
 	if len(peers) == 0 || !s.onDetour(now) {
 		v, err = c.direct()
 		if !unreached(err) {
-			s.reached()
+			// A lost answer does not show that the store can be reached.
+			if code.Of(err) != code.StoreUnknown {
+				s.reached()
+			}
 			return v, err
 		}
 		s.failed(time.Now(), err)
