Add a fault soak of real daemons

Ruled out: more scripts in scenario/, which play one written story each. Change: package soak and cmd/soak: daemons as processes before stand-ins of the store and of the workers in the soak's own process, callers that ask the directory and stay on open connections, faults that a seed draws (signals, store refused, silent, slow, lost, late or without history, links delayed, silent, cut one way, throttled or reset, workers that break, slow down or drain, documents), 13 checks of the history of calls, answers and runs.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,122 @@
+// Command soak runs real daemons before stand-ins, injects faults that a seed
+// draws, and checks what callers and workers saw.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/daisylb/daisylb/soak"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	o := soak.Options{Out: os.Stdout}
+	flag.Uint64Var(&o.Seed, "seed", 1, "draws the plan of faults")
+	seeds := flag.Int("seeds", 1, "number of soaks, with this seed and those after it")
+	file := flag.String("file", "", "file with the seeds to play instead, one at the beginning of each line")
+	flag.DurationVar(&o.For, "for", 20*time.Second, "time in which faults are injected")
+	flag.IntVar(&o.Instances, "instances", 4, "number of daemons")
+	flag.IntVar(&o.Workers, "workers", 4, "number of workers")
+	flag.IntVar(&o.People, "people", 12, "online callers at a time")
+	flag.StringVar(&o.Program, "daemon", "", "the daemon; empty builds ./cmd/daisylbd")
+	quiet := flag.Bool("quiet", false, "print no faults unless something is wrong")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	if o.Program == "" {
+		o.Program = filepath.Join(dir, "daisylbd")
+		if out, err := exec.CommandContext(ctx, "go", "build", "-o", o.Program, "./cmd/daisylbd").CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "the daemon can't be built: %v\n%s", err, out)
+			return 1
+		}
+	}
+	if *quiet {
+		o.Out = io.Discard
+	}
+	list, err := seedList(*file, o.Seed, *seeds)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	status := 0
+	for _, o.Seed = range list {
+		if !one(ctx, o, dir) {
+			status = 1
+		}
+	}
+	return status
+}
+
+// seedList returns the seeds of a file, or n seeds from the first on.
+func seedList(path string, first uint64, n int) ([]uint64, error) {
+	var list []uint64
+	if path == "" {
+		for k := range uint64(n) {
+			list = append(list, first+k)
+		}
+		return list, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	for number, line := range strings.Split(string(data), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) == 0 || strings.HasPrefix(line, "#") {
+			continue
+		}
+		seed, err := strconv.ParseUint(fields[0], 10, 64)
+		if err != nil {
+			return nil, fmt.Errorf("%s:%d: %w", path, number+1, err)
+		}
+		list = append(list, seed)
+	}
+	return list, nil
+}
+
+// one runs a soak and reports whether it held.
+func one(ctx context.Context, o soak.Options, dir string) bool {
+	o.Dir = filepath.Join(dir, fmt.Sprint(o.Seed))
+	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	r, err := soak.Play(ctx, o)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "seed %d: %v\n", o.Seed, err)
+		return false
+	}
+	fmt.Printf("seed %d: %d faults, %d requests, %d served whole, %d jobs, %d items, %d runs, %d violations\n",
+		o.Seed, len(r.Plan), r.Attempts, r.Served, r.Jobs, r.Items, r.Runs, len(r.Violations))
+	if len(r.Violations) == 0 {
+		return true
+	}
+	for _, f := range r.Plan {
+		fmt.Println("  fault", f)
+	}
+	for _, v := range r.Violations {
+		fmt.Println("  VIOLATION", v)
+		for _, line := range r.Lines[v.ID] {
+			fmt.Println("    ", line)
+		}
+	}
+	return false
+}
