Receive SIGHUP for as long as the process lives

Ruled out: the stop itself: the instance has no line after SIGHUP. Change: SIGHUP is received from before the settings are read until the process ends. TestHangupDuringAPlannedStopEndsNothing ends with "signal: hangup" without the change.

--- a/cmd/daisylbd/hosted.go
+++ b/cmd/daisylbd/hosted.go
@@ -22,8 +22,7 @@
 // runHosted runs an instance on the users' platform.
 func runHosted(path string) int {
 	// What changes after this look is seen at the next one.
-	w := settingsWatch{path: path, interval: settingsInterval}
-	_ = w.read()
+	w := newSettingsWatch(path, settingsInterval)
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/cmd/daisylbd/reload.go
+++ b/cmd/daisylbd/reload.go
@@ -24,10 +24,22 @@
 	interval time.Duration
 	apply    func(platform.Settings)
 	log      *zap.Logger
+	// hup gets SIGHUP for as long as the process lives: without a receiver the
+	// signal ends a process, one that is just starting or stopping too.
+	hup chan os.Signal
 	// known is the text that was read last.
 	known []byte
 }
 
+// newSettingsWatch begins to receive SIGHUP and reads the present text.
+func newSettingsWatch(path string, interval time.Duration) *settingsWatch {
+	w := &settingsWatch{path: path, interval: interval, hup: make(chan os.Signal, 1), log: zap.NewNop()}
+	signal.Notify(w.hup, syscall.SIGHUP)
+	// A file that can't be read is reported by those who need it.
+	_ = w.read()
+	return w
+}
+
 // read notes the present text and reports whether it can be read.
 func (w *settingsWatch) read() error {
 	data, err := os.ReadFile(w.path)
@@ -37,16 +49,13 @@
 
 // run watches until ctx ends.
 func (w *settingsWatch) run(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	ticker := time.NewTicker(w.interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-w.hup:
 			w.reload()
 		case <-ticker.C:
 			before := w.known
--- a/cmd/daisylbd/reload_test.go
+++ b/cmd/daisylbd/reload_test.go
@@ -5,11 +5,10 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/daisylb/daisylb/platform"
 )
 
@@ -37,10 +36,8 @@
 	applied := make(chan platform.Settings)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
-	w := settingsWatch{path: path, interval: time.Millisecond, apply: func(s platform.Settings) { applied <- s }, log: zap.NewNop()}
-	if err := w.read(); err != nil {
-		t.Fatal(err)
-	}
+	w := newSettingsWatch(path, time.Millisecond)
+	w.apply = func(s platform.Settings) { applied <- s }
 	go func() { defer close(ended); w.run(ctx) }()
 	write(strings.Replace(settingsText, `"grace_s":8`, `"grace_s":0`, 1))
 	write(strings.Replace(settingsText, `"grace_s":8`, `"grace_s":9`, 1))
@@ -50,3 +47,20 @@
 	cancel()
 	<-ended
 }
+
+// TestHangupDuringAPlannedStopEndsNothing sends SIGHUP when settings are no longer
+// watched, as in a planned stop. Without a receiver it would end this process.
+func TestHangupDuringAPlannedStopEndsNothing(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, []byte(settingsText), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	w := newSettingsWatch(path, time.Hour)
+	stopped, stop := context.WithCancel(t.Context())
+	stop()
+	w.run(stopped)
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	<-w.hup
+}
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -25,7 +26,7 @@
 	o := soak.Options{Out: os.Stdout}
 	flag.Uint64Var(&o.Seed, "seed", 1, "draws the plan of faults")
 	seeds := flag.Int("seeds", 1, "number of soaks, with this seed and those after it")
-	file := flag.String("file", "", "file with the seeds to play instead, one at the beginning of each line")
+	file := flag.String("file", "", "file with the plans to play instead, each line a seed and a time")
 	flag.DurationVar(&o.For, "for", 20*time.Second, "time in which faults are injected")
 	flag.IntVar(&o.Instances, "instances", 4, "number of daemons")
 	flag.IntVar(&o.Workers, "workers", 4, "number of workers")
@@ -51,13 +52,14 @@
 	if *quiet {
 		o.Out = io.Discard
 	}
-	list, err := seedList(*file, o.Seed, *seeds)
+	list, err := plans(*file, o, *seeds)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
 	status := 0
-	for _, o.Seed = range list {
+	for _, p := range list {
+		o.Seed, o.For = p.seed, p.length
 		if !one(ctx, o, dir) {
 			status = 1
 		}
@@ -65,12 +67,18 @@
 	return status
 }
 
-// seedList returns the seeds of a file, or n seeds from the first on.
-func seedList(path string, first uint64, n int) ([]uint64, error) {
-	var list []uint64
+// plan names a plan: the same seed and time draw the same one.
+type plan struct {
+	seed   uint64
+	length time.Duration
+}
+
+// plans returns those of a file, or those of n seeds from the first on.
+func plans(path string, o soak.Options, n int) ([]plan, error) {
+	var list []plan
 	if path == "" {
 		for k := range uint64(n) {
-			list = append(list, first+k)
+			list = append(list, plan{o.Seed + k, o.For})
 		}
 		return list, nil
 	}
@@ -83,11 +91,15 @@
 		if len(fields) == 0 || strings.HasPrefix(line, "#") {
 			continue
 		}
-		seed, err := strconv.ParseUint(fields[0], 10, 64)
-		if err != nil {
+		if len(fields) < 2 {
+			return nil, fmt.Errorf("%s:%d: no time after the seed", path, number+1)
+		}
+		seed, seedErr := strconv.ParseUint(fields[0], 10, 64)
+		length, lengthErr := time.ParseDuration(fields[1])
+		if err := errors.Join(seedErr, lengthErr); err != nil {
 			return nil, fmt.Errorf("%s:%d: %w", path, number+1, err)
 		}
-		list = append(list, seed)
+		list = append(list, plan{seed, length})
 	}
 	return list, nil
 }
