--- a/job/adopt.go
+++ b/job/adopt.go
@@ -32,17 +32,8 @@
 // adoptOrphans takes over jobs whose owner has handed them over or lives no
 // more.
 func (s *Service) adoptOrphans(ctx context.Context) {
-	ticker := time.NewTicker(adoptInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		for _, id := range s.due(time.Now()) {
-			s.adopt(ctx, id)
-		}
+	for _, id := range s.due(time.Now()) {
+		s.adopt(ctx, id)
 	}
 }
 
@@ -196,18 +187,9 @@
 
 // sweep removes jobs that need not be readable any more.
 func (s *Service) sweep(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		for _, id := range s.expired() {
-			if err := s.remove(ctx, id); err != nil {
-				s.options.Log.Info("old job not removed", zap.String("job", id), zap.Error(err))
-			}
+	for _, id := range s.expired() {
+		if err := s.remove(ctx, id); err != nil {
+			s.options.Log.Info("old job not removed", zap.String("job", id), zap.Error(err))
 		}
 	}
 }
--- a/job/service.go
+++ b/job/service.go
@@ -120,13 +120,27 @@
 func (s *Service) Run(ctx context.Context) error {
 	var wait sync.WaitGroup
 	wait.Go(func() { _ = s.follower.Run(ctx) })
-	wait.Go(func() { s.adoptOrphans(ctx) })
-	wait.Go(func() { s.sweep(ctx) })
-	wait.Go(func() { s.watchTouch(ctx) })
+	wait.Go(func() { every(ctx, adoptInterval, s.adoptOrphans) })
+	wait.Go(func() { every(ctx, sweepInterval, s.sweep) })
+	wait.Go(func() { every(ctx, touchInterval, s.watchTouch) })
 	wait.Wait()
 	return nil
 }
 
+// every calls f after each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f(ctx)
+		}
+	}
+}
+
 // Synced reports whether the jobs have been read.
 func (s *Service) Synced() bool {
 	_, ok := s.follower.Age()
--- a/job/touch.go
+++ b/job/touch.go
@@ -26,24 +26,15 @@
 // watchTouch ends the runs of items when this instance becomes isolated, and
 // lets them go on from where they were when it is back. What is isolated can't
 // learn that a job was ended or taken over by another instance.
-func (s *Service) watchTouch(ctx context.Context) {
-	ticker := time.NewTicker(touchInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		isolated := s.options.Fleet().Isolated
-		switch {
-		case isolated && s.inTouch():
-			s.options.Log.Warn("isolated, items wait", zap.Int("jobs", s.Owned()))
-			s.touch.Load().lose()
-		case !isolated && !s.inTouch() && s.base.Err() == nil:
-			s.options.Log.Info("in touch again, items go on", zap.Int("jobs", s.Owned()))
-			s.touch.Store(newTouch(s.base))
-		}
+func (s *Service) watchTouch(context.Context) {
+	isolated := s.options.Fleet().Isolated
+	switch {
+	case isolated && s.inTouch():
+		s.options.Log.Warn("isolated, items wait", zap.Int("jobs", s.Owned()))
+		s.touch.Load().lose()
+	case !isolated && !s.inTouch() && s.base.Err() == nil:
+		s.options.Log.Info("in touch again, items go on", zap.Int("jobs", s.Owned()))
+		s.touch.Store(newTouch(s.base))
 	}
 }
 
