--- a/config/store_test.go
+++ b/config/store_test.go
@@ -150,23 +150,27 @@
 	}
 }
 
+// TestFewerMessagesThanInstancesLeaveTheAcceptingOne runs in virtual time, so that no
+// push is late because the machine is busy.
 func TestFewerMessagesThanInstancesLeaveTheAcceptingOne(t *testing.T) {
-	const instances = 200
-	y := started(t, instances)
-	sent := 0
-	y.network.setCut(func(from, to string) bool {
-		if from == address(0) {
-			sent++
+	synctest.Test(t, func(t *testing.T) {
+		const instances = 200
+		y := started(t, instances)
+		sent := 0
+		y.network.setCut(func(from, to string) bool {
+			if from == address(0) {
+				sent++
+			}
+			return to == address(7) // A relay that is gone.
+		})
+		a := y.preset(t, 0, "peaks", "peak")
+		if a.InForce != instances-1 || len(a.Missing) != 1 || a.Missing[0] != address(7) {
+			t.Errorf("in force at %d of %d, missing %v", a.InForce, a.Instances, a.Missing)
+		}
+		if sent > fanOut+1 {
+			t.Errorf("the accepting instance sent %d pushes, at most %d are allowed", sent, fanOut+1)
 		}
-		return to == address(7) // A relay that is gone.
 	})
-	a := y.preset(t, 0, "peaks", "peak")
-	if a.InForce != instances-1 || len(a.Missing) != 1 || a.Missing[0] != address(7) {
-		t.Errorf("in force at %d of %d, missing %v", a.InForce, a.Instances, a.Missing)
-	}
-	if sent > fanOut+1 {
-		t.Errorf("the accepting instance sent %d pushes, at most %d are allowed", sent, fanOut+1)
-	}
 }
 
 func TestFrozenRelaysKeepTheChangeFromNobody(t *testing.T) {
--- a/upstream/faults_test.go
+++ b/upstream/faults_test.go
@@ -211,41 +211,75 @@
 	}
 }
 
-func TestPreemptedBatchAnswerIsTheSameAsAnUndisturbedOne(t *testing.T) {
-	b := newBench(t, 2, fastEngine, nil)
+// stall stops the engines in the middle of their answers, or lets them go on, so
+// that a test decides how long requests are held.
+func (b *bench) stall(on bool) {
+	for _, e := range b.engines {
+		e.SetFaults(engine.Faults{Stall: on})
+	}
+}
+
+// inBackground runs f; the returned channel is closed at its end.
+func inBackground(f func()) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		b.load(t, contract.Batch, 14, 14, 60)
+		f()
 	}()
+	return done
+}
+
+func TestPreemptedBatchAnswerIsTheSameAsAnUndisturbedOne(t *testing.T) {
+	const (
+		calls  = 14
+		tokens = 2000
+	)
+	b := newBench(t, 2, fastEngine, nil)
+	b.stall(true)
+	batch := inBackground(func() { b.load(t, contract.Batch, calls, calls, tokens) })
 	waitFor(t, "batch in all spare slots", func() bool {
 		running := 0
 		for _, u := range b.State().Upstreams {
 			running += u.Batch
 		}
-		return running == 14
+		return running == calls
+	})
+	b.stall(false)
+	waitFor(t, "some of the batch answers", func() bool {
+		return b.engines[0].Counts().Tokens > 10*calls && b.engines[1].Counts().Tokens > 10*calls
 	})
-	b.load(t, contract.Online, 60, 14, 10)
-	<-done
+	b.stall(true)
+	online := inBackground(func() { b.load(t, contract.Online, 60, calls, 10) })
+	waitFor(t, "a batch call to be preempted", func() bool { return b.counter("preemptions") > 0 })
+	b.stall(false)
+	<-online
+	<-batch
 	if n := b.counts(); n.Cancelled == 0 || n.Resumed == 0 {
-		t.Errorf("%d cancelled, %d resumed: no batch call was preempted", n.Cancelled, n.Resumed)
+		t.Errorf("%d cancelled, %d resumed: no batch call went on after its preemption", n.Cancelled, n.Resumed)
 	}
 }
 
 func TestBatchYieldsToTheOnlineBurstOfAPeer(t *testing.T) {
 	b := newBench(t, 1, fastEngine, nil)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		b.load(t, contract.Batch, 7, 7, 100)
-	}()
+	b.stall(true)
+	batch := inBackground(func() { b.load(t, contract.Batch, 7, 7, 100) })
 	waitFor(t, "batch in all spare slots", func() bool { return b.engines[0].Current().Running == 7 })
-	b.ObserveDigest("peer", Digest{Sequence: 1, Loads: []PeerLoad{{Upstream: "u00", Online: 5}}})
+	sequence := uint64(0)
+	burst := func() {
+		// A digest counts for two seconds only.
+		sequence++
+		b.ObserveDigest("peer", Digest{Sequence: sequence, Loads: []PeerLoad{{Upstream: "u00", Online: 5}}})
+	}
+	burst()
 	if got := b.State().Upstreams[0].Batch; got != 2 {
 		t.Errorf("%d batch attempts left beside 5 online ones in 8 slots with one free, want 2", got)
 	}
-	waitFor(t, "cancellation at the engine", func() bool { return b.engines[0].Current().Running == 2 })
-	<-done
+	waitFor(t, "cancellation at the engine", func() bool {
+		burst()
+		return b.engines[0].Current().Running == 2
+	})
+	b.stall(false)
+	<-batch
 }
 
 func TestAttemptsStayBoundedWhenHalfOfTheUpstreamsAreLost(t *testing.T) {
