--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -63,6 +63,9 @@
 		if !one(ctx, o, dir) {
 			status = 1
 		}
+		if ctx.Err() != nil {
+			break
+		}
 	}
 	return status
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -276,5 +276,5 @@
 	}
 }
 
-// signal names for the faults that send one.
+// signals of the faults that send one.
 var signals = map[string]syscall.Signal{faultKill: syscall.SIGKILL, faultHup: syscall.SIGHUP}
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -17,6 +17,7 @@
 	workerSlots = 6
 	workerQueue = 12
 	stepTime    = 15 * time.Millisecond
+	slowFactor  = 6
 )
 
 // wait waits for a time or the end of ctx.
@@ -39,7 +40,8 @@
 	born    int64
 
 	mu sync.Mutex
-	// drained is when it was told to leave; broken is until when it breaks off.
+	// broken is until when it breaks its answers off, slow until when its steps
+	// take several times as long.
 	broken time.Time
 	slow   time.Time
 }
@@ -115,7 +117,7 @@
 	for n := after + 1; n <= eventCount(request); n++ {
 		step := stepTime
 		if w.until(&w.slow) {
-			step *= 6
+			step *= slowFactor
 		}
 		wait(r.Context(), step)
 		if r.Context().Err() != nil {
