Bound every head and body from outside; name the cause of a break

Looked for at every other reader too: a caller's body that trickles held its connection for ever; the text of a job's item had no bound; the feeds' answer over 16 MB would have been asked for again for ever; explain gave up at a line of 1 MB; a settings path that never ends was read on. A stream that repeated old events, or sent comments, was never left; a resumable stream that broke later than the caller's pause after its arrival got no time to wait for a slot, though the pause counts from the last event. Ruled out: bounding by a limited reader, which would count prefetched bytes of the body; parsing the head twice. A parser may report what it had read instead of the guard's error (found by the test of many distinct headers), so the guard keeps its fault. Change: upstream.headGuard (64 KB, 512 lines, 5 interim answers), number 3012; bounds as in the table of PROMISES.md; patience counts new events only; empty lines belong to the event that follows; cause, belief and time left in the lines of a break; a steady time in each line, by which explain orders and tells steps; settings.ReadFile. Planned stop under load is not played anew; bytes without end between peers are bounded and not played.

--- a/cmd/daisylb/config.go
+++ b/cmd/daisylb/config.go
@@ -6,7 +6,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"os"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -128,7 +127,7 @@
 }
 
 func readDocument(name string) (*contract.Document, error) {
-	data, err := os.ReadFile(name)
+	data, err := settings.ReadFile(name, settings.MaxDocumentBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/daisylb/load.go
+++ b/cmd/daisylb/load.go
@@ -11,6 +11,7 @@
 	"github.com/google/subcommands"
 
 	"github.com/daisylb/daisylb/load"
+	"github.com/daisylb/daisylb/settings"
 )
 
 // loadCommand runs an experiment against a running deployment.
@@ -46,7 +47,7 @@
 		fmt.Fprint(o.stderr(), c.Usage())
 		return subcommands.ExitUsageError
 	}
-	data, err := os.ReadFile(f.Arg(0))
+	data, err := settings.ReadFile(f.Arg(0), settings.MaxDocumentBytes)
 	if err != nil {
 		fmt.Fprintln(o.stderr(), err)
 		return exitSettings
--- a/cmd/daisylbd/reload.go
+++ b/cmd/daisylbd/reload.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/settings"
 )
 
 // settingsInterval is the time between two looks at the settings file, which may
@@ -42,7 +43,7 @@
 
 // read notes the present text and reports whether it can be read.
 func (w *settingsWatch) read() error {
-	data, err := os.ReadFile(w.path)
+	data, err := settings.ReadFile(w.path, settings.MaxFileBytes)
 	w.known = data
 	return err
 }
--- a/code/table.go
+++ b/code/table.go
@@ -50,6 +50,7 @@
 	OrderUnsafe        Number = 3009
 	UpstreamAnswerSize Number = 3010
 	UpstreamSilent     Number = 3011
+	UpstreamHeadSize   Number = 3012
 )
 
 // Results of the platform's table and object store.
@@ -165,6 +166,7 @@
 	register(OrderUnsafe, "order_unsafe", http.StatusServiceUnavailable, NotRun, "The lease has too little time left for an order.", "Retry after the lease is renewed.")
 	register(UpstreamAnswerSize, "upstream_answer_too_large", http.StatusBadGateway, Unknown, "The upstream's answer is over the limit.", "Ask for a shorter answer.")
 	register(UpstreamSilent, "upstream_silent", http.StatusGatewayTimeout, Unknown, "The upstream sent nothing for longer than a caller waits.", "Retry when the request is idempotent.")
+	register(UpstreamHeadSize, "upstream_head_too_large", http.StatusBadGateway, Unknown, "The upstream's status line, headers or interim answers are over the limit.", "Retry when the request is idempotent.")
 }
 
 func registerStore() {
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -3,10 +3,8 @@
 import (
 	"encoding/hex"
 	"net/netip"
-	"os"
 	"time"
 
-	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/config"
 	"github.com/daisylb/daisylb/operator"
 	"github.com/daisylb/daisylb/settings"
@@ -101,21 +99,20 @@
 
 // Defaults and bounds of Settings.
 const (
-	defaultPlatformTimeout       = 5 * time.Second
-	maxPlatformTimeout           = time.Minute
-	defaultWriteRate             = 300
-	defaultReadRate              = 2000
-	maxStoreRate                 = 1e6
-	defaultDrainMargin           = 15 * time.Second
-	defaultDrainBound            = 10 * time.Minute
-	maxDrain                     = 24 * time.Hour
-	defaultClaimRetention        = 7 * 24 * time.Hour
-	defaultJobRetention          = 28 * 24 * time.Hour
-	minRetention                 = 24 * time.Hour
-	maxRetention                 = 10 * 365 * 24 * time.Hour
-	minPeerKeyBytes              = 16
-	hexBytesOfSHA256             = 64
-	maxSettingsBytes       int64 = 1 << 20
+	defaultPlatformTimeout = 5 * time.Second
+	maxPlatformTimeout     = time.Minute
+	defaultWriteRate       = 300
+	defaultReadRate        = 2000
+	maxStoreRate           = 1e6
+	defaultDrainMargin     = 15 * time.Second
+	defaultDrainBound      = 10 * time.Minute
+	maxDrain               = 24 * time.Hour
+	defaultClaimRetention  = 7 * 24 * time.Hour
+	defaultJobRetention    = 28 * 24 * time.Hour
+	minRetention           = 24 * time.Hour
+	maxRetention           = 10 * 365 * 24 * time.Hour
+	minPeerKeyBytes        = 16
+	hexBytesOfSHA256       = 64
 )
 
 // Default returns the settings before a file is read.
@@ -132,16 +129,9 @@
 // Load reads a settings file. All faults are reported at once under
 // code.InvalidSettings.
 func Load(path string) (Settings, error) {
-	info, err := os.Stat(path)
+	data, err := settings.ReadFile(path, settings.MaxFileBytes)
 	if err != nil {
-		return Settings{}, code.Wrap(code.InvalidSettings, err, "%s cannot be read: %v", path, err)
-	}
-	if info.Size() > maxSettingsBytes {
-		return Settings{}, code.New(code.InvalidSettings, "%s has %d bytes, at most %d are allowed", path, info.Size(), maxSettingsBytes)
-	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, code.Wrap(code.InvalidSettings, err, "%s cannot be read: %v", path, err)
+		return Settings{}, err
 	}
 	return Parse(path, data)
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -73,7 +74,7 @@
 	if route == nil {
 		return code.New(code.NotFound, "no route for this host and path")
 	}
-	body, err := readBody(w, r, document.Limits.MaxBodyBytes)
+	body, err := readBody(w, r, document.Limits.MaxBodyBytes, deadline(route, r, arrived))
 	if err != nil {
 		return err
 	}
@@ -101,17 +102,26 @@
 // defaultMaxBody holds when the document has no bound, in bytes.
 const defaultMaxBody = 4 << 20
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// readBody reads the whole body. One that is not there at the end of the
+// request's time is given up, since nothing could be run any more.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, end time.Time) ([]byte, error) {
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
+	control := http.NewResponseController(w)
+	// A writer without deadlines, as in a handler's unit test, is not an error.
+	_ = control.SetReadDeadline(end)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
+	// What is left of the body is not waited for either: the deadline stays.
 	case errors.As(err, &tooLarge):
 		return nil, code.New(code.BodyTooLarge, "the body is over %d bytes", limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, code.Wrap(code.SlowSender, err, "the body did not arrive within the request's time")
 	}
 	return nil, code.Wrap(code.CallerGone, err, "the body did not arrive").WithOutcome(code.NotRun)
 }
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -170,3 +171,65 @@
 		t.Errorf("%v, %+v", err, response)
 	}
 }
+
+// raw sends bytes on a connection of its own and returns what comes back until
+// the other side closes.
+func (s *system) raw(t *testing.T, text string) string {
+	t.Helper()
+	c, err := net.Dial("tcp4", strings.TrimPrefix(s.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := c.Write([]byte(text)); err != nil {
+		t.Fatal(err)
+	}
+	answer, _ := io.ReadAll(c)
+	return string(answer)
+}
+
+// TestBodyThatTricklesIsRefusedInTheRequestsTime: the caller is told that nothing
+// has run when its time is over, and the instance holds nothing of it.
+func TestBodyThatTricklesIsRefusedInTheRequestsTime(t *testing.T) {
+	s := newSystem(t, document, func(context.Context, contract.ForwardSink) error {
+		t.Error("a request without its body was forwarded")
+		return nil
+	})
+	answer := s.raw(t, "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nX-Deadline-Ms: 200\r\nContent-Length: 90\r\n\r\nx")
+	if !strings.HasPrefix(answer, "HTTP/1.1 408 ") || !strings.Contains(answer, "1011") {
+		t.Errorf("got %q", answer)
+	}
+}
+
+// TestWaitingForTheBodyLeavesNoDeadlineBehind lasts longer than the request's
+// body had time to come.
+func TestWaitingForTheBodyLeavesNoDeadlineBehind(t *testing.T) {
+	s := newSystem(t, document, func(ctx context.Context, sink contract.ForwardSink) error {
+		select {
+		case <-ctx.Done():
+			return code.New(code.CallerGone, "the caller's context ended")
+		case <-time.After(400 * time.Millisecond):
+		}
+		return answers(200, http.Header{"X-Server-Stamp": {"sig"}}, "late")(ctx, sink)
+	})
+	response, body, err := s.do(t, http.MethodPost, "/once/x", "q", "X-Deadline-Ms", "200")
+	if err != nil || response.StatusCode != 200 || body != "late" {
+		t.Errorf("%v, %q", err, body)
+	}
+}
+
+// TestPipelinedRequestsGetTheirOwnAnswers sends three requests at once.
+func TestPipelinedRequestsGetTheirOwnAnswers(t *testing.T) {
+	s := newSystem(t, document, nil)
+	s.upstream.serve = func(ctx context.Context, sink contract.ForwardSink) error {
+		return answers(200, http.Header{"X-Server-Stamp": {"sig"}}, "answer to "+s.upstream.call.RequestID+".")(ctx, sink)
+	}
+	request := func(id, extra string) string {
+		return "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: " + id + "\r\n" + extra + "Content-Length: 1\r\n\r\nq"
+	}
+	answer := s.raw(t, request("a", "")+request("b", "")+request("c", "Connection: close\r\n"))
+	a, b, c := strings.Index(answer, "answer to a."), strings.Index(answer, "answer to b."), strings.Index(answer, "answer to c.")
+	if a < 0 || b < a || c < b {
+		t.Errorf("got %q", answer)
+	}
+}
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -98,6 +98,8 @@
 			MaxIdleConnsPerHost: peerIdleConns,
 			IdleConnTimeout:     peerIdleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeaderBytes,
 		}},
 		Log: i.log,
 	})
@@ -200,6 +202,8 @@
 func (i *Instance) buildServers() {
 	handler := entry.NewHandler(entry.Options{Routing: i.document.Current, Forwarder: i.dispatcher, Jobs: i.jobs, Log: i.log})
 	i.callers = newServer(handler)
+	// Requests of callers have the time that they bring with them.
+	i.callers.ReadTimeout = 0
 	i.callers.ConnState = newIdleLimit(i.idleTime).note
 	i.directory = newServer(http.HandlerFunc(i.serveDirectory))
 	i.readiness = newServer(http.HandlerFunc(i.serveReadiness))
@@ -221,6 +225,7 @@
 	return &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          zap.NewStdLog(zap.NewNop()),
--- a/hosted/options.go
+++ b/hosted/options.go
@@ -43,6 +43,9 @@
 	maxEndpoints = 64
 
 	headerTimeout = 10 * time.Second
+	// readTimeout bounds the reading of a request of a peer or the platform. It is
+	// over the longest wait of a call through a peer, which it would end.
+	readTimeout = 10 * time.Second
 	// idleTimeout is far over the time for which callers use an idle connection
 	// again, so that their requests do not cross a close.
 	idleTimeout    = 75 * time.Second
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
 
+	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/job"
 	"github.com/daisylb/daisylb/storage"
@@ -34,6 +35,8 @@
 	runs     map[string]int
 	// from has the events after which runs of an item began.
 	from map[string][]string
+	// taken is the most that one run of an item without end brought.
+	taken int
 }
 
 // access is the store as one member reaches it.
@@ -184,6 +187,9 @@
 	if err := sink.Begin(http.StatusOK, nil); err != nil {
 		return err
 	}
+	if strings.HasPrefix(c.RequestID, "endless") {
+		return f.endless(ctx, sink)
+	}
 	first, _ := strconv.Atoi(c.LastEvent)
 	for n := first + 1; n <= itemEvents; n++ {
 		select {
@@ -199,6 +205,25 @@
 	return nil
 }
 
+// endless writes events until the sink takes no more.
+func (f *fleet) endless(ctx context.Context, sink contract.ForwardSink) error {
+	data := strings.Repeat("x", 64<<10)
+	for n, sent := 1, 0; ctx.Err() == nil; n++ {
+		if err := sink.Write(fmt.Appendf(nil, "id: %d\ndata: %s\n\n", n, data)); err != nil {
+			return code.Wrap(code.CallerGone, err, "the caller is gone")
+		}
+		sent += len(data)
+		f.mu.Lock()
+		f.taken = max(f.taken, sent)
+		f.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-time.After(eventTime):
+		}
+	}
+	return ctx.Err()
+}
+
 // eventData is long enough for progress to be written, unless the id begins with
 // "short".
 func eventData(id string, n int) string {
--- a/job/progress.go
+++ b/job/progress.go
@@ -96,7 +96,7 @@
 	defer c.mu.Unlock()
 	size := c.text.Len() - c.kept
 	news := c.last != c.keptLast && size >= least || c.failures != c.keptFailures
-	if !news || size > chunkBytes {
+	if !news || size > chunkBytes || c.restarted {
 		return storage.TableRow{}, false
 	}
 	p := progress{After: c.keptLast, Last: c.last, Text: c.text.String()[c.kept:], Failures: c.failures}
--- a/job/run.go
+++ b/job/run.go
@@ -97,6 +97,8 @@
 	// itemAttempts bounds the upstreams of one call; the item goes on afterwards
 	// from where it was.
 	itemAttempts = 4
+	// overlongPause follows an answer without end, which another run may give again.
+	overlongPause = 5 * time.Second
 	// itemSilence is the longest pause between two events of an item.
 	itemSilence = 2 * time.Second
 )
@@ -122,10 +124,15 @@
 			r.finish(index, c.result(item.ID))
 			return
 		}
-		select {
-		case <-r.ctx.Done():
-		case <-time.After(itemPause):
-		}
+		sleep(r.ctx, itemPause)
+	}
+}
+
+// sleep waits until ctx ends at the longest.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
@@ -168,6 +175,12 @@
 	ctx, cancel := r.service.whileInTouch(r.ctx)
 	defer cancel()
 	err := r.service.options.Forwarder.Forward(ctx, f, c)
+	if errors.Is(err, errItemText) {
+		r.service.options.Log.Warn("item begins again, its text went over the limit", zap.String("job", r.id), zap.String("request", item.ID))
+		c.restart()
+		sleep(r.ctx, overlongPause)
+		return false
+	}
 	if r.ctx.Err() != nil || err != nil && ctx.Err() != nil {
 		return false
 	}
@@ -214,6 +227,23 @@
 	keptLast     string
 	keptFailures int
 	next         int
+	// restarted is set when the text was thrown away. Rows of progress that were
+	// written before would not fit what comes after.
+	restarted bool
+}
+
+// maxItemText bounds the text of an item. A call for results brings at most that
+// much.
+const maxItemText = 1 << 20
+
+var errItemText = errors.New("the item's text is over its limit")
+
+// restart throws away what an item has got.
+func (c *collector) restart() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.text.Reset()
+	c.last, c.kept, c.restarted = "", 0, true
 }
 
 func newCollector(p saved) *collector {
@@ -249,6 +279,9 @@
 			c.last = string(bytes.TrimSpace(id))
 		}
 		if data, ok := bytes.CutPrefix(line, dataField); ok {
+			if c.text.Len()+len(data) > maxItemText {
+				return errItemText
+			}
 			if c.text.Len() > 0 {
 				c.text.WriteByte('\n')
 			}
--- a/job/service_test.go
+++ b/job/service_test.go
@@ -427,3 +427,39 @@
 		}
 	})
 }
+
+// TestItemWithoutEndIsBoundedAndOthersAreDone has an upstream that goes on with an
+// item's events without end: nothing of it is kept past the bound, it is not said
+// to be done, and the other items of the job are.
+func TestItemWithoutEndIsBoundedAndOthersAreDone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, nil)
+		defer f.close()
+		if err := f.services[0].Submit(t.Context(), f.submission("j", "endless", "fine")); err != nil {
+			t.Fatal(err)
+		}
+		got := map[string]bool{}
+		for _, r := range f.read(f.services[0], "j") {
+			got[r.Item] = r.Succeeded
+		}
+		if d := cmp.Diff(map[string]bool{"endless": false, "fine": true}, got); d != "" {
+			t.Error(d)
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, from := range f.from["endless"] {
+			if from != "" {
+				t.Errorf("a run went on after event %q of a text that was thrown away", from)
+			}
+		}
+		if f.runs["endless"] < 2 {
+			t.Error("the item was not tried again")
+		}
+		if f.taken > 2*maxItemText {
+			t.Errorf("%d bytes were taken of one run", f.taken)
+		}
+	})
+}
+
+// maxItemText is the bound of an item's text that a call for results can bring.
+const maxItemText = 1 << 20
--- a/logging/explain_test.go
+++ b/logging/explain_test.go
@@ -1,9 +1,12 @@
 package logging_test
 
 import (
+	"io"
 	"strings"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"github.com/daisylb/daisylb/logging"
 )
 
@@ -30,3 +33,64 @@
 		t.Errorf("got\n%s", out.String())
 	}
 }
+
+func TestExplainOrdersAProcessByItsSteadyClockAndNamesSteps(t *testing.T) {
+	log := `{"level":"info","ts":1000,"up":500,"msg":"sent","instance":"a/1","request":"r1"}
+{"level":"info","ts":1200,"up":700,"msg":"forwarding again","instance":"a/1","request":"r1"}
+{"level":"info","ts":61400,"up":900,"msg":"forwarded","instance":"a/1","request":"r1"}
+{"level":"info","ts":1300,"up":90,"msg":"refused","instance":"b/1","request":"r1"}
+`
+	story, err := logging.Explain("r1", strings.NewReader(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if err := story.Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	want := `    +0.000s  a/1                      info  sent  request=r1
+    +0.200s  a/1                      info  forwarding again  request=r1
+    +0.300s  b/1                      info  refused  request=r1
+            a/1                      the time of day moved by +60.000s against the steady clock
+    +0.400s  a/1                      info  forwarded  request=r1
+4 lines, 0 that could not be read
+`
+	if diff := cmp.Diff(want, out.String()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// endless gives the same bytes over and over, up to a number.
+type endless struct {
+	text string
+	left int
+	at   int
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	if e.left <= 0 {
+		return 0, io.EOF
+	}
+	n := copy(p[:min(len(p), e.left)], e.text[e.at:])
+	e.at = (e.at + n) % len(e.text)
+	e.left -= n
+	return n, nil
+}
+
+func TestExplainPassesOverALineWithoutEndAndBoundsTheStory(t *testing.T) {
+	const overlong, many = 64 << 20, 16 << 20
+	line := `{"msg":"sent","request":"r1"}` + "\n"
+	log := io.MultiReader(
+		strings.NewReader(line),
+		&endless{text: strings.Repeat("x", 4<<10), left: overlong}, strings.NewReader("\n"),
+		strings.NewReader(line),
+		&endless{text: line, left: many},
+	)
+	story, err := logging.Explain("r1", log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(story.Lines) != 100_000 || story.LeftOut < many/len(line)-100_000 || story.Bad != 2 {
+		t.Errorf("%d lines, %d left out, %d bad", len(story.Lines), story.LeftOut, story.Bad)
+	}
+}
--- a/logging/sink.go
+++ b/logging/sink.go
@@ -9,6 +9,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -46,7 +47,7 @@
 	encoder.EncodeDuration = zapcore.MillisDurationEncoder
 	encoder.StacktraceKey = zapcore.OmitKey
 	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoder), sink, level)
-	return zap.New(core), sink
+	return zap.New(&steadyCore{core, time.Now()}), sink
 }
 
 // Write keeps a line, or drops it when the buffer is full. It never blocks on
--- a/standin/standin.go
+++ b/standin/standin.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"time"
 
 	"github.com/daisylb/daisylb/code"
@@ -77,7 +76,7 @@
 // Load reads a settings file. All faults are reported at once under
 // code.InvalidSettings.
 func Load(path string) (Settings, error) {
-	data, err := os.ReadFile(path)
+	data, err := settings.ReadFile(path, settings.MaxFileBytes)
 	if err != nil {
 		return Settings{}, code.Wrap(code.InvalidSettings, err, "%s cannot be read: %v", path, err)
 	}
--- a/storage/httpstore/httpstore.go
+++ b/storage/httpstore/httpstore.go
@@ -86,5 +86,11 @@
 		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxAnswerHead,
 	}
 }
+
+// maxAnswerHead bounds the status line and the headers of an answer. Without it
+// net/http takes 10 MB.
+const maxAnswerHead = 64 << 10
--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -21,6 +21,7 @@
 type connection struct {
 	net.Conn
 	reader *bufio.Reader
+	guard  *headGuard
 	stop   func() bool
 }
 
@@ -35,13 +36,17 @@
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, connectionBuffer) }}
 
 // dialOnce opens a connection that closes when ctx ends.
-func dialOnce(ctx context.Context, address string) (*connection, error) {
-	nc, err := forwardDialer.DialContext(ctx, "tcp", address)
+func (d *Dispatcher) dialOnce(ctx context.Context, address string) (*connection, error) {
+	dial := forwardDialer.DialContext
+	if t := d.options.Transport; t != nil && t.DialContext != nil {
+		dial = t.DialContext
+	}
+	nc, err := dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	c := &connection{Conn: nc, reader: readers.Get().(*bufio.Reader)}
-	c.reader.Reset(nc)
+	c := &connection{Conn: nc, reader: readers.Get().(*bufio.Reader), guard: newHeadGuard(nc)}
+	c.reader.Reset(c.guard)
 	c.stop = context.AfterFunc(ctx, func() { _ = nc.Close() })
 	return c, nil
 }
@@ -80,17 +85,3 @@
 // inlineBody fits into the buffers of a connection, so that writing it never
 // waits for the upstream to read.
 const inlineBody = 16 << 10
-
-// receive reads the headers of the answer. Answers that announce more to come
-// are passed over.
-func (c *connection) receive(method string) (*http.Response, error) {
-	for {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-}
--- a/upstream/digest.go
+++ b/upstream/digest.go
@@ -44,6 +44,9 @@
 	batchLifetime = 10 * time.Second
 	// peerInterval is the time between two looks at the age of the digests.
 	peerInterval = 200 * time.Millisecond
+	// maxPeers bounds the digests that are kept. An instance hears a few dozen peers;
+	// datagrams may bear any name.
+	maxPeers = 1 << 10
 )
 
 // Digest returns this instance's load for its peers.
@@ -72,7 +75,8 @@
 	s := d.sched
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if before, ok := s.peers[peer]; ok && before.Sequence >= digest.Sequence {
+	before, known := s.peers[peer]
+	if known && before.Sequence >= digest.Sequence || !known && len(s.peers) >= maxPeers {
 		return
 	}
 	now := time.Now()
--- a/upstream/events.go
+++ b/upstream/events.go
@@ -13,6 +13,9 @@
 	bytes []byte
 	// id is the event's id as text; "" when it has none.
 	id string
+	// data is set when the event has a data field, or an id: comments only keep a
+	// connection open.
+	data bool
 }
 
 // maxEventBytes bounds one event.
@@ -33,11 +36,15 @@
 
 var idField = []byte("id:")
 
-// next returns the next event, valid until the next call. It returns io.EOF at
+// next returns the next event, valid until the next call; empty lines at the end
+// of the stream are one without data. It returns io.EOF at
 // the clean end and io.ErrUnexpectedEOF when the stream ends within an event.
 func (s *rawEvents) next() (rawEvent, error) {
 	s.buffer = s.buffer[:0]
 	e := rawEvent{}
+	// blank is set while only empty lines have come, which belong to the event that
+	// follows them.
+	blank := true
 	for {
 		start := len(s.buffer)
 		for {
@@ -52,22 +59,29 @@
 			if errors.Is(err, bufio.ErrBufferFull) {
 				continue
 			}
-			if errors.Is(err, io.EOF) && len(s.buffer) > 0 {
-				return e, io.ErrUnexpectedEOF
+			switch {
+			case !errors.Is(err, io.EOF) || len(s.buffer) == 0:
+				return e, err
+			case blank && start == len(s.buffer):
+				e.bytes = s.buffer
+				return e, nil
 			}
-			return e, err
+			return e, io.ErrUnexpectedEOF
 		}
 		line := bytes.TrimRight(s.buffer[start:], "\r\n")
 		if len(line) == 0 {
-			if start == 0 {
-				// An empty line between events belongs to the next one.
+			if blank {
 				continue
 			}
 			e.bytes = s.buffer
 			return e, nil
 		}
+		blank = false
 		if id, ok := bytes.CutPrefix(line, idField); ok {
-			e.id = string(bytes.TrimSpace(id))
+			e.id, e.data = string(bytes.TrimSpace(id)), true
+		}
+		if bytes.HasPrefix(line, dataField) {
+			e.data = true
 		}
 	}
 }
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -43,6 +43,12 @@
 	queued  time.Duration
 	first   time.Duration
 	yields  int
+	// heard is when the caller was given the last event, or the call began.
+	heard time.Time
+	// cause says how the last attempt that failed did so, belief what was then
+	// thought of its upstream.
+	cause  breakCause
+	belief string
 }
 
 // Bounds of the attempts that reach an upstream without running there.
@@ -71,7 +77,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	f := &forwarding{call: call, pool: p, sink: sink, last: call.LastEvent, arrived: time.Now(), request: request{
+	now := time.Now()
+	f := &forwarding{call: call, pool: p, sink: sink, last: call.LastEvent, arrived: now, heard: now, request: request{
 		pool:     p,
 		class:    call.Class,
 		firm:     !call.Repeatable,
@@ -79,14 +86,6 @@
 		expected: call.Tokens,
 		deadline: call.Deadline,
 	}}
-	if call.Class == contract.Online && call.Silence > 0 {
-		if patience := time.Now().Add(call.Silence); patience.Before(call.Deadline) {
-			f.request.deadline = patience
-		}
-	}
-	if call.Class == contract.Online && call.Objective > 0 {
-		f.request.online = route.OnlineWork{Objective: f.arrived.Add(call.Objective), Patience: f.request.deadline}
-	}
 	err = d.forwardAttempts(ctx, f)
 	d.logForward(f, err)
 	return err
@@ -95,6 +94,7 @@
 func (d *Dispatcher) forwardAttempts(ctx context.Context, f *forwarding) error {
 	for {
 		f.request.work = d.sched.batchWork(f)
+		f.setPatience()
 		given, err := d.acquireInTime(ctx, f)
 		if err != nil {
 			return f.ended(err)
@@ -108,6 +108,7 @@
 			d.sched.noteBatchWork(f)
 			return nil
 		}
+		f.cause, f.belief = causeOf(fail), d.sched.belief(given)
 		var ended error
 		if ctx.Err() != nil {
 			ended = context.Cause(ctx)
@@ -128,6 +129,7 @@
 		d.metrics.retries.Inc()
 		f.request.avoid = given.target.key
 		d.log.Info("forwarding again", zap.String("request", f.call.RequestID), zap.String("failed", given.target.id),
+			zap.String("cause", string(f.cause)), zap.String("believed", f.belief),
 			zap.String("after_event", f.last), zap.Error(fail.err))
 	}
 }
@@ -162,8 +164,22 @@
 	h.perToken = h.perToken.Observe(time.Now(), f.held/time.Duration(f.call.Tokens))
 }
 
-// acquireInTime waits for a slot no longer than the caller bears to wait for a
-// first byte.
+// setPatience sets when the caller leaves. It bears a pause of a length, counted
+// from the last event that it was given.
+func (f *forwarding) setPatience() {
+	f.request.deadline = f.call.Deadline
+	if f.call.Class != contract.Online {
+		return
+	}
+	if patience := f.heard.Add(f.call.Silence); f.call.Silence > 0 && patience.Before(f.call.Deadline) {
+		f.request.deadline = patience
+	}
+	if f.call.Objective > 0 {
+		f.request.online = route.OnlineWork{Objective: f.arrived.Add(f.call.Objective), Patience: f.request.deadline}
+	}
+}
+
+// acquireInTime waits for a slot no longer than the caller bears a pause.
 func (d *Dispatcher) acquireInTime(ctx context.Context, f *forwarding) (*slot, error) {
 	given := d.sched.tryFirst(ctx, f.request)
 	if given != nil {
@@ -198,10 +214,13 @@
 
 // ended returns the error of a call that got no slot or whose context ended.
 func (f *forwarding) ended(cause error) error {
-	if errors.Is(cause, context.DeadlineExceeded) && f.begun {
-		return code.Wrap(code.StreamBroken, cause, "the answer was not whole at the deadline")
+	if !errors.Is(cause, context.DeadlineExceeded) || !f.begun {
+		return endOf(cause, f.dispatched)
+	}
+	if time.Now().Before(f.call.Deadline) {
+		return code.Wrap(code.StreamBroken, cause, "no slot to go on after event %q came free within the pause that the caller bears", f.last)
 	}
-	return endOf(cause, f.dispatched)
+	return code.Wrap(code.StreamBroken, cause, "the answer was not whole at the deadline")
 }
 
 // failed returns the error of a call that has no attempt left.
@@ -222,7 +241,7 @@
 
 // forwardOnce makes one attempt. It returns nil when the answer was whole.
 func (d *Dispatcher) forwardOnce(given *slot, f *forwarding) *failure {
-	c, err := dialOnce(given.ctx, given.target.address)
+	c, err := d.dialOnce(given.ctx, given.target.address)
 	if err != nil {
 		return &failure{err: code.Wrap(code.NoUpstream, err, "upstream %q can't be reached", given.target.id), unreachable: true}
 	}
--- a/upstream/forward_answer.go
+++ b/upstream/forward_answer.go
@@ -18,8 +18,11 @@
 }
 
 func broken(given *slot, err error) *failure {
-	if errors.Is(context.Cause(given.ctx), errStalled) {
-		return &failure{err: code.Wrap(code.UpstreamSilent, err, "upstream %q was silent", given.target.id)}
+	switch {
+	case errors.Is(context.Cause(given.ctx), errStalled):
+		return &failure{err: code.Wrap(code.UpstreamSilent, errors.Join(errStalled, err), "upstream %q was silent", given.target.id)}
+	case isEndlessHead(err):
+		return &failure{err: code.Wrap(code.UpstreamHeadSize, err, "upstream %q: %v", given.target.id, err)}
 	}
 	return &failure{err: code.Wrap(code.UpstreamFailed, err, "upstream %q broke off", given.target.id)}
 }
@@ -31,23 +34,30 @@
 	case head.NotRun && status != http.StatusBadRequest:
 		return &failure{err: code.New(code.UpstreamRefused, "the upstream refused with status %d", status), refused: true}
 	case head.RequestID != "" && head.RequestID != f.call.RequestID:
-		return &failure{err: code.New(code.UpstreamBadAnswer, "the answer belongs to request %q", head.RequestID)}
+		return &failure{err: code.Wrap(code.UpstreamBadAnswer, errOtherRequest, "the answer belongs to request %q", head.RequestID)}
 	case status < http.StatusMultipleChoices && (!head.Signed || head.RequestID == ""):
-		return &failure{err: code.New(code.UpstreamBadAnswer, "the answer has no signature")}
+		return &failure{err: code.Wrap(code.UpstreamBadAnswer, errUnsigned, "the answer has no signature")}
 	case response.Header.Get("Content-Encoding") != "":
-		return &failure{err: code.New(code.UpstreamBadAnswer, "the answer is encoded")}
+		return &failure{err: code.Wrap(code.UpstreamBadAnswer, errEncoded, "the answer is encoded")}
 	case f.begun && f.call.Class == contract.Batch && status >= http.StatusBadRequest && !isPromise(status):
 		return &failure{err: &StatusError{Status: status}, final: true}
 	case f.begun && (status != http.StatusOK || !isEventStream(response.Header)):
-		return &failure{err: code.New(code.UpstreamBadAnswer, "the upstream answered status %d to a resumption", status)}
+		return &failure{err: code.Wrap(code.UpstreamBadAnswer, &StatusError{Status: status}, "the upstream answered status %d to a resumption", status)}
 	case isPromise(status) || status >= http.StatusInternalServerError && f.call.Repeatable && f.call.Class == contract.Online && f.runs+1 < f.call.MaxAttempts:
-		return &failure{err: code.New(code.UpstreamFailed, "the upstream answered status %d", status)}
+		return &failure{err: code.Wrap(code.UpstreamFailed, &StatusError{Status: status}, "the upstream answered status %d", status)}
 	}
 	return nil
 }
 
-// StatusError is the failure of a batch request whose upstream answered a
-// resumption with a status of its own.
+// Errors of answers that are not the upstream's to the request.
+var (
+	errOtherRequest = errors.New("the answer belongs to another request")
+	errUnsigned     = errors.New("the answer has no signature")
+	errEncoded      = errors.New("the answer is encoded")
+)
+
+// StatusError is the failure of an attempt that the upstream answered with a
+// status of its own that is not passed on.
 type StatusError struct{ Status int }
 
 // Error implements error.
@@ -99,6 +109,10 @@
 		if err != nil {
 			return broken(a.slot, err)
 		}
+		if e.id != "" && a.last != "" && !follows(e.id, a.last) {
+			// A worker that repeats what was passed on has said nothing.
+			continue
+		}
 		now := time.Now()
 		if a.slot.first.Load() == 0 {
 			d.sched.observeFirst(a.slot, now)
@@ -106,10 +120,10 @@
 				a.forwarding.first = now.Sub(a.arrived)
 			}
 		}
-		a.slot.token(now)
-		a.timer.Reset(a.next)
-		if e.id != "" && a.last != "" && !follows(e.id, a.last) {
-			continue
+		if e.data {
+			a.slot.token(now)
+			a.timer.Reset(a.next)
+			a.heard = now
 		}
 		if err := a.begin(); err != nil {
 			return gone(err)
--- a/upstream/forward_log.go
+++ b/upstream/forward_log.go
@@ -62,7 +62,9 @@
 		d.log.Info("forwarded", fields...)
 		return
 	}
-	d.log.Info("forwarding failed", append(fields, zap.Int("number", int(code.Of(err))), zap.Error(err))...)
+	fields = append(fields, zap.String("cause", string(f.endCause(err))), zap.String("believed", f.belief),
+		zap.Duration("left", time.Until(f.call.Deadline)), zap.Int("number", int(code.Of(err))), zap.Error(err))
+	d.log.Info("forwarding failed", fields...)
 }
 
 // resultOf names a result for metrics.
--- a/upstream/links.go
+++ b/upstream/links.go
@@ -12,6 +12,9 @@
 	dialTimeout         = time.Second
 	idleConnTimeout     = 90 * time.Second
 	idleConnsPerAddress = 64
+	// maxAnswerHead bounds the status line and the headers of an answer. Without it
+	// net/http takes 10 MB.
+	maxAnswerHead = 64 << 10
 )
 
 // links holds separate connections for each purpose, so that online work never
@@ -32,6 +35,8 @@
 			MaxIdleConnsPerHost: idleConnsPerAddress,
 			IdleConnTimeout:     idleConnTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxAnswerHead,
 		}
 	}
 	l := links{template.Clone(), template.Clone(), template.Clone(), template.Clone()}
