Notice a loss in a large fleet by doubts that stay unanswered

Cause: the row of an instance is written each 15 ms times the instances and may stand still for 2.6 such intervals: 7.6 s at 195, 21 s at 550. Ruled out: rows more often (each is read by all: the bytes grow with the square of the fleet); leaving out who is silent (a one-way cut would take living members off). Change: instances that share workers tell each other their load at least each 0.7 s. One that has been silent for 1.6 s is doubted by one of those that heard it, by a row, under the condition that its own row is as known; it answers by writing its row. Who has seen a doubt for 1 s, and the store read since, without an answer counts the process as lost. A member that hears fewer than it misses doubts nobody. Rows go on as before and serve alone in fleets up to 66. The feed's pause does not stretch any more. An instance counts as isolated no later than others may count it lost. A member that nobody hears but that reaches the store stays on all lists for 15 s; one that pauses is back on all lists 5 s after its return.

--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -49,6 +49,8 @@
 	jobs       *job.Service
 	// peers are the addresses of the instances that share workers.
 	peers atomic.Pointer[[]netip.AddrPort]
+	// sharing has the processes of these instances.
+	sharing atomic.Pointer[map[string]bool]
 	// others are the addresses of all other instances.
 	others atomic.Pointer[[]string]
 
@@ -145,7 +147,7 @@
 	if err != nil {
 		return err
 	}
-	i.roster = roster.New(roster.Options{Rows: i.store, Log: i.log, Changed: i.divide, PeerHeard: i.dispatcher.PeerHeard, Self: roster.Member{
+	i.roster = roster.New(roster.Options{Rows: i.store, Log: i.log, Changed: i.divide, PeerHeard: i.dispatcher.PeerHeard, Heard: i.heard, Self: roster.Member{
 		Name:       settings.Name,
 		ID:         i.process,
 		Callers:    settings.Callers,
@@ -162,18 +164,34 @@
 	return err
 }
 
+// heard returns when a process that shares workers with this one told its load
+// last; others don't tell it.
+func (i *Instance) heard(process string) (time.Time, bool) {
+	at, ok := i.dispatcher.PeerHeardOf(process)
+	return at, ok && i.sharing.Load() != nil && (*i.sharing.Load())[process]
+}
+
 // divide brings the cell of this instance up to date after a change of the
 // fleet.
 func (i *Instance) divide() {
 	view := i.roster.View()
 	i.workers.SetInstances(i.settings.Load().Name, view.Names())
 	var peers []netip.AddrPort
+	names := map[string]bool{}
 	for _, name := range i.workers.Peers() {
 		if peer, ok := view.Peers[name]; ok {
 			peers = append(peers, peer)
+			names[name] = true
 		}
 	}
 	i.peers.Store(&peers)
+	sharing := make(map[string]bool, len(names))
+	for _, m := range view.Alive {
+		if names[m.Name] {
+			sharing[m.ID] = true
+		}
+	}
+	i.sharing.Store(&sharing)
 	others := make([]string, 0, len(view.Peers))
 	for _, peer := range view.Peers {
 		others = append(others, peer.String())
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -45,8 +45,10 @@
 type entry struct {
 	Member
 	seen time.Time
-	// since is the version of the store with which the process was first seen.
-	since uint64
+	// since is the version of the store with which the process was first seen,
+	// version that of the row.
+	since   uint64
+	version uint64
 }
 
 const (
@@ -59,8 +61,7 @@
 	aliveIntervals = 2.6
 	// retryPause follows a write that failed.
 	retryPause = 150 * time.Millisecond
-	// feedPause bounds the calls of the feed in a small fleet; it grows as the
-	// time between two writes does.
+	// feedPause bounds the calls of the feed.
 	feedPause = 600 * time.Millisecond
 	feedWait  = 2 * time.Second
 )
@@ -75,6 +76,9 @@
 	// PeerHeard returns when another instance was heard of last, other than through
 	// the store; the zero time means never. It may be nil.
 	PeerHeard func() time.Time
+	// Heard returns when a process was heard of last other than through the store,
+	// and whether it tells this instance of itself at all. It may be nil.
+	Heard func(process string) (time.Time, bool)
 }
 
 // Roster is the list. It is safe for concurrent use.
@@ -90,7 +94,13 @@
 	// by this instance's own row, ownSeen when that was last read.
 	heardSince time.Time
 	ownSeen    time.Time
-	view       atomic.Pointer[View]
+	// asked has the last doubt of each member by its name.
+	asked map[string]asked
+	// judged is when silence was looked at last, calmSince the end of the last gap
+	// between two looks.
+	judged    time.Time
+	calmSince time.Time
+	view      atomic.Pointer[View]
 }
 
 // View is the list at one time.
@@ -124,7 +134,7 @@
 
 // New returns a Roster.
 func New(o Options) *Roster {
-	r := &Roster{options: o, wake: make(chan struct{}, 1), members: map[string]entry{}}
+	r := &Roster{options: o, wake: make(chan struct{}, 1), members: map[string]entry{}, asked: map[string]asked{}}
 	if r.options.Changed == nil {
 		r.options.Changed = func() {}
 	}
@@ -157,7 +167,7 @@
 // of for as long as the others take to count this one as lost. An instance that
 // knows of no other is never isolated: nobody can take its work over.
 func (r *Roster) Isolated() bool {
-	limit := time.Duration(aliveIntervals * float64(r.interval()))
+	limit := r.silenceLimit()
 	age, ok := r.follower.Age()
 	if !ok || age < limit || len(r.View().Alive) < 2 || r.options.PeerHeard == nil {
 		return false
@@ -170,6 +180,11 @@
 	next := *r.self.Load()
 	change(&next)
 	r.self.Store(&next)
+	r.wakeWriter()
+}
+
+// wakeWriter makes this instance's row be written soon.
+func (r *Roster) wakeWriter() {
 	select {
 	case r.wake <- struct{}{}:
 	default:
@@ -192,9 +207,7 @@
 }
 
 // pause is the time between two calls of the feed.
-func (r *Roster) pause() time.Duration {
-	return time.Duration(float64(feedPause) * float64(r.interval()) / float64(beatInterval))
-}
+func (r *Roster) pause() time.Duration { return feedPause }
 
 func (r *Roster) write(ctx context.Context) {
 	var beat uint64
@@ -233,6 +246,9 @@
 		r.heardSince = now
 	}
 	for _, row := range u.Rows {
+		if r.takeDoubt(row, now) {
+			continue
+		}
 		if row.Removed {
 			delete(r.members, row.Key)
 			continue
@@ -245,7 +261,7 @@
 		if m.ID == r.self.Load().ID {
 			r.noteOwn(now)
 		}
-		next := entry{Member: m, seen: now, since: row.Version}
+		next := entry{Member: m, seen: now, since: row.Version, version: row.Version}
 		if before, ok := r.members[m.Name]; ok && before.ID == m.ID {
 			next.since = before.since
 		}
@@ -264,6 +280,15 @@
 	r.ownSeen = now
 }
 
+// readAt is when the store last answered.
+func (r *Roster) readAt() time.Time {
+	age, ok := r.follower.Age()
+	if !ok {
+		return time.Time{}
+	}
+	return time.Now().Add(-age)
+}
+
 // judgeInterval is the time between two looks at rows that stay unchanged.
 const judgeInterval = 250 * time.Millisecond
 
@@ -276,6 +301,9 @@
 			return
 		case <-ticker.C:
 			r.refresh()
+			for _, e := range r.silent(time.Now()) {
+				r.ask(ctx, e)
+			}
 		}
 	}
 }
@@ -286,6 +314,7 @@
 	limit := time.Duration(aliveIntervals * float64(r.interval()))
 	// A row is judged by the time for which others changed while it did not.
 	frozen := r.ownSeen.Sub(r.heardSince) < limit
+	read := r.readAt()
 	v := &View{Processes: map[string]bool{}, Peers: map[string]netip.AddrPort{}}
 	self := r.self.Load()
 	v.machines = make(map[string]process, len(r.members))
@@ -294,7 +323,7 @@
 		if e.Name == self.Name {
 			continue
 		}
-		if !frozen && r.ownSeen.Sub(e.seen) > limit {
+		if !frozen && (r.ownSeen.Sub(e.seen) > limit || r.lostByDoubt(&e, read)) {
 			continue
 		}
 		v.Alive = append(v.Alive, e.Member)
--- a/upstream/digest.go
+++ b/upstream/digest.go
@@ -100,6 +100,18 @@
 	return d.sched.peerHeard
 }
 
+// PeerHeardOf returns when a digest of a peer was taken in last, and false when
+// there is none that counts.
+func (d *Dispatcher) PeerHeardOf(peer string) (time.Time, bool) {
+	d.sched.mu.Lock()
+	defer d.sched.mu.Unlock()
+	digest, ok := d.sched.peers[peer]
+	if !ok {
+		return time.Time{}, false
+	}
+	return digest.received, true
+}
+
 // replaceDigest takes the load of a peer's earlier digest off the targets and
 // adds that of the new one. It reports whether a target has less load than
 // before. The lock is held.
