--- a/hosted/instance_test.go
+++ b/hosted/instance_test.go
@@ -35,12 +35,17 @@
 	*httptest.Server
 	hold    atomic.Pointer[chan struct{}]
 	started chan string
+	// seen is told of each request, unless it is nil.
+	seen func(id string)
 }
 
 const workerEvents = 4
 
 func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
+	if w.seen != nil {
+		w.seen(r.Header.Get("X-Request-Id"))
+	}
 	h := rw.Header()
 	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	h.Set("X-Server-Stamp", "signed")
--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -90,6 +91,27 @@
 	})
 }
 
+// TestDigestsOfMadeUpPeersAreBounded takes in digests under more names than there
+// can be peers: those that are known go on being heard.
+func TestDigestsOfMadeUpPeersAreBounded(t *testing.T) {
+	d, err := New(Options{Document: func() *contract.Document { return &contract.Document{} }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.ObserveDigest("known", Digest{Sequence: 1})
+	first, _ := d.PeerHeardOf("known")
+	for i := range 2 * maxPeers {
+		d.ObserveDigest(fmt.Sprint("made up ", i), Digest{Sequence: 1})
+	}
+	d.ObserveDigest("known", Digest{Sequence: 2})
+	if last, ok := d.PeerHeardOf("known"); !ok || !last.After(first) {
+		t.Error("a known peer is not heard any more")
+	}
+	if n := len(d.sched.peers); n > maxPeers {
+		t.Errorf("%d digests are kept", n)
+	}
+}
+
 func TestBatchOfOneInstanceYieldsToOnlineOfAnother(t *testing.T) {
 	holder, other, finish := sharing(t)
 	b := &bench{Dispatcher: other}
