Try ejected workers again; eject nobody for what nobody notices

Cause: an instance that ejected a worker of a routed service never took it in again: nothing proved it, since requests go to open workers only and our own probes are for engines. The ejections were mostly for nothing: a first event after 62 ms against a median of 6 ms that came from quick answers of another form, a spacing of 44 against 20 ms. Ruled out: real requests as probes at a fixed pace: 195 instances once a second would be more than all traffic; health answers, which may be false and are priced. Change: an ejected worker is tried again after 4 s, 8 s, ... 32 s until it gives a whole answer, with a share of failures at which one more ejects it; latencies under 100 ms to the first event, 60 ms between events and 250 ms of silence eject nobody; answers of another form than asked for are not taken for first events.

--- a/route/eject.go
+++ b/route/eject.go
@@ -31,10 +31,35 @@
 	// ejectErrors and returnErrors are the same for the share of failures.
 	ejectErrors  = 0.5
 	returnErrors = 0.1
+	// Latencies under these are no reason to eject, whatever the median: a caller does
+	// not notice them, and averages of few requests differ by as much by chance.
+	leastFirst      = 100 * time.Millisecond
+	leastSpacing    = 60 * time.Millisecond
+	leastUnanswered = 250 * time.Millisecond
+	leastSilent     = 250 * time.Millisecond
 	// maxEjectedShare bounds the ejected upstreams, in hundredths.
 	maxEjectedPercent = 50
 )
 
+const (
+	// minRetrial is how long an upstream that gets no probes of its own stays
+	// ejected the first time; a worker that is lost has left the list by then.
+	// maxRetrial bounds the time after several in a row.
+	minRetrial = 4 * time.Second
+	maxRetrial = 32 * time.Second
+	// RetrialErrors is the share of failures with which it is taken in again: one
+	// failure ejects it anew, one whole answer does not let it go again soon.
+	RetrialErrors = 0.35
+)
+
+// RetrialAfter returns how long an upstream stays ejected that only requests of
+// callers can prove, when it has been ejected a number of times without a whole
+// answer in between. Were it tried at a fixed pace by all instances of a large
+// fleet, a worker that fails would get more requests than one that serves.
+func RetrialAfter(ejections int) time.Duration {
+	return min(minRetrial<<min(max(ejections-1, 0), 8), maxRetrial)
+}
+
 // MaxEjected returns how many of n upstreams may be ejected: never half of
 // them or more.
 func MaxEjected(n int) int {
@@ -81,14 +106,16 @@
 	if h.Ejected && h.Unproven {
 		worst = max(worst, 1)
 	}
-	worst = max(worst, ratio(h.FirstToken, first, factor))
-	worst = max(worst, ratio(h.Spacing, spacing, factor))
-	worst = max(worst, ratio(h.Unanswered, first, factor*overdueFirstTokens))
-	return max(worst, ratio(h.Silent, spacing, factor*overdueSpacings))
+	worst = max(worst, h.ratio(h.FirstToken, first, factor, leastFirst))
+	worst = max(worst, h.ratio(h.Spacing, spacing, factor, leastSpacing))
+	worst = max(worst, h.ratio(h.Unanswered, first, factor*overdueFirstTokens, leastUnanswered))
+	return max(worst, h.ratio(h.Silent, spacing, factor*overdueSpacings, leastSilent))
 }
 
-func ratio(value, reference time.Duration, factor float64) float64 {
-	if reference <= 0 {
+// ratio compares a latency with a multiple of a reference. One under the least that
+// counts ejects nobody.
+func (h *Health) ratio(value, reference time.Duration, factor float64, least time.Duration) float64 {
+	if reference <= 0 || !h.Ejected && value < least {
 		return 0
 	}
 	return float64(value) / (factor * float64(reference))
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -146,6 +146,7 @@
 		{"tenfold slow goes out", false, false, 100 * time.Millisecond, true},
 		{"as fast as others comes back", true, false, 11 * time.Millisecond, false},
 		{"not before it was probed", true, true, 11 * time.Millisecond, true},
+		{"slow by less than anybody notices stays in", false, false, 62 * time.Millisecond, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			list := make([]Health, 10)
@@ -161,6 +162,19 @@
 	}
 }
 
+func TestRetrialsComeSeldomerAndSeldomer(t *testing.T) {
+	var sum time.Duration
+	for n := 1; n <= 5; n++ {
+		if next := RetrialAfter(n + 1); next < RetrialAfter(n) || next > maxRetrial {
+			t.Errorf("%v after %d ejections, %v after one more", RetrialAfter(n), n, next)
+		}
+		sum += RetrialAfter(n)
+	}
+	if sum < time.Minute {
+		t.Errorf("five retrials within %v", sum)
+	}
+}
+
 func TestCallIsNeverRepeatedAfterDispatchUnlessIdempotent(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		o := Outcome{
--- a/upstream/forward_answer.go
+++ b/upstream/forward_answer.go
@@ -148,7 +148,11 @@
 	if err != nil {
 		return broken(a.slot, err)
 	}
-	d.sched.observeFirst(a.slot, time.Now())
+	if a.response.StatusCode < http.StatusMultipleChoices && !a.call.Stream {
+		// An answer of another form than asked for says nothing of the time to a first
+		// event.
+		d.sched.observeFirst(a.slot, time.Now())
+	}
 	if err := a.begin(); err != nil {
 		return gone(err)
 	}
--- a/upstream/health.go
+++ b/upstream/health.go
@@ -37,6 +37,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t.errors -= errorWeight * t.errors
+	t.ejections = 0
 }
 
 func (s *scheduler) suspend(t *target, now time.Time) {
@@ -99,6 +100,7 @@
 	h := p.history
 	h.health = h.health[:0]
 	for _, t := range p.targets {
+		s.tryAgain(p, t, now)
 		_, unanswered, silent := t.overdue(now)
 		h.health = append(h.health, route.Health{
 			FirstToken: t.first.Value,
@@ -129,6 +131,21 @@
 	}
 }
 
+// tryAgain takes an ejected target in again that nothing but requests of callers
+// can prove, when its time is over. What was observed of it is forgotten but for
+// its failures.
+func (s *scheduler) tryAgain(p *pool, t *target, now time.Time) {
+	at, ok := p.ejected[t]
+	if !ok || p.service.Kind != contract.KindRouted || now.Sub(at) < route.RetrialAfter(t.ejections) {
+		return
+	}
+	delete(p.ejected, t)
+	t.first, t.spacing = route.Average{}, route.Average{}
+	t.errors = min(t.errors, route.RetrialErrors)
+	s.log.Info("upstream tried again", zap.String("service", p.name), zap.String("upstream", t.id),
+		zap.Duration("after", now.Sub(at)), zap.Int("ejections", t.ejections))
+}
+
 func (s *scheduler) noteEjection(p *pool, t *target, ejected bool, now time.Time) {
 	if ejected == p.isEjected(t) {
 		return
@@ -142,6 +159,7 @@
 	}
 	s.log.Info("upstream ejected", belief...)
 	p.ejected[t] = now
+	t.ejections++
 	s.metrics.ejections.Inc()
 }
 
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -48,6 +48,8 @@
 	// unreachable engines get no new work until they answer a request for their
 	// load.
 	unreachable bool
+	// ejections counts those since the last whole answer.
+	ejections int
 	// probed is when the target was probed last, proven when that or another
 	// request last brought a token.
 	probed time.Time
