Write the place of an instance among others once

Cause: the read of the change as a newcomer: roster ranked its doubters by the code with which job ranks those that take a job over. Ruled out: a change of behaviour; the hash and the bounds are the same.

--- a/job/adopt.go
+++ b/job/adopt.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/route"
 	"github.com/daisylb/daisylb/storage"
 )
 
@@ -86,18 +87,9 @@
 
 // rank is the place of this instance among those that may take a job over.
 func (s *Service) rank(id string, fleet Fleet) int {
-	own := weight(id, s.options.Process)
-	rank := 0
-	for process := range fleet.Alive {
-		if process != s.options.Process && weight(id, process) > own {
-			rank++
-		}
-	}
-	return min(rank, maxAdoptRank)
+	return route.Rank(id, s.options.Process, maps.Keys(fleet.Alive), maxAdoptRank)
 }
 
-func weight(id, process string) uint64 { return xxhash.Sum64String(id + "\x00" + process) }
-
 // adopt makes this process the owner of a job and runs what is left of it.
 func (s *Service) adopt(ctx context.Context, id string) {
 	s.mu.Lock()
--- a/roster/doubt.go
+++ b/roster/doubt.go
@@ -1,16 +1,16 @@
 package roster
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/route"
 	"github.com/daisylb/daisylb/storage"
 )
 
@@ -144,7 +144,8 @@
 	var due []entry
 	for _, e := range mute {
 		at, _ := r.options.Heard(e.ID)
-		patience := doubtSilence + time.Duration(r.doubtRank(e.ID, fresh))*doubtTurn
+		rank := route.Rank(e.ID, r.self.Load().ID, slices.Values(fresh), maxDoubtRank)
+		patience := doubtSilence + time.Duration(rank)*doubtTurn
 		if r.answered(&e) && now.Sub(at) >= patience && !r.askedSince(e.ID, e.Name, at) {
 			due = append(due, e)
 		}
@@ -159,19 +160,6 @@
 	return ok && a.ID == id && a.seen.After(at)
 }
 
-// doubtRank is the place of this instance among those that hear others now.
-func (r *Roster) doubtRank(id string, fresh []string) int {
-	rank, own := 0, weight(id, r.self.Load().ID)
-	for _, other := range fresh {
-		if weight(id, other) > own {
-			rank++
-		}
-	}
-	return min(rank, maxDoubtRank)
-}
-
-func weight(id, doubter string) uint64 { return xxhash.Sum64String(id + "\x00" + doubter) }
-
 // ask writes the doubt of a member, if its row and earlier doubts are as known.
 func (r *Roster) ask(ctx context.Context, e entry) {
 	value, err := json.Marshal(doubt{Name: e.Name, ID: e.ID, By: r.self.Load().ID})
@@ -192,5 +180,5 @@
 		Puts: []storage.TableRow{{RowKey: key, Value: value}},
 	})
 	r.options.Log.Info("doubting an instance", zap.String("member", e.Name), zap.String("process", e.ID),
-		zap.Int("number", int(cmp.Or(code.Of(err), 0))))
+		zap.Int("number", int(code.Of(err))))
 }
