Spread the rows of instances over their interval; let no doubt outlive an outage

Traced: members that start together write at the same moments, so that the feed has nothing to tell for seconds and its call waits 2 s; and a doubt counted only once a row could be judged by itself, 7.8 s after a start. Ruled out: load; the rank among doubters (100 ms in place of 250 alone changes nothing). Change: an instance whose interval has grown draws the time of its next row from the whole interval; a doubt counts by itself, from its reading or from the end of a gap in which the store was not followed, whichever is later; turns of doubters 100 ms apart. New test: a doubt before an outage takes nobody off.

--- a/roster/doubt.go
+++ b/roster/doubt.go
@@ -31,7 +31,7 @@
 	doubtAnswer = time.Second
 	// doubtTurn is the time between the doubters, so that one is enough as a rule;
 	// maxDoubtRank bounds how long the last ones wait.
-	doubtTurn    = 250 * time.Millisecond
+	doubtTurn    = 100 * time.Millisecond
 	maxDoubtRank = 8
 	// maxDoubts bounds the doubts that one look brings.
 	maxDoubts = 16
@@ -105,9 +105,17 @@
 }
 
 // lostByDoubt reports whether the doubt of a member has stayed unanswered, though
-// the store has been read again since. The lock is held.
+// the store has been read again since. After a gap in which the store was not
+// followed, the member has its time to answer anew. The lock is held.
 func (r *Roster) lostByDoubt(e *entry, read time.Time) bool {
-	return !r.answered(e) && read.Sub(r.asked[e.Name].seen) >= doubtAnswer
+	if r.answered(e) {
+		return false
+	}
+	since := r.asked[e.Name].seen
+	if r.heardSince.After(since) {
+		since = r.heardSince
+	}
+	return read.Sub(since) >= doubtAnswer
 }
 
 // silent returns the members to doubt now. A member that hears few of those that
--- a/roster/doubt_test.go
+++ b/roster/doubt_test.go
@@ -220,3 +220,28 @@
 		}
 	})
 }
+
+// TestDoubtBeforeAnOutageTakesNobodyOffTheListAfterIt doubts a member that cannot
+// answer because the store goes away: it has its time to answer when the store is
+// back.
+func TestDoubtBeforeAnOutageTakesNobodyOffTheListAfterIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newRing(small)
+		defer g.close()
+		time.Sleep(settled)
+		const j = 42
+		g.members[j].mute.Store(true)
+		for g.doubts() == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		g.store.SetFaults(memory.RowFaults{Down: true})
+		time.Sleep(6 * time.Second)
+		g.store.SetFaults(memory.RowFaults{})
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			if lack, _ := g.missing(j); lack > 0 {
+				t.Fatalf("%d lists lack a member that was doubted before the outage", lack)
+			}
+		}
+	})
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -211,11 +211,17 @@
 
 func (r *Roster) write(ctx context.Context) {
 	var beat uint64
+	before := beatInterval
 	for ctx.Err() == nil {
 		beat++
 		m := *r.self.Load()
 		m.Beat = beat
 		pause := r.interval()
+		if pause > before {
+			// Machines that start together would else all write at the same moments, and
+			// the feed would have nothing to tell for most of the time between.
+			before, pause = pause, rand.N(pause)
+		}
 		if err := r.put(ctx, m); err != nil {
 			r.options.Log.Debug("own row not written", zap.Error(err))
 			pause = retryPause + rand.N(retryPause)
@@ -323,7 +329,7 @@
 		if e.Name == self.Name {
 			continue
 		}
-		if !frozen && (r.ownSeen.Sub(e.seen) > limit || r.lostByDoubt(&e, read)) {
+		if !frozen && r.ownSeen.Sub(e.seen) > limit || r.lostByDoubt(&e, read) {
 			continue
 		}
 		v.Alive = append(v.Alive, e.Member)
