Let a resend of a configuration change find itself accepted

Cause: a request looks up its id, then reads the head. The same request, sent through another instance, may be accepted between the two reads (or come as a push after the second); the base version is then not the newest, and the conflict named the change itself. Ruled out: the race at the commit (resolve looks up the id again and finds itself done). Change: a conflict of base versions looks up the id once more.

--- a/config/accept.go
+++ b/config/accept.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"time"
 
@@ -99,6 +100,9 @@
 		return Accepted{}, err
 	}
 	base, err := s.base(ctx, h, r.BaseVersion)
+	if conflict := (*Conflict)(nil); errors.As(err, &conflict) {
+		return s.repeatOrConflict(ctx, r, conflict)
+	}
 	if err != nil {
 		return Accepted{}, err
 	}
@@ -121,6 +125,20 @@
 	return s.spread(ctx, prior, true), nil
 }
 
+// repeatOrConflict answers a request whose base version is not the newest. The same
+// request, sent through another instance, may have been accepted since its id was
+// looked up: it is then no conflict.
+func (s *Store) repeatOrConflict(ctx context.Context, r Request, conflict *Conflict) (Accepted, error) {
+	prior, err := s.readByID(ctx, r.ID)
+	if err != nil {
+		return Accepted{}, err
+	}
+	if prior == nil {
+		return Accepted{}, conflict
+	}
+	return s.repeat(ctx, prior, r)
+}
+
 // base returns the document of the base version, which must be the newest.
 func (s *Store) base(ctx context.Context, h head, version uint64) (*contract.Document, error) {
 	if h.Version > version {
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"sync"
@@ -150,6 +151,53 @@
 	}
 }
 
+// headTable calls before or after at its first read of the head.
+type headTable struct {
+	storage.Table
+	before, after func()
+}
+
+func (h *headTable) Get(ctx context.Context, key string) (storage.Row, error) {
+	if key != headKey {
+		return h.Table.Get(ctx, key)
+	}
+	before, after := h.before, h.after
+	h.before, h.after = nil, nil
+	if before != nil {
+		before()
+	}
+	row, err := h.Table.Get(ctx, key)
+	if after != nil {
+		after()
+	}
+	return row, err
+}
+
+// TestResendFindsItselfAcceptedAfterItsIDWasLookedUp lets the first sending win
+// between two reads of the second one.
+func TestResendFindsItselfAcceptedAfterItsIDWasLookedUp(t *testing.T) {
+	for name, after := range map[string]bool{"before the head is read": false, "by a push after the head was read": true} {
+		t.Run(name, func(t *testing.T) {
+			y := started(t, 2)
+			r := switchTo("twice", "peak", 1)
+			win := func() {
+				if a, err := y.at(0).Submit(t.Context(), r); err != nil || a.Repeated {
+					t.Errorf("the first sending: %+v, %v", a, err)
+				}
+			}
+			table := &headTable{Table: y.platform}
+			if table.before = win; after {
+				table.before, table.after = nil, win
+			}
+			y.at(1).options.Table = table
+			if a, err := y.at(1).Submit(t.Context(), r); err != nil || a.Version != 2 || !a.Repeated {
+				t.Errorf("the resend: %+v, %v", a, err)
+			}
+			y.expect(t, 2)
+		})
+	}
+}
+
 // TestFewerMessagesThanInstancesLeaveTheAcceptingOne runs in virtual time, so that no
 // push is late because the machine is busy.
 func TestFewerMessagesThanInstancesLeaveTheAcceptingOne(t *testing.T) {
