Run the test of preempted answers in virtual time

On a machine with a load average of 20 the engines in the test process stand still. Change: the test's body is the same, in a bubble, with engines over pipes (newVirtualBench). Conclusion: no fault of the product; the test no longer depends on the machine.

--- a/upstream/faults_test.go
+++ b/upstream/faults_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/goleak"
@@ -229,34 +230,38 @@
 	return done
 }
 
+// TestPreemptedBatchAnswerIsTheSameAsAnUndisturbedOne runs in virtual time: on a busy
+// machine the engines would stand still for longer than an attempt waits for a token.
 func TestPreemptedBatchAnswerIsTheSameAsAnUndisturbedOne(t *testing.T) {
 	const (
 		calls  = 14
 		tokens = 2000
 	)
-	b := newBench(t, 2, fastEngine, nil)
-	b.stall(true)
-	batch := inBackground(func() { b.load(t, contract.Batch, calls, calls, tokens) })
-	waitFor(t, "batch in all spare slots", func() bool {
-		running := 0
-		for _, u := range b.State().Upstreams {
-			running += u.Batch
+	synctest.Test(t, func(t *testing.T) {
+		b := newVirtualBench(t, 2, fastEngine)
+		b.stall(true)
+		batch := inBackground(func() { b.load(t, contract.Batch, calls, calls, tokens) })
+		waitFor(t, "batch in all spare slots", func() bool {
+			running := 0
+			for _, u := range b.State().Upstreams {
+				running += u.Batch
+			}
+			return running == calls
+		})
+		b.stall(false)
+		waitFor(t, "some of the batch answers", func() bool {
+			return b.engines[0].Counts().Tokens > 10*calls && b.engines[1].Counts().Tokens > 10*calls
+		})
+		b.stall(true)
+		online := inBackground(func() { b.load(t, contract.Online, 60, calls, 10) })
+		waitFor(t, "a batch call to be preempted", func() bool { return b.counter("preemptions") > 0 })
+		b.stall(false)
+		<-online
+		<-batch
+		if n := b.counts(); n.Cancelled == 0 || n.Resumed == 0 {
+			t.Errorf("%d cancelled, %d resumed: no batch call went on after its preemption", n.Cancelled, n.Resumed)
 		}
-		return running == calls
 	})
-	b.stall(false)
-	waitFor(t, "some of the batch answers", func() bool {
-		return b.engines[0].Counts().Tokens > 10*calls && b.engines[1].Counts().Tokens > 10*calls
-	})
-	b.stall(true)
-	online := inBackground(func() { b.load(t, contract.Online, 60, calls, 10) })
-	waitFor(t, "a batch call to be preempted", func() bool { return b.counter("preemptions") > 0 })
-	b.stall(false)
-	<-online
-	<-batch
-	if n := b.counts(); n.Cancelled == 0 || n.Resumed == 0 {
-		t.Errorf("%d cancelled, %d resumed: no batch call went on after its preemption", n.Cancelled, n.Resumed)
-	}
 }
 
 func TestBatchYieldsToTheOnlineBurstOfAPeer(t *testing.T) {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -58,6 +59,21 @@
 var fastEngine = engine.Options{MaxRunning: 8, StepBase: time.Millisecond, ReportLag: 10 * time.Millisecond}
 
 func newBench(t testing.TB, n int, eo engine.Options, change func(*Options, *contract.Document)) *bench {
+	t.Helper()
+	return newBenchOn(t, httptest.NewServer, n, eo, change)
+}
+
+// newVirtualBench is newBench for a test in virtual time: its engines are met over
+// pipes.
+func newVirtualBench(t testing.TB, n int, eo engine.Options) *bench {
+	t.Helper()
+	network := pipes{}
+	return newBenchOn(t, network.serve, n, eo, func(o *Options, _ *contract.Document) {
+		o.Transport = &http.Transport{DialContext: network.dial, DisableCompression: true}
+	})
+}
+
+func newBenchOn(t testing.TB, serve func(http.Handler) *httptest.Server, n int, eo engine.Options, change func(*Options, *contract.Document)) *bench {
 	t.Helper()
 	b := &bench{registry: prometheus.NewRegistry()}
 	document := testDocument()
@@ -66,7 +82,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		server := httptest.NewServer(e)
+		server := serve(e)
 		b.servers = append(b.servers, server)
 		b.engines = append(b.engines, e)
 		document.Upstreams[fmt.Sprintf("u%02d", i)] = contract.Upstream{
@@ -102,6 +118,61 @@
 	return b
 }
 
+// pipes are servers in memory, by address.
+type pipes map[string]*pipeListener
+
+// serve starts a server at an address of its own.
+func (p pipes) serve(h http.Handler) *httptest.Server {
+	l := &pipeListener{address: fmt.Sprintf("10.0.0.%d:1", len(p)+1), accepted: make(chan net.Conn), closed: make(chan struct{})}
+	p[l.address] = l
+	server := httptest.NewUnstartedServer(h)
+	_ = server.Listener.Close()
+	server.Listener = l
+	server.Start()
+	return server
+}
+
+func (p pipes) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	here, there := net.Pipe()
+	select {
+	case p[address].accepted <- there:
+		return here, nil
+	case <-p[address].closed:
+		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+	case <-ctx.Done():
+		return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
+	}
+}
+
+// pipeListener accepts the other ends of dialled pipes.
+type pipeListener struct {
+	address  string
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accepted:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return pipeAddress(l.address) }
+
+type pipeAddress string
+
+func (pipeAddress) Network() string  { return "pipe" }
+func (a pipeAddress) String() string { return string(a) }
+
 func testDocument() *contract.Document {
 	return &contract.Document{
 		Version:     1,
