Tell peers of the load of the workers that they use, and only when it changed

Cause: an instance told each change of its load on any worker to all instances of three cells, also to those that use none of the changed workers; at 195 instances 9 MB/s between data centres, 46 KB/s an instance, most of it digests (docs/CAPACITY.md named it). An instance of the next cell shares the workers of that cell only, one of the cell before only those of the own. Ruled out: fewer workers in a cell (a smaller pool meets full workers more often). Change: peers are told in groups, each of the workers that it uses, when that part has changed, and every 0.7 s. A group is recomputed with the workers too, not only with the instances.

--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -47,8 +46,10 @@
 	dispatcher *upstream.Dispatcher
 	broadcast  *upstream.Broadcast
 	jobs       *job.Service
-	// peers are the addresses of the instances that share workers.
-	peers atomic.Pointer[[]netip.AddrPort]
+	// grouping guards the changes of peers, sharing and others.
+	grouping sync.Mutex
+	// peers are the instances that share workers, a group for each cell.
+	peers atomic.Pointer[[]upstream.PeerGroup]
 	// sharing has the processes of these instances.
 	sharing atomic.Pointer[map[string]bool]
 	// others are the addresses of all other instances.
@@ -77,7 +78,7 @@
 	if i.log == nil {
 		i.log = zap.NewNop()
 	}
-	i.peers.Store(&[]netip.AddrPort{})
+	i.peers.Store(&[]upstream.PeerGroup{})
 	i.others.Store(&[]string{})
 	i.log = i.log.With(zap.String("instance", i.process))
 	for _, step := range []func() error{i.buildStore, i.buildRouting, i.buildDispatcher, i.buildRoster, i.buildJobs} {
@@ -113,7 +114,7 @@
 	i.workers = &routing.Workers{Decode: platform.DecodeWorker, DataCentres: i.settings.Load().Regions, Log: i.log}
 	i.feeds = []*feed.Follower{
 		feed.New(feed.Options{Rows: i.store, Table: platform.OperatorTable, Update: i.document.Update, Log: i.log}),
-		feed.New(feed.Options{Rows: i.store, Table: platform.WorkerTable, Update: i.workers.Update, Log: i.log}),
+		feed.New(feed.Options{Rows: i.store, Table: platform.WorkerTable, Update: i.updateWorkers, Log: i.log}),
 	}
 	return nil
 }
@@ -157,7 +158,7 @@
 	i.broadcast, err = upstream.NewBroadcast(upstream.BroadcastOptions{
 		Dispatcher: i.dispatcher,
 		InstanceID: i.process,
-		Peers:      func() []netip.AddrPort { return *i.peers.Load() },
+		Peers:      func() []upstream.PeerGroup { return *i.peers.Load() },
 		Conn:       conn,
 		Log:        i.log,
 	})
@@ -171,20 +172,38 @@
 	return at, ok && i.sharing.Load() != nil && (*i.sharing.Load())[process]
 }
 
+// updateWorkers takes in changes of the workers' table, which may change the number of
+// cells.
+func (i *Instance) updateWorkers(u feed.Update) {
+	i.workers.Update(u)
+	i.group()
+}
+
 // divide brings the cell of this instance up to date after a change of the
 // fleet.
 func (i *Instance) divide() {
+	i.workers.SetInstances(i.settings.Load().Name, i.roster.View().Names())
+	i.group()
+}
+
+// group takes the instances that share workers with this one into use.
+func (i *Instance) group() {
+	i.grouping.Lock()
+	defer i.grouping.Unlock()
 	view := i.roster.View()
-	i.workers.SetInstances(i.settings.Load().Name, view.Names())
-	var peers []netip.AddrPort
+	var groups []upstream.PeerGroup
 	names := map[string]bool{}
-	for _, name := range i.workers.Peers() {
-		if peer, ok := view.Peers[name]; ok {
-			peers = append(peers, peer)
-			names[name] = true
+	for _, sharing := range i.workers.Sharing() {
+		group := upstream.PeerGroup{Uses: func(worker string) bool { return i.workers.UsedBy(sharing.Cell, worker) }}
+		for _, name := range sharing.Instances {
+			if peer, ok := view.Peers[name]; ok {
+				group.Addresses = append(group.Addresses, peer)
+				names[name] = true
+			}
 		}
+		groups = append(groups, group)
 	}
-	i.peers.Store(&peers)
+	i.peers.Store(&groups)
 	sharing := make(map[string]bool, len(names))
 	for _, m := range view.Alive {
 		if names[m.Name] {
--- a/hosted/metrics.go
+++ b/hosted/metrics.go
@@ -28,7 +28,7 @@
 	gauge("instances_alive", "Instances that count as alive, this one included.", func() float64 {
 		return float64(len(i.roster.View().Alive))
 	})
-	gauge("peers", "Instances that are told of this one's load.", func() float64 { return float64(len(*i.peers.Load())) })
+	gauge("peers", "Instances that are told of this one's load.", func() float64 { return float64(i.peersTold()) })
 	gauge("jobs_owned", "Jobs whose items this instance runs.", func() float64 { return float64(i.jobs.Owned()) })
 	gauge("requests_in_flight", "Calls to upstreams that have not ended, waiting ones included.", func() float64 {
 		return float64(i.dispatcher.InFlight())
@@ -40,6 +40,15 @@
 	}
 }
 
+// peersTold counts the instances that are told of this one's load.
+func (i *Instance) peersTold() int {
+	n := 0
+	for _, group := range *i.peers.Load() {
+		n += len(group.Addresses)
+	}
+	return n
+}
+
 func ageOf(f *feed.Follower) func() float64 {
 	return func() float64 {
 		age, ok := f.Age()
--- a/route/cell.go
+++ b/route/cell.go
@@ -62,16 +62,16 @@
 	return append(slices.Clone(used), CellMembers(upstreams, (cell+1)%cells, cells)...)
 }
 
-// CellPeers returns the instances that use an upstream of a cell's instances.
-func CellPeers(instances []string, cell, cells int) []string {
-	peers := slices.Clone(CellMembers(instances, cell, cells))
-	if cells > 1 {
-		peers = append(peers, CellMembers(instances, (cell+1)%cells, cells)...)
+// CellNeighbours returns the cells whose instances use an upstream of a cell's
+// instances, the cell itself first.
+func CellNeighbours(cell, cells int) []int {
+	switch cells {
+	case 1:
+		return []int{cell}
+	case 2:
+		return []int{cell, 1 - cell}
 	}
-	if cells > 2 {
-		peers = append(peers, CellMembers(instances, (cell+cells-1)%cells, cells)...)
-	}
-	return peers
+	return []int{cell, (cell + 1) % cells, (cell + cells - 1) % cells}
 }
 
 func byHash(names []string) []string {
--- a/route/cell_test.go
+++ b/route/cell_test.go
@@ -47,7 +47,7 @@
 		cellA, cellB := CellOf(instances, a, cells), CellOf(instances, b, cells)
 		usedA := CellUpstreams(upstreams, cellA, cells)
 		share := slices.ContainsFunc(CellUpstreams(upstreams, cellB, cells), func(u string) bool { return slices.Contains(usedA, u) })
-		if tells := slices.Contains(CellPeers(instances, cellA, cells), b); tells != share {
+		if tells := slices.Contains(CellNeighbours(cellA, cells), cellB); tells != share {
 			t.Fatalf("%s tells %s: %v; they share an upstream: %v", a, b, tells, share)
 		}
 	})
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
+	"pgregory.net/rapid"
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
@@ -118,6 +119,42 @@
 	}
 }
 
+// TestInstancesThatUseAWorkerTellEachOtherOfIt: what a group of peers is not told
+// of, none of them uses.
+func TestInstancesThatUseAWorkerTellEachOtherOfIt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var names []string
+		for i := range rapid.IntRange(1, 100).Draw(t, "instances") {
+			names = append(names, fmt.Sprintf("i%d", i))
+		}
+		var rows []storage.TableRow
+		for i := range rapid.IntRange(1, 80).Draw(t, "workers") {
+			rows = append(rows, row(fmt.Sprintf("w%d", i), "ready", 1))
+		}
+		view := func(self string) *routing.Workers {
+			w := newWorkers()
+			w.Update(feed.Update{Rows: rows})
+			w.SetInstances(self, names)
+			return w
+		}
+		a, b := rapid.SampledFrom(names).Draw(t, "a"), rapid.SampledFrom(names).Draw(t, "b")
+		self, peer := view(a), view(b)
+		told := func(worker string) bool {
+			for _, group := range self.Sharing() {
+				if slices.Contains(group.Instances, b) {
+					return self.UsedBy(group.Cell, worker)
+				}
+			}
+			return false
+		}
+		for _, worker := range usable(self) {
+			if _, uses := peer.Current().Upstreams[worker]; uses != told(worker) {
+				t.Fatalf("%s tells %s of %s: %v; it is used there: %v", a, b, worker, told(worker), uses)
+			}
+		}
+	})
+}
+
 func TestLargeFleetUsesAllWorkersAndEachInstanceFew(t *testing.T) {
 	const instances, workers = 81, 60
 	var names []string
@@ -137,8 +174,12 @@
 		if len(ids) > workers/3 || len(ids) < 8 {
 			t.Errorf("%s uses %d workers", self, len(ids))
 		}
-		if n := len(w.Peers()); n > instances/2 {
-			t.Errorf("%s tells %d peers", self, n)
+		peers := 0
+		for _, group := range w.Sharing() {
+			peers += len(group.Instances)
+		}
+		if peers > instances/2 {
+			t.Errorf("%s tells %d peers", self, peers)
 		}
 		for _, id := range ids {
 			users[id]++
--- a/routing/workers.go
+++ b/routing/workers.go
@@ -36,7 +36,10 @@
 	// regained is when the store came back last.
 	regained time.Time
 	current  atomic.Pointer[contract.Document]
-	heard    atomic.Bool
+	// neighbours are the workers that the instances of a cell use, for each cell that
+	// shares workers with this instance.
+	neighbours atomic.Pointer[map[int]map[string]bool]
+	heard      atomic.Bool
 }
 
 // Known reports whether the entries have been read.
@@ -157,23 +160,50 @@
 	}
 }
 
-// Peers returns the names of the instances that share workers with this one.
-func (w *Workers) Peers() []string {
+// Sharing is a group of instances that share the same workers with this one.
+type Sharing struct {
+	// Instances are their names, this one's among them.
+	Instances []string
+	// Cell is that of the group.
+	Cell int
+}
+
+// Sharing returns the instances that share workers with this one, a group for each
+// cell.
+func (w *Workers) Sharing() []Sharing {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	cells := w.cells()
-	return route.CellPeers(w.instances, route.CellOf(w.instances, w.self, cells), cells)
+	var groups []Sharing
+	for _, cell := range route.CellNeighbours(route.CellOf(w.instances, w.self, cells), cells) {
+		groups = append(groups, Sharing{Instances: route.CellMembers(w.instances, cell, cells), Cell: cell})
+	}
+	return groups
+}
+
+// UsedBy reports whether the instances of a cell use a worker; for a cell that shares
+// none with this instance, which is so while the cells change, it returns true.
+func (w *Workers) UsedBy(cell int, worker string) bool {
+	neighbours := w.neighbours.Load()
+	if neighbours == nil {
+		return true
+	}
+	used, known := (*neighbours)[cell]
+	return !known || used[worker]
 }
 
 // cells returns the number of cells. The lock is held.
 func (w *Workers) cells() int { return route.Cells(len(w.instances), len(w.known)) }
 
-// used returns the workers that this instance uses: those of its cell of each
-// service. The lock is held.
-func (w *Workers) used() map[string]contract.Worker {
-	cells := w.cells()
+// used returns the workers that the instances of a cell use: those of the cell and
+// of the next, of each service. The lock is held.
+func (w *Workers) used(cell, cells int) map[string]bool {
+	used := map[string]bool{}
 	if cells <= 1 {
-		return w.known
+		for id := range w.known {
+			used[id] = true
+		}
+		return used
 	}
 	byService := map[string][]string{}
 	for id, worker := range w.known {
@@ -181,8 +211,6 @@
 			byService[worker.Service] = append(byService[worker.Service], id)
 		}
 	}
-	used := map[string]contract.Worker{}
-	cell := route.CellOf(w.instances, w.self, cells)
 	for _, ids := range byService {
 		members := route.CellUpstreams(ids, cell, cells)
 		if len(members) == 0 {
@@ -190,12 +218,25 @@
 			members = ids
 		}
 		for _, id := range members {
-			used[id] = w.known[id]
+			used[id] = true
 		}
 	}
 	return used
 }
 
+// divide returns the workers that this instance uses and notes which of them each
+// cell with shared workers uses. The lock is held.
+func (w *Workers) divide() map[string]bool {
+	cells := w.cells()
+	own := route.CellOf(w.instances, w.self, cells)
+	neighbours := map[int]map[string]bool{}
+	for _, cell := range route.CellNeighbours(own, cells) {
+		neighbours[cell] = w.used(cell, cells)
+	}
+	w.neighbours.Store(&neighbours)
+	return neighbours[own]
+}
+
 // batchPreset leaves all idle capacity to batch work.
 const batchPreset = "ordinary"
 
@@ -215,7 +256,8 @@
 	for _, worker := range w.known {
 		d.Services[worker.Service] = contract.Service{Kind: contract.KindRouted}
 	}
-	for id, worker := range w.used() {
+	for id := range w.divide() {
+		worker := w.known[id]
 		d.Upstreams[id] = contract.Upstream{
 			Address:    worker.Address,
 			DataCentre: worker.DataCentre,
--- a/upstream/broadcast.go
+++ b/upstream/broadcast.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,26 +14,43 @@
 	"github.com/daisylb/daisylb/upstream/upstreampb"
 )
 
+// PeerGroup is a number of peers that share the same upstreams with this instance.
+type PeerGroup struct {
+	Addresses []netip.AddrPort
+	// Uses reports whether these peers use an upstream; nil means that they use all.
+	Uses func(upstream string) bool
+}
+
 // BroadcastOptions configure a Broadcast.
 type BroadcastOptions struct {
 	// Dispatcher whose load is told. Required.
 	Dispatcher *Dispatcher
 	// InstanceID names this instance to its peers. Required.
 	InstanceID string
-	// Peers returns the addresses of the live peers. Required.
-	Peers func() []netip.AddrPort
+	// Peers returns the live peers in their groups, in the same order each time.
+	// Required.
+	Peers func() []PeerGroup
 	// Conn receives and sends the datagrams. Run closes it. Required.
 	Conn *net.UDPConn
 	Log  *zap.Logger
 }
 
-// Broadcast tells all peers of this instance's load on the upstreams with each
-// change, in one datagram a peer. A lost datagram is made good by the next one.
-// It serves fleets in which every instance sends to every upstream; Exchange
-// bounds its bytes and serves larger ones.
+// Broadcast tells peers of this instance's load on the upstreams that they use with
+// each change of it, in one datagram a peer. A lost datagram is made good by the next
+// one, which comes within broadcastRefresh. It serves fleets in which an instance
+// shares upstreams with a few dozen others; Exchange bounds its bytes.
 type Broadcast struct {
 	options BroadcastOptions
 	wake    chan struct{}
+	// told has what each group was told last.
+	told []told
+}
+
+// told is what a group of peers was told.
+type told struct {
+	at        time.Time
+	digest    Digest
+	addresses []netip.AddrPort
 }
 
 const (
@@ -87,8 +105,7 @@
 		case <-b.wake:
 		case <-refresh.C:
 		}
-		b.tell()
-		refresh.Reset(broadcastRefresh)
+		refresh.Reset(b.tell(time.Now()))
 		select {
 		case <-ctx.Done():
 			return
@@ -97,13 +114,31 @@
 	}
 }
 
-// tell sends the digest to all peers.
-func (b *Broadcast) tell() {
-	peers := b.options.Peers()
+// tell sends the digest to the groups that it is new to, or that were told nothing
+// for a while. It returns the time until the next group has to be told.
+func (b *Broadcast) tell(now time.Time) time.Duration {
+	groups := b.options.Peers()
+	if len(groups) != len(b.told) {
+		b.told = make([]told, len(groups))
+	}
+	whole, next := b.options.Dispatcher.Digest(), broadcastRefresh
+	for i, group := range groups {
+		last := &b.told[i]
+		digest := whole.of(group.Uses)
+		if !slices.Equal(group.Addresses, last.addresses) || !digest.same(last.digest) || now.Sub(last.at) >= broadcastRefresh {
+			b.sendTo(group.Addresses, digest)
+			*last = told{now, digest, group.Addresses}
+		}
+		next = min(next, broadcastRefresh-now.Sub(last.at))
+	}
+	return next
+}
+
+func (b *Broadcast) sendTo(peers []netip.AddrPort, digest Digest) {
 	if len(peers) == 0 {
 		return
 	}
-	message := &upstreampb.PushRequest{Instance: b.options.InstanceID, Digest: b.options.Dispatcher.wireDigest()}
+	message := &upstreampb.PushRequest{Instance: b.options.InstanceID, Digest: digest.wire()}
 	data, err := proto.Marshal(message)
 	if err != nil || len(data) > maxDatagramBytes {
 		b.options.Log.Warn("load digest not sent", zap.Int("bytes", len(data)), zap.Error(err))
--- a/upstream/digest.go
+++ b/upstream/digest.go
@@ -27,6 +27,28 @@
 	OnlineWaiting int
 }
 
+// of returns the part of a digest that concerns peers who use some upstreams; nil
+// means all.
+func (g Digest) of(uses func(upstream string) bool) Digest {
+	if uses == nil {
+		return g
+	}
+	part := g
+	part.Loads = nil
+	for _, l := range g.Loads {
+		if uses(l.Upstream) {
+			part.Loads = append(part.Loads, l)
+		}
+	}
+	return part
+}
+
+// same reports whether two digests say the same.
+func (g Digest) same(other Digest) bool {
+	return g.BatchWaiting == other.BatchWaiting && g.BatchLate == other.BatchLate &&
+		g.OnlineWaiting == other.OnlineWaiting && slices.Equal(g.Loads, other.Loads)
+}
+
 // peerLoad is the sum of what the other instances have in flight.
 type peerLoad struct {
 	online int
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -143,15 +143,17 @@
 }
 
 // wireDigest returns this instance's load as peers exchange it.
-func (d *Dispatcher) wireDigest() *upstreampb.Digest {
-	own := d.Digest()
+func (d *Dispatcher) wireDigest() *upstreampb.Digest { return d.Digest().wire() }
+
+// wire returns a digest as peers exchange it.
+func (g Digest) wire() *upstreampb.Digest {
 	digest := &upstreampb.Digest{
-		Sequence:      own.Sequence,
-		BatchWaiting:  uint32(own.BatchWaiting),
-		BatchLate:     uint32(own.BatchLate),
-		OnlineWaiting: uint32(own.OnlineWaiting),
+		Sequence:      g.Sequence,
+		BatchWaiting:  uint32(g.BatchWaiting),
+		BatchLate:     uint32(g.BatchLate),
+		OnlineWaiting: uint32(g.OnlineWaiting),
 	}
-	for _, l := range own.Loads {
+	for _, l := range g.Loads {
 		digest.Loads = append(digest.Loads, &upstreampb.Load{
 			Upstream: hashUpstream(l.Upstream),
 			Online:   uint32(l.Online),
