Spread jobs over four parts of the store

Ruled out: a share of the quota for each part (short in one while another has room; moving room between parts may break off in the middle); a transaction over several parts (the platform may not allow it and takes twice as long). Change: a job's rows are in a part by a hash of its id; an acceptance first reserves its tokens in the route's gate and then writes the head. Feeds follow several parts as one table. Jobs of earlier versions stay in part 0 and are done there. The stand-ins refuse transactions over parts. Figures: tests in virtual time: 24 jobs use all four parts, rows of each together; 27 runs with 0 to 8 lost answers that take effect 0, 40 ms or 1 s later never exceed the quota and keep no job that was refused; tokens of an acceptance that broke off are free after 30 s, and at once for the same job. Conclusion: 800 transactions a second for items; the gate's part limits acceptances to 200/s.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -20,9 +21,10 @@
 type Options struct {
 	// Rows is the store. Required.
 	Rows storage.Rows
-	// Table and Part are what is followed.
+	// Table and Parts are what is followed; no parts mean the one without a name. A
+	// key is in one part only.
 	Table string
-	Part  string
+	Parts []string
 	// Wait is how long the store may hold a call without a change; 0 means
 	// DefaultWait. A connection that delivers nothing any more is found out soon
 	// after it.
@@ -65,14 +67,25 @@
 	synced  bool
 	// partial is the part of a table that a read has got so far, nil when none is
 	// under way.
-	partial *storage.RowPage
+	partial *partial
 	lost    bool
 	heard   atomic.Int64
 	started time.Time
 }
 
+// partial is what a read has got: rows of all parts before one, and of that one those
+// up to a key.
+type partial struct {
+	storage.RowPage
+	part int
+	from string
+}
+
 // New returns a Follower.
 func New(o Options) *Follower {
+	if len(o.Parts) == 0 {
+		o.Parts = []string{""}
+	}
 	if o.Wait == 0 {
 		o.Wait = DefaultWait
 	}
@@ -144,7 +157,7 @@
 	}
 	u := Update{Now: page.Now}
 	for _, r := range page.Rows {
-		if r.Part == f.options.Part && f.note(r) {
+		if slices.Contains(f.options.Parts, r.Part) && f.note(r) {
 			u.Rows = append(u.Rows, r)
 		}
 		f.version = max(f.version, r.Version)
@@ -156,7 +169,7 @@
 	return len(page.Rows) > 0, nil
 }
 
-// read takes the whole part, one answer at a time: an answer that the store
+// read takes all parts, one answer at a time: an answer that the store
 // refuses is asked for again, not those before it. A large fleet that starts at
 // once would else ask for far more than the store's rate, again and again. An
 // answer that is older than what is known already is not used.
@@ -181,7 +194,7 @@
 		if !present[key] {
 			delete(f.known, key)
 			u.Rows = append(u.Rows, storage.TableRow{
-				RowKey:  storage.RowKey{Table: f.options.Table, Part: f.options.Part, Key: key},
+				RowKey:  storage.RowKey{Table: f.options.Table, Key: key},
 				Version: page.Version,
 				Removed: true,
 			})
@@ -194,28 +207,30 @@
 
 // readOn asks for the next answer of a read and reports whether it was the last.
 func (f *Follower) readOn(ctx context.Context) (bool, error) {
-	from := ""
-	if f.partial != nil {
-		from = storage.NextKey(f.partial.Rows)
+	next := f.partial
+	if next == nil {
+		next = &partial{RowPage: storage.RowPage{Version: f.version}}
 	}
-	page, err := f.options.Rows.GetRows(ctx, f.options.Table, f.options.Part, from, "")
+	page, err := f.options.Rows.GetRows(ctx, f.options.Table, f.options.Parts[next.part], next.from, "")
 	if err != nil {
 		return false, err
 	}
-	if f.partial == nil {
-		if page.Version < f.version {
-			return false, code.New(code.StoreUnavailable, "the store answered with version %d, older than %d", page.Version, f.version)
-		}
-		f.partial = &page
-		return !page.More, nil
-	}
 	// A change of a row that was read before is a change after the first answer,
 	// whose version the feed goes on from.
-	if page.Version < f.partial.Version {
-		return false, code.New(code.StoreUnavailable, "the store answered with version %d, older than %d", page.Version, f.partial.Version)
+	if page.Version < next.Version {
+		return false, code.New(code.StoreUnavailable, "the store answered with version %d, older than %d", page.Version, next.Version)
+	}
+	if f.partial == nil {
+		next.Version = page.Version
+		f.partial = next
+	}
+	next.Rows, next.Now = append(next.Rows, page.Rows...), page.Now
+	if page.More {
+		next.from = storage.NextKey(page.Rows)
+		return false, nil
 	}
-	f.partial.Rows, f.partial.Now = append(f.partial.Rows, page.Rows...), page.Now
-	return !page.More, nil
+	next.part, next.from = next.part+1, ""
+	return next.part == len(f.options.Parts), nil
 }
 
 // note remembers the version of a row and reports whether it is news.
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -51,10 +51,10 @@
 	return maps.Clone(f.rows), f.regained, f.back
 }
 
-func start(t *testing.T, store storage.Rows) (*follow, *feed.Follower) {
+func start(t *testing.T, store storage.Rows, parts ...string) (*follow, *feed.Follower) {
 	t.Helper()
 	seen := &follow{rows: map[string]string{}, versions: map[string]uint64{}}
-	f := feed.New(feed.Options{Rows: store, Table: "t", Update: seen.update})
+	f := feed.New(feed.Options{Rows: store, Table: "t", Parts: parts, Update: seen.update})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = f.Run(ctx) }()
@@ -69,7 +69,12 @@
 
 func put(t *testing.T, store storage.Rows, key, value string) {
 	t.Helper()
-	row := storage.TableRow{RowKey: storage.RowKey{Table: "t", Key: key}, Value: []byte(value)}
+	putIn(t, store, "", key, value)
+}
+
+func putIn(t *testing.T, store storage.Rows, part, key, value string) {
+	t.Helper()
+	row := storage.TableRow{RowKey: storage.RowKey{Table: "t", Part: part, Key: key}, Value: []byte(value)}
 	if _, err := store.ApplyRows(context.Background(), storage.RowTransaction{Puts: []storage.TableRow{row}}); err != nil {
 		t.Fatal(err)
 	}
@@ -226,6 +231,54 @@
 	})
 }
 
+// TestPartsAreFollowedAsOneTable reads two parts of three through several answers, one
+// of which is refused, while a row of the part that was read is removed; then the
+// history is dropped.
+func TestPartsAreFollowedAsOneTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &paged{Rows: memory.NewRows()}
+		remove := func(part, key string) {
+			if _, err := store.ApplyRows(context.Background(), storage.RowTransaction{Removes: []storage.RowKey{{Table: "t", Part: part, Key: key}}}); err != nil {
+				t.Error(err)
+			}
+		}
+		for _, key := range []string{"a", "b", "c"} {
+			putIn(t, store.Rows, "0", key, "1")
+			putIn(t, store.Rows, "1", "1"+key, "1")
+			putIn(t, store.Rows, "other", "x"+key, "1")
+		}
+		store.SetFaults(memory.RowFaults{PageRows: 2})
+		store.between = func(asked int) error {
+			switch asked {
+			case 3: // The first answer of the second part.
+				remove("0", "a")
+				return code.New(code.StoreThrottled, "the rate is used up")
+			case 5:
+				putIn(t, store.Rows, "1", "1a", "2")
+			}
+			return nil
+		}
+		seen, _ := start(t, store, "0", "1")
+		time.Sleep(feed.DefaultWait)
+		if d := cmp.Diff(map[string]string{"b": "1", "c": "1", "1a": "2", "1b": "1", "1c": "1"}, rowsOf(seen)); d != "" {
+			t.Error(d)
+		}
+		if n := store.Counts().Reads; n != 4 {
+			t.Errorf("%d answers were read for four", n)
+		}
+		store.SetFaults(memory.RowFaults{Silent: true})
+		remove("1", "1b")
+		putIn(t, store.Rows, "0", "b", "2")
+		putIn(t, store.Rows, "other", "xa", "2")
+		store.DropHistory()
+		store.SetFaults(memory.RowFaults{})
+		time.Sleep(feed.DefaultWait + time.Second)
+		if d := cmp.Diff(map[string]string{"b": "2", "c": "1", "1a": "2", "1c": "1"}, rowsOf(seen)); d != "" {
+			t.Errorf("after the history was dropped:\n%s", d)
+		}
+	})
+}
+
 // TestRefusedAnswerIsAskedForAgainAlone refuses every other answer, as a store
 // does whose rate many instances share that start at once.
 func TestRefusedAnswerIsAskedForAgainAlone(t *testing.T) {
--- a/job/adopt.go
+++ b/job/adopt.go
@@ -103,7 +103,7 @@
 		s.postpone(id, err)
 		return
 	}
-	done, err := s.loadProgress(ctx, id)
+	done, err := s.loadProgress(ctx, v.part, id)
 	if err != nil {
 		s.postpone(id, err)
 		return
@@ -111,13 +111,13 @@
 	next := v.head
 	next.Owner = s.options.Process
 	page, err := s.options.Store.ApplyRows(ctx, storage.RowTransaction{
-		Conditions: []storage.RowCondition{{RowKey: headKey(id), Version: v.version}},
-		Puts:       []storage.TableRow{headRow(id, &next)},
+		Conditions: []storage.RowCondition{{RowKey: headKey(v.part, id), Version: v.version}},
+		Puts:       []storage.TableRow{headRow(v.part, id, &next)},
 	})
 	switch code.Of(err) {
 	case 0:
 		s.options.Log.Info("job taken over", zap.String("job", id), zap.String("from", v.Owner), zap.Int("listed", v.Listed), zap.Int("with_progress", len(done)))
-		s.begin(id, versioned{next, page.Version}, items, done)
+		s.begin(id, versioned{next, page.Version, v.part}, items, done)
 	case code.StoreConflict:
 		s.learnRows(page.Rows)
 	default:
@@ -204,6 +204,9 @@
 // remove drops the rows of a job, its head last, so that a sweep that broke off
 // is taken up again.
 func (s *Service) remove(ctx context.Context, id string) error {
+	s.mu.Lock()
+	part := s.heads[id].part
+	s.mu.Unlock()
 	for _, table := range []string{resultTable, progressTable} {
 		page, err := storage.ReadRows(ctx, s.options.Store, table, part, id+"/", id+"0")
 		if err != nil {
@@ -222,6 +225,6 @@
 	if err := s.options.Store.DropBlob(ctx, blobPrefix+id); err != nil {
 		return err
 	}
-	_, err := s.options.Store.ApplyRows(ctx, storage.RowTransaction{Removes: []storage.RowKey{headKey(id)}})
+	_, err := s.options.Store.ApplyRows(ctx, storage.RowTransaction{Removes: []storage.RowKey{headKey(part, id)}})
 	return err
 }
--- a/job/commit.go
+++ b/job/commit.go
@@ -120,7 +120,7 @@
 	t := storage.RowTransaction{}
 	results := make([]Result, 0, len(batch))
 	for _, f := range batch {
-		t.Puts = append(t.Puts, piecesOf(resultTable, r.id, next.Listed, f.result)...)
+		t.Puts = append(t.Puts, piecesOf(resultTable, r.head.part, r.id, next.Listed, f.result)...)
 		next.Listed++
 		next.Done = append(next.Done, f.index)
 		next.Tokens -= r.items[f.index].Tokens
@@ -141,15 +141,15 @@
 // apply writes the next head with the rows of t, again and again until the store
 // has decided. It reports whether the next head holds.
 func (r *run) apply(ctx context.Context, next *head, t storage.RowTransaction) bool {
-	row := headRow(r.id, next)
+	row := headRow(r.head.part, r.id, next)
 	t.Puts = append(t.Puts, row)
 	pause := minCommitPause
 	for ctx.Err() == nil {
-		t.Conditions = []storage.RowCondition{{RowKey: headKey(r.id), Version: r.head.version}}
+		t.Conditions = []storage.RowCondition{{RowKey: headKey(r.head.part, r.id), Version: r.head.version}}
 		page, err := r.service.options.Store.ApplyRows(ctx, t)
 		switch code.Of(err) {
 		case 0:
-			r.head = versioned{*next, page.Version}
+			r.head = versioned{*next, page.Version, r.head.part}
 			return true
 		case code.StoreConflict:
 			holds, retry := r.resolve(page, next)
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -46,6 +46,8 @@
 	// stored.
 	deaf    atomic.Bool
 	latency atomic.Int64
+	// noBlobs members can't store objects.
+	noBlobs atomic.Bool
 }
 
 func (a *access) RowChanges(ctx context.Context, table string, after uint64, wait time.Duration) (storage.RowPage, error) {
@@ -62,6 +64,9 @@
 
 func (a *access) PutBlob(ctx context.Context, name string, body []byte) error {
 	time.Sleep(time.Duration(a.latency.Load()))
+	if a.noBlobs.Load() {
+		return code.New(code.StoreUnavailable, "no objects are stored")
+	}
 	return a.Rows.PutBlob(ctx, name, body)
 }
 
--- /dev/null
+++ b/job/parts_test.go
@@ -0,0 +1,200 @@
+package job_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
+)
+
+// partNames are the parts that have rows of jobs.
+var partNames = []string{"0", "1", "2", "3"}
+
+// rowsOf returns the rows of a table by part.
+func (f *fleet) rowsOf(table string) map[string][]storage.TableRow {
+	f.t.Helper()
+	rows := map[string][]storage.TableRow{}
+	for _, part := range partNames {
+		page, err := storage.ReadRows(f.t.Context(), f.store, table, part, "", "")
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		if len(page.Rows) > 0 {
+			rows[part] = page.Rows
+		}
+	}
+	return rows
+}
+
+// waiting returns the tokens of all jobs that are not listed.
+func (f *fleet) waiting() (tokens int64) {
+	f.t.Helper()
+	for _, rows := range f.rowsOf("jobs") {
+		for _, r := range rows {
+			var head struct{ Tokens int64 }
+			if err := json.Unmarshal(r.Value, &head); err != nil {
+				f.t.Fatal(err)
+			}
+			tokens += head.Tokens
+		}
+	}
+	return tokens
+}
+
+func TestJobsAreSpreadOverPartsAndTheRowsOfOneAreTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, func(r *contract.Route) { r.MaxWaitingTokens = 1e6 })
+		defer f.close()
+		const jobs = 24
+		for i := range jobs {
+			id := strconv.Itoa(i)
+			if err := f.services[i%2].Submit(t.Context(), f.submission("job"+id, "a"+id, "b"+id)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for i := range jobs {
+			id := strconv.Itoa(i)
+			wantAll(t, f.read(f.services[0], "job"+id), "a"+id, "b"+id)
+		}
+		partOfJob := map[string]string{}
+		heads := f.rowsOf("jobs")
+		for part, rows := range heads {
+			for _, r := range rows {
+				partOfJob[r.Key] = part
+			}
+		}
+		if len(heads) != len(partNames) || len(partOfJob) != jobs {
+			t.Errorf("%d jobs in %d parts", len(partOfJob), len(heads))
+		}
+		for _, table := range []string{"job_results", "job_progress"} {
+			for part, rows := range f.rowsOf(table) {
+				for _, r := range rows {
+					if id, _, _ := cutKey(r.Key); partOfJob[id] != part {
+						t.Errorf("row %s of %s is in part %s, its job in %s", r.Key, table, part, partOfJob[id])
+					}
+				}
+			}
+		}
+	})
+}
+
+// cutKey splits the key of a result or of progress.
+func cutKey(key string) (id string, n, piece int) {
+	for i := range key {
+		if key[i] == '/' {
+			_, _ = fmt.Sscanf(key[i:], "/%d/%d", &n, &piece)
+			return key[:i], n, piece
+		}
+	}
+	return key, 0, 0
+}
+
+// TestTokensOfABrokenAcceptanceAreFree lets an acceptance break off between the quota
+// and the job: its tokens are held for it for a while, and for nobody else.
+func TestTokensOfABrokenAcceptanceAreFree(t *testing.T) {
+	for name, resent := range map[string]bool{"sent again": true, "not sent again": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 2, func(r *contract.Route) { r.MaxWaitingTokens = 250 })
+				defer f.close()
+				f.services[0].access.noBlobs.Store(true)
+				err := f.services[0].Submit(t.Context(), f.submission("broken", "a", "b"))
+				if e := code.From(err); e == nil || e.Outcome != code.NotRun {
+					t.Fatalf("without objects: %v", err)
+				}
+				err = f.services[1].Submit(t.Context(), f.submission("other", "c", "d"))
+				if code.Of(err) != code.QuotaExceeded {
+					t.Fatalf("beside a job that may be accepted yet: %v", err)
+				}
+				if resent {
+					if err := f.services[1].Submit(t.Context(), f.submission("broken", "a", "b")); err != nil {
+						t.Errorf("sent again: %v", err)
+					}
+					wantAll(t, f.read(f.services[1], "broken"), "a", "b")
+				} else {
+					time.Sleep(31 * time.Second)
+				}
+				if err := f.services[1].Submit(t.Context(), f.submission("other", "c", "d")); err != nil {
+					t.Errorf("later: %v", err)
+				}
+			})
+		})
+	}
+}
+
+// TestQuotaHoldsWhenAnswersAreLost submits from all instances at once while answers of
+// the store are lost, and transactions take effect late.
+func TestQuotaHoldsWhenAnswersAreLost(t *testing.T) {
+	for lost := range 9 {
+		for _, delay := range []time.Duration{0, 40 * time.Millisecond, time.Second} {
+			synctest.Test(t, func(t *testing.T) {
+				const quota = 900
+				f := newFleet(t, 4, func(r *contract.Route) { r.MaxWaitingTokens = quota })
+				defer f.close()
+				f.store.SetFaults(memory.RowFaults{LoseAnswers: lost, Delay: delay})
+				refused := map[string]bool{}
+				var mu sync.Mutex
+				var wait sync.WaitGroup
+				for i := range 12 {
+					wait.Go(func() {
+						id := strconv.Itoa(i)
+						err := f.services[i%4].Submit(t.Context(), f.submission("j"+id, "a"+id, "b"+id))
+						mu.Lock()
+						defer mu.Unlock()
+						refused["j"+id] = err != nil && code.From(err).Outcome == code.NotRun
+					})
+				}
+				for range 40 {
+					time.Sleep(100 * time.Millisecond)
+					if n := f.waiting(); n > quota {
+						t.Fatalf("%d lost, delay %v: %d tokens wait, the quota is %d", lost, delay, n, quota)
+					}
+				}
+				wait.Wait()
+				f.store.Settle()
+				for _, rows := range f.rowsOf("jobs") {
+					for _, r := range rows {
+						if refused[r.Key] {
+							t.Errorf("%d lost, delay %v: job %s is kept and was refused", lost, delay, r.Key)
+						}
+					}
+				}
+			})
+		}
+	}
+}
+
+// TestJobOfAnEarlierVersionIsDoneWhereItsRowsAre: all jobs were in the first part once.
+func TestJobOfAnEarlierVersionIsDoneWhereItsRowsAre(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, nil)
+		defer f.close()
+		const jobs = 8
+		for i := range jobs {
+			id := fmt.Sprint("old", i)
+			if err := f.store.PutBlob(t.Context(), "job-"+id, fmt.Appendf(nil, "x%d y%d", i, i)); err != nil {
+				t.Fatal(err)
+			}
+			head := fmt.Appendf(nil, `{"route":%q,"host":"h","total":2,"listed":0,"tokens":200,"accepted_ms":0,"keep_ms":60000,"owner":"gone"}`, f.route.ID())
+			if _, err := f.store.ApplyRows(t.Context(), storage.RowTransaction{Puts: []storage.TableRow{{
+				RowKey: storage.RowKey{Table: "jobs", Part: "0", Key: id}, Value: head,
+			}}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for i := range jobs {
+			wantAll(t, f.read(f.services[0], fmt.Sprint("old", i)), fmt.Sprint("x", i), fmt.Sprint("y", i))
+		}
+		if rows := f.rowsOf("job_results"); len(rows) != 1 || len(rows["0"]) != 2*jobs {
+			t.Errorf("%d results in part 0, rows in %d parts", len(rows["0"]), len(rows))
+		}
+	})
+}
--- a/job/progress.go
+++ b/job/progress.go
@@ -51,7 +51,7 @@
 		return true
 	}
 	page, err := r.service.options.Store.ApplyRows(r.ctx, storage.RowTransaction{
-		Conditions: []storage.RowCondition{{RowKey: headKey(r.id), Version: r.head.version}},
+		Conditions: []storage.RowCondition{{RowKey: headKey(r.head.part, r.id), Version: r.head.version}},
 		Puts:       r.unsaved,
 	})
 	switch code.Of(err) {
@@ -78,7 +78,7 @@
 		size += len(row.Value) * 4 / 3
 	}
 	for index, c := range r.running {
-		row, ok := c.piece(r.id, index, least)
+		row, ok := c.piece(r.head.part, r.id, index, least)
 		if !ok {
 			continue
 		}
@@ -91,7 +91,7 @@
 }
 
 // piece returns the row of an item's new text.
-func (c *collector) piece(id string, index, least int) (storage.TableRow, bool) {
+func (c *collector) piece(part, id string, index, least int) (storage.TableRow, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	size := c.text.Len() - c.kept
@@ -111,7 +111,7 @@
 }
 
 // loadProgress returns how far the items of a job got.
-func (s *Service) loadProgress(ctx context.Context, id string) (map[int]saved, error) {
+func (s *Service) loadProgress(ctx context.Context, part, id string) (map[int]saved, error) {
 	page, err := storage.ReadRows(ctx, s.options.Store, progressTable, part, id+"/", id+"0")
 	if err != nil {
 		return nil, err
--- a/job/progress_test.go
+++ b/job/progress_test.go
@@ -47,7 +47,7 @@
 	want := []Result{{Item: "x", Succeeded: true, Text: string(long)}, {Item: "y"}}
 	var rows []storage.TableRow
 	for i, r := range want {
-		rows = append(rows, piecesOf(resultTable, "j", 7+i, r)...)
+		rows = append(rows, piecesOf(resultTable, "0", "j", 7+i, r)...)
 	}
 	numbers, values, err := joinPieces(rows)
 	if err != nil || len(numbers) != 2 || numbers[0] != 7 || numbers[1] != 8 {
--- a/job/read.go
+++ b/job/read.go
@@ -26,7 +26,7 @@
 			return 0, nil, unread(err)
 		}
 		if after < v.Listed {
-			results, err := s.listed(ctx, id, after, v.Listed)
+			results, err := s.listed(ctx, v.part, id, after, v.Listed)
 			return v.Total, results, unread(err)
 		}
 		left := time.Until(deadline)
@@ -68,7 +68,7 @@
 }
 
 // listed returns results from a position on, out of memory or of the store.
-func (s *Service) listed(ctx context.Context, id string, after, end int) ([]Result, error) {
+func (s *Service) listed(ctx context.Context, part, id string, after, end int) ([]Result, error) {
 	s.mu.Lock()
 	have := s.results.from(id, after, maxReadBytes)
 	s.mu.Unlock()
@@ -101,7 +101,7 @@
 }
 
 func pieceStart(id string, n int) string {
-	rows := piecesOf("", id, n, 0)
+	rows := piecesOf("", "", id, n, 0)
 	return rows[0].Key
 }
 
@@ -172,15 +172,15 @@
 	next := v.head
 	next.Ended = true
 	page, err := s.options.Store.ApplyRows(ctx, storage.RowTransaction{
-		Conditions: []storage.RowCondition{{RowKey: headKey(id), Version: v.version}},
-		Puts:       []storage.TableRow{headRow(id, &next)},
+		Conditions: []storage.RowCondition{{RowKey: headKey(v.part, id), Version: v.version}},
+		Puts:       []storage.TableRow{headRow(v.part, id, &next)},
 	})
 	if code.Of(err) == code.StoreConflict {
 		s.learnRows(page.Rows)
 	}
 	if err == nil {
 		s.mu.Lock()
-		s.learn(id, versioned{next, page.Version})
+		s.learn(id, versioned{next, page.Version, v.part})
 		s.mu.Unlock()
 	}
 	return err
--- a/job/rows.go
+++ b/job/rows.go
@@ -4,21 +4,25 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/storage"
 )
 
-// Tables of the store. All rows of jobs are in one part, so that a job's head,
-// its results and the gate of its route can be changed in one transaction.
+// Tables of the store. All rows of a job are in one part, so that its head, its
+// results and its progress can be changed in one transaction.
 const (
 	headTable     = "jobs"
 	gateTable     = "job_gates"
 	resultTable   = "job_results"
 	progressTable = "job_progress"
-	part          = "0"
+	// gatePart has the gates of all routes.
+	gatePart = "0"
 	// blobPrefix begins the names of objects with submissions.
 	blobPrefix = "job-"
 )
@@ -49,34 +53,48 @@
 
 func (h *head) keep() time.Duration { return time.Duration(h.KeepMS) * time.Millisecond }
 
-// versioned is a head with the version of its row.
+// versioned is a head with the version of its row and the part that has all rows of
+// the job.
 type versioned struct {
 	head
 	version uint64
+	part    string
 }
 
-func headKey(id string) storage.RowKey {
-	return storage.RowKey{Table: headTable, Part: part, Key: id}
-}
+// jobParts is the number of parts over which jobs are spread. A part takes 200
+// transactions a second (the platform's sheets); 150 items/s on average (the target of
+// 13 M a day) and three times as many in peaks need some 400.
+const jobParts = 4
 
-func gateKey(route string) storage.RowKey {
-	return storage.RowKey{Table: gateTable, Part: part, Key: route}
+// parts are those of jobs. Before there were several, all jobs were in the first.
+var parts = func() (names []string) {
+	for i := range jobParts {
+		names = append(names, strconv.Itoa(i))
+	}
+	return names
+}()
+
+// partOf returns the part of a new job.
+func partOf(id string) string { return parts[xxhash.Sum64String(id)%jobParts] }
+
+func headKey(part, id string) storage.RowKey {
+	return storage.RowKey{Table: headTable, Part: part, Key: id}
 }
 
 func decodeHead(r storage.TableRow) (versioned, error) {
-	v := versioned{version: r.Version}
+	v := versioned{version: r.Version, part: r.Part}
 	if err := json.Unmarshal(r.Value, &v.head); err != nil {
 		return v, code.Wrap(code.Internal, err, "the head of job %q can't be read", r.Key)
 	}
 	return v, nil
 }
 
-func headRow(id string, h *head) storage.TableRow {
+func headRow(part, id string, h *head) storage.TableRow {
 	value, err := json.Marshal(h)
 	if err != nil {
 		panic(err) // The type has no field that can fail.
 	}
-	return storage.TableRow{RowKey: headKey(id), Value: value}
+	return storage.TableRow{RowKey: headKey(part, id), Value: value}
 }
 
 // chunkBytes leaves room in a row under the platform's least limit.
@@ -87,7 +105,7 @@
 const pieceKey = "%s/%05d/%03d"
 
 // piecesOf writes a value into as many rows as it needs.
-func piecesOf(table, id string, n int, value any) []storage.TableRow {
+func piecesOf(table, part, id string, n int, value any) []storage.TableRow {
 	data, err := json.Marshal(value)
 	if err != nil {
 		panic(err) // Strings, numbers and booleans only.
--- a/job/service.go
+++ b/job/service.go
@@ -111,7 +111,7 @@
 	}
 	s.base, s.stop = context.WithCancel(context.Background())
 	s.touch.Store(newTouch(s.base))
-	s.follower = feed.New(feed.Options{Rows: o.Store, Table: headTable, Part: part, Pause: s.feedPause, Update: s.update, Log: o.Log})
+	s.follower = feed.New(feed.Options{Rows: o.Store, Table: headTable, Parts: parts, Pause: s.feedPause, Update: s.update, Log: o.Log})
 	return s
 }
 
@@ -227,7 +227,7 @@
 	if ok {
 		return v, nil
 	}
-	page, err := s.options.Store.GetRows(ctx, headTable, part, id, id+"\x00")
+	page, err := s.readHead(ctx, id)
 	if err != nil {
 		return v, err
 	}
@@ -248,6 +248,16 @@
 	return s.heads[id], nil
 }
 
+// readHead reads the head of a job, which one of an earlier version has in the first
+// part.
+func (s *Service) readHead(ctx context.Context, id string) (storage.RowPage, error) {
+	page, err := s.options.Store.GetRows(ctx, headTable, partOf(id), id, id+"\x00")
+	if err != nil || len(page.Rows) > 0 || partOf(id) == parts[0] {
+		return page, err
+	}
+	return s.options.Store.GetRows(ctx, headTable, parts[0], id, id+"\x00")
+}
+
 // storeHint is given with refusals for want of the store.
 const storeHint = time.Second
 
--- a/job/submit.go
+++ b/job/submit.go
@@ -103,65 +103,20 @@
 	return e.WithOutcome(code.NotRun)
 }
 
-// try reads all heads and the gate of the route, and adds the job if it fits.
-// Whoever accepts a job changes the gate, so that no two instances count the
-// same free tokens; what ends meanwhile only frees more.
+// try adds the job if it fits into the quota of its route.
 func (a *acceptance) try(ctx context.Context) error {
-	s, sub := a.service, a.submission
-	if sub.Route.MaxWaitingTokens == 0 {
-		return a.put(ctx, nil)
-	}
-	gates, err := s.options.Store.GetRows(ctx, gateTable, part, sub.Route.ID(), sub.Route.ID()+"\x00")
-	if err != nil {
-		return err
-	}
-	gate := storage.RowCondition{RowKey: gateKey(sub.Route.ID())}
-	if len(gates.Rows) > 0 {
-		gate.Version = gates.Rows[0].Version
-	}
-	page, err := storage.ReadRows(ctx, s.options.Store, headTable, part, "", "")
-	if err != nil {
-		return err
+	if a.submission.Route.MaxWaitingTokens == 0 {
+		return a.put(ctx)
 	}
-	waiting, known, err := s.count(page, sub)
+	known, err := a.reserve(ctx)
 	if known || err != nil {
 		return err
 	}
-	if waiting+sub.tokens() > sub.Route.MaxWaitingTokens {
-		s.options.Log.Info("job refused", zap.String("job", sub.ID), zap.Int64("tokens", sub.tokens()),
-			zap.Int64("waiting", waiting), zap.Int64("quota", sub.Route.MaxWaitingTokens), zap.Uint64("store_version", page.Version))
-		return code.New(code.QuotaExceeded, "%d tokens wait on the route, %d more are over %d", waiting, sub.tokens(), sub.Route.MaxWaitingTokens).WithRetryAfter(quotaHint)
-	}
-	return a.put(ctx, &gate)
-}
-
-// count sums the tokens that wait on the route and reports whether the job is
-// there already.
-func (s *Service) count(page storage.RowPage, sub *Submission) (waiting int64, known bool, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if page.Version < s.version {
-		return 0, false, code.New(code.StoreUnavailable, "the store answered from the past")
-	}
-	s.noteClock(page.Now)
-	for _, r := range page.Rows {
-		v, err := decodeHead(r)
-		if err != nil {
-			continue
-		}
-		if r.Key == sub.ID {
-			s.learn(r.Key, v)
-			return 0, true, nil
-		}
-		if v.Route == sub.Route.ID() && v.open() {
-			waiting += v.Tokens
-		}
-	}
-	return waiting, false, nil
+	return a.put(ctx)
 }
 
-// put stores the bodies once and then the head under the condition of the gate.
-func (a *acceptance) put(ctx context.Context, gate *storage.RowCondition) error {
+// put stores the bodies once and then the head.
+func (a *acceptance) put(ctx context.Context) error {
 	s, sub := a.service, a.submission
 	if !a.stored {
 		err := s.options.Store.PutBlob(ctx, blobPrefix+sub.ID, sub.Raw)
@@ -170,7 +125,7 @@
 		}
 		a.stored = true
 	}
-	now := s.now()
+	now, part := s.now(), partOf(sub.ID)
 	h := head{
 		Route:      sub.Route.ID(),
 		Host:       sub.Host,
@@ -183,18 +138,13 @@
 	if s.isStopping() {
 		h.Owner = ""
 	}
-	t := storage.RowTransaction{
-		Conditions: []storage.RowCondition{{RowKey: headKey(sub.ID)}},
-		Puts:       []storage.TableRow{headRow(sub.ID, &h)},
-	}
-	if gate != nil {
-		t.Conditions = append(t.Conditions, *gate)
-		t.Puts = append(t.Puts, storage.TableRow{RowKey: gate.RowKey, Value: []byte(sub.ID)})
-	}
-	page, err := s.options.Store.ApplyRows(ctx, t)
+	page, err := s.options.Store.ApplyRows(ctx, storage.RowTransaction{
+		Conditions: []storage.RowCondition{{RowKey: headKey(part, sub.ID)}},
+		Puts:       []storage.TableRow{headRow(part, sub.ID, &h)},
+	})
 	switch code.Of(err) {
 	case 0:
-		s.begin(sub.ID, versioned{h, page.Version}, sub.Items, nil)
+		s.begin(sub.ID, versioned{h, page.Version, part}, sub.Items, nil)
 		return nil
 	case code.StoreUnknown:
 		a.sent = true
--- a/standin/platform/rows.go
+++ b/standin/platform/rows.go
@@ -80,7 +80,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if len(p.Conditions)+len(p.Puts)+len(p.Removes) > storage.MaxRowWrites || !onePart(p) {
+	if len(p.Conditions)+len(p.Puts)+len(p.Removes) > storage.MaxRowWrites {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -94,6 +94,10 @@
 	for _, c := range p.Removes {
 		t.Removes = append(t.Removes, c.key())
 	}
+	if !t.OnePart() {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
 	page, err := h.store.ApplyRows(r.Context(), t)
 	if code.Of(err) == code.StoreUnknown {
 		// A lost answer closes the connection without a response.
@@ -102,20 +106,6 @@
 	writePage(w, page, err)
 }
 
-// onePart reports whether all rows of a transaction are in one part.
-func onePart(t publishedTransaction) bool {
-	var part *string
-	for _, rows := range [][]publishedRow{t.Conditions, t.Puts, t.Removes} {
-		for i := range rows {
-			if part != nil && *part != rows[i].Part {
-				return false
-			}
-			part = &rows[i].Part
-		}
-	}
-	return true
-}
-
 func (h *rowsHandler) feed(w http.ResponseWriter, r *http.Request) {
 	after, err1 := strconv.ParseUint(r.FormValue("after"), 10, 64)
 	wait, err2 := strconv.Atoi(r.FormValue("wait_ms"))
--- a/storage/memory/rows.go
+++ b/storage/memory/rows.go
@@ -139,6 +139,9 @@
 	if err := s.down(); err != nil {
 		return storage.RowPage{}, err
 	}
+	if !t.OnePart() {
+		return storage.RowPage{}, code.New(code.Internal, "a transaction over several parts")
+	}
 	s.counts.Transactions++
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
--- a/storage/rows.go
+++ b/storage/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -36,6 +37,21 @@
 	Removes    []RowKey
 }
 
+// OnePart reports whether all keys share one part, as they must.
+func (t *RowTransaction) OnePart() bool {
+	var names []string
+	for _, c := range t.Conditions {
+		names = append(names, c.Part)
+	}
+	for _, r := range t.Puts {
+		names = append(names, r.Part)
+	}
+	for _, k := range t.Removes {
+		names = append(names, k.Part)
+	}
+	return len(slices.Compact(names)) <= 1
+}
+
 // RowPage is the answer of a read. Version is the newest version of the store
 // when it was taken, Now the store's steady clock.
 type RowPage struct {
