Ask the store fewer times in a row before a job is accepted

Ruled out: storing the object before the quota is known (objects of refused jobs would stay). Change: gate and heads are read at once, under the condition that the heads are not older than the gate's last change; the reservation and the object are written at once. The line "job accepted" tells took and tries. A gate read 50 ms after the heads while others accept three jobs does not exceed the quota; red without the condition.

--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -46,8 +46,10 @@
 	// stored.
 	deaf    atomic.Bool
 	latency atomic.Int64
-	// noBlobs members can't store objects.
-	noBlobs atomic.Bool
+	// noBlobs members can't store objects; gateLatency is what a read of a gate takes,
+	// callLatency what each call but those of the feed takes.
+	noBlobs                  atomic.Bool
+	gateLatency, callLatency atomic.Int64
 }
 
 func (a *access) RowChanges(ctx context.Context, table string, after uint64, wait time.Duration) (storage.RowPage, error) {
@@ -62,8 +64,21 @@
 	return storage.RowPage{Version: after}, nil
 }
 
+func (a *access) GetRows(ctx context.Context, table, part, from, to string) (storage.RowPage, error) {
+	time.Sleep(time.Duration(a.callLatency.Load()))
+	if table == "job_gates" {
+		time.Sleep(time.Duration(a.gateLatency.Load()))
+	}
+	return a.Rows.GetRows(ctx, table, part, from, to)
+}
+
+func (a *access) ApplyRows(ctx context.Context, t storage.RowTransaction) (storage.RowPage, error) {
+	time.Sleep(time.Duration(a.callLatency.Load()))
+	return a.Rows.ApplyRows(ctx, t)
+}
+
 func (a *access) PutBlob(ctx context.Context, name string, body []byte) error {
-	time.Sleep(time.Duration(a.latency.Load()))
+	time.Sleep(time.Duration(a.latency.Load() + a.callLatency.Load()))
 	if a.noBlobs.Load() {
 		return code.New(code.StoreUnavailable, "no objects are stored")
 	}
--- a/job/parts_test.go
+++ b/job/parts_test.go
@@ -130,6 +130,49 @@
 	}
 }
 
+// TestQuotaHoldsWhenTheGateIsReadLongAfterTheHeads lets others accept three jobs in
+// between, the later of which drop the reservations of those before.
+func TestQuotaHoldsWhenTheGateIsReadLongAfterTheHeads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, func(r *contract.Route) { r.MaxWaitingTokens = 650 })
+		defer f.close()
+		f.services[0].access.gateLatency.Store(int64(50 * time.Millisecond))
+		var wait sync.WaitGroup
+		wait.Go(func() {
+			if err := f.services[0].Submit(t.Context(), f.submission("j", "a", "b")); code.Of(err) != code.QuotaExceeded {
+				t.Errorf("got %v", err)
+			}
+		})
+		for i := range 3 {
+			time.Sleep(time.Millisecond)
+			id := strconv.Itoa(i)
+			if err := f.services[1].Submit(t.Context(), f.submission("j"+id, "a"+id, "b"+id)); err != nil {
+				t.Error(err)
+			}
+		}
+		wait.Wait()
+	})
+}
+
+// TestAcceptanceAsksASlowStoreFewTimesInARow: a caller has its answer within the
+// objective of 400 ms (the users' sheets) from a store that takes 100 ms a call.
+func TestAcceptanceAsksASlowStoreFewTimesInARow(t *testing.T) {
+	for _, quota := range []int64{0, 1000} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 1, func(r *contract.Route) { r.MaxWaitingTokens = quota })
+			defer f.close()
+			f.services[0].access.callLatency.Store(int64(100 * time.Millisecond))
+			began := time.Now()
+			if err := f.services[0].Submit(t.Context(), f.submission("j", "a", "b")); err != nil {
+				t.Fatal(err)
+			}
+			if took := time.Since(began); took > 400*time.Millisecond {
+				t.Errorf("with quota %d: accepted after %v", quota, took)
+			}
+		})
+	}
+}
+
 // TestQuotaHoldsWhenAnswersAreLost submits from all instances at once while answers of
 // the store are lost, and transactions take effect late.
 func TestQuotaHoldsWhenAnswersAreLost(t *testing.T) {
--- a/job/quota.go
+++ b/job/quota.go
@@ -17,6 +17,9 @@
 // tokens in the route's gate, which no two instances change at once, and then writes its
 // head; the next to change the gate drops the reservations that became jobs. What ends
 // meanwhile only frees more.
+//
+// Rounds of calls until a caller has its answer: the reads, the reservation beside the
+// object, the head.
 
 // reservationLife is how long tokens stay reserved for a job whose head is not there,
 // because its acceptance broke off or the store did not take it. It is far over
@@ -49,60 +52,83 @@
 	return g
 }
 
-// reserve takes the job's tokens out of the quota of its route, and reports whether the
-// job is there already.
+// quota returns the change of the gate that reserves the job's tokens, or reports that
+// the job is there already.
 //
-// Errors: code.QuotaExceeded, and those of the store; after one of these the tokens may
-// be reserved.
-func (a *acceptance) reserve(ctx context.Context) (known bool, err error) {
+// Errors: code.QuotaExceeded, and those of the store.
+func (a *acceptance) quota(ctx context.Context) (change storage.RowTransaction, known bool, err error) {
 	s, sub := a.service, a.submission
 	key := gateKey(sub.Route.ID())
-	page, err := s.options.Store.GetRows(ctx, gateTable, gatePart, key.Key, key.Key+"\x00")
-	if err != nil {
-		return false, err
-	}
-	condition, present := storage.RowCondition{RowKey: key}, gate{}
-	if len(page.Rows) > 0 {
-		condition.Version, present = page.Rows[0].Version, decodeGate(page.Rows[0].Value)
-	}
-	// The heads are read after the gate: a reservation that was dropped from it has a
-	// head among them.
-	heads, err := s.readHeads(ctx, page.Version)
+	condition, present, heads, err := s.readQuota(ctx, key)
 	if err != nil {
-		return false, err
+		return change, false, err
 	}
 	if v, ok := heads[sub.ID]; ok {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.learn(sub.ID, v)
-		return true, nil
+		return change, true, nil
 	}
-	waiting := waitingTokens(heads, sub.Route.ID())
-	next := present.without(heads, sub.ID, page.Now)
+	now := s.now()
+	waiting, next := waitingTokens(heads, sub.Route.ID()), present.without(heads, sub.ID, now)
 	for _, r := range next.Reserved {
 		waiting += r.Tokens
 	}
 	if waiting+sub.tokens() > sub.Route.MaxWaitingTokens {
 		s.options.Log.Info("job refused", zap.String("job", sub.ID), zap.Int64("tokens", sub.tokens()),
-			zap.Int64("waiting", waiting), zap.Int64("quota", sub.Route.MaxWaitingTokens), zap.Uint64("store_version", page.Version))
-		return false, code.New(code.QuotaExceeded, "%d tokens wait on the route, %d more are over %d", waiting, sub.tokens(), sub.Route.MaxWaitingTokens).WithRetryAfter(quotaHint)
+			zap.Int64("waiting", waiting), zap.Int64("quota", sub.Route.MaxWaitingTokens), zap.Uint64("gate_version", condition.Version))
+		return change, false, code.New(code.QuotaExceeded, "%d tokens wait on the route, %d more are over %d", waiting, sub.tokens(), sub.Route.MaxWaitingTokens).WithRetryAfter(quotaHint)
 	}
-	next.Reserved = append(next.Reserved, reservation{Job: sub.ID, Tokens: sub.tokens(), AtMS: page.Now.Milliseconds()})
+	next.Reserved = append(next.Reserved, reservation{Job: sub.ID, Tokens: sub.tokens(), AtMS: now.Milliseconds()})
 	value, err := json.Marshal(next)
 	if err != nil {
-		return false, code.Wrap(code.Internal, err, "writing the gate of route %q", key.Key)
+		return change, false, code.Wrap(code.Internal, err, "writing the gate of route %q", key.Key)
 	}
-	_, err = s.options.Store.ApplyRows(ctx, storage.RowTransaction{
+	return storage.RowTransaction{
 		Conditions: []storage.RowCondition{condition},
 		Puts:       []storage.TableRow{{RowKey: key, Value: value}},
+	}, false, nil
+}
+
+// reserve makes the change. After an error the tokens may be reserved, and the job's
+// next try finds them or makes the change anew.
+func (a *acceptance) reserve(ctx context.Context, change storage.RowTransaction) error {
+	_, err := a.service.options.Store.ApplyRows(ctx, change)
+	return err
+}
+
+// readQuota reads a gate and the heads of all jobs at once. The heads are not older than
+// the gate's last change, so that what it dropped from the reservations is among them.
+func (s *Service) readQuota(ctx context.Context, key storage.RowKey) (condition storage.RowCondition, present gate, heads map[string]versioned, err error) {
+	condition.RowKey = key
+	var page storage.RowPage
+	var oldest uint64
+	var group errgroup.Group
+	group.Go(func() (err error) {
+		page, err = s.options.Store.GetRows(ctx, gateTable, gatePart, key.Key, key.Key+"\x00")
+		return err
+	})
+	group.Go(func() (err error) {
+		heads, oldest, err = s.readHeads(ctx)
+		return err
 	})
-	return false, err
+	if err := group.Wait(); err != nil {
+		return condition, present, nil, err
+	}
+	if len(page.Rows) > 0 {
+		condition.Version, present = page.Rows[0].Version, decodeGate(page.Rows[0].Value)
+	}
+	if oldest < condition.Version {
+		return condition, present, nil, code.New(code.StoreConflict, "the gate changed after the heads were read")
+	}
+	return condition, present, heads, nil
 }
 
-// readHeads reads the heads of all jobs, none of them older than a version.
-func (s *Service) readHeads(ctx context.Context, least uint64) (map[string]versioned, error) {
+// readHeads reads the heads of all jobs; oldest is the least version of the store at
+// which some were read.
+func (s *Service) readHeads(ctx context.Context) (heads map[string]versioned, oldest uint64, err error) {
 	s.mu.Lock()
-	least = max(least, s.version)
+	least := s.version
 	s.mu.Unlock()
 	pages := make([]storage.RowPage, len(parts))
 	var group errgroup.Group
@@ -113,13 +139,11 @@
 		})
 	}
 	if err := group.Wait(); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	heads := map[string]versioned{}
+	heads, oldest = map[string]versioned{}, pages[0].Version
 	for _, page := range pages {
-		if page.Version < least {
-			return nil, code.New(code.StoreUnavailable, "the store answered from the past")
-		}
+		oldest = min(oldest, page.Version)
 		s.mu.Lock()
 		s.noteClock(page.Now)
 		s.mu.Unlock()
@@ -129,7 +153,10 @@
 			}
 		}
 	}
-	return heads, nil
+	if oldest < least {
+		return nil, 0, code.New(code.StoreUnavailable, "the store answered from the past")
+	}
+	return heads, oldest, nil
 }
 
 // waitingTokens sums the tokens of the open jobs of a route.
--- a/job/submit.go
+++ b/job/submit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
@@ -50,13 +51,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitTime)
 	defer cancel()
-	a := acceptance{service: s, submission: &sub}
+	a, began := acceptance{service: s, submission: &sub}, time.Now()
 	var err error
-	for range submitTries {
+	for try := range submitTries {
 		err = a.try(ctx)
 		switch code.Of(err) {
 		case 0:
-			s.options.Log.Info("job accepted", zap.String("job", sub.ID), zap.Int("items", len(sub.Items)), zap.Int64("tokens", sub.tokens()))
+			s.options.Log.Info("job accepted", zap.String("job", sub.ID), zap.Int("items", len(sub.Items)), zap.Int64("tokens", sub.tokens()),
+				zap.Int64("took", time.Since(began).Milliseconds()), zap.Int("tries", try+1))
 			return nil
 		case code.QuotaExceeded, code.StoreTooLarge:
 			return a.refusal(err)
@@ -103,28 +105,44 @@
 	return e.WithOutcome(code.NotRun)
 }
 
-// try adds the job if it fits into the quota of its route.
+// try adds the job if it fits into the quota of its route. A slow store is asked for as
+// little as can be one after the other, since a caller waits.
 func (a *acceptance) try(ctx context.Context) error {
 	if a.submission.Route.MaxWaitingTokens == 0 {
+		if err := a.storeBody(ctx); err != nil {
+			return err
+		}
 		return a.put(ctx)
 	}
-	known, err := a.reserve(ctx)
+	r, known, err := a.quota(ctx)
 	if known || err != nil {
 		return err
 	}
+	var group errgroup.Group
+	group.Go(func() error { return a.reserve(ctx, r) })
+	group.Go(func() error { return a.storeBody(ctx) })
+	if err := group.Wait(); err != nil {
+		return err
+	}
 	return a.put(ctx)
 }
 
-// put stores the bodies once and then the head.
+// storeBody stores the submission as an object, once.
+func (a *acceptance) storeBody(ctx context.Context) error {
+	if a.stored {
+		return nil
+	}
+	err := a.service.options.Store.PutBlob(ctx, blobPrefix+a.submission.ID, a.submission.Raw)
+	if err != nil && code.Of(err) != code.StoreConflict {
+		return err
+	}
+	a.stored = true
+	return nil
+}
+
+// put writes the head of the job, whose body is stored.
 func (a *acceptance) put(ctx context.Context) error {
 	s, sub := a.service, a.submission
-	if !a.stored {
-		err := s.options.Store.PutBlob(ctx, blobPrefix+sub.ID, sub.Raw)
-		if err != nil && code.Of(err) != code.StoreConflict {
-			return err
-		}
-		a.stored = true
-	}
 	now, part := s.now(), partOf(sub.ID)
 	h := head{
 		Route:      sub.Route.ID(),
