Check the quota and the answers to jobs in the soak

Cause: the soak's quota had room for everything, and no check looked at what a proper job is told. Change: bursts of four jobs on a quota for about three; two checks, quota and turned away, each with its mutants.

--- a/soak/check.go
+++ b/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -42,6 +43,8 @@
 	"document in force": documentInForce,
 	"planned stop":      plannedStop,
 	"store's rates":     storeRates,
+	"quota":             quota,
+	"turned away":       turnedAway,
 }
 
 // Check returns all broken promises of a history.
@@ -303,6 +306,28 @@
 	return found
 }
 
+// quota finds times at which more tokens waited than the route allows.
+func quota(h *History) (found []Violation) {
+	for _, w := range h.Waiting {
+		if w.Tokens > quotaTokens {
+			found = append(found, Violation{What: fmt.Sprintf("%d tokens wait at %s", w.Tokens, w.At.Format(time.TimeOnly))})
+		}
+	}
+	return found
+}
+
+// turnedAway finds proper jobs that got an answer after which nobody sends them again.
+func turnedAway(h *History) (found []Violation) {
+	for id, j := range h.Jobs {
+		for _, status := range j.Statuses {
+			if status >= 300 && status < 500 && status != http.StatusTooManyRequests && status != http.StatusRequestTimeout {
+				found = append(found, Violation{ID: id, What: fmt.Sprintf("answered %d", status)})
+			}
+		}
+	}
+	return found
+}
+
 // String returns the violation on one line.
 func (v Violation) String() string {
 	return strings.TrimSpace(fmt.Sprintf("%s: %s %s", v.Check, v.ID, v.What))
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -43,6 +43,7 @@
 	h.Probes = []Probe{{"/change/", "a", after(4 * time.Second), false}, {"/change/", "a", after(8 * time.Second), true}}
 	h.Disturbances = []Disturbance{{What: "kill", Instance: "b", From: after(20 * time.Second), To: after(21 * time.Second)}}
 	h.Seconds = []Second{{noon, 400, 90}}
+	h.Waiting = []Waiting{{noon, quotaTokens - 1}, {after(time.Second), quotaTokens}}
 	return h
 }
 
@@ -52,6 +53,8 @@
 		t.Fatalf("a history without fault: %v", found)
 	}
 	mutants := map[string][]func(*History){
+		"quota":       {func(h *History) { h.Waiting[1].Tokens++ }},
+		"turned away": {func(h *History) { h.Jobs["j"].Statuses[0] = 409 }, func(h *History) { h.Jobs["n"].Statuses[0] = 404 }},
 		"whole answers": {
 			func(h *History) { h.Attempts[0].Text = Events("r2") },
 			func(h *History) { h.Attempts[0].Text = h.Attempts[0].Text[:2] },
--- a/soak/document.go
+++ b/soak/document.go
@@ -19,8 +19,9 @@
 	againPrefix  = "/again/"
 	batchPrefix  = "/batch/"
 	changePrefix = "/change/"
-	quotaTokens  = 2_000_000
-	itemTokens   = 500
+	// quotaTokens is room for the items of a few jobs.
+	quotaTokens = 8_000
+	itemTokens  = 500
 )
 
 // bodyOf is the body of a request, which follows from its id.
--- a/soak/history.go
+++ b/soak/history.go
@@ -106,6 +106,12 @@
 	Writes int
 }
 
+// Waiting is the sum of the tokens of open jobs in the store, noted when it has grown.
+type Waiting struct {
+	At     time.Time
+	Tokens int64
+}
+
 // History is what callers, workers and the store saw. It is safe for concurrent
 // use while it is recorded.
 type History struct {
@@ -119,6 +125,7 @@
 	Changes      []Change
 	Disturbances []Disturbance
 	Seconds      []Second
+	Waiting      []Waiting
 }
 
 // NewHistory returns an empty history.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -65,9 +65,11 @@
 }
 
 const (
-	startTime  = time.Minute
-	beatPace   = time.Second
-	jobPace    = 700 * time.Millisecond
+	startTime = time.Minute
+	beatPace  = time.Second
+	// Jobs come jobBurst at once, more than the quota has room for.
+	jobBurst   = 4
+	jobPace    = 2100 * time.Millisecond
 	finishTime = 2 * time.Minute
 	// stallLimit is how late a timer may be before the machine counts as stalled;
 	// bounds in time are not judged then.
@@ -197,7 +199,9 @@
 	for n := 0; active.Err() == nil; n++ {
 		random := rand.New(rand.NewPCG(s.options.Seed, uint64(n)))
 		jobs.Go(func() { s.callers.keepJob(settled, n, random) })
-		wait(active, jobPace)
+		if n%jobBurst == jobBurst-1 {
+			wait(active, jobPace)
+		}
 	}
 }
 
--- a/soak/store.go
+++ b/soak/store.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"sync"
@@ -39,6 +41,8 @@
 
 	mu     sync.Mutex
 	second Second
+	// waiting is the sum of the tokens of open jobs that was noted last.
+	waiting int64
 }
 
 func newStore(h *History) *store {
@@ -78,6 +82,39 @@
 		wait(r.Context(), slowAnswer)
 	}
 	s.handler.ServeHTTP(w, r)
+	if r.Method != http.MethodGet {
+		s.noteWaiting(r.Context())
+	}
+}
+
+// noteWaiting sums the tokens of open jobs after a change.
+func (s *store) noteWaiting(ctx context.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	parts, err := s.rows.RowParts(ctx, "jobs")
+	if err != nil {
+		return
+	}
+	now := Waiting{At: time.Now()}
+	for _, part := range parts {
+		page, err := s.rows.GetRows(ctx, "jobs", part, "", "")
+		if err != nil {
+			return
+		}
+		for _, row := range page.Rows {
+			var head struct {
+				Tokens int64
+				Ended  bool
+			}
+			if json.Unmarshal(row.Value, &head) == nil && !head.Ended {
+				now.Tokens += head.Tokens
+			}
+		}
+	}
+	if now.Tokens > s.waiting {
+		s.history.record(func() { s.history.Waiting = append(s.history.Waiting, now) })
+	}
+	s.waiting = now.Tokens
 }
 
 // count adds a call to the present second.
