Leave silent peers when the store is reached again

Cause: an instance that the store had refused asks it through two peers, one after the other. A feed waited 2.9 s for each. When both were cut off it heard nothing for 5.8 s, also when other calls reached the store directly meanwhile: it answered readers of a job with nothing at positions that had been read elsewhere. Ruled out: the parts of the feed of heads (the log shows the feed of jobs standing at version 733 from 31.4 s, when its peer was cut off, to 37.4 s, "can't be reached through a peer"). Change: reads through peers end with the detour and are asked for directly at once; a feed waits at most 0.4 s through a peer, and 0.4 s beyond.

--- a/relay/store.go
+++ b/relay/store.go
@@ -44,10 +44,12 @@
 	peersAsked    = 2
 	peerAvoidance = 3 * time.Second
 	maxAvoided    = 1 << 10
-	// callTimeout bounds a call through a peer, feedGrace is what a feed has
-	// beyond its wait.
+	// callTimeout bounds a call through a peer.
 	callTimeout = 2 * time.Second
-	feedGrace   = 900 * time.Millisecond
+	// maxFeedWait bounds the wait of a feed through a peer, feedGrace is what it has
+	// beyond that: two peers that are cut off themselves keep a feed for 1.6 s.
+	maxFeedWait = 400 * time.Millisecond
+	feedGrace   = 400 * time.Millisecond
 )
 
 // Store is a storage.RowStore that may take a detour. It is safe for concurrent
@@ -63,6 +65,8 @@
 	noPeer time.Time
 	// avoid has until when a peer that could not reach the store is not asked.
 	avoid map[string]time.Time
+	// ended is closed when the store is reached directly after a detour.
+	ended chan struct{}
 }
 
 var _ storage.RowStore = (*Store)(nil)
@@ -72,13 +76,16 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
-	return &Store{options: o, avoid: map[string]time.Time{}}
+	return &Store{options: o, avoid: map[string]time.Time{}, ended: make(chan struct{})}
 }
 
 // call is one call, made directly or through a peer.
 type call[T any] struct {
 	direct func() (T, error)
-	peer   func(c relaypbconnect.RelayServiceClient) (T, error)
+	peer   func(ctx context.Context, c relaypbconnect.RelayServiceClient) (T, error)
+	// reads are asked for directly as soon as the detour is over: a peer may be cut off
+	// or frozen. The outcome of a write would not be known.
+	reads bool
 }
 
 // unreached reports whether the store has not taken a call in.
@@ -87,7 +94,7 @@
 	return n == code.StoreUnavailable || n == code.StoreThrottled
 }
 
-func run[T any](s *Store, c call[T]) (T, error) {
+func run[T any](ctx context.Context, s *Store, c call[T]) (T, error) {
 	now := time.Now()
 	peers := s.peers(now)
 	var v T
@@ -103,12 +110,17 @@
 		}
 		s.failed(time.Now(), err)
 	}
+	detour, cancel := s.whileOnDetour(ctx, c.reads)
+	defer cancel()
 	for _, address := range peers {
 		client := relaypbconnect.NewRelayServiceClient(s.options.Client, link.URL(address), link.ClientOptions())
-		v, err = c.peer(client)
+		v, err = c.peer(detour, client)
 		if !unreached(err) {
 			return v, err
 		}
+		if detour.Err() != nil && ctx.Err() == nil {
+			return c.direct()
+		}
 		s.peerFailed(address, time.Now())
 	}
 	if len(peers) > 0 {
@@ -123,12 +135,34 @@
 	return now.Before(s.detour)
 }
 
+// whileOnDetour returns a context of calls through peers, which for reads ends with the
+// detour.
+func (s *Store) whileOnDetour(ctx context.Context, reads bool) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	if !reads {
+		return ctx, cancel
+	}
+	s.mu.Lock()
+	ended := s.ended
+	s.mu.Unlock()
+	go func() {
+		select {
+		case <-ended:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // reached ends the detour.
 func (s *Store) reached() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.length > 0 {
 		s.options.Log.Info("store reached directly again")
+		close(s.ended)
+		s.ended = make(chan struct{})
 	}
 	s.detour, s.length = time.Time{}, 0
 }
@@ -204,9 +238,10 @@
 
 // GetRows implements storage.Rows.
 func (s *Store) GetRows(ctx context.Context, table, part, from, to string) (storage.RowPage, error) {
-	return run(s, call[storage.RowPage]{
+	return run(ctx, s, call[storage.RowPage]{
+		reads:  true,
 		direct: func() (storage.RowPage, error) { return s.options.Direct.GetRows(ctx, table, part, from, to) },
-		peer: func(c relaypbconnect.RelayServiceClient) (storage.RowPage, error) {
+		peer: func(ctx context.Context, c relaypbconnect.RelayServiceClient) (storage.RowPage, error) {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
 			m := &relaypb.GetRowsRequest{Table: table, Part: part, From: from, To: to}
@@ -224,9 +259,9 @@
 
 // ApplyRows implements storage.Rows.
 func (s *Store) ApplyRows(ctx context.Context, t storage.RowTransaction) (storage.RowPage, error) {
-	return run(s, call[storage.RowPage]{
+	return run(ctx, s, call[storage.RowPage]{
 		direct: func() (storage.RowPage, error) { return s.options.Direct.ApplyRows(ctx, t) },
-		peer: func(c relaypbconnect.RelayServiceClient) (storage.RowPage, error) {
+		peer: func(ctx context.Context, c relaypbconnect.RelayServiceClient) (storage.RowPage, error) {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
 			r, err := c.ApplyRows(ctx, connect.NewRequest(encodeTransaction(t)))
@@ -240,9 +275,11 @@
 
 // RowChanges implements storage.Rows.
 func (s *Store) RowChanges(ctx context.Context, table string, after uint64, wait time.Duration) (storage.RowPage, error) {
-	return run(s, call[storage.RowPage]{
+	return run(ctx, s, call[storage.RowPage]{
+		reads:  true,
 		direct: func() (storage.RowPage, error) { return s.options.Direct.RowChanges(ctx, table, after, wait) },
-		peer: func(c relaypbconnect.RelayServiceClient) (storage.RowPage, error) {
+		peer: func(ctx context.Context, c relaypbconnect.RelayServiceClient) (storage.RowPage, error) {
+			wait := min(wait, maxFeedWait)
 			ctx, cancel := context.WithTimeout(ctx, wait+feedGrace)
 			defer cancel()
 			m := &relaypb.RowChangesRequest{Table: table, After: after, WaitMs: wait.Milliseconds()}
@@ -258,9 +295,9 @@
 
 // PutBlob implements storage.Blobs.
 func (s *Store) PutBlob(ctx context.Context, name string, body []byte) error {
-	_, err := run(s, call[struct{}]{
+	_, err := run(ctx, s, call[struct{}]{
 		direct: func() (struct{}, error) { return struct{}{}, s.options.Direct.PutBlob(ctx, name, body) },
-		peer: func(c relaypbconnect.RelayServiceClient) (struct{}, error) {
+		peer: func(ctx context.Context, c relaypbconnect.RelayServiceClient) (struct{}, error) {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
 			_, err := c.PutBlob(ctx, connect.NewRequest(&relaypb.Blob{Name: name, Body: body}))
@@ -272,9 +309,10 @@
 
 // GetBlob implements storage.Blobs.
 func (s *Store) GetBlob(ctx context.Context, name string) ([]byte, error) {
-	return run(s, call[[]byte]{
+	return run(ctx, s, call[[]byte]{
+		reads:  true,
 		direct: func() ([]byte, error) { return s.options.Direct.GetBlob(ctx, name) },
-		peer: func(c relaypbconnect.RelayServiceClient) ([]byte, error) {
+		peer: func(ctx context.Context, c relaypbconnect.RelayServiceClient) ([]byte, error) {
 			ctx, cancel := context.WithTimeout(ctx, callTimeout)
 			defer cancel()
 			r, err := c.GetBlob(ctx, connect.NewRequest(&relaypb.BlobName{Name: name}))
