Run two tests of yielding in virtual time

The mechanism is that of: where the test's engines stand still for a second, all batch calls break at once and the repeats run out. Change: the test, and the one of a burst at a peer beside it, run in a bubble over pipes, bodies unchanged. Conclusion: no fault of the product.

--- a/upstream/exchange_test.go
+++ b/upstream/exchange_test.go
@@ -14,13 +14,16 @@
 )
 
 // exchange connects two dispatchers by their peer service.
-func exchange(t testing.TB, a, b *Dispatcher) {
+func exchange(t testing.TB, f fabric, a, b *Dispatcher) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
 	var urls [2]string
 	var exchanges []*Exchange
-	transport := &http.Transport{}
+	transport := f.transport
+	if transport == nil {
+		transport = &http.Transport{}
+	}
 	ids := [2]string{"a", "b"}
 	for i, d := range []*Dispatcher{a, b} {
 		e, err := NewExchange(ExchangeOptions{
@@ -32,7 +35,7 @@
 		}
 		mux := http.NewServeMux()
 		mux.Handle(e.Handler())
-		server := httptest.NewServer(mux)
+		server := f.serve(mux)
 		t.Cleanup(server.Close)
 		urls[i] = server.URL
 		exchanges = append(exchanges, e)
@@ -49,10 +52,10 @@
 
 // sharing returns a bench with 15 batch calls in the 16 slots of an engine, and
 // another dispatcher before the same engine that knows of them.
-func sharing(t testing.TB) (holder *bench, other *Dispatcher, finish func()) {
+func sharing(t testing.TB, f fabric) (holder *bench, other *Dispatcher, finish func()) {
 	t.Helper()
 	eo := policyEngine
-	holder = newBench(t, 1, eo, nil)
+	holder = newBenchOn(t, f, 1, eo, nil)
 	o := holder.options
 	o.Registerer = nil
 	other, err := New(o)
@@ -64,7 +67,7 @@
 	wait.Go(func() { _ = other.Run(ctx) })
 	wait.Go(func() { holder.load(t, contract.Batch, 15, 15, 200) })
 	waitFor(t, "batch in all spare slots", func() bool { return holder.engines[0].Current().Running == 15 })
-	exchange(t, other, holder.Dispatcher)
+	exchange(t, f, other, holder.Dispatcher)
 	waitFor(t, "peer's batch", func() bool { return other.State().Upstreams[0].PeerBatch == 15 })
 	return holder, other, func() {
 		cancel()
@@ -112,21 +115,25 @@
 	}
 }
 
+// TestBatchOfOneInstanceYieldsToOnlineOfAnother runs in virtual time: on a busy machine
+// an engine stands still for longer than an attempt waits for a token.
 func TestBatchOfOneInstanceYieldsToOnlineOfAnother(t *testing.T) {
-	holder, other, finish := sharing(t)
-	b := &bench{Dispatcher: other}
-	b.load(t, contract.Online, 12, 12, 30)
-	finish()
-	if n := holder.counts(); n.Cancelled == 0 || n.Resumed == 0 {
-		t.Errorf("%d cancelled, %d resumed", n.Cancelled, n.Resumed)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		holder, other, finish := sharing(t, virtualFabric())
+		b := &bench{Dispatcher: other}
+		b.load(t, contract.Online, 12, 12, 30)
+		finish()
+		if n := holder.counts(); n.Cancelled == 0 || n.Resumed == 0 {
+			t.Errorf("%d cancelled, %d resumed", n.Cancelled, n.Resumed)
+		}
+	})
 }
 
 // BenchmarkPeerPreemption measures the time from a burst of online requests at
 // one instance until the engine has let go of another instance's batch work.
 func BenchmarkPeerPreemption(b *testing.B) {
 	for b.Loop() {
-		holder, other, finish := sharing(b)
+		holder, other, finish := sharing(b, fabric{serve: httptest.NewServer})
 		start := time.Now()
 		var wait sync.WaitGroup
 		wait.Go(func() { (&bench{Dispatcher: other}).load(b, contract.Online, 12, 12, 30) })
--- a/upstream/faults_test.go
+++ b/upstream/faults_test.go
@@ -238,7 +238,7 @@
 		tokens = 2000
 	)
 	synctest.Test(t, func(t *testing.T) {
-		b := newVirtualBench(t, 2, fastEngine)
+		b := newBenchOn(t, virtualFabric(), 2, fastEngine, nil)
 		b.stall(true)
 		batch := inBackground(func() { b.load(t, contract.Batch, calls, calls, tokens) })
 		waitFor(t, "batch in all spare slots", func() bool {
@@ -265,26 +265,28 @@
 }
 
 func TestBatchYieldsToTheOnlineBurstOfAPeer(t *testing.T) {
-	b := newBench(t, 1, fastEngine, nil)
-	b.stall(true)
-	batch := inBackground(func() { b.load(t, contract.Batch, 7, 7, 100) })
-	waitFor(t, "batch in all spare slots", func() bool { return b.engines[0].Current().Running == 7 })
-	sequence := uint64(0)
-	burst := func() {
-		// A digest counts for two seconds only.
-		sequence++
-		b.ObserveDigest("peer", Digest{Sequence: sequence, Loads: []PeerLoad{{Upstream: "u00", Online: 5}}})
-	}
-	burst()
-	if got := b.State().Upstreams[0].Batch; got != 2 {
-		t.Errorf("%d batch attempts left beside 5 online ones in 8 slots with one free, want 2", got)
-	}
-	waitFor(t, "cancellation at the engine", func() bool {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBenchOn(t, virtualFabric(), 1, fastEngine, nil)
+		b.stall(true)
+		batch := inBackground(func() { b.load(t, contract.Batch, 7, 7, 100) })
+		waitFor(t, "batch in all spare slots", func() bool { return b.engines[0].Current().Running == 7 })
+		sequence := uint64(0)
+		burst := func() {
+			// A digest counts for two seconds only.
+			sequence++
+			b.ObserveDigest("peer", Digest{Sequence: sequence, Loads: []PeerLoad{{Upstream: "u00", Online: 5}}})
+		}
 		burst()
-		return b.engines[0].Current().Running == 2
+		if got := b.State().Upstreams[0].Batch; got != 2 {
+			t.Errorf("%d batch attempts left beside 5 online ones in 8 slots with one free, want 2", got)
+		}
+		waitFor(t, "cancellation at the engine", func() bool {
+			burst()
+			return b.engines[0].Current().Running == 2
+		})
+		b.stall(false)
+		<-batch
 	})
-	b.stall(false)
-	<-batch
 }
 
 func TestAttemptsStayBoundedWhenHalfOfTheUpstreamsAreLost(t *testing.T) {
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -60,20 +60,23 @@
 
 func newBench(t testing.TB, n int, eo engine.Options, change func(*Options, *contract.Document)) *bench {
 	t.Helper()
-	return newBenchOn(t, httptest.NewServer, n, eo, change)
+	return newBenchOn(t, fabric{serve: httptest.NewServer}, n, eo, change)
 }
 
-// newVirtualBench is newBench for a test in virtual time: its engines are met over
-// pipes.
-func newVirtualBench(t testing.TB, n int, eo engine.Options) *bench {
-	t.Helper()
+// fabric is what connects the servers of a test and their clients; the zero transport
+// means that of the library.
+type fabric struct {
+	serve     func(http.Handler) *httptest.Server
+	transport *http.Transport
+}
+
+// virtualFabric connects over pipes, for a test in virtual time.
+func virtualFabric() fabric {
 	network := pipes{}
-	return newBenchOn(t, network.serve, n, eo, func(o *Options, _ *contract.Document) {
-		o.Transport = &http.Transport{DialContext: network.dial, DisableCompression: true}
-	})
+	return fabric{network.serve, &http.Transport{DialContext: network.dial, DisableCompression: true}}
 }
 
-func newBenchOn(t testing.TB, serve func(http.Handler) *httptest.Server, n int, eo engine.Options, change func(*Options, *contract.Document)) *bench {
+func newBenchOn(t testing.TB, f fabric, n int, eo engine.Options, change func(*Options, *contract.Document)) *bench {
 	t.Helper()
 	b := &bench{registry: prometheus.NewRegistry()}
 	document := testDocument()
@@ -82,14 +85,14 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		server := serve(e)
+		server := f.serve(e)
 		b.servers = append(b.servers, server)
 		b.engines = append(b.engines, e)
 		document.Upstreams[fmt.Sprintf("u%02d", i)] = contract.Upstream{
 			Address: server.Listener.Addr().String(), DataCentre: "a", Services: []string{"chat"}, Slots: eo.MaxRunning,
 		}
 	}
-	o := Options{Document: b.document.Load, DataCentre: "a", Seed: 1, PollInterval: 20 * time.Millisecond, Registerer: b.registry}
+	o := Options{Document: b.document.Load, DataCentre: "a", Seed: 1, PollInterval: 20 * time.Millisecond, Registerer: b.registry, Transport: f.transport}
 	if change != nil {
 		change(&o, document)
 	}
