Let old reservations go when there are more than one answer holds

Cause: read in the diff: with over 500 reservations of a route, left by acceptances that broke off, the gate could not be read as of one moment, and nothing dropped them any more: the route would have taken no job again. Conclusion: a test holds it.

--- a/job/parts_test.go
+++ b/job/parts_test.go
@@ -239,6 +239,31 @@
 	})
 }
 
+// TestManyBrokenAcceptancesDoNotStopTheRoute leaves more reservations than one answer of
+// the store holds: new jobs are refused until the old ones are dropped.
+func TestManyBrokenAcceptancesDoNotStopTheRoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, func(r *contract.Route) { r.MaxWaitingTokens = 1e6 })
+		defer f.close()
+		now := (time.Second).Milliseconds()
+		for i := range 700 {
+			row := storage.TableRow{RowKey: gateKey(f.route.ID(), fmt.Sprint("broken", i)), Value: fmt.Appendf(nil, `{"tokens":100,"at_ms":%d}`, now)}
+			if _, err := f.store.ApplyRows(t.Context(), storage.RowTransaction{Puts: []storage.TableRow{row}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		f.store.SetFaults(memory.RowFaults{PageRows: 500})
+		err := f.services[0].Submit(t.Context(), f.submission("j", "a"))
+		if e := code.From(err); e == nil || e.Outcome != code.NotRun || e.RetryAfter == 0 {
+			t.Errorf("with 700 fresh reservations: %v", err)
+		}
+		time.Sleep(time.Minute)
+		if err := f.services[0].Submit(t.Context(), f.submission("j", "a")); err != nil {
+			t.Errorf("with 700 old ones: %v", err)
+		}
+	})
+}
+
 // TestAcceptanceAsksASlowStoreFewTimesInARow: a caller has its answer within the
 // objective of 400 ms (the users' sheets) from a store that takes 100 ms a call.
 func TestAcceptanceAsksASlowStoreFewTimesInARow(t *testing.T) {
--- a/job/quota.go
+++ b/job/quota.go
@@ -71,9 +71,6 @@
 	if err != nil {
 		return gate{}, err
 	}
-	if page.More {
-		return gate{}, code.New(code.StoreThrottled, "%d jobs and more of route %q are being accepted", len(page.Rows), route)
-	}
 	g := gate{reserved: map[string]reservation{}}
 	for _, row := range page.Rows {
 		if row.Key == prefix {
@@ -86,6 +83,11 @@
 		}
 		g.reserved[row.Key[len(prefix):]] = r
 	}
+	if page.More {
+		// Only as one moment can they be counted. What is old goes, so that this ends.
+		s.dropStale(ctx, route, &count{gate: g})
+		return gate{}, code.New(code.StoreThrottled, "%d jobs and more of route %q are being accepted", len(page.Rows), route)
+	}
 	return g, nil
 }
 
@@ -256,20 +258,26 @@
 	}
 	s.options.Log.Info("job refused", zap.String("job", sub.ID), zap.Int64("tokens", sub.tokens()),
 		zap.Int64("waiting", waiting), zap.Int64("quota", sub.Route.MaxWaitingTokens), zap.Uint64("store_version", c.oldest))
-	if a.reserved > 0 && !a.sent {
-		key := reservationKey(sub.Route.ID(), sub.ID)
-		_, _ = s.options.Store.ApplyRows(ctx, storage.RowTransaction{
-			Conditions: []storage.RowCondition{{RowKey: key, Version: a.reserved}},
-			Removes:    []storage.RowKey{key},
-		})
-	}
+	a.release(ctx)
 	return code.New(code.QuotaExceeded, "%d tokens wait on the route, %d more are over %d", waiting, sub.tokens(), sub.Route.MaxWaitingTokens).WithRetryAfter(quotaHint)
 }
 
+// release drops the reservation of a job that is not accepted, if this acceptance made it
+// and no head may follow.
+func (a *acceptance) release(ctx context.Context) {
+	if a.reserved == 0 || a.sent {
+		return
+	}
+	key := reservationKey(a.submission.Route.ID(), a.submission.ID)
+	_, _ = a.service.options.Store.ApplyRows(ctx, storage.RowTransaction{
+		Conditions: []storage.RowCondition{{RowKey: key, Version: a.reserved}},
+		Removes:    []storage.RowKey{key},
+	})
+}
+
 // dropStale drops the reservations that hold no tokens any more, when there are many. One
 // that another has dropped or made anew since keeps all of them for the next time.
-func (a *acceptance) dropStale(ctx context.Context, c *count) {
-	s, route := a.service, a.submission.Route.ID()
+func (s *Service) dropStale(ctx context.Context, route string, c *count) {
 	t, now := storage.RowTransaction{}, s.now()
 	for id, r := range c.gate.reserved {
 		if key := reservationKey(route, id); c.stale(id, now) && len(t.Removes) < staleReservations {
--- a/job/submit.go
+++ b/job/submit.go
@@ -125,7 +125,7 @@
 	var group errgroup.Group
 	group.Go(func() error { return a.put(ctx) })
 	group.Go(func() error {
-		a.dropStale(ctx, &c)
+		a.service.dropStale(ctx, a.submission.Route.ID(), &c)
 		return nil
 	})
 	return group.Wait()
