Let online requests take turns at free slots across instances

Cause: in a wave over capacity a slot that becomes free was begun on by every instance with a request waiting, and late requests of one instance went before timely ones of another. Ruled out: a hold of 8 ms for late requests alone; turns without the count of late requests. Change: takeTurns serves both classes; digests count the waiting online requests that are late; who is about to lose its caller waits for no turn, and nobody waits when no peer does.

--- a/route/batch.go
+++ b/route/batch.go
@@ -18,7 +18,7 @@
 // of what online work and the headroom leave, and nothing while online work
 // waits anywhere.
 func BatchRoom(c *Candidate, t BatchTerms) int {
-	if c.BatchHeld || t.OnlineWaits || c.Report.Known && c.Report.Waiting > 0 && c.Report.Age < reportHalfLife {
+	if c.Held || t.OnlineWaits || c.Report.Known && c.Report.Waiting > 0 && c.Report.Age < reportHalfLife {
 		return 0
 	}
 	return max(batchAllowed(c, t)-c.BatchTotal(), 0)
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -27,8 +27,8 @@
 	Key uint64
 	// Closed is set when the upstream takes no new work.
 	Closed bool
-	// BatchHeld is set while free slots are left to batch work of others.
-	BatchHeld bool
+	// Held is set while free slots are left to batch work of others.
+	Held bool
 	// Distance is the one-way latency to the upstream.
 	Distance time.Duration
 	// Slots is the number of requests that the upstream runs at once; Limit is
--- a/route/cell_test.go
+++ b/route/cell_test.go
@@ -104,7 +104,7 @@
 					others = append(others, Wanting{Key: uint64(j)*104729 + 3})
 				}
 			}
-			if BatchWait(upstream, Wanting{Key: uint64(i)*104729 + 3}, others, 1, 0) == 0 {
+			if Turn(upstream, Wanting{Key: uint64(i)*104729 + 3}, others, 1, 0) == 0 {
 				first++
 			}
 		}
@@ -129,7 +129,7 @@
 		for i, self := range all {
 			others := slices.Delete(slices.Clone(all), i, i+1)
 			taken := 0
-			for taken < room && BatchWait(upstream, self, others, room-taken, taken) == 0 {
+			for taken < room && Turn(upstream, self, others, room-taken, taken) == 0 {
 				taken++
 			}
 			total += taken
@@ -146,7 +146,7 @@
 // for less than any with late work alone.
 func TestWorkThatCanBeInTimeGoesFirstWhereverItWaits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		late := rapid.SliceOfN(rapid.Bool(), 1, maxBatchTurns).Draw(t, "late")
+		late := rapid.SliceOfN(rapid.Bool(), 1, maxTurns).Draw(t, "late")
 		upstream := rapid.Uint64().Draw(t, "upstream")
 		all := make([]Wanting, len(late))
 		for i := range late {
@@ -155,13 +155,13 @@
 		waits := map[time.Duration]bool{}
 		for i, self := range all {
 			others := slices.Delete(slices.Clone(all), i, i+1)
-			wait := BatchWait(upstream, self, others, 1, 0)
+			wait := Turn(upstream, self, others, 1, 0)
 			if waits[wait] {
 				t.Fatalf("two instances wait for %v", wait)
 			}
 			waits[wait] = true
 			for j, other := range all {
-				if !self.Late && other.Late && BatchWait(upstream, other, slices.Delete(slices.Clone(all), j, j+1), 1, 0) < wait {
+				if !self.Late && other.Late && Turn(upstream, other, slices.Delete(slices.Clone(all), j, j+1), 1, 0) < wait {
 					t.Fatal("late work goes before work that can be in time")
 				}
 			}
--- a/route/choose.go
+++ b/route/choose.go
@@ -135,7 +135,7 @@
 	if q.Class == contract.Batch {
 		return BatchRoom(c, q.Batch) > 0
 	}
-	if c.OnlineTotal() >= c.Limit {
+	if c.Held || c.OnlineTotal() >= c.Limit {
 		return false
 	}
 	return !q.Long || q.Policy != Adaptive || c.Long < LongLimit(c.Limit, q.ShortReserve)
--- a/route/online.go
+++ b/route/online.go
@@ -39,6 +39,17 @@
 	return rankLate
 }
 
+// Leaving reports whether the caller is about to give up.
+func (w OnlineWork) Leaving(now time.Time, first time.Duration) bool {
+	return w.rank(now, first) == rankLeaving
+}
+
+// Late reports whether an answer can't begin on time any more, and its caller bears some
+// more waiting.
+func (w OnlineWork) Late(now time.Time, first time.Duration) bool {
+	return w.rank(now, first) == rankLate
+}
+
 // FirstOnline returns the index of the request that is served next out of those
 // that wait, in the order of their arrival: one that its caller is about to give
 // up, then the first that can still be on time, then the first of the late ones.
--- a/route/turn.go
+++ b/route/turn.go
@@ -3,12 +3,12 @@
 import "time"
 
 const (
-	// BatchTurn is how much longer the next instance leaves a free slot alone. It
+	// TurnTime is how much longer the next instance leaves a free slot alone. It
 	// is over the time in which a digest reaches another data centre, so that as
-	// a rule one instance starts batch work on a slot that several see free.
-	BatchTurn = 6 * time.Millisecond
-	// maxBatchTurns bounds the wait in large fleets.
-	maxBatchTurns = 12
+	// a rule one instance begins on a slot that several see free.
+	TurnTime = 6 * time.Millisecond
+	// maxTurns bounds the wait in large fleets.
+	maxTurns = 12
 )
 
 // Holder is an instance with batch work on an upstream, or with batch work that
@@ -20,18 +20,19 @@
 	Batch int
 }
 
-// Wanting is an instance with batch work that waits for a slot.
+// Wanting is an instance with requests of a class, online or batch, that wait for a
+// slot.
 type Wanting struct {
 	// Key is a hash of the instance's id.
 	Key uint64
-	// Late is set when none of that work can be done in time any more.
+	// Late is set when none of them can be in time any more.
 	Late bool
 }
 
 // before reports whether an instance takes a free slot of an upstream before
-// another: work that can be in time goes first, wherever it waits. A large fleet
-// that has more batch work than slots would else share them evenly between what can
-// be in time and what is late already, and more and more would be late.
+// another: what can be in time goes first, wherever it waits. A large fleet that has
+// more work than slots would else share them evenly between what can be in time and
+// what is late already, and more and more would be late.
 func (w Wanting) before(other Wanting, upstream uint64) bool {
 	if w.Late != other.Late {
 		return other.Late
@@ -45,21 +46,21 @@
 	return x > y || x == y && a > b
 }
 
-// BatchWait returns how long an instance leaves free slots of an upstream to the
-// instances that come before it. wanting are the others with batch work that
-// waits; room is the number of free slots, without the taken ones that the instance
+// Turn returns how long an instance leaves free slots of an upstream to the
+// instances that come before it. wanting are the others with requests that
+// wait; room is the number of free slots, without the taken ones that the instance
 // took itself within the last turn, of which the others may not know.
 //
 // The slots that were free before go round by rank: with three free slots the first
 // three instances take one each at once, and the fourth waits for a turn.
-func BatchWait(upstream uint64, self Wanting, wanting []Wanting, room, taken int) time.Duration {
+func Turn(upstream uint64, self Wanting, wanting []Wanting, room, taken int) time.Duration {
 	position := taken * (len(wanting) + 1)
 	for _, other := range wanting {
 		if other.before(self, upstream) {
 			position++
 		}
 	}
-	return time.Duration(min(position/(room+taken), maxBatchTurns)) * BatchTurn
+	return time.Duration(min(position/(room+taken), maxTurns)) * TurnTime
 }
 
 // YieldShare returns how many of its own batch requests an instance cancels on
--- a/upstream/digest.go
+++ b/upstream/digest.go
@@ -25,6 +25,8 @@
 	BatchLate int
 	// OnlineWaiting counts the online requests that do.
 	OnlineWaiting int
+	// OnlineLate counts those of them that can't be on time any more.
+	OnlineLate int
 }
 
 // of returns the part of a digest that concerns peers who use some upstreams; nil
@@ -46,7 +48,7 @@
 // same reports whether two digests say the same.
 func (g Digest) same(other Digest) bool {
 	return g.BatchWaiting == other.BatchWaiting && g.BatchLate == other.BatchLate &&
-		g.OnlineWaiting == other.OnlineWaiting && slices.Equal(g.Loads, other.Loads)
+		g.OnlineWaiting == other.OnlineWaiting && g.OnlineLate == other.OnlineLate && slices.Equal(g.Loads, other.Loads)
 }
 
 // peerLoad is the sum of what the other instances have in flight.
@@ -87,6 +89,7 @@
 				digest.BatchLate++
 			}
 		}
+		digest.OnlineLate += p.short.late(now, p.prior) + p.history.long.late(now, p.prior)
 		digest.OnlineWaiting += p.short.waiting + p.history.long.waiting
 	}
 	for id, t := range s.fleet.targets {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -152,6 +152,7 @@
 		BatchWaiting:  uint32(g.BatchWaiting),
 		BatchLate:     uint32(g.BatchLate),
 		OnlineWaiting: uint32(g.OnlineWaiting),
+		OnlineLate:    uint32(g.OnlineLate),
 	}
 	for _, l := range g.Loads {
 		digest.Loads = append(digest.Loads, &upstreampb.Load{
@@ -174,6 +175,7 @@
 		BatchWaiting:  int(min(digest.GetBatchWaiting(), maxPeerCount)),
 		BatchLate:     int(min(digest.GetBatchLate(), maxPeerCount)),
 		OnlineWaiting: int(min(digest.GetOnlineWaiting(), maxPeerCount)),
+		OnlineLate:    int(min(digest.GetOnlineLate(), maxPeerCount)),
 	}
 	for _, l := range digest.GetLoads() {
 		if id, ok := f.hashed[l.GetUpstream()]; ok {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -81,7 +81,7 @@
 func (v *view) Key(i int) uint64 { return v.targets[i].key }
 func (v *view) Candidate(i int) route.Candidate {
 	c := v.targets[i].candidate(v.now, v.prior)
-	c.BatchHeld = v.held[v.targets[i]]
+	c.Held = v.held[v.targets[i]]
 	return c
 }
 
--- a/upstream/queue.go
+++ b/upstream/queue.go
@@ -61,6 +61,18 @@
 	return waiters[route.FirstOnline(len(waiters), func(j int) route.OnlineWork { return waiters[j].online }, now, first)]
 }
 
+// late counts the waiters that can't be on time any more.
+func (q *queue) late(now time.Time, first time.Duration) (n int) {
+	for _, waiters := range q.waiters {
+		for _, w := range waiters {
+			if w.online.Late(now, first) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // pop takes a waiter out of the queue after it was served.
 func (q *queue) pop(w *waiter) {
 	i := slices.Index(q.accounts, w.account)
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -211,9 +211,7 @@
 func (s *scheduler) place(ctx context.Context, r *request) *slot {
 	now := time.Now()
 	v := &view{targets: r.pool.open, now: now, prior: r.pool.prior}
-	if r.class == contract.Batch {
-		s.takeTurns(v, r.work.Late(now), now)
-	}
+	s.takeTurns(v, r, now)
 	q := route.Query{
 		Class:    r.class,
 		Long:     r.long,
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -32,9 +32,8 @@
 	peers  peerLoad
 	// holders has the batch requests of each peer.
 	holders map[string]int
-	// roomSince is when slots that batch work may use were first seen free; the
-	// zero time when there are none.
-	roomSince time.Time
+	// room has the free slots that requests of each class may use.
+	room [contract.Online + contract.Batch + 1]room
 
 	first   route.Average
 	spacing route.Average
--- a/upstream/turn.go
+++ b/upstream/turn.go
@@ -46,32 +46,51 @@
 	return route.YieldShare(t.key, route.Holder{Key: s.turns.self, Batch: c.Batch}, others, route.Over(c, terms))
 }
 
-// takeTurns marks the targets whose free slots are left to others for now by a
-// request that is late already or not.
-func (s *scheduler) takeTurns(v *view, late bool, now time.Time) {
-	if s.turns == nil {
+// room is what an instance has seen of an upstream's free slots.
+type room struct {
+	// since is when they were first seen, the zero time when there were none at seen.
+	since, seen time.Time
+}
+
+// roomLife is after what time free slots that were seen are others.
+const roomLife = 100 * time.Millisecond
+
+// observe notes whether slots are free and returns since when.
+func (r *room) observe(free bool, now time.Time) time.Time {
+	switch {
+	case !free:
+		r.since = time.Time{}
+	case r.since.IsZero() || now.Sub(r.seen) > roomLife:
+		r.since = now
+	}
+	r.seen = now
+	return r.since
+}
+
+// takeTurns marks the targets whose free slots are left for now to requests that wait at
+// other instances. One whose caller is about to give up leaves none.
+func (s *scheduler) takeTurns(v *view, r *request, now time.Time) {
+	if s.turns == nil || r.class == contract.Online && r.online.Leaving(now, r.pool.prior) {
 		return
 	}
-	self := route.Wanting{Key: s.turns.self, Late: late}
-	var wanting []route.Wanting
-	for peer, digest := range s.peers {
-		if digest.BatchWaiting > 0 && now.Sub(digest.received) <= onlineLifetime {
-			wanting = append(wanting, route.Wanting{Key: xxhash.Sum64String(peer), Late: digest.BatchLate >= digest.BatchWaiting})
-		}
+	self := route.Wanting{Key: s.turns.self, Late: r.late(now)}
+	wanting := s.wanting(r.class, now)
+	if len(wanting) == 0 {
+		return
 	}
 	terms := s.batchTerms()
 	v.held = make(map[*target]bool, len(v.targets))
 	for _, t := range v.targets {
 		c := t.candidate(now, v.prior)
-		room := route.BatchRoom(&c, terms)
-		if room <= 0 {
-			t.roomSince = time.Time{}
-			continue
+		free := c.Limit - c.OnlineTotal()
+		if r.class == contract.Batch {
+			free = route.BatchRoom(&c, terms)
 		}
-		if t.roomSince.IsZero() {
-			t.roomSince = now
+		since := t.room[r.class].observe(free > 0, now)
+		if free <= 0 {
+			continue
 		}
-		due := t.roomSince.Add(route.BatchWait(t.key, self, wanting, room, t.takenSince(now.Add(-route.BatchTurn))))
+		due := since.Add(route.Turn(t.key, self, wanting, free, t.takenSince(r.class, now.Add(-route.TurnTime))))
 		if due.After(now) {
 			v.held[t] = true
 			s.serveAt(due, now)
@@ -79,6 +98,28 @@
 	}
 }
 
+// late reports whether a request can't be in time any more.
+func (r *request) late(now time.Time) bool {
+	if r.class == contract.Batch {
+		return r.work.Late(now)
+	}
+	return r.online.Late(now, r.pool.prior)
+}
+
+// wanting returns the peers with requests of a class that wait for a slot.
+func (s *scheduler) wanting(class contract.Class, now time.Time) (wanting []route.Wanting) {
+	for peer, digest := range s.peers {
+		waiting, late := digest.OnlineWaiting, digest.OnlineLate
+		if class == contract.Batch {
+			waiting, late = digest.BatchWaiting, digest.BatchLate
+		}
+		if waiting > 0 && now.Sub(digest.received) <= onlineLifetime {
+			wanting = append(wanting, route.Wanting{Key: xxhash.Sum64String(peer), Late: late >= waiting})
+		}
+	}
+	return wanting
+}
+
 // serveAt serves the queues at a time, unless that is to happen before it.
 func (s *scheduler) serveAt(due, now time.Time) {
 	if s.turns.wake.After(now) && !due.Before(s.turns.wake) {
@@ -107,12 +148,12 @@
 	return waiting
 }
 
-// takenSince counts the batch requests that this instance began on a target after a
+// takenSince counts the requests of a class that this instance began on a target after a
 // time.
-func (t *target) takenSince(since time.Time) int {
+func (t *target) takenSince(class contract.Class, since time.Time) int {
 	n := 0
 	for _, g := range t.slots {
-		if g.class == contract.Batch && g.started.After(since) {
+		if g.class == class && g.started.After(since) {
 			n++
 		}
 	}
