--- a/upstream/overload_test.go
+++ b/upstream/overload_test.go
@@ -83,6 +83,33 @@
 	f.wait.Wait()
 }
 
+// answerEvents is the number of events of an answer of queueingWorkers.
+const answerEvents = 10
+
+// queueingWorkers are workers that take any number of requests and run as many at a time
+// as they have slots, each for a time; tooMany counts those that had to wait.
+func queueingWorkers(n, slots int, runTime time.Duration, tooMany *atomic.Int64) []script {
+	scripts := make([]script, n)
+	for i := range scripts {
+		room := make(chan struct{}, slots)
+		scripts[i] = func(_ testing.TB, _ *scriptedWorker, c net.Conn, r *http.Request) {
+			began := time.Now()
+			room <- struct{}{}
+			if time.Since(began) > 0 {
+				tooMany.Add(1)
+			}
+			defer func() { <-room }()
+			_, _ = c.Write([]byte(head(r, "")))
+			for n := 1; n <= answerEvents; n++ {
+				time.Sleep(runTime / answerEvents)
+				_, _ = c.Write([]byte(chunk(event(n))))
+			}
+			_, _ = c.Write([]byte(endOfChunks))
+		}
+	}
+	return scripts
+}
+
 // TestMoreBatchWorkThanSlotsIsDoneInTimeAsFarAsItCanBe sends a fleet jobs of ten
 // items, half as much again as its workers can do, for a minute. Each instance has
 // one job at a time or none: what can be in time goes before what is late already,
@@ -97,29 +124,10 @@
 		load               = 1.5
 		jobItems           = 10
 		jobs               = int(load * slots * 60 / jobItems)
-		eventsOfItem       = 10
 	)
 	synctest.Test(t, func(t *testing.T) {
 		var tooMany atomic.Int64 // Items that found no slot at their worker.
-		var rooms [workers]chan struct{}
-		scripts := make([]script, workers)
-		for i := range scripts {
-			rooms[i] = make(chan struct{}, slots/workers)
-			scripts[i] = func(_ testing.TB, _ *scriptedWorker, c net.Conn, r *http.Request) {
-				began := time.Now()
-				rooms[i] <- struct{}{}
-				if time.Since(began) > 0 {
-					tooMany.Add(1)
-				}
-				defer func() { <-rooms[i] }()
-				_, _ = c.Write([]byte(head(r, "")))
-				for n := 1; n <= eventsOfItem; n++ {
-					time.Sleep(runTime / eventsOfItem)
-					_, _ = c.Write([]byte(chunk(event(n))))
-				}
-				_, _ = c.Write([]byte(endOfChunks))
-			}
-		}
+		scripts := queueingWorkers(workers, slots/workers, runTime, &tooMany)
 		dial, all, wait := virtual(scripts...)
 		f := newSharingFleet(t, instances, dial, all)
 		var inTime atomic.Int64
--- a/upstream/wave_test.go
+++ b/upstream/wave_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -29,29 +27,10 @@
 		over               = 1.2
 		trough             = 0.3
 		waves              = 6
-		eventsOfAnswer     = 10
 	)
 	synctest.Test(t, func(t *testing.T) {
 		var tooMany atomic.Int64 // Requests that found no slot at their worker.
-		var rooms [workers]chan struct{}
-		scripts := make([]script, workers)
-		for i := range scripts {
-			rooms[i] = make(chan struct{}, slots/workers)
-			scripts[i] = func(_ testing.TB, _ *scriptedWorker, c net.Conn, r *http.Request) {
-				began := time.Now()
-				rooms[i] <- struct{}{}
-				if time.Since(began) > 0 {
-					tooMany.Add(1)
-				}
-				defer func() { <-rooms[i] }()
-				_, _ = c.Write([]byte(head(r, "")))
-				for n := 1; n <= eventsOfAnswer; n++ {
-					time.Sleep(runTime / eventsOfAnswer)
-					_, _ = c.Write([]byte(chunk(event(n))))
-				}
-				_, _ = c.Write([]byte(endOfChunks))
-			}
-		}
+		scripts := queueingWorkers(workers, slots/workers, runTime, &tooMany)
 		dial, all, wait := virtual(scripts...)
 		f := newSharingFleet(t, instances, dial, all)
 		var late, lost atomic.Int64
@@ -90,7 +69,7 @@
 		wait.Wait()
 		// What is asked beyond the capacity of a crest, and of the time that a request may
 		// wait and be on time.
-		least := waves * ((over-1)*crest.Seconds() - (objective - runTime/eventsOfAnswer).Seconds()) * capacity
+		least := waves * ((over-1)*crest.Seconds() - (objective - runTime/answerEvents).Seconds()) * capacity
 		t.Logf("%d sent, %d late, %.0f at the least; %d lost; %d found no slot at their worker", sent, late.Load(), least, lost.Load(), tooMany.Load())
 		if float64(late.Load()) > 2*least {
 			t.Errorf("%d late, %.0f have to be", late.Load(), least)
