Know the store's clock before a job is accepted

Cause: an instance that had started just before took a job before the first answer of its feed of heads, and wrote 0 for the store's time of acceptance. When the store had run for longer than items are kept, all of them were given up as too old. Ruled out: the parts of the rows (the job was read whole, all five items given up at once at the age of 60 s). Change: an acceptance reads the heads first when it does not know the store's clock; routes with a quota did so already. Figures: a test with a store of 100 ms a call: accepted at 0 ms of the store before, after two minutes now.

--- a/job/parts_test.go
+++ b/job/parts_test.go
@@ -264,6 +264,32 @@
 	})
 }
 
+// TestJobAcceptedBeforeTheFirstAnswerOfTheFeedIsYoung submits to an instance that has just
+// started, when the store runs for longer than items are kept.
+func TestJobAcceptedBeforeTheFirstAnswerOfTheFeedIsYoung(t *testing.T) {
+	for _, quota := range []int64{0, 1000} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleet(t, 1, func(r *contract.Route) { r.MaxWaitingTokens = quota })
+			defer f.close()
+			time.Sleep(2 * f.route.Keep)
+			m := f.start("new")
+			m.access.callLatency.Store(int64(100 * time.Millisecond))
+			if err := m.Submit(t.Context(), f.submission("j", "a", "b")); err != nil {
+				t.Fatal(err)
+			}
+			for _, rows := range f.rowsOf("jobs") {
+				var head struct {
+					AcceptedMS int64 `json:"accepted_ms"`
+				}
+				if err := json.Unmarshal(rows[0].Value, &head); err != nil || head.AcceptedMS < (2*f.route.Keep).Milliseconds() {
+					t.Errorf("accepted at %d ms of the store, %v", head.AcceptedMS, err)
+				}
+			}
+			wantAll(t, f.read(f.services[0], "j"), "a", "b")
+		})
+	}
+}
+
 // TestAcceptanceAsksASlowStoreFewTimesInARow: a caller has its answer within the
 // objective of 400 ms (the users' sheets) from a store that takes 100 ms a call.
 func TestAcceptanceAsksASlowStoreFewTimesInARow(t *testing.T) {
--- a/job/quota.go
+++ b/job/quota.go
@@ -162,12 +162,6 @@
 // be reserved, and the next try finds them.
 func (a *acceptance) admit(ctx context.Context) (c count, known bool, err error) {
 	s, route := a.service, a.submission.Route.ID()
-	if s.now() == 0 {
-		// A reservation bears the store's clock, which any answer tells.
-		if _, _, err := s.readHeads(ctx); err != nil {
-			return c, false, err
-		}
-	}
 	var group errgroup.Group
 	group.Go(func() error { return a.reserve(ctx) })
 	group.Go(func() (err error) {
--- a/job/submit.go
+++ b/job/submit.go
@@ -112,6 +112,13 @@
 // try adds the job if it fits into the quota of its route. A slow store is asked for as
 // little as can be one after the other, since a caller waits.
 func (a *acceptance) try(ctx context.Context) error {
+	if a.service.now() == 0 {
+		// Heads and reservations bear the store's clock, which any answer tells. Without
+		// it the items of a job would count as old as the store.
+		if _, _, err := a.service.readHeads(ctx); err != nil {
+			return err
+		}
+	}
 	if a.submission.Route.MaxWaitingTokens == 0 {
 		if err := a.storeBody(ctx); err != nil {
 			return err
