Read the change as a newcomer: name the classes, move the pipes to the stand-ins

Ruled out: the clock of an acceptance is asked for in one place for heads and reservations, no deeper one is needed; nothing decides in platform/, no wire name left it. Change: classes is a constant, roomLife says why 100 ms, link/pipes is standin/pipes. No behaviour.

--- a/config/http_test.go
+++ b/config/http_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/link/pipes"
 	"github.com/daisylb/daisylb/settings"
+	"github.com/daisylb/daisylb/standin/pipes"
 	"github.com/daisylb/daisylb/storage/memory"
 )
 
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -32,8 +32,8 @@
 	peers  peerLoad
 	// holders has the batch requests of each peer.
 	holders map[string]int
-	// room has the free slots that requests of each class may use.
-	room [contract.Online + contract.Batch + 1]room
+	// room has, by contract.Class, the free slots that its requests may use.
+	room [classes]room
 
 	first   route.Average
 	spacing route.Average
--- a/upstream/turn.go
+++ b/upstream/turn.go
@@ -46,13 +46,17 @@
 	return route.YieldShare(t.key, route.Holder{Key: s.turns.self, Batch: c.Batch}, others, route.Over(c, terms))
 }
 
+// classes is the number of classes of requests.
+const classes = int(contract.Batch) + 1
+
 // room is what an instance has seen of an upstream's free slots.
 type room struct {
 	// since is when they were first seen, the zero time when there were none at seen.
 	since, seen time.Time
 }
 
-// roomLife is after what time free slots that were seen are others.
+// roomLife is after what time free slots that were seen are others. It is over the
+// longest wait for a turn, 12 times 6 ms, after which they are looked at again.
 const roomLife = 100 * time.Millisecond
 
 // observe notes whether slots are free and returns since when.
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
-	"github.com/daisylb/daisylb/link/pipes"
 	"github.com/daisylb/daisylb/standin/engine"
+	"github.com/daisylb/daisylb/standin/pipes"
 )
 
 // bench is a dispatcher before a few stand-in engines on loopback.
