Wake idle callers' connections instead of closing them

Callers saw a connection that had been idle close without an answer although the instance had read their request from it.

Cause: net/http reports a connection as active only when the head of the next request has been parsed. The timer for the idle limit closed every connection that was not active, so also one whose request had been read and was being parsed. The request then ran and its answer had nowhere to go. A timer that had fired and waited for the lock could also end a later idle time of the same connection (read from the code, not run).

Ruled out: http.Server.IdleTimeout is fixed when the server starts, but the limit changes with the document. A check of the state before the close narrows the window and leaves it open, because the state itself is late.

Change: a wrapper of the callers' connections notes, in Read, the first byte of each request. At the idle limit an unread connection gets a read deadline in the past, under its lock. A timer that runs late compares the time with the end of the current idle time.

Conclusion: a request of which a byte has been read is no longer cut by the idle limit. A close that crosses a request that has not been read remains possible.

--- /dev/null
+++ b/hosted/connections_test.go
@@ -0,0 +1,239 @@
+package hosted
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// pipeListener accepts the server ends of pipes.
+type pipeListener struct {
+	accept chan net.Conn
+	closed chan struct{}
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{accept: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	select {
+	case <-l.closed:
+	default:
+		close(l.closed)
+	}
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// pausingConn pauses after it has read, as a goroutine does that gets no processor.
+type pausingConn struct {
+	net.Conn
+	pause *atomic.Int64
+}
+
+func (c *pausingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 1 {
+		time.Sleep(time.Duration(c.pause.Load()))
+	}
+	return n, err
+}
+
+// callerServer serves callers over pipes in a synctest bubble.
+type callerServer struct {
+	t           *testing.T
+	connections *connections
+	listener    *pipeListener
+	server      *http.Server
+	served      chan struct{}
+	limit       atomic.Int64
+	// readPause is how long the server pauses after it has read bytes of a request.
+	readPause atomic.Int64
+	// answerTime is how long the handler takes.
+	answerTime time.Duration
+}
+
+const testIdleLimit = 10 * time.Second
+
+func newCallerServer(t *testing.T) *callerServer {
+	s := &callerServer{t: t, listener: newPipeListener(), served: make(chan struct{})}
+	s.limit.Store(int64(testIdleLimit))
+	s.connections = newConnections(func() time.Duration { return time.Duration(s.limit.Load()) })
+	s.server = newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		select {
+		case <-time.After(s.answerTime):
+		case <-r.Context().Done():
+			return
+		}
+		_, _ = io.WriteString(w, "answer")
+	}))
+	s.server.ReadTimeout = 0
+	s.connections.configure(s.server)
+	go func() {
+		defer close(s.served)
+		_ = serve(s.server, s.connections.listener(s.listener))
+	}()
+	return s
+}
+
+func (s *callerServer) stopListening() {
+	_ = s.listener.Close()
+	<-s.served
+}
+
+func (s *callerServer) close() {
+	s.stopListening()
+	_ = s.server.Close()
+	synctest.Wait()
+}
+
+// pipeCaller is a caller with one connection.
+type pipeCaller struct {
+	t    *testing.T
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func (s *callerServer) connect() *pipeCaller {
+	server, conn := net.Pipe()
+	s.listener.accept <- &pausingConn{Conn: server, pause: &s.readPause}
+	return &pipeCaller{t: s.t, conn: conn, in: bufio.NewReader(conn)}
+}
+
+const (
+	testRequestHead = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n"
+	testRequest     = testRequestHead + "body"
+)
+
+// send writes bytes of a request and fails the test if the server does not read them.
+func (c *pipeCaller) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c.conn, text); err != nil {
+		c.t.Fatalf("the server did not read %q: %v", text, err)
+	}
+}
+
+// wantAnswer reads an answer and reports whether it closes the connection.
+func (c *pipeCaller) wantAnswer() (closes bool) {
+	c.t.Helper()
+	response, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		c.t.Fatalf("a request that the server has read got no answer: %v", err)
+	}
+	text, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK || string(text) != "answer" {
+		c.t.Fatalf("%v, status %d, %q", err, response.StatusCode, text)
+	}
+	return response.Close
+}
+
+// exchange sends a request and reads its answer.
+func (c *pipeCaller) exchange() (closes bool) {
+	c.t.Helper()
+	c.send(testRequest)
+	return c.wantAnswer()
+}
+
+// isOpen reports whether the server has left the connection open.
+func (c *pipeCaller) isOpen() bool {
+	_ = c.conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+	defer func() { _ = c.conn.SetReadDeadline(time.Time{}) }()
+	_, err := c.in.Peek(1)
+	netErr, ok := err.(net.Error)
+	return ok && netErr.Timeout()
+}
+
+func TestIdleConnectionsAreClosedAtCurrentLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCallerServer(t)
+		defer s.close()
+		c := s.connect()
+		s.answerTime = time.Hour
+		c.exchange()
+		s.answerTime = 0
+		const limit = 4 * time.Second
+		s.limit.Store(int64(limit))
+		c.exchange()
+		time.Sleep(limit - time.Second)
+		if !c.isOpen() {
+			t.Error("the connection was closed before the limit")
+		}
+		time.Sleep(time.Second + 2*lastReadTime)
+		if c.isOpen() {
+			t.Error("the connection is open after the limit")
+		}
+	})
+}
+
+func TestRequestReadFromIdleConnectionIsAnsweredAtIdleLimit(t *testing.T) {
+	tests := map[string]func(*callerServer, *pipeCaller){
+		"read whole, not parsed": func(s *callerServer, c *pipeCaller) {
+			s.readPause.Store(int64(2 * time.Second))
+			c.send(testRequest)
+		},
+		"head read in part": func(s *callerServer, c *pipeCaller) {
+			c.send(testRequest[:12])
+			time.Sleep(2 * time.Second)
+			c.send(testRequest[12:])
+		},
+		"body read in part": func(s *callerServer, c *pipeCaller) {
+			c.send(testRequestHead)
+			time.Sleep(2 * time.Second)
+			c.send("body")
+		},
+		"sent just before the last read ends": func(s *callerServer, c *pipeCaller) {
+			time.Sleep(time.Second + lastReadTime/2)
+			c.send(testRequest)
+		},
+	}
+	for name, send := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newCallerServer(t)
+				defer s.close()
+				c := s.connect()
+				c.exchange()
+				time.Sleep(testIdleLimit - time.Second)
+				send(s, c)
+				c.wantAnswer()
+				s.readPause.Store(0)
+				time.Sleep(testIdleLimit - time.Second)
+				if !c.isOpen() {
+					t.Error("the limit of the earlier idle time ended a later one")
+				}
+			})
+		})
+	}
+}
+
+func TestRequestSentBeforeEarlierOneIsFinishedIsAnsweredAtIdleLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCallerServer(t)
+		defer s.close()
+		c := s.connect()
+		s.answerTime = time.Second
+		c.send(testRequest)
+		c.send(testRequest[:1])
+		c.wantAnswer()
+		time.Sleep(2 * testIdleLimit)
+		c.send(testRequest[1:])
+		c.wantAnswer()
+	})
+}
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -59,6 +59,7 @@
 	instanceAddresses atomic.Pointer[[]string]
 
 	callerServer    *http.Server
+	connections     *connections
 	directoryServer *http.Server
 	readinessServer *http.Server
 	metricsServer   *http.Server
@@ -257,7 +258,8 @@
 	// The read timeout of a caller's request is its own deadline, which package entry
 	// enforces.
 	i.callerServer.ReadTimeout = 0
-	i.callerServer.ConnState = newIdleCloser(i.callerIdleTimeout).connState
+	i.connections = newConnections(i.callerIdleTimeout)
+	i.connections.configure(i.callerServer)
 	i.directoryServer = newServer(http.HandlerFunc(i.serveDirectory))
 	i.readinessServer = newServer(http.HandlerFunc(i.serveReadiness))
 	mux := http.NewServeMux()
@@ -352,6 +354,9 @@
 		if err != nil {
 			return err
 		}
+		if server == i.callerServer {
+			listener = i.connections.listener(listener)
+		}
 		group.Go(func() error { return serve(server, listener) })
 	}
 	select {
