Answer requests that a planned stop finds read but not parsed

Callers saw connections close without an answer during a planned stop although the instance had read their request.

Cause: http.Server.SetKeepAlivesEnabled(false) and Shutdown close the connections that net/http counts as idle, and it counts a connection as idle until the head of the next request has been parsed. After Shutdown the server also drops each request whose head it finishes parsing from then on (conn.serve returns after readRequest when the server is shutting down), on new connections too. Shutdown does not wait for either.

Ruled out: a longer wait before Shutdown, because callers of an idle connection may send at any time. The jobs and the worker calls do not take part: in the failing tests the handler is never called or its answer has no connection.

Change: the planned stop uses neither call. From the middle of the wait for callers with earlier endpoint answers, answers carry "Connection: close"; idle connections stay open until its end, where they were closed in its middle. Then the listener is closed, unread connections are woken by their read deadline, read once more for 50 ms, and the stop waits until every connection that has read a byte of a request has answered and closed, at most until the deadline.

Conclusion: a planned stop answers each request of which it has read a byte, unless the request outlasts the grace period.

--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
-// connections ends callers' connections that have been idle for longer than the
-// document in force allows. It is safe for concurrent use.
+// connections holds the callers' open connections. It ends idle ones at the limit of
+// the document and lets a planned stop wait for the others. It is safe for concurrent
+// use.
 //
 // net/http reports StateActive only when the head of a request has been parsed, so its
 // own idle state also covers requests that have been read. A connection is therefore
@@ -22,6 +24,15 @@
 	// idleLimit returns the longest idle time of the document in force; 0 means that
 	// it sets none.
 	idleLimit func() time.Duration
+	// closeAfterAnswer is set when answers tell callers to close their connections.
+	closeAfterAnswer atomic.Bool
+
+	// mu may be acquired while the mutex of a connection is held, never the reverse.
+	mu       sync.Mutex
+	open     map[*callerConn]struct{}
+	draining bool
+	// drained is closed when no connection is open while draining.
+	drained chan struct{}
 }
 
 // lastReadTime is how long a connection that is about to close is read once more, for
@@ -29,7 +40,7 @@
 const lastReadTime = 50 * time.Millisecond
 
 func newConnections(idleLimit func() time.Duration) *connections {
-	return &connections{idleLimit: idleLimit}
+	return &connections{idleLimit: idleLimit, open: map[*callerConn]struct{}{}, drained: make(chan struct{})}
 }
 
 // configure makes a server, which must not be serving yet, use c. Its listener must be
@@ -52,15 +63,59 @@
 	}
 }
 
-// handler returns h with a record of the start of each request.
+// handler returns h with answers that close their connections during a planned stop.
 func (c *connections) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// The request may have been buffered behind an earlier one.
 		r.Context().Value(connKey{}).(*callerConn).begin()
-		h.ServeHTTP(w, r)
+		h.ServeHTTP(&closingWriter{ResponseWriter: w, closeAfterAnswer: &c.closeAfterAnswer}, r)
 	})
 }
 
+// drain ends idle connections and waits until all others have answered and closed.
+// It must be called once, after the server has returned from Serve. It returns the
+// error of ctx if connections are still open when ctx ends.
+func (c *connections) drain(ctx context.Context) error {
+	c.closeAfterAnswer.Store(true)
+	c.mu.Lock()
+	c.draining = true
+	open := make([]*callerConn, 0, len(c.open))
+	for conn := range c.open {
+		open = append(open, conn)
+	}
+	c.mu.Unlock()
+	for _, conn := range open {
+		conn.wake()
+	}
+	if len(open) == 0 {
+		return nil
+	}
+	select {
+	case <-c.drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *connections) isDraining() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.draining
+}
+
+func (c *connections) remove(conn *callerConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.open[conn]; !ok {
+		return
+	}
+	delete(c.open, conn)
+	if c.draining && len(c.open) == 0 {
+		close(c.drained)
+	}
+}
+
 // listener returns l with connections that c holds.
 func (c *connections) listener(l net.Listener) net.Listener {
 	return &callerListener{Listener: l, connections: c}
@@ -77,7 +132,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: conn, connections: l.connections, unread: true}, nil
+	accepted := &callerConn{Conn: conn, connections: l.connections, unread: true}
+	l.connections.mu.Lock()
+	defer l.connections.mu.Unlock()
+	l.connections.open[accepted] = struct{}{}
+	return accepted, nil
 }
 
 // callerConn is a connection of a caller.
@@ -103,7 +162,7 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendOnce() {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendDeadline() {
 		n, err = c.Conn.Read(p)
 	}
 	if n == 0 {
@@ -118,9 +177,9 @@
 	return n, err
 }
 
-// extendOnce moves the read deadline of a woken connection by lastReadTime and reports
+// extendDeadline moves the read deadline of a woken connection by lastReadTime and reports
 // whether it has done so.
-func (c *callerConn) extendOnce() bool {
+func (c *callerConn) extendDeadline() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.woken || !c.unread {
@@ -176,7 +235,9 @@
 		c.timer.Stop()
 	}
 	c.mu.Unlock()
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.connections.remove(c)
+	return err
 }
 
 // becomeIdle records that a request has been answered.
@@ -187,6 +248,10 @@
 	if !c.unread {
 		return
 	}
+	if c.connections.isDraining() {
+		c.wakeLocked()
+		return
+	}
 	limit := c.connections.idleLimit()
 	if limit <= 0 {
 		c.idleUntil = time.Time{}
@@ -205,9 +270,52 @@
 func (c *callerConn) checkIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.unread || c.woken || c.idleUntil.IsZero() || time.Now().Before(c.idleUntil) {
+	if !c.idleUntil.IsZero() && !time.Now().Before(c.idleUntil) {
+		c.wakeLocked()
+	}
+}
+
+// wake ends the reading of the connection unless a byte of a request has been read.
+func (c *callerConn) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wakeLocked()
+}
+
+func (c *callerConn) wakeLocked() {
+	if !c.unread || c.woken {
 		return
 	}
 	c.woken = true
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
+
+// closingWriter writes an answer that closes its connection if closeAfterAnswer is set
+// when the answer begins. It must not be used concurrently.
+type closingWriter struct {
+	http.ResponseWriter
+	closeAfterAnswer *atomic.Bool
+	begun            bool
+}
+
+// Unwrap returns the writer below, for http.ResponseController.
+func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *closingWriter) WriteHeader(status int) {
+	w.begin()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *closingWriter) Write(p []byte) (int, error) {
+	w.begin()
+	return w.ResponseWriter.Write(p)
+}
+
+func (w *closingWriter) begin() {
+	if !w.begun && w.closeAfterAnswer.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.begun = true
+}
--- a/hosted/connections_test.go
+++ b/hosted/connections_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -179,6 +181,10 @@
 		if c.isOpen() {
 			t.Error("the connection is open after the limit")
 		}
+		synctest.Wait()
+		if n := len(s.connections.open); n != 0 {
+			t.Errorf("%d connections are held, want none", n)
+		}
 	})
 }
 
@@ -237,3 +243,113 @@
 		c.wantAnswer()
 	})
 }
+
+// drainContext bounds a planned stop.
+func drainContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), time.Minute)
+}
+
+func TestRequestReadFromIdleConnectionIsAnsweredInPlannedStop(t *testing.T) {
+	tests := map[string]func(s *callerServer, c *pipeCaller, stop func()){
+		"read whole, not parsed": func(s *callerServer, c *pipeCaller, stop func()) {
+			s.readPause.Store(int64(2 * time.Second))
+			c.send(testRequest)
+			stop()
+		},
+		"head read in part": func(s *callerServer, c *pipeCaller, stop func()) {
+			c.send(testRequest[:12])
+			synctest.Wait()
+			stop()
+			time.Sleep(time.Second)
+			c.send(testRequest[12:])
+		},
+		"body read in part": func(s *callerServer, c *pipeCaller, stop func()) {
+			c.send(testRequestHead)
+			synctest.Wait()
+			stop()
+			time.Sleep(time.Second)
+			c.send("body")
+		},
+		"under way to the instance": func(s *callerServer, c *pipeCaller, stop func()) {
+			stop()
+			synctest.Wait()
+			c.send(testRequest)
+		},
+	}
+	for name, send := range tests {
+		for _, kept := range []bool{true, false} {
+			t.Run(map[bool]string{true: "kept/", false: "new/"}[kept]+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newCallerServer(t)
+					defer s.close()
+					c := s.connect()
+					if kept {
+						c.exchange()
+					}
+					drained := make(chan error, 1)
+					send(s, c, func() {
+						go func() {
+							s.stopListening()
+							ctx, cancel := drainContext()
+							defer cancel()
+							drained <- s.connections.drain(ctx)
+						}()
+					})
+					if !c.wantAnswer() {
+						t.Error("the answer leaves the connection open")
+					}
+					if err := <-drained; err != nil {
+						t.Error(err)
+					}
+				})
+			})
+		}
+	}
+}
+
+func TestDrainEndsIdleConnectionsAndWaitsForRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCallerServer(t)
+		defer s.close()
+		idle, fresh, busy := s.connect(), s.connect(), s.connect()
+		idle.exchange()
+		const answerTime = 5 * time.Second
+		s.answerTime = answerTime
+		busy.send(testRequest)
+		synctest.Wait()
+		s.stopListening()
+		startedAt := time.Now()
+		drained := make(chan error, 1)
+		go func() {
+			ctx, cancel := drainContext()
+			defer cancel()
+			drained <- s.connections.drain(ctx)
+		}()
+		time.Sleep(2 * lastReadTime)
+		if idle.isOpen() || fresh.isOpen() {
+			t.Error("a connection without a request is open")
+		}
+		if !busy.wantAnswer() {
+			t.Error("the answer leaves the connection open")
+		}
+		if err := <-drained; err != nil || time.Since(startedAt) > answerTime+time.Second {
+			t.Errorf("%v after %v", err, time.Since(startedAt))
+		}
+	})
+}
+
+func TestDrainReportsRequestsThatStayOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCallerServer(t)
+		defer s.close()
+		s.answerTime = time.Hour
+		s.connect().send(testRequest)
+		synctest.Wait()
+		s.stopListening()
+		ctx, cancel := drainContext()
+		defer cancel()
+		if err := s.connections.drain(ctx); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("%v", err)
+		}
+	})
+}
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -342,8 +342,16 @@
 	for _, run := range []func(context.Context) error{i.dispatcher.Run, i.broadcast.Run, i.roster.Run, i.jobs.Run, i.publishReady} {
 		group.Go(func() error { return run(runCtx) })
 	}
+	callers, err := net.Listen("tcp4", settings.CallerAddress)
+	if err != nil {
+		return err
+	}
+	callersServed := make(chan struct{})
+	group.Go(func() error {
+		defer close(callersServed)
+		return serve(i.callerServer, i.connections.listener(callers))
+	})
 	servers := map[*http.Server]string{
-		i.callerServer:    settings.CallerAddress,
 		i.directoryServer: settings.DirectoryAddress,
 		i.readinessServer: settings.ReadinessAddress,
 		i.relayServer:     net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
@@ -354,27 +362,27 @@
 		if err != nil {
 			return err
 		}
-		if server == i.callerServer {
-			listener = i.connections.listener(listener)
-		}
 		group.Go(func() error { return serve(server, listener) })
 	}
 	select {
 	case <-ctx.Done():
 	case <-runCtx.Done():
 	}
-	i.shutdown()
+	i.shutdown(func() {
+		_ = callers.Close()
+		<-callersServed
+	})
 	stop()
-	err := group.Wait()
+	err = group.Wait()
 	i.storeClient.Close()
 	i.log.Info("stopped", zap.Error(err))
 	return err
 }
 
-// serve runs a server until it is shut down.
+// serve runs a server until it or its listener is closed.
 func serve(server *http.Server, listener net.Listener) error {
 	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
 	}
 	return err
@@ -402,8 +410,9 @@
 
 // shutdown carries out the planned stop. The instance is removed from endpoint
 // answers, keeps serving for as long as callers may keep an earlier answer, hands
-// its jobs over and waits for open requests.
-func (i *Instance) shutdown() {
+// its jobs over and waits for open requests. stopListening closes the callers'
+// listener.
+func (i *Instance) shutdown(stopListening func()) {
 	startedAt := time.Now()
 	grace := i.settings.Load().Bounds.GracePeriod
 	deadline := startedAt.Add(grace - exitReserve)
@@ -416,17 +425,20 @@
 	time.Sleep(linger / 2)
 	// From now on, answers carry "Connection: close", so that callers with open
 	// connections move to other instances.
-	i.callerServer.SetKeepAlivesEnabled(false)
+	i.connections.closeAfterAnswer.Store(true)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	handOverCtx, cancelHandOver := context.WithTimeout(ctx, linger/2)
 	i.jobs.Stop(handOverCtx)
 	cancelHandOver()
 	time.Sleep(time.Until(startedAt.Add(linger)))
-	if err := i.callerServer.Shutdown(ctx); err != nil {
+	stopListening()
+	// http.Server.Shutdown is not used: it closes connections whose requests have been
+	// read but not parsed.
+	if err := i.connections.drain(ctx); err != nil {
 		i.log.Warn("requests were still open at the end of the grace period", zap.Error(err))
-		_ = i.callerServer.Close()
 	}
+	_ = i.callerServer.Close()
 	_ = i.directoryServer.Close()
 	_ = i.readinessServer.Close()
 	_ = i.metricsServer.Close()
