Apply a raised idle limit to connections that are already idle

Callers that knew a new document with a longer idle time reused an idle connection and met its close.

Cause: the limit of an idle connection was read once, when it became idle, and kept when the document changed.

Ruled out: applying a lowered limit at once. It would end many connections together, within the four fifths of the old limit up to which their callers may reuse them.

Change: at the end of the limit the timer looks at the document in force again. A connection stays open for the larger of the limits when it became idle and now. After a lowering, all connections that were idle before it are therefore closed at the latest after the old limit; each later idle time has the new one. Without a limit in the document 75 s apply, as before through http.Server.

Figures: go test -cpu 1 -run LargerOfOldAndNewLimit ./hosted. Before: "raised" fails with "the connection was closed before a limit that its caller may know". After: both cases pass, with -race too.

Conclusion: a change of the limit ends no connection earlier than a document that its caller may know allows.

--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -35,9 +35,14 @@
 	drained chan struct{}
 }
 
-// lastReadTime is how long a connection that is about to close is read once more, for
-// a request that is already under way.
-const lastReadTime = 50 * time.Millisecond
+const (
+	// defaultIdleLimit applies when the document sets no limit. It is much longer than
+	// callers usually reuse an idle connection.
+	defaultIdleLimit = 75 * time.Second
+	// lastReadTime is how long a connection that is about to close is read once more,
+	// for a request that is already under way.
+	lastReadTime = 50 * time.Millisecond
+)
 
 func newConnections(idleLimit func() time.Duration) *connections {
 	return &connections{idleLimit: idleLimit, open: map[*callerConn]struct{}{}, drained: make(chan struct{})}
@@ -72,6 +77,14 @@
 	})
 }
 
+// limit returns the longest idle time by the document in force.
+func (c *connections) limit() time.Duration {
+	if d := c.idleLimit(); d > 0 {
+		return d
+	}
+	return defaultIdleLimit
+}
+
 // drain ends idle connections and waits until all others have answered and closed.
 // It must be called once, after the server has returned from Serve. It returns the
 // error of ctx if connections are still open when ctx ends.
@@ -154,9 +167,10 @@
 	// the past. readDeadline is the one to restore.
 	woken        bool
 	readDeadline time.Time
-	// idleUntil is the end of the current idle time; zero means that it has none.
-	idleUntil time.Time
-	timer     *time.Timer
+	// idleSince and limitWhenIdle belong to the current idle time.
+	idleSince     time.Time
+	limitWhenIdle time.Duration
+	timer         *time.Timer
 }
 
 // Read implements net.Conn.
@@ -252,27 +266,28 @@
 		c.wakeLocked()
 		return
 	}
-	limit := c.connections.idleLimit()
-	if limit <= 0 {
-		c.idleUntil = time.Time{}
-		return
-	}
-	c.idleUntil = time.Now().Add(limit)
+	c.idleSince, c.limitWhenIdle = time.Now(), c.connections.limit()
 	if c.timer == nil {
-		c.timer = time.AfterFunc(limit, c.checkIdle)
+		c.timer = time.AfterFunc(c.limitWhenIdle, c.checkIdle)
 		return
 	}
-	c.timer.Reset(limit)
+	c.timer.Reset(c.limitWhenIdle)
 }
 
-// checkIdle wakes the connection if its idle time has ended. It may run late, in a
-// later idle time.
+// checkIdle wakes the connection if it has been idle for the limit. Callers reuse an
+// idle connection by the limit of any document since it became idle, so the larger of
+// the limits then and now applies. It may run late, in a later idle time.
 func (c *callerConn) checkIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idleUntil.IsZero() && !time.Now().Before(c.idleUntil) {
-		c.wakeLocked()
+	if !c.unread {
+		return
 	}
+	if remaining := time.Until(c.idleSince.Add(max(c.limitWhenIdle, c.connections.limit()))); remaining > 0 {
+		c.timer.Reset(remaining)
+		return
+	}
+	c.wakeLocked()
 }
 
 // wake ends the reading of the connection unless a byte of a request has been read.
--- a/hosted/connections_test.go
+++ b/hosted/connections_test.go
@@ -353,3 +353,26 @@
 		}
 	})
 }
+
+func TestIdleConnectionStaysOpenUntilLargerOfOldAndNewLimit(t *testing.T) {
+	for name, next := range map[string]time.Duration{"raised": 4 * testIdleLimit, "lowered": testIdleLimit / 4} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newCallerServer(t)
+				defer s.close()
+				c := s.connect()
+				c.exchange()
+				time.Sleep(time.Second)
+				s.limit.Store(int64(next))
+				time.Sleep(max(testIdleLimit, next) - 2*time.Second)
+				if !c.isOpen() {
+					t.Fatal("the connection was closed before a limit that its caller may know")
+				}
+				time.Sleep(time.Second + 2*lastReadTime)
+				if c.isOpen() {
+					t.Error("the connection is open after both limits")
+				}
+			})
+		})
+	}
+}
