Let the document set an idle limit above 75 s

Callers that reused a connection idle for longer than 75 s, as a document with a higher limit allows, met its close.

Cause: the callers' server had the fixed idle timeout of the servers for peers and the platform, 75 s, beside the limit of the document.

Ruled out: no timeout in http.Server at all. A caller that sends the first bytes of a request and nothing more would hold its connection for good.

Change: the idle timeout of the callers' server is an hour; the limit of the document, or 75 s without one, is applied by the connections themselves.

Figures: go test -cpu 1 -run TestIdleLimitOfDocumentMayExceedDefault ./hosted. Before: "the connection was closed before the limit". After: passes.

Conclusion: only the document limits idle time, up to an hour between the first bytes of a request.

--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -39,6 +39,9 @@
 	// defaultIdleLimit applies when the document sets no limit. It is much longer than
 	// callers usually reuse an idle connection.
 	defaultIdleLimit = 75 * time.Second
+	// maxIdleTime bounds the time that http.Server waits for the rest of the first
+	// bytes of a request.
+	maxIdleTime = time.Hour
 	// lastReadTime is how long a connection that is about to close is read once more,
 	// for a request that is already under way.
 	lastReadTime = 50 * time.Millisecond
@@ -51,6 +54,7 @@
 // configure makes a server, which must not be serving yet, use c. Its listener must be
 // one that c.listener returned.
 func (c *connections) configure(server *http.Server) {
+	server.IdleTimeout = maxIdleTime
 	server.ConnState = c.connState
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, conn)
--- a/hosted/connections_test.go
+++ b/hosted/connections_test.go
@@ -376,3 +376,18 @@
 		})
 	}
 }
+
+func TestIdleLimitOfDocumentMayExceedDefault(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newCallerServer(t)
+		defer s.close()
+		const limit = 2 * defaultIdleLimit
+		s.limit.Store(int64(limit))
+		c := s.connect()
+		c.exchange()
+		time.Sleep(limit - time.Second)
+		if !c.isOpen() {
+			t.Error("the connection was closed before the limit")
+		}
+	})
+}
