Answer requests that are open at the end of the grace period

Callers whose request outlasted the grace period of a planned stop got no answer: their connection was closed.

Cause: at its deadline the planned stop closed the callers' server, which cuts each connection.

Ruled out: an earlier deadline. A request that still runs would be cut all the same.

Change: at the deadline the context of all requests is cancelled with the error that the instance is stopping, and the stop waits up to 200 ms of its exit reserve. A request that waits for a worker is answered 503, one that a worker may have run 502. An answer that has begun is broken off, so that it does not look complete.

Figures: go test -cpu 1 -run EndOfGracePeriodIsAnswered ./hosted. Before: 'Post "http://127.0.0.4:39907/a/x": EOF'. After: passes, 3 of 3 with -race.

Conclusion: a request without the start of an answer at the end of the grace period is answered.

--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -33,6 +33,10 @@
 	draining bool
 	// drained is closed when no connection is open while draining.
 	drained chan struct{}
+
+	// requests is the context of all requests.
+	requests       context.Context
+	cancelRequests context.CancelCauseFunc
 }
 
 const (
@@ -48,7 +52,9 @@
 )
 
 func newConnections(idleLimit func() time.Duration) *connections {
-	return &connections{idleLimit: idleLimit, open: map[*callerConn]struct{}{}, drained: make(chan struct{})}
+	c := &connections{idleLimit: idleLimit, open: map[*callerConn]struct{}{}, drained: make(chan struct{})}
+	c.requests, c.cancelRequests = context.WithCancelCause(context.Background())
+	return c
 }
 
 // configure makes a server, which must not be serving yet, use c. Its listener must be
@@ -56,6 +62,7 @@
 func (c *connections) configure(server *http.Server) {
 	server.IdleTimeout = maxIdleTime
 	server.ConnState = c.connState
+	server.BaseContext = func(net.Listener) context.Context { return c.requests }
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, conn)
 	}
@@ -107,6 +114,17 @@
 	if len(open) == 0 {
 		return nil
 	}
+	return c.waitDrained(ctx)
+}
+
+// endRequests cancels all requests with a cause, and waits until they have been
+// answered or ctx ends. It must be called after drain.
+func (c *connections) endRequests(ctx context.Context, cause error) error {
+	c.cancelRequests(cause)
+	return c.waitDrained(ctx)
+}
+
+func (c *connections) waitDrained(ctx context.Context) error {
 	select {
 	case <-c.drained:
 		return nil
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/entry"
 	"github.com/daisylb/daisylb/feed"
@@ -437,6 +438,11 @@
 	// read but not parsed.
 	if err := i.connections.drain(ctx); err != nil {
 		i.log.Warn("requests were still open at the end of the grace period", zap.Error(err))
+		answerCtx, cancelAnswer := context.WithTimeout(context.Background(), lastAnswerTime)
+		if err := i.connections.endRequests(answerCtx, code.New(code.Draining, "the instance is stopping")); err != nil {
+			i.log.Warn("requests were cut at the end of the grace period", zap.Error(err))
+		}
+		cancelAnswer()
 	}
 	_ = i.callerServer.Close()
 	_ = i.directoryServer.Close()
--- a/hosted/options.go
+++ b/hosted/options.go
@@ -36,6 +36,9 @@
 	// exitReserve is the part of the grace period that is reserved for handing over
 	// and exiting.
 	exitReserve = 900 * time.Millisecond
+	// lastAnswerTime is the part of exitReserve in which requests that are still open
+	// are answered.
+	lastAnswerTime = 200 * time.Millisecond
 	// Connections to peers are for relayed calls of the store. The dial timeout is
 	// many times the network delay between two data centres.
 	peerDialTimeout = 250 * time.Millisecond
--- a/hosted/stop_test.go
+++ b/hosted/stop_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // loadCaller sends one request after another on kept-alive connections until the
@@ -92,3 +93,33 @@
 		t.Error("no request was served while the instance was leaving")
 	}
 }
+
+func TestRequestOpenAtEndOfGracePeriodIsAnswered(t *testing.T) {
+	s := newTestPlatform(t)
+	r := s.start("127.0.0.4")
+	received, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	s.worker.onRequest = func(string) {
+		close(received)
+		<-release
+	}
+	answered := make(chan error, 1)
+	go func() {
+		response, err := s.send(r, http.MethodPost, "/a/x", "r1", "body")
+		if err == nil && response.StatusCode != http.StatusBadGateway {
+			err = fmt.Errorf("status %d, want 502, since a worker may have run the request", response.StatusCode)
+		}
+		answered <- err
+	}()
+	<-received
+	next := r.settings
+	next.Bounds.GracePeriod = time.Second
+	r.Reload(next)
+	r.stop()
+	if err := <-answered; err != nil {
+		t.Error(err)
+	}
+	if err := <-r.done; err != nil {
+		t.Errorf("the instance stopped with %v", err)
+	}
+}
