Set no read deadline on requests without a body

A caller whose request had no body and a deadline that had just passed saw its connection close instead of an answer.

Cause: net/http reads ahead on the connection while the handler runs, from the start for a request without a body. The read deadline that entry sets for the body then ended that read if the deadline had passed, for example after a pause of the process between the arrival and the read of the body. net/http takes the error for the end of the connection and cancels the request, and entry aborts the connection, since it takes the cancellation for a caller that has left.

Ruled out: requests with a body. net/http starts to read ahead at the body's end and clears the deadline itself at that moment.

Change: a request without a body is not read, and its connection gets no deadline.

Figures: go test -cpu 1 -count=3 -run WithoutBody ./entry. Before: 3 of 3 fail with "the caller is connected and got no answer: unexpected EOF". After: 5 of 5 pass with -race.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -113,6 +113,11 @@
 // request could no longer run. Errors: code.BodyTooLarge, code.SlowSender and
 // code.CallerGone.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
+	if r.Body == http.NoBody {
+		// net/http is already reading ahead, and would take the deadline for the end of
+		// the connection.
+		return nil, nil
+	}
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -1,14 +1,17 @@
 package entry_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
@@ -240,3 +243,52 @@
 		t.Errorf("got %q", answer)
 	}
 }
+
+// pipeListener accepts one connection.
+type pipeListener struct{ conn chan net.Conn }
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	c, ok := <-l.conn
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (l *pipeListener) Close() error   { return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func TestRequestWithoutBodyIsNotCancelledByItsReadDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		forwarder := &stubForwarder{serve: func(ctx context.Context, _ contract.ForwardSink) error {
+			time.Sleep(time.Millisecond)
+			if ctx.Err() != nil {
+				return code.Wrap(code.CallerGone, ctx.Err(), "the caller is gone")
+			}
+			return code.New(code.DeadlineExceeded, "too late")
+		}}
+		const timeout, pause = time.Millisecond, 2 * time.Millisecond
+		server := &http.Server{Handler: entry.NewHandler(entry.Options{
+			Routing: func() *contract.Routing {
+				time.Sleep(pause)
+				return document
+			}, Forwarder: forwarder, Jobs: &stubJobs{}, Log: zap.NewNop(),
+		})}
+		listener := &pipeListener{conn: make(chan net.Conn, 1)}
+		inner, caller := net.Pipe()
+		listener.conn <- inner
+		go func() { _ = server.Serve(listener) }()
+		if _, err := io.WriteString(caller, fmt.Sprintf("GET /once/x HTTP/1.1\r\nHost: h\r\nX-Deadline-Ms: %d\r\n\r\n", timeout.Milliseconds())); err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(caller), nil)
+		if err != nil {
+			t.Errorf("the caller is connected and got no answer: %v", err)
+		} else if response.StatusCode != http.StatusGatewayTimeout {
+			t.Errorf("status %d, want 504", response.StatusCode)
+		}
+		_ = caller.Close()
+		close(listener.conn)
+		_ = server.Close()
+	})
+}
