Hold callers' connections through planned stops in the soak

Cause: the soak's callers left an instance as soon as it was out of the endpoint answers, never stayed idle for long, and sent each request in one piece, while its documents never changed the idle limit. It could not see a request that an instance had read in part or in whole when it closed the connection, and a request that failed within 200 ms and reached no worker always counted as one that crossed a close.

Ruled out: new kinds of faults.

Change: two callers an instance keep their connection until the process closes it, through stops and restarts. They idle up to four fifths of the limit of the old or the new document, and send a third of their requests in two parts, some with headers just below the limit and some with a body at the limit. Each document has another idle limit (1 to 15 s). A request that failed counts as received if a log of the daemons names it; such a request is a violation however fast it failed.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -48,7 +49,7 @@
 		},
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: 8,
-		IdleConnTimeout:     10 * time.Second,
+		IdleConnTimeout:     reuseTime(slices.Min(idleLimits)),
 	}}
 	return c
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -304,12 +304,12 @@
 
 // plannedStop finds requests that were cut while only planned work was going
 // on. A request may race with the close of its connection. If it fails within
-// closeRaceBound and reached no worker, the caller may send it again, so it is
-// not a violation.
+// closeRaceBound and neither an instance nor a worker has received it, the caller
+// may send it again, so it is not a violation.
 func plannedStop(h *History) (found []Violation) {
 	runs := h.runsByRequest()
 	for _, a := range h.Attempts {
-		raced := len(runs[a.Request]) == 0 && a.DoneAt.Sub(a.SentAt) < closeRaceBound
+		raced := !a.Received && len(runs[a.Request]) == 0 && a.DoneAt.Sub(a.SentAt) < closeRaceBound
 		if !a.Written || raced || a.Status != 0 && (a.Status != 200 || a.Completed) || !h.undisturbed("", a.SentAt, a.DoneAt, false) {
 			continue
 		}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -22,6 +22,7 @@
 		completeAttempt("r1", true, 0), completeAttempt("r2", false, time.Second),
 		{Request: "r3", Once: true, Instance: "a", SentAt: after(0), DoneAt: after(time.Second), Status: 503, Written: true},
 		{Request: "r4", Once: true, Instance: "b", SentAt: after(20 * time.Second), DoneAt: after(21 * time.Second), Written: true},
+		{Request: "r6", Once: true, Instance: "a", SentAt: after(0), DoneAt: after(time.Millisecond), Written: true},
 	}
 	h.Runs = []WorkerRun{
 		{Request: "r1", Worker: "w", StartedAt: after(0), Unchanged: true},
@@ -101,6 +102,12 @@
 			h.Probes[0].Found = true
 		}},
 		"planned stop": {
+			func(h *History) {
+				h.Attempts = append(h.Attempts, Attempt{Request: "r5", Instance: "a", SentAt: after(0), DoneAt: after(time.Millisecond), Written: true, Received: true})
+			},
+			func(h *History) {
+				h.Attempts = append(h.Attempts, Attempt{Request: "r5", Instance: "a", SentAt: after(0), DoneAt: after(closeRaceBound), Written: true})
+			},
 			func(h *History) { h.Disturbances[0].Planned = true },
 			func(h *History) { h.Attempts[0].Completed, h.Attempts[0].Events = false, Events("r1")[:1] },
 		},
--- a/soak/document.go
+++ b/soak/document.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,10 +23,24 @@
 	// quotaTokens is enough for the items of a few jobs.
 	quotaTokens = 8_000
 	itemTokens  = 500
+	// maxHeaderBytes and maxBodyBytes are limits of the document.
+	maxHeaderBytes = 16 << 10
+	maxBodyBytes   = 256 << 10
+	// largeBodyPrefix begins the ids of requests whose bodies have maxBodyBytes.
+	largeBodyPrefix = "l"
 )
 
+// idleLimits are the idle limits of consecutive documents.
+var idleLimits = []time.Duration{3 * time.Second, time.Second, 2 * time.Second, 15 * time.Second, 1500 * time.Millisecond}
+
 // requestBody returns the body of a request, which is derived from its id.
-func requestBody(request string) string { return "body of " + request }
+func requestBody(request string) string {
+	body := "body of " + request
+	if strings.HasPrefix(request, largeBodyPrefix) {
+		body += strings.Repeat(".", maxBodyBytes-len(body))
+	}
+	return body
+}
 
 // route is a route of the document.
 type route struct {
@@ -51,10 +66,19 @@
 	mu             sync.Mutex
 	version        int
 	hasChangeRoute bool
+	writes         int
+	idleLimit      time.Duration
+}
+
+// currentIdleLimit returns the idle limit of the newest document.
+func (o *operator) currentIdleLimit() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.idleLimit
 }
 
-// write writes a document with a new version to the store. withChangeRoute adds
-// the route that is added and removed during the soak.
+// write writes a document with a new version and another idle limit to the store.
+// withChangeRoute adds the route that is added and removed during the soak.
 func (o *operator) write(ctx context.Context, withChangeRoute bool) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -68,14 +92,17 @@
 		routes = append(routes, route{Name: "change", Host: hostName, Prefix: changePrefix, Kind: "streaming", Service: serviceName, TimeoutMS: 8000, TargetLatencyMS: 300, MaxAttempts: 1})
 	}
 	o.version += 3
+	idleLimit := idleLimits[o.writes%len(idleLimits)]
+	o.writes++
 	value, err := json.Marshal(map[string]any{"version": o.version, "routes": routes, "services": []map[string]any{{"name": serviceName, "max_connections": 500}},
-		"limits": map[string]int{"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}})
+		"limits": map[string]int64{"max_header_bytes": maxHeaderBytes, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": idleLimit.Milliseconds()}})
 	if err != nil {
 		return err
 	}
 	if err := putRow(ctx, o.rows, "op", "config", string(value)); err != nil {
 		return err
 	}
+	o.idleLimit = idleLimit
 	if withChangeRoute != o.hasChangeRoute {
 		o.hasChangeRoute = withChangeRoute
 		o.history.update(func() {
--- a/soak/history.go
+++ b/soak/history.go
@@ -26,6 +26,9 @@
 	// the instance may have read it, and the attempt did not reach its own
 	// timeout.
 	Written bool
+	// Received is set when there was no response although the log of an instance
+	// shows that it had read the request.
+	Received bool
 }
 
 // WorkerRun is one run of a request at a worker.
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"syscall"
 	"time"
 
@@ -19,6 +20,11 @@
 	// takes effect.
 	lostResponses   = 12
 	lateEffectDelay = 1500 * time.Millisecond
+	// A planned stop takes about stopSteps times stopStep.
+	stopSteps = 40
+	stopStep  = 100 * time.Millisecond
+	// stopDocuments is the number of documents that are written during a stop.
+	stopDocuments = 3
 )
 
 // inject executes a fault and records its period as a disturbance.
@@ -47,7 +53,10 @@
 	i := s.instances[k]
 	switch f.Kind {
 	case faultTerm:
+		var others sync.WaitGroup
+		others.Go(func() { s.disturbStop(ctx, f, i) })
 		s.terminate(k)
+		others.Wait()
 	case faultKill, faultHup:
 		i.signal(signals[f.Kind])
 	case faultKillAll:
@@ -73,6 +82,14 @@
 	}
 }
 
+// disturbStop sends SIGHUP and writes documents at a moment of a planned stop that the
+// index of the fault selects.
+func (s *soak) disturbStop(ctx context.Context, f Fault, i *instance) {
+	wait(ctx, time.Duration(f.Index/11%stopSteps)*stopStep)
+	i.signal(syscall.SIGHUP)
+	s.writeDocuments(ctx, stopDocuments)
+}
+
 // terminate stops an instance as planned, after which it is restarted. It does
 // nothing while another instance is being stopped.
 func (s *soak) terminate(k int) {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -177,6 +177,10 @@
 	for range s.options.Callers {
 		load.Go(func() { s.callers.sendRequests(loadCtx) })
 	}
+	for k := range persistentPerInstance * len(s.instances) {
+		c := &persistentCaller{callerPool: s.callers, operator: s.operator, address: s.instances[k%len(s.instances)].callerAddress()}
+		load.Go(func() { c.run(loadCtx) })
+	}
 	load.Go(func() { s.callers.probeInstances(loadCtx) })
 	load.Go(func() { s.submitJobs(loadCtx, jobsCtx, &jobs) })
 	stallCtx, stopWatching := context.WithCancel(ctx)
@@ -254,7 +258,18 @@
 // maxFinalReads bounds the reads of a job at one instance.
 const maxFinalReads = 20
 
+// recordReceived marks the unanswered attempts that an instance has logged.
+func (s *soak) recordReceived() {
+	for i := range s.history.Attempts {
+		a := &s.history.Attempts[i]
+		if a.Status == 0 && a.Written {
+			a.Received = len(logLines(s.instances, `"`+a.Request+`"`)) > 0
+		}
+	}
+}
+
 func (s *soak) report(plan []Fault) Report {
+	s.recordReceived()
 	r := Report{Plan: plan, Violations: Check(s.history), Attempts: len(s.history.Attempts), Jobs: len(s.history.Jobs), Runs: len(s.history.Runs),
 		LogLines: map[string][]string{}}
 	for _, a := range s.history.Attempts {
