Answer and log a request whose handling panics

Callers of such a request would see their connection close without an answer, and the instance wrote nothing about it.

Cause: net/http recovers a panic of a handler, reports it to the server's ErrorLog and closes the connection. ErrorLog of the instance's servers discards everything.

Ruled out: passing ErrorLog to the instance's log, which would add lines for each malformed request and still leave the caller without an answer.

Change: entry logs a panic with request id, path and stack ("panic in a request").

Figures: go test -cpu 1 -run Panic ./entry. Before: "the request got no answer: Post ...: EOF" and "the panic was not logged". After: passes, 3 of 3 with -race.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"go.uber.org/zap"
@@ -45,6 +46,9 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	receivedAt := time.Now()
+	tracked := &trackingWriter{ResponseWriter: w}
+	defer h.recoverPanic(tracked, r)
+	w = tracked
 	// A nil value keeps net/http from adding a Date header that the upstream did
 	// not send.
 	w.Header()["Date"] = nil
@@ -53,6 +57,45 @@
 	}
 }
 
+// recoverPanic logs a panic of a request. It answers the request, or aborts the
+// connection if an answer has begun. Aborts go on.
+func (h *Handler) recoverPanic(w *trackingWriter, r *http.Request) {
+	v := recover()
+	switch v {
+	case nil:
+		return
+	case http.ErrAbortHandler:
+		panic(v)
+	}
+	h.options.Log.Error("panic in a request", zap.String("request", platform.RequestID(r.Header)), zap.String("path", r.URL.Path),
+		zap.Any("panic", v), zap.Bool("begun", w.begun), zap.ByteString("stack", debug.Stack()))
+	if w.begun {
+		panic(http.ErrAbortHandler)
+	}
+	platform.WriteError(w, code.New(code.Internal, "the request failed"))
+}
+
+// trackingWriter records whether an answer has begun.
+type trackingWriter struct {
+	http.ResponseWriter
+	begun bool
+}
+
+// Unwrap returns the writer below, for http.ResponseController.
+func (w *trackingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *trackingWriter) WriteHeader(status int) {
+	w.begun = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *trackingWriter) Write(p []byte) (int, error) {
+	w.begun = true
+	return w.ResponseWriter.Write(p)
+}
+
 // serve handles a request, or returns the error to write to the caller.
 func (h *Handler) serve(w http.ResponseWriter, r *http.Request, receivedAt time.Time) error {
 	document := h.options.Routing()
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
@@ -292,3 +293,40 @@
 		_ = server.Close()
 	})
 }
+
+func TestPanicIsLoggedAndAnswered(t *testing.T) {
+	core, logs := observer.New(zap.ErrorLevel)
+	tests := map[string]struct {
+		serve      func(context.Context, contract.ForwardSink) error
+		wantStatus int
+	}{
+		"before the answer": {serve: func(context.Context, contract.ForwardSink) error { panic("fault") }, wantStatus: http.StatusInternalServerError},
+		"within the answer": {serve: func(_ context.Context, s contract.ForwardSink) error {
+			_ = s.Begin(http.StatusOK, http.Header{})
+			_ = s.Write([]byte("part"))
+			panic("fault")
+		}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := httptest.NewServer(entry.NewHandler(entry.Options{
+				Routing: func() *contract.Routing { return document }, Forwarder: &stubForwarder{serve: test.serve}, Jobs: &stubJobs{}, Log: zap.New(core),
+			}))
+			s.Config.ErrorLog = zap.NewStdLog(zap.NewNop())
+			defer s.Close()
+			response, text, err := (&testServer{Server: s}).send(t, http.MethodPost, "/once/x", "q")
+			switch {
+			case test.wantStatus == 0 && err == nil:
+				t.Errorf("the answer %q looks complete", text)
+			case test.wantStatus != 0 && err != nil:
+				t.Errorf("the request got no answer: %v", err)
+			case test.wantStatus != 0 && response.StatusCode != test.wantStatus:
+				t.Errorf("status %d, want %d", response.StatusCode, test.wantStatus)
+			}
+			if n := logs.FilterMessage("panic in a request").Len(); n == 0 {
+				t.Error("the panic was not logged")
+			}
+			logs.TakeAll()
+		})
+	}
+}
