Refuse a malformed transfer coding instead of closing the connection

A caller that sent a body in malformed chunks saw its connection close without an answer.

Cause: entry took every error of reading a body, other than a size or a deadline, for a caller that has left, and aborted the connection.

Ruled out: errors of the connection. net/http cancels the request's context on each of them, so that the context tells the two apart.

Change: a body that cannot be decoded while the request is not cancelled is answered 400 (1001).

Figures: go test -cpu 1 -run Malformed ./entry. Before: 'got ""'. After: passes, 3 of 3 with -race.

--- a/code/table.go
+++ b/code/table.go
@@ -128,7 +128,7 @@
 
 func registerCaller() {
 	register(Internal, "internal", http.StatusInternalServerError, Unknown, "A fault inside daisylb.", "Report the request id to the operators.")
-	register(MalformedBody, "malformed_body", http.StatusBadRequest, NotRun, "The body is not the JSON that the path expects.", "Correct the body.")
+	register(MalformedBody, "malformed_body", http.StatusBadRequest, NotRun, "The body is not the JSON that the path expects, or its transfer coding is malformed.", "Correct the body.")
 	register(BodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, NotRun, "The body is over the limit of the service.", "Send a smaller body, or an object reference for batch input.")
 	register(HeaderTooLarge, "header_too_large", http.StatusRequestHeaderFieldsTooLarge, NotRun, "A header value is over its limit.", "Shorten the header.")
 	register(UnknownService, "unknown_service", http.StatusNotFound, NotRun, "No service of this name exists for the account.", "List services with GET /v1/models.")
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -153,8 +153,8 @@
 
 // readBody reads the body of at most limit bytes; 0 means defaultMaxBodyBytes. A
 // body that is incomplete at the deadline of the request is abandoned, since the
-// request could no longer run. Errors: code.BodyTooLarge, code.SlowSender and
-// code.CallerGone.
+// request could no longer run. Errors: code.BodyTooLarge, code.SlowSender,
+// code.MalformedBody and code.CallerGone.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
 	if r.Body == http.NoBody {
 		// net/http is already reading ahead, and would take the deadline for the end of
@@ -180,6 +180,10 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, code.Wrap(code.SlowSender, err, "the body did not arrive within the request's time")
 	}
+	// net/http cancels the request when reading from the connection fails.
+	if r.Context().Err() == nil {
+		return nil, code.Wrap(code.MalformedBody, err, "the transfer coding of the body is malformed")
+	}
 	return nil, code.Wrap(code.CallerGone, err, "the body did not arrive").WithOutcome(code.NotRun)
 }
 
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -213,6 +213,17 @@
 
 // TestBodyReadDeadlineIsCleared answers after the time for reading the body. A read
 // deadline left on the connection would end the request's context.
+func TestMalformedBodyIsRefusedWithAnAnswer(t *testing.T) {
+	s := newTestServer(t, document, func(context.Context, contract.ForwardSink) error {
+		t.Error("a request with a malformed body was forwarded")
+		return nil
+	})
+	answer := s.sendRaw(t, "POST /once/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nbody\r\n0\r\n\r\n")
+	if !strings.HasPrefix(answer, "HTTP/1.1 400 ") || !strings.Contains(answer, "1001") {
+		t.Errorf("got %q", answer)
+	}
+}
+
 func TestBodyReadDeadlineIsCleared(t *testing.T) {
 	s := newTestServer(t, document, func(ctx context.Context, sink contract.ForwardSink) error {
 		select {
