Log the open connections at the end of a planned stop

Cause: the log of a planned stop did not say whether callers' connections were open when the instance stopped listening, nor how many were cut.

Ruled out: a line for each connection, of which an instance may hold thousands.

Change: "no longer listening" (info) and the two warnings at the end of the grace period carry the number of open connections.

Conclusion: an answer that is missing beside a planned stop can be told from one that is missing before it.

--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -133,6 +133,13 @@
 	}
 }
 
+// count returns the number of open connections.
+func (c *connections) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.open)
+}
+
 func (c *connections) isDraining() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/hosted/connections_test.go
+++ b/hosted/connections_test.go
@@ -182,7 +182,7 @@
 			t.Error("the connection is open after the limit")
 		}
 		synctest.Wait()
-		if n := len(s.connections.open); n != 0 {
+		if n := s.connections.count(); n != 0 {
 			t.Errorf("%d connections are held, want none", n)
 		}
 	})
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -434,13 +434,14 @@
 	cancelHandOver()
 	time.Sleep(time.Until(startedAt.Add(linger)))
 	stopListening()
+	i.log.Info("no longer listening", zap.Int("open_connections", i.connections.count()))
 	// http.Server.Shutdown is not used: it closes connections whose requests have been
 	// read but not parsed.
 	if err := i.connections.drain(ctx); err != nil {
-		i.log.Warn("requests were still open at the end of the grace period", zap.Error(err))
+		i.log.Warn("requests were still open at the end of the grace period", zap.Int("open_connections", i.connections.count()), zap.Error(err))
 		answerCtx, cancelAnswer := context.WithTimeout(context.Background(), lastAnswerTime)
 		if err := i.connections.endRequests(answerCtx, code.New(code.Draining, "the instance is stopping")); err != nil {
-			i.log.Warn("requests were cut at the end of the grace period", zap.Error(err))
+			i.log.Warn("requests were cut at the end of the grace period", zap.Int("open_connections", i.connections.count()), zap.Error(err))
 		}
 		cancelAnswer()
 	}
