Wait for a silent upstream when no attempt is left

Cause: forwardTimeouts shortened the wait for a silent upstream for every repeatable request with two upstreams or more, also for the last attempt that max_attempts allows. A resumable stream with two attempts that met a pause of about a second at its second upstream, or any with one attempt, was ended there: the connection to the caller was aborted in the middle of the answer, or a caller without headers got 504, although the upstream was sound and would have gone on. Callers saw a whole request without a complete answer. Ruled out: shorter or longer timeouts (any limit below the silence that the caller tolerates cuts some sound upstream); no timeout at all (an earlier attempt leaves a silent upstream in time to be whole elsewhere). Change: the last attempt of an online request waits until the deadline of the call; a caller that gives up earlier ends it by closing its connection. Batch requests keep their timeouts, since their caller makes a new call. Conclusion: silence alone no longer ends an answer for which nothing else can be tried.

--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -216,6 +216,13 @@
 	return !f.begun || f.call.Resumable
 }
 
+// isLastAttempt reports whether the request cannot be retried after the current attempt
+// has failed. The deadline of a batch request is that of its job; its caller makes a new
+// call with the same number of attempts.
+func (f *forwarding) isLastAttempt() bool {
+	return f.call.Class == contract.Online && f.failedRuns+1 >= f.call.MaxAttempts
+}
+
 // endError returns the error of a call that got no slot or whose context ended.
 func (f *forwarding) endError(cause error) error {
 	if !errors.Is(cause, context.DeadlineExceeded) || !f.begun {
@@ -287,7 +294,7 @@
 func (d *Dispatcher) forwardTimeouts(granted *slot, f *forwarding) (first, next time.Duration) {
 	// One second is added so that the deadline, not this timeout, ends the attempt.
 	untilDeadline := max(time.Until(f.call.Deadline), 0) + time.Second
-	if !f.call.Repeatable || len(f.pool.targets) < 2 {
+	if !f.call.Repeatable || len(f.pool.targets) < 2 || f.isLastAttempt() {
 		return untilDeadline, untilDeadline
 	}
 	first, next = d.sched.tokenTimeouts(granted)
