Log the idle timeout of a document that comes into force

Cause: when callers report requests without an answer beside a change of the configuration, the logs do not show whether the limit of idle connections had changed before. Ruled out: logging the whole document, which has up to 1,400 routes. Change: the line "document in force" has the idle timeout. Figures: one more field on a line for each version. Conclusion: closed idle connections can be matched with the limit in force.

--- a/routing/document.go
+++ b/routing/document.go
@@ -44,7 +44,8 @@
 			continue
 		}
 		d.current.Store(next)
-		d.Log.Info("document in force", zap.Uint64("version", next.Version), zap.Int("routes", len(next.Routes)))
+		d.Log.Info("document in force", zap.Uint64("version", next.Version), zap.Int("routes", len(next.Routes)),
+			zap.Duration("idle_timeout", next.Limits.IdleTimeout))
 		if d.Changed != nil {
 			d.Changed(next)
 		}
