Answer 503 instead of 404 while a service has no workers

Cause: the dispatcher knows the services of which at least one worker is registered. While the last entry of a service was gone (all its workers restart, or the entries expired during an outage), Forward returned unknown_service, and callers of a valid route got 404, which they do not retry. Ruled out: keeping the entries for longer (a missing entry is to be treated as gone); returning 404 only after a while (the routes are the operator's, and a route that names the service is valid whatever workers there are). Change: Forward returns no_upstream with a time to retry after. A path without a route still gets 404 from package entry. Conclusion: callers of a service that is away for a moment are told that nothing ran and when to come back.

--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -64,8 +64,8 @@
 // no connection, is another one tried. A resumable stream that breaks is resumed on
 // another upstream. Forward returns nil only if the answer is complete.
 //
-// Errors: code.UnknownService, NoConfiguration, NoUpstream, Overloaded,
-// DeadlineTooShort and UpstreamRefused when nothing ran; code.UpstreamFailed,
+// Errors: code.NoConfiguration, NoUpstream, Overloaded, DeadlineTooShort and
+// UpstreamRefused when nothing ran; code.UpstreamFailed,
 // UpstreamBadAnswer, UpstreamHeadTooLarge, UpstreamSilent, StreamBroken, OutcomeUnknown,
 // DeadlineExceeded and CallerGone, also when sink returns an error; a *StatusError when
 // a worker rejects the resumption of a batch request.
@@ -73,6 +73,11 @@
 	d.calls.Add(1)
 	defer d.calls.Add(-1)
 	p, err := d.current().pool(call.Service, contract.KindRouted)
+	if code.Of(err) == code.UnknownService {
+		// The caller's route names the service. That no worker of it is registered does
+		// not make the request invalid.
+		return code.Wrap(code.NoUpstream, err, "service %q has no upstream", call.Service).WithRetryAfter(defaultRetryHint)
+	}
 	if err != nil {
 		return err
 	}
