Reject requests that wait for a service that has vanished

Cause: a waiting request is in the queue of its service's state. When the last worker of the service left the document, the dispatcher dropped that state; when a worker registered again, it made a new one. Nobody served the old queue, so its requests waited until their deadline although the service was back with free slots. An item of a job has the expiry of the job as its deadline: an accepted item stayed unrun until then and was listed as failed. Ruled out: keeping the state of a service for ever (a service that is gone would keep its queue, and its callers would wait for nothing). Change: setFleet rejects the waiters of a service that the new fleet does not have. Figures: go test ./upstream -run TestWaitingRequestIsNotForgottenWhenItsServiceVanishes. Before: online and batch fail, "the request still waits although its service is back and has free slots". After: both pass. Conclusion: a request leaves the queue with a slot, with an answer or with its caller, whatever happens to its service.

--- a/upstream/queue.go
+++ b/upstream/queue.go
@@ -107,3 +107,20 @@
 	q.tenants = slices.Delete(q.tenants, i, i+1)
 	q.waiters = slices.Delete(q.waiters, i, i+1)
 }
+
+// rejectWaiters removes all waiters of the service and wakes them without a slot. The
+// caller holds the lock.
+func (ps *poolState) rejectWaiters() {
+	for _, q := range []*queue{&ps.shortQueue, &ps.longQueue} {
+		for _, waiters := range q.waiters {
+			for _, w := range waiters {
+				close(w.granted)
+			}
+		}
+		*q = queue{}
+	}
+	for _, w := range ps.batchQueue {
+		close(w.granted)
+	}
+	ps.batchQueue = nil
+}
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/route"
 )
@@ -49,7 +50,8 @@
 type waiter struct {
 	request
 	// ctx is the context of the attempt.
-	ctx     context.Context
+	ctx context.Context
+	// granted receives the slot. It is closed if the service no longer exists.
 	granted chan *slot
 }
 
@@ -100,10 +102,16 @@
 	}
 }
 
-// setFleet replaces the fleet.
+// setFleet replaces the fleet. It rejects the requests that wait for a service that f
+// does not have, since their queues are not served any more.
 func (s *scheduler) setFleet(f *fleet) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for name, p := range s.fleet.pools {
+		if next, ok := f.pools[name]; !ok || next.poolState != p.poolState {
+			p.rejectWaiters()
+		}
+	}
 	s.fleet = f
 	now := time.Now()
 	s.sumPeerLoads(now)
@@ -135,7 +143,10 @@
 	s.enqueue(w)
 	s.mu.Unlock()
 	select {
-	case granted := <-w.granted:
+	case granted, ok := <-w.granted:
+		if !ok {
+			return nil, code.New(code.NoUpstream, "service %q has no upstream any more", r.pool.name).WithRetryAfter(defaultRetryHint)
+		}
 		return granted, nil
 	case <-ctx.Done():
 		s.abandon(w)
@@ -204,7 +215,10 @@
 		w.queue().remove(w)
 	}
 	select {
-	case granted := <-w.granted:
+	case granted, ok := <-w.granted:
+		if !ok {
+			return
+		}
 		granted.cancel(nil)
 		granted.target.drop(granted)
 		s.serveQueues()
--- a/upstream/vanished_test.go
+++ b/upstream/vanished_test.go
@@ -1,9 +1,13 @@
 package upstream
 
 import (
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
 )
 
 // TestServiceWithoutWorkersAsksToRetry sends a request to a service of which no worker
@@ -17,3 +21,56 @@
 		t.Errorf("got %v with retry after %v, want no_upstream with a time to retry after", err, e.RetryAfter)
 	}
 }
+
+// TestWaitingRequestIsNotForgottenWhenItsServiceVanishes removes the last worker of a
+// service while a request waits for it, and registers it again.
+func TestWaitingRequestIsNotForgottenWhenItsServiceVanishes(t *testing.T) {
+	for _, class := range []contract.Class{contract.Online, contract.Batch} {
+		t.Run(class.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dial, workers, wait := pipeWorkers(eventsScript(1, endOfChunks))
+				d, _ := newLoggedForwarder(t, dial, workers...)
+				var document atomic.Pointer[contract.Document]
+				registered, away := d.options.Document(), *d.options.Document()
+				away.Services, away.Upstreams = nil, nil
+				document.Store(registered)
+				d.options.Document = document.Load
+				p, err := d.current().pool("s", contract.KindRouted)
+				if err != nil {
+					t.Fatal(err)
+				}
+				deadline := time.Now().Add(time.Minute)
+				other := request{pool: p, deadline: deadline}
+				var held []*slot
+				for g := d.sched.tryAcquire(t.Context(), other); g != nil; g = d.sched.tryAcquire(t.Context(), other) {
+					held = append(held, g)
+				}
+				done := make(chan error)
+				go func() {
+					call := streamCall("a", true)
+					call.Class, call.Deadline = class, deadline
+					done <- d.Forward(t.Context(), call, &answerSink{})
+				}()
+				synctest.Wait()
+				document.Store(&away)
+				d.current()
+				document.Store(registered)
+				d.current()
+				for _, g := range held {
+					d.sched.release(g, time.Now())
+				}
+				synctest.Wait()
+				select {
+				case err := <-done:
+					if err != nil && code.From(err).Number != code.NoUpstream {
+						t.Errorf("got %v, want an answer or no_upstream", err)
+					}
+				default:
+					t.Error("the request still waits although its service is back and has free slots")
+					<-done
+				}
+				wait.Wait()
+			})
+		})
+	}
+}
