Keep a silent stream until another upstream has room

Cause: a resumable stream was taken from its upstream after a silence of at most half of the pause that its caller tolerates, whether or not another upstream could go on with it. With no free slot elsewhere it went to the end of the queue, behind requests that could still be on time, or was rejected by admission; the connection to the caller was then aborted in the middle of the answer, although the upstream was sound and went on a moment later. Callers saw a whole request without a complete answer, most often while all slots were taken. Ruled out: a longer silence (the caller leaves after the pause; any limit near it leaves no time to go on elsewhere); taking the slot before leaving (a slot held for a stream that then goes on is lost to others; the check alone leaves a small race, after which the stream waits in the queue as before). Change: the timer of a silent online stream that has begun cancels the attempt only if a slot of another upstream is free and nobody waits for it; otherwise it checks again every 100 ms. Requests without a first event and batch requests are taken from a silent upstream as before. Figures: go test ./upstream -run TestSilentStreamIsKeptWhileNoOtherUpstreamHasRoom, a pause of 1.5 s, the caller tolerates 2 s. Before: fails, "3003 stream_broken: no slot to go on after event "1" came free within the pause that the caller bears". After: passes, the answer is whole after 1.5 s and nothing is sent again. Conclusion: silence ends an answer only where it can go on at once.

--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net/http"
 	"time"
 
@@ -263,7 +264,8 @@
 	}
 	defer c.close()
 	first, next := d.forwardTimeouts(granted, f)
-	timer := time.AfterFunc(first, func() { granted.cancel(errStalled) })
+	timer := d.silenceTimer(granted, f, next)
+	timer.Reset(first)
 	defer timer.Stop()
 	wire := d.options.Wire
 	header := wire.Header(f.call, granted.target.id, f.lastEventID, time.Until(f.call.Deadline))
@@ -309,6 +311,40 @@
 	return first, next
 }
 
+// roomCheckInterval is the time between two checks whether a silent stream could go on
+// at another upstream.
+const roomCheckInterval = 100 * time.Millisecond
+
+// silenceTimer returns a timer that cancels an attempt whose upstream is silent. An
+// online stream that has begun is kept until another upstream has room: it would be
+// broken off if it could not be resumed before its caller leaves, while the upstream may
+// go on. The caller sets the timer, again after each event to next, and stops it at the
+// end of the attempt.
+func (d *Dispatcher) silenceTimer(granted *slot, f *forwarding, next time.Duration) *time.Timer {
+	begunBefore, r := f.begun, f.request
+	var timer *time.Timer
+	// tokensWhenKept is the number of tokens when the stream was last kept, -1 if it was
+	// not.
+	tokensWhenKept := int64(-1)
+	timer = time.AfterFunc(math.MaxInt64, func() {
+		tokens := granted.tokens.Load()
+		kept := tokensWhenKept
+		tokensWhenKept = -1
+		switch {
+		case granted.ctx.Err() != nil:
+		case kept >= 0 && tokens > kept:
+			// An event arrived while the timer was set for the next check.
+			timer.Reset(next)
+		case granted.class == contract.Online && (begunBefore || tokens > 0) && !d.sched.hasRoomElsewhere(granted.target, r):
+			tokensWhenKept = tokens
+			timer.Reset(roomCheckInterval)
+		default:
+			granted.cancel(errStalled)
+		}
+	})
+	return timer
+}
+
 // recordLoad records the load that the headers of a response report.
 func (s *scheduler) recordLoad(t *target, h Head) {
 	if h.LoadKnown {
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -230,6 +230,30 @@
 // the lock.
 func (s *scheduler) place(ctx context.Context, r *request) *slot {
 	now := time.Now()
+	t := s.choose(r, now)
+	if t == nil {
+		return nil
+	}
+	r.pool.placements++
+	return s.grant(ctx, r, t, now)
+}
+
+// hasRoomElsewhere reports whether a request would now get a slot of another target
+// than t.
+func (s *scheduler) hasRoomElsewhere(t *target, r request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isQueueEmpty(&r) {
+		return false
+	}
+	r.avoid = t.key
+	chosen := s.choose(&r, time.Now())
+	return chosen != nil && chosen != t
+}
+
+// choose returns the target whose free slot a request should take, or nil if there is
+// none. The caller holds the lock.
+func (s *scheduler) choose(r *request, now time.Time) *target {
 	v := &targetView{targets: r.pool.open, now: now, medianFirstToken: r.pool.medianFirstToken}
 	s.deferToPeers(v, r, now)
 	q := route.Query{
@@ -252,8 +276,7 @@
 	if i < 0 {
 		return nil
 	}
-	r.pool.placements++
-	return s.grant(ctx, r, v.targets[i], now)
+	return v.targets[i]
 }
 
 // batchLimits returns the limits of batch work under the preset in force.
