Decode the parts of a prompt that requests share

Cause: whoever wants to know which part of prompts crashes upstreams needs the parts; a request carried only one hash of all of them together, for affinity. Ruled out: the hash of the beginning of the prompt, which differs for a part that stands elsewhere.

--- a/contract/forward.go
+++ b/contract/forward.go
@@ -43,6 +43,9 @@
 	// Affinity is a hash of the beginning of the prompt, which is the same for
 	// requests that should go to the same upstream; 0 means none.
 	Affinity uint64
+	// PromptParts are hashes of the parts of the prompt that other requests may share;
+	// each is the same wherever the part stands.
+	PromptParts []uint64
 	// ExpectedTokens is the expected number of output tokens; 0 means unknown.
 	ExpectedTokens int
 	// MaxTokens is the maximum number of output tokens.
