Find the parts of prompts that crash upstreams, in the whole fleet

Cause: callers lost their streams because requests with one part of a prompt crashed each upstream that began to answer one, and every instance went on to send them: 21 of 21 upstreams (BUDGET). Nothing in the system relates a crash to the content of a request. Ruled out: counting whole prompts (no two are alike), accusing every part of a broken request (the first part of a route is in all of them), an instance's own crashes alone (each of 550 would need three), a fixed time of quarantine (an innocent rare part stays kept back, or every instance tries again at once). Change: package quarantine. Three crashes on different incarnations of upstreams, at least 100 ms apart, since the last answer quarantine a part; parts that were in no answered request lately are accused first. Evidence is rows that are only added and removed, in a part of their own of the table of instances. Figures: go test ./quarantine, 12 tests: evidence of several instances, restart, outage of the store, simultaneous failures, one trial for the fleet, release, odd rows.

--- /dev/null
+++ b/quarantine/list.go
@@ -0,0 +1,417 @@
+package quarantine
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/feed"
+	"github.com/daisylb/daisylb/storage"
+)
+
+// Part is the part of the table that has the rows of the quarantine. It is not that of
+// other rows, so that a burst of evidence does not delay them.
+const Part = "quarantine"
+
+// Options configures a List.
+type Options struct {
+	// Rows is the store. Without it, each instance acts on its own evidence.
+	Rows storage.Rows
+	// Table is the table that has the rows, in the part Part. Whoever follows it passes
+	// its changes to Update. Required.
+	Table string
+	// InstanceID identifies this instance in the rows. Required.
+	InstanceID string
+	// RemovesExpired reports whether this instance is the one that removes expired rows.
+	// It may be nil if none does.
+	RemovesExpired func() bool
+	// Log may be nil.
+	Log *zap.Logger
+}
+
+// List has the quarantined parts and the evidence against all suspected ones. It is safe
+// for concurrent use. Without the store, it acts on the evidence of its own instance.
+type List struct {
+	options Options
+	wake    chan struct{}
+	// startedAt is the origin of the local clock.
+	startedAt time.Time
+	// quarantined has the quarantined parts. It is replaced when they change.
+	quarantined atomic.Pointer[map[uint64]bool]
+
+	mu sync.Mutex
+	// clockOffset is the store's clock minus the local one. Until it is known, no evidence
+	// is recorded.
+	clockOffset time.Duration
+	clockKnown  bool
+	parts       map[uint64]*part
+	answers     recentAnswers
+	// unpublished has the crashes whose rows are not written yet, unconfirmed those that
+	// may yet be refuted by an answer.
+	unpublished []ownCrash
+	unconfirmed []ownCrash
+	// claiming is set while a trial is being claimed.
+	claiming bool
+	watchers map[*watcher]struct{}
+}
+
+// ownCrash is a crash that this instance has seen, as evidence against one part.
+type ownCrash struct {
+	partID      uint64
+	incarnation uint64
+	crash       crash
+	seenAt      time.Time
+}
+
+// watcher is a request that waits and is to be told when one of its parts is quarantined.
+type watcher struct {
+	parts  []uint64
+	notify func()
+}
+
+// New returns a List. Run must be running for as long as it is used.
+func New(o Options) *List {
+	if o.Log == nil {
+		o.Log = zap.NewNop()
+	}
+	if o.RemovesExpired == nil {
+		o.RemovesExpired = func() bool { return false }
+	}
+	l := &List{
+		options:   o,
+		wake:      make(chan struct{}, 1),
+		startedAt: time.Now(),
+		parts:     map[uint64]*part{},
+		answers:   newRecentAnswers(),
+		watchers:  map[*watcher]struct{}{},
+		// Without a store, the local clock is the only one.
+		clockKnown: o.Rows == nil,
+	}
+	l.quarantined.Store(&map[uint64]bool{})
+	return l
+}
+
+// Len returns the number of quarantined parts.
+func (l *List) Len() int { return len(*l.quarantined.Load()) }
+
+// minRetryAfter is the least retry hint of a request with a quarantined part.
+const minRetryAfter = time.Second
+
+// Admit reports whether a request with these parts may be sent to an upstream. If it may
+// not, retryAfter is the time until the next trial of its part. If isTrial is set, the
+// request is a trial: it may be sent to one upstream, and the caller reports its end by
+// RecordCrash, RecordAnswer or, if no upstream ran it, ReturnTrial. Admit waits for the
+// store only if a trial is due, and at most for claimTimeout.
+func (l *List) Admit(ctx context.Context, parts []uint64) (admitted, isTrial bool, retryAfter time.Duration) {
+	quarantined := *l.quarantined.Load()
+	if len(quarantined) == 0 || !containsAny(parts, quarantined) {
+		return true, false, 0
+	}
+	claim, admitted, isTrial, retryAfter := l.decide(parts, time.Now())
+	if claim != nil {
+		isTrial = l.claimTrial(ctx, claim)
+		admitted = isTrial
+	}
+	if admitted {
+		return true, isTrial, 0
+	}
+	return false, false, max(retryAfter, minRetryAfter)
+}
+
+// decide decides on a request. If its trial is due, it returns the claim that has to be
+// written first.
+func (l *List) decide(parts []uint64, now time.Time) (claim *trialClaim, admitted, isTrial bool, retryAfter time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var held []uint64
+	returned := true
+	for _, id := range parts {
+		p, ok := l.parts[id]
+		if !ok || !p.quarantined {
+			continue
+		}
+		held = append(held, id)
+		returned = returned && now.Before(p.returnedUntil)
+		retryAfter = max(retryAfter, p.trialDueAt().Sub(now))
+	}
+	if len(held) > 1 {
+		retryAfter += jointTrialDelay
+	}
+	switch {
+	case len(held) == 0:
+		return nil, true, false, 0
+	case returned:
+		for _, id := range held {
+			l.parts[id].returnedUntil = time.Time{}
+		}
+		return nil, true, true, 0
+	case retryAfter <= 0 && !l.claiming:
+		claim = l.newTrialClaim(held, now)
+		l.claiming = claim != nil
+	}
+	return claim, false, false, retryAfter
+}
+
+func containsAny(parts []uint64, set map[uint64]bool) bool {
+	return slices.ContainsFunc(parts, func(id uint64) bool { return set[id] })
+}
+
+func (l *List) wakeRun() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Watch calls notify once, from another goroutine or from Watch itself, when one of the
+// parts is quarantined, unless stop was called before.
+func (l *List) Watch(parts []uint64, notify func()) (stop func()) {
+	w := &watcher{parts, notify}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if containsAny(parts, *l.quarantined.Load()) {
+		notify()
+		return func() {}
+	}
+	l.watchers[w] = struct{}{}
+	return func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.watchers, w)
+	}
+}
+
+// RecordAnswer records that an upstream has answered a request with these parts, or has
+// answered so much of it that it did not crash at its beginning.
+func (l *List) RecordAnswer(parts []uint64) {
+	if len(parts) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	changed := false
+	for _, id := range parts {
+		l.answers.add(id, now)
+		if p, ok := l.parts[id]; ok {
+			p.answeredAt = l.storeTime(now)
+			if p.removalAt.IsZero() {
+				p.removalAt = now.Add(rand.N(maxRemovalDelay))
+			}
+			changed = true
+		}
+	}
+	if changed {
+		l.assess(now)
+		l.wakeRun()
+	}
+}
+
+const (
+	// confirmDelay is the time in which an answer refutes the suspicion against a part
+	// that was in answered requests before.
+	confirmDelay = 500 * time.Millisecond
+	// maxParts limits the parts with evidence, and maxUnpublished the crashes that wait
+	// to be written. What is over a limit is dropped: a part that crashes upstreams
+	// comes again.
+	maxParts       = 1 << 12
+	maxUnpublished = 1 << 10
+)
+
+// RecordCrash records that an upstream has closed the connection of a request with these
+// parts before it began to answer. startedMillis tells incarnations of the upstream
+// apart. Quarantined parts explain the crash. Otherwise the parts that were in no answered
+// request lately are suspected; if there are none, all are that are in no answered request
+// within confirmDelay either.
+func (l *List) RecordCrash(parts []uint64, upstream string, startedMillis int64, request string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(parts) == 0 || !l.clockKnown {
+		return
+	}
+	now := time.Now()
+	evidence := crash{At: l.storeTime(now), Upstream: upstream, Request: request}
+	suspected, proven := l.suspects(parts, now)
+	for _, id := range suspected {
+		own := ownCrash{partID: id, incarnation: incarnationHash(upstream, startedMillis), crash: evidence, seenAt: now}
+		if proven {
+			l.unconfirmed = append(l.unconfirmed, own)
+			continue
+		}
+		l.suspect(own, now)
+	}
+	l.assess(now)
+	l.wakeRun()
+}
+
+// suspects returns the parts that may have caused a crash, and whether all of them were in
+// requests that were answered lately. The caller holds the lock.
+func (l *List) suspects(parts []uint64, now time.Time) (suspected []uint64, proven bool) {
+	var unproven []uint64
+	for _, id := range parts {
+		if p, ok := l.parts[id]; ok && p.quarantined {
+			suspected = append(suspected, id)
+		}
+		if l.answers.last(id, now).IsZero() {
+			unproven = append(unproven, id)
+		}
+	}
+	switch {
+	case len(suspected) > 0:
+		return suspected, false
+	case len(unproven) > 0:
+		return unproven, false
+	}
+	return parts, true
+}
+
+// suspect adds evidence of this instance and lets Run publish it, unless the part is
+// quarantined anyway. The caller holds the lock.
+func (l *List) suspect(own ownCrash, now time.Time) {
+	p := l.part(own.partID)
+	if p == nil {
+		return
+	}
+	if _, ok := p.crashes[own.incarnation]; ok {
+		return
+	}
+	p.crashes[own.incarnation], p.changedAt = own.crash, now
+	if !p.quarantined && len(l.unpublished) < maxUnpublished {
+		l.unpublished = append(l.unpublished, own)
+	}
+}
+
+// part returns the entry of a part, and creates it if there is room. The caller holds the
+// lock.
+func (l *List) part(id uint64) *part {
+	p, ok := l.parts[id]
+	if !ok && len(l.parts) < maxParts {
+		p = &part{crashes: map[uint64]crash{}, changedAt: time.Now()}
+		l.parts[id] = p
+	}
+	return p
+}
+
+// Update applies changes of the table. Rows of other users of the table are ignored.
+func (l *List) Update(u feed.Update) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if u.Now > 0 {
+		l.clockOffset, l.clockKnown = u.Now-now.Sub(l.startedAt), true
+	}
+	changed := false
+	for i := range u.Rows {
+		changed = l.apply(&u.Rows[i], now) || changed
+	}
+	if changed {
+		l.assess(now)
+	}
+}
+
+// apply applies a changed row and reports whether it is one of the quarantine. The caller
+// holds the lock.
+func (l *List) apply(r *storage.TableRow, now time.Time) bool {
+	id, incarnation, isTrial, ok := parseKey(r.Key)
+	if !ok {
+		return false
+	}
+	if r.Removed {
+		l.applyRemoval(id, incarnation, isTrial)
+		return true
+	}
+	p := l.part(id)
+	if p == nil {
+		return false
+	}
+	if isTrial {
+		next := trial{}
+		if err := decode(r.Value, &next); err != nil {
+			l.options.Log.Warn("invalid row of a trial ignored", zap.String("key", r.Key), zap.Error(err))
+			return false
+		}
+		p.trial, p.trialVersion, p.changedAt = next, r.Version, now
+		return true
+	}
+	next := crash{}
+	if err := decode(r.Value, &next); err != nil {
+		l.options.Log.Warn("invalid row of a crash ignored", zap.String("key", r.Key), zap.Error(err))
+		return false
+	}
+	if _, ok := p.crashes[incarnation]; !ok {
+		p.changedAt = now
+	}
+	p.crashes[incarnation] = next
+	return true
+}
+
+// applyRemoval applies the removal of a row. The caller holds the lock.
+func (l *List) applyRemoval(id, incarnation uint64, isTrial bool) {
+	p, ok := l.parts[id]
+	if !ok {
+		return
+	}
+	if isTrial {
+		p.trial, p.trialVersion = trial{}, 0
+	} else {
+		delete(p.crashes, incarnation)
+	}
+}
+
+// assess determines which parts are quarantined, and drops those without evidence. The
+// caller holds the lock.
+func (l *List) assess(now time.Time) {
+	next := map[uint64]bool{}
+	for id, p := range l.parts {
+		if len(p.crashes) == 0 && p.trialVersion == 0 {
+			if p.quarantined {
+				l.options.Log.Info("prompt part released", zap.Uint64("part", id))
+			}
+			delete(l.parts, id)
+			continue
+		}
+		n, limit := p.crashCount(), minCrashes
+		if !p.quarantined && !l.answers.last(id, now).IsZero() {
+			limit = minCrashesProven
+		}
+		quarantined := n >= limit
+		if quarantined != p.quarantined {
+			l.logChange(id, p, n, quarantined)
+			p.quarantined = quarantined
+		}
+		if quarantined {
+			next[id] = true
+		}
+	}
+	l.quarantined.Store(&next)
+	for w := range l.watchers {
+		if containsAny(w.parts, next) {
+			delete(l.watchers, w)
+			w.notify()
+		}
+	}
+}
+
+// logChange logs that a part was quarantined or released.
+func (l *List) logChange(id uint64, p *part, crashes int, quarantined bool) {
+	message := "prompt part released"
+	if quarantined {
+		message = "prompt part quarantined"
+	}
+	var last crash
+	for _, c := range p.crashes {
+		if c.At >= last.At {
+			last = c
+		}
+	}
+	l.options.Log.Info(message, zap.Uint64("part", id), zap.Int("crashes", crashes),
+		zap.String("last_upstream", last.Upstream), zap.String("last_request", last.Request))
+}
+
+// storeTime returns the reading of the store's clock at a local time.
+func (l *List) storeTime(t time.Time) time.Duration { return t.Sub(l.startedAt) + l.clockOffset }
--- /dev/null
+++ b/quarantine/list_test.go
@@ -0,0 +1,331 @@
+package quarantine_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/daisylb/daisylb/feed"
+	"github.com/daisylb/daisylb/quarantine"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
+)
+
+const table = "evidence"
+
+// The parts of the tests' prompts: shared is in most requests, deadly crashes upstreams,
+// and rare is only seen together with deadly.
+const (
+	shared uint64 = 1
+	rare   uint64 = 2
+	deadly uint64 = 3
+)
+
+// instance is a List that follows the table, as an instance does.
+type instance struct {
+	*quarantine.List
+	stop func()
+}
+
+func start(store storage.Rows, id string, removesExpired bool) *instance {
+	ctx, cancel := context.WithCancel(context.Background())
+	i := &instance{List: quarantine.New(quarantine.Options{
+		Rows: store, Table: table, InstanceID: id, RemovesExpired: func() bool { return removesExpired },
+	})}
+	follower := feed.New(feed.Options{Rows: store, Table: table, Parts: []string{quarantine.Part}, Update: i.Update})
+	done := make(chan struct{}, 2)
+	for _, run := range []func(context.Context) error{i.Run, follower.Run} {
+		go func() { _ = run(ctx); done <- struct{}{} }()
+	}
+	i.stop = func() { cancel(); <-done; <-done }
+	return i
+}
+
+// startFleet starts n instances and waits until they follow the table.
+func startFleet(t *testing.T, n int) (*memory.Rows, []*instance) {
+	t.Helper()
+	store := memory.NewRows()
+	var all []*instance
+	for i := range n {
+		all = append(all, start(store, fmt.Sprint("i", i), i == 0))
+	}
+	time.Sleep(time.Second)
+	return store, all
+}
+
+func stopAll(all []*instance) {
+	for _, i := range all {
+		i.stop()
+	}
+}
+
+// crash lets n upstreams crash, one after the other, on requests that reach the instances
+// in turn.
+func crash(all []*instance, n int, parts ...uint64) {
+	for k := range n {
+		all[k%len(all)].RecordCrash(parts, fmt.Sprint("u", k), 1, fmt.Sprint("r", k))
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// admitted reports whether a request is admitted other than as a trial.
+func admitted(i *instance, parts ...uint64) bool {
+	ok, isTrial, _ := i.Admit(context.Background(), parts)
+	return ok && !isTrial
+}
+
+// rowCount returns the number of rows in the table.
+func rowCount(t *testing.T, store *memory.Rows) int {
+	t.Helper()
+	page, err := store.GetRows(t.Context(), table, quarantine.Part, "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(page.Rows)
+}
+
+func TestDeadlyPartIsKeptBackByEveryInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := startFleet(t, 5)
+		defer stopAll(all)
+		for _, i := range all {
+			i.RecordAnswer([]uint64{shared})
+		}
+		crash(all, 3, shared, deadly)
+		time.Sleep(time.Second)
+		for n, i := range all {
+			if admitted(i, shared, deadly) {
+				t.Errorf("instance %d admits the part that crashed 3 upstreams", n)
+			}
+			if !admitted(i, shared, rare) {
+				t.Errorf("instance %d keeps the innocent part back", n)
+			}
+		}
+	})
+}
+
+func TestRestartedInstanceKnowsTheDeadlyPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, all := startFleet(t, 3)
+		defer stopAll(all)
+		crash(all, 3, deadly)
+		restarted := start(store, "new", false)
+		defer restarted.stop()
+		time.Sleep(time.Second)
+		if admitted(restarted, deadly) {
+			t.Error("an instance that was started later admits the deadly part")
+		}
+	})
+}
+
+func TestInstanceThatWasCutOffLearnsOfTheDeadlyPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, all := startFleet(t, 2)
+		defer stopAll(all)
+		store.SetFaults(memory.RowFaults{Down: true})
+		crash(all[:1], 3, deadly)
+		if admitted(all[0], deadly) {
+			t.Error("an instance does not act on its own evidence while the store is down")
+		}
+		if !admitted(all[1], deadly) {
+			t.Error("an instance without evidence keeps the part back")
+		}
+		time.Sleep(time.Minute)
+		store.SetFaults(memory.RowFaults{})
+		time.Sleep(3 * time.Second)
+		if admitted(all[1], deadly) {
+			t.Error("an instance admits the deadly part 3 s after the store is back")
+		}
+	})
+}
+
+func TestUpstreamsThatFailTogetherAccuseNoPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := startFleet(t, 3)
+		defer stopAll(all)
+		for k := range 30 {
+			all[k%3].RecordCrash([]uint64{rare}, fmt.Sprint("u", k), 1, "r")
+		}
+		time.Sleep(time.Second)
+		for n, i := range all {
+			if !admitted(i, rare) {
+				t.Errorf("instance %d keeps a part back because a rack failed", n)
+			}
+		}
+	})
+}
+
+func TestPartOfAnsweredRequestsIsNotAccused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, all := startFleet(t, 2)
+		defer stopAll(all)
+		for range 20 {
+			all[0].RecordAnswer([]uint64{shared})
+			crash(all[:1], 1, shared)
+			all[0].RecordAnswer([]uint64{shared})
+		}
+		if !admitted(all[0], shared) || !admitted(all[1], shared) || rowCount(t, store) != 0 {
+			t.Errorf("a part that is answered between crashes is suspected, %d rows", rowCount(t, store))
+		}
+	})
+}
+
+func TestAnsweredPartThatTurnsDeadlyIsKeptBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := startFleet(t, 2)
+		defer stopAll(all)
+		all[0].RecordAnswer([]uint64{deadly})
+		crash(all, 8, deadly)
+		time.Sleep(2 * time.Second)
+		if admitted(all[0], deadly) || admitted(all[1], deadly) {
+			t.Error("a part is admitted that has crashed 8 upstreams since its last answer")
+		}
+	})
+}
+
+func TestOneRequestOfTheFleetIsTheTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := startFleet(t, 10)
+		defer stopAll(all)
+		crash(all, 3, deadly)
+		quarantinedAt, trials := time.Now(), []time.Duration(nil)
+		for time.Since(quarantinedAt) < time.Minute {
+			for _, i := range all {
+				if ok, isTrial, retryAfter := i.Admit(t.Context(), []uint64{deadly}); ok {
+					if !isTrial {
+						t.Fatal("the deadly part is admitted without a trial")
+					}
+					trials = append(trials, time.Since(quarantinedAt).Round(time.Second))
+					i.RecordCrash([]uint64{deadly}, fmt.Sprint("trial", len(trials)), 1, "r")
+				} else if retryAfter < time.Second {
+					t.Fatalf("retry hint of %v", retryAfter)
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if len(trials) != 2 {
+			t.Errorf("trials after %v, want 2 in the first minute", trials)
+		}
+	})
+}
+
+func TestAnsweredTrialReleasesThePart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, all := startFleet(t, 4)
+		defer stopAll(all)
+		crash(all, 4, rare, deadly)
+		time.Sleep(5 * time.Second)
+		ok, isTrial, _ := all[2].Admit(t.Context(), []uint64{rare})
+		if !ok || !isTrial {
+			t.Fatalf("admitted %v, as a trial %v; want a trial", ok, isTrial)
+		}
+		all[2].RecordAnswer([]uint64{rare})
+		time.Sleep(2 * time.Second)
+		for n, i := range all {
+			if !admitted(i, rare) {
+				t.Errorf("instance %d keeps the part back whose trial was answered", n)
+			}
+			if admitted(i, rare, deadly) {
+				t.Errorf("instance %d admits the other part, which had no trial", n)
+			}
+		}
+		// The deadly part now explains further crashes alone.
+		crash(all, 4, rare, deadly)
+		if !admitted(all[0], rare) {
+			t.Error("the released part is suspected again because of the quarantined one")
+		}
+		page, err := store.GetRows(t.Context(), table, quarantine.Part, "", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range page.Rows {
+			if strings.Contains(r.Key, fmt.Sprintf("%016x", rare)) {
+				t.Errorf("row %s of the released part is left", r.Key)
+			}
+		}
+	})
+}
+
+func TestTrialThatNoUpstreamRanIsGivenToAnotherRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := startFleet(t, 2)
+		defer stopAll(all)
+		crash(all, 3, deadly)
+		time.Sleep(5 * time.Second)
+		if ok, isTrial, _ := all[0].Admit(t.Context(), []uint64{deadly}); !ok || !isTrial {
+			t.Fatal("no trial")
+		}
+		if admitted(all[0], deadly) {
+			t.Error("a second request is admitted beside the trial")
+		}
+		all[0].ReturnTrial([]uint64{deadly})
+		if ok, isTrial, _ := all[0].Admit(t.Context(), []uint64{deadly}); !ok || !isTrial {
+			t.Error("the returned trial is not given to the next request")
+		}
+		if admitted(all[0], deadly) {
+			t.Error("the returned trial is given twice")
+		}
+	})
+}
+
+func TestWatcherIsToldOfAQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := startFleet(t, 2)
+		defer stopAll(all)
+		told, stopped := make(chan struct{}, 1), make(chan struct{}, 1)
+		defer all[1].Watch([]uint64{deadly}, func() { told <- struct{}{} })()
+		all[1].Watch([]uint64{deadly}, func() { stopped <- struct{}{} })()
+		crash(all[:1], 3, deadly)
+		time.Sleep(time.Second)
+		if len(told) != 1 || len(stopped) != 0 {
+			t.Errorf("told %d, told after stop %d; want 1, 0", len(told), len(stopped))
+		}
+	})
+}
+
+func TestEvidenceThatDoesNotSufficeIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, all := startFleet(t, 2)
+		defer stopAll(all)
+		crash(all, 2, rare)
+		if n := rowCount(t, store); n != 2 {
+			t.Fatalf("%d rows after two crashes", n)
+		}
+		time.Sleep(2 * time.Minute)
+		if n := rowCount(t, store); n != 0 {
+			t.Errorf("%d rows are left", n)
+		}
+	})
+}
+
+func TestOddRowsAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, all := startFleet(t, 1)
+		defer stopAll(all)
+		for key, value := range map[string]string{
+			"quarantine/crash/1":                                 "{}",
+			"quarantine/crash/zz/0000000000000001":               "{}",
+			"quarantine/crash/0000000000000003/0000000000000001": "[[[",
+			"quarantine/crash/0000000000000003/0000000000000002": `{"at":"x"}`,
+			"quarantine/crash/0000000000000003/0000000000000003": `{"at":1e400}`,
+			"quarantine/trial/0000000000000003":                  `{"number":"x"}`,
+			"other":                                              "{}",
+		} {
+			row := storage.TableRow{RowKey: storage.RowKey{Table: table, Part: quarantine.Part, Key: key}, Value: []byte(value)}
+			if _, err := store.ApplyRows(t.Context(), storage.RowTransaction{Puts: []storage.TableRow{row}}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Second)
+		}
+		if !admitted(all[0], deadly) {
+			t.Error("rows that can't be read count as evidence")
+		}
+		crash(all, 3, deadly)
+		if admitted(all[0], deadly) {
+			t.Error("evidence is no longer read")
+		}
+	})
+}
--- /dev/null
+++ b/quarantine/trial.go
@@ -0,0 +1,105 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/storage"
+)
+
+const (
+	// firstTrialDelay is the time from the last evidence to the first trial of a part. It
+	// grows by trialDelayFactor with every trial, up to maxTrialDelay.
+	firstTrialDelay  = 3 * time.Second
+	trialDelayFactor = 4
+	maxTrialDelay    = 10 * time.Minute
+	// jointTrialDelay is the further delay of a trial with more than one quarantined part.
+	// Until then, requests with a single one of them can show which parts are innocent.
+	jointTrialDelay = time.Minute
+	// claimTimeout bounds the time for which a request waits for its trial.
+	claimTimeout = 300 * time.Millisecond
+	// returnedTrialTTL is how long a trial that no upstream ran can be used.
+	returnedTrialTTL = 5 * time.Second
+)
+
+// trial is the last trial of a quarantined part.
+type trial struct {
+	At time.Duration `json:"at"`
+	// Number is 1 for the first trial of the part.
+	Number int `json:"number"`
+	// By is the instance that sends one request.
+	By string `json:"by"`
+}
+
+// trialDueAt returns when the part may be tried again.
+func (p *part) trialDueAt() time.Time {
+	delay := firstTrialDelay
+	for n := 0; n < p.trial.Number && delay < maxTrialDelay; n++ {
+		delay *= trialDelayFactor
+	}
+	return p.changedAt.Add(min(delay, maxTrialDelay))
+}
+
+// trialClaim is a trial to be claimed: the parts, in the order of the rows to be written.
+type trialClaim struct {
+	parts       []uint64
+	trials      []trial
+	transaction storage.RowTransaction
+}
+
+// newTrialClaim returns the claim of a trial of the parts, which are quarantined. Its write
+// is conditioned on the previous trial, so that one instance of the fleet succeeds. The
+// caller holds the lock.
+func (l *List) newTrialClaim(parts []uint64, now time.Time) *trialClaim {
+	claim := &trialClaim{parts: parts}
+	for _, id := range parts {
+		p := l.parts[id]
+		next := trial{At: l.storeTime(now), Number: p.trial.Number + 1, By: l.options.InstanceID}
+		value, err := encode(next)
+		if err != nil {
+			l.options.Log.Error("trial not claimed", zap.Error(err))
+			return nil
+		}
+		key := trialKey(id)
+		claim.trials = append(claim.trials, next)
+		claim.transaction.Conditions = append(claim.transaction.Conditions, storage.RowCondition{RowKey: l.rowKey(key), Version: p.trialVersion})
+		claim.transaction.Puts = append(claim.transaction.Puts, l.row(key, value))
+	}
+	return claim
+}
+
+// claimTrial writes a claim and reports whether this instance has the trial.
+func (l *List) claimTrial(ctx context.Context, claim *trialClaim) bool {
+	var err error
+	if l.options.Rows != nil {
+		err = l.write(ctx, claim.transaction, claimTimeout)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.claiming = false
+	if err != nil {
+		l.options.Log.Info("trial not claimed", zap.Uint64s("parts", claim.parts), zap.Error(err))
+		return false
+	}
+	for i, id := range claim.parts {
+		if p, ok := l.parts[id]; ok {
+			p.trial, p.changedAt = claim.trials[i], time.Now()
+		}
+	}
+	l.options.Log.Info("trial of quarantined prompt parts", zap.Uint64s("parts", claim.parts), zap.Int("number", claim.trials[0].Number))
+	return true
+}
+
+// ReturnTrial records that no upstream ran the trial of these parts, so that another
+// request may be the trial.
+func (l *List) ReturnTrial(parts []uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range parts {
+		if p, ok := l.parts[id]; ok && p.quarantined {
+			p.returnedUntil = time.Now().Add(returnedTrialTTL)
+		}
+	}
+}
