Keep prompts that crash upstreams from them

A deadly part is a fault of content, but a crash counted only against the upstream: it was ejected, and the next one got the next request. Ruled out: ejection and retry limits, which take away upstreams that are sound; refusing the route, whose sound requests share the first part. Change: Forward reports to the quarantine a connection that is closed before the third event, and the third event or a whole body as an answer. It asks before it waits for a slot, when the slot is granted, and is woken when a part is quarantined while it waits: such a request is rejected at once with 2009 (503, not run). Items of jobs pause between attempts. The roster's feed carries the rows; an instance is ready after it has read them. Conclusion: the class of fault is a request that is deadly to whoever serves it; retries, ejection and load balancing spread it.

--- a/code/table.go
+++ b/code/table.go
@@ -35,6 +35,7 @@
 	ClaimUnavailable   Number = 2006
 	DeadlineTooShort   Number = 2007
 	MaintenanceRefusal Number = 2008
+	PromptQuarantined  Number = 2009
 )
 
 // Results that upstreams cause.
@@ -154,6 +155,7 @@
 	register(ClaimUnavailable, "claim_unavailable", http.StatusServiceUnavailable, NotRun, "The claim that the request needs could not be recorded.", "Retry with the same key.")
 	register(DeadlineTooShort, "deadline_too_short", http.StatusServiceUnavailable, NotRun, "The expected time of completion is past the deadline.", "Send a later deadline or retry after the hint.")
 	register(MaintenanceRefusal, "maintenance", http.StatusServiceUnavailable, NotRun, "The preset in force does not admit this work.", "Retry when another preset is in force.")
+	register(PromptQuarantined, "prompt_quarantined", http.StatusServiceUnavailable, NotRun, "A part of the prompt has crashed upstreams and is kept from them.", "Send the request without that part; the hint tells when the part is tried again.")
 }
 
 func registerUpstream() {
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -23,6 +23,7 @@
 	"github.com/daisylb/daisylb/feed"
 	"github.com/daisylb/daisylb/job"
 	"github.com/daisylb/daisylb/platform"
+	"github.com/daisylb/daisylb/quarantine"
 	"github.com/daisylb/daisylb/relay"
 	"github.com/daisylb/daisylb/roster"
 	"github.com/daisylb/daisylb/routing"
@@ -46,6 +47,7 @@
 	workers     *routing.Workers
 	feeds       []*feed.Follower
 	roster      *roster.Roster
+	quarantine  *quarantine.List
 	dispatcher  *upstream.Dispatcher
 	broadcast   *upstream.Broadcast
 	jobs        *job.Service
@@ -89,7 +91,7 @@
 	i.peerGroups.Store(&[]upstream.PeerGroup{})
 	i.instanceAddresses.Store(&[]string{})
 	i.log = i.log.With(zap.String("instance", i.id))
-	for _, step := range []func() error{i.buildStore, i.buildRouting, i.buildDispatcher, i.buildRoster, i.buildJobs} {
+	for _, step := range []func() error{i.buildStore, i.buildRouting, i.buildQuarantine, i.buildDispatcher, i.buildRoster, i.buildJobs} {
 		if err := step(); err != nil {
 			return nil, err
 		}
@@ -130,6 +132,22 @@
 	return nil
 }
 
+// buildQuarantine builds the list of quarantined prompt parts. Its rows stand in the
+// table of the roster, whose feed carries them at no further calls of the store.
+func (i *Instance) buildQuarantine() error {
+	i.quarantine = quarantine.New(quarantine.Options{
+		Rows:       i.store,
+		Table:      roster.Table,
+		InstanceID: i.id,
+		RemovesExpired: func() bool {
+			alive := i.roster.View().Alive
+			return len(alive) > 0 && alive[0].ID == i.id
+		},
+		Log: i.log,
+	})
+	return nil
+}
+
 // buildDispatcher builds the dispatcher of requests to workers.
 func (i *Instance) buildDispatcher() error {
 	var err error
@@ -138,6 +156,7 @@
 		DataCentre: i.settings.Load().DataCentre,
 		InstanceID: i.id,
 		Wire:       platform.WorkerWire{},
+		Quarantine: i.quarantine,
 		Logger:     i.log,
 		Registerer: i.registry,
 		SubsetSize: subsetSize,
@@ -163,13 +182,14 @@
 	if err != nil {
 		return err
 	}
-	i.roster = roster.New(roster.Options{Rows: i.store, Log: i.log, Changed: i.updateCell, LastPeerContact: i.dispatcher.LastDigestAt, LastContact: i.lastContact, Self: roster.Member{
-		Name:          settings.Name,
-		ID:            i.id,
-		CallerAddress: settings.CallerAddress,
-		PeerAddress:   conn.LocalAddr().String(),
-		DataCentre:    settings.DataCentre,
-	}})
+	i.roster = roster.New(roster.Options{Rows: i.store, Log: i.log, Changed: i.updateCell, LastPeerContact: i.dispatcher.LastDigestAt, LastContact: i.lastContact,
+		ExtraPart: quarantine.Part, ExtraUpdate: i.quarantine.Update, Self: roster.Member{
+			Name:          settings.Name,
+			ID:            i.id,
+			CallerAddress: settings.CallerAddress,
+			PeerAddress:   conn.LocalAddr().String(),
+			DataCentre:    settings.DataCentre,
+		}})
 	i.broadcast, err = upstream.NewBroadcast(upstream.BroadcastOptions{
 		Dispatcher: i.dispatcher,
 		InstanceID: i.id,
@@ -293,7 +313,7 @@
 
 // ready reports whether the instance can serve callers.
 func (i *Instance) ready() bool {
-	return i.document.Current() != nil && i.workers.Loaded() && !i.isLeaving()
+	return i.document.Current() != nil && i.workers.Loaded() && i.roster.Loaded() && !i.isLeaving()
 }
 
 func (i *Instance) isLeaving() bool {
@@ -340,7 +360,7 @@
 	for _, f := range i.feeds {
 		group.Go(func() error { return f.Run(runCtx) })
 	}
-	for _, run := range []func(context.Context) error{i.dispatcher.Run, i.broadcast.Run, i.roster.Run, i.jobs.Run, i.publishReady} {
+	for _, run := range []func(context.Context) error{i.dispatcher.Run, i.broadcast.Run, i.roster.Run, i.quarantine.Run, i.jobs.Run, i.publishReady} {
 		group.Go(func() error { return run(runCtx) })
 	}
 	callers, err := net.Listen("tcp4", settings.CallerAddress)
--- a/hosted/instance_test.go
+++ b/hosted/instance_test.go
@@ -40,6 +40,10 @@
 	started chan string
 	// onRequest is called with the id of each request, unless it is nil.
 	onRequest func(id string)
+	// deadlyPart is a part of prompts at which the worker closes the connection instead of
+	// answering; "" means none. deadlyRuns counts such requests.
+	deadlyPart string
+	deadlyRuns atomic.Int64
 }
 
 const eventsPerStream = 4
@@ -49,6 +53,10 @@
 	if w.onRequest != nil {
 		w.onRequest(r.Header.Get("X-Request-Id"))
 	}
+	if w.deadlyPart != "" && strings.Contains(r.Header.Get("X-Prompt-Prefix"), w.deadlyPart+":") {
+		w.deadlyRuns.Add(1)
+		panic(http.ErrAbortHandler)
+	}
 	h := rw.Header()
 	h.Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	h.Set("X-Server-Stamp", "signed")
@@ -71,14 +79,20 @@
 	s.put(platform.OperatorTable, platform.DocumentKey, `{"version":3,"routes":[
 	 {"name":"r","hostname":"h","path_prefix":"/a/","kind":"streaming","timeout_ms":20000,"target_latency_ms":20000,"max_attempts":1,"service":"s"},
 	 {"name":"l","hostname":"h","path_prefix":"/l/","kind":"batch","timeout_ms":20000,"service":"s","max_attempts":3,"completion_target_ms":18000,"keep_s":60,"max_count":1000}]}`)
+	s.put(platform.WorkerTable, "i-1", s.workerEntry(1))
+	return s
+}
+
+// workerEntry returns the entry of the worker after its nth start.
+func (s *testPlatform) workerEntry(n int) string {
+	s.t.Helper()
 	entry, err := json.Marshal(map[string]any{
-		"service": "s", "address": strings.TrimPrefix(s.worker.URL, "http://"), "zone": "z", "slots": 8, "state": "ready",
+		"service": "s", "address": strings.TrimPrefix(s.worker.URL, "http://"), "zone": "z", "slots": 8, "state": "ready", "born": n,
 	})
 	if err != nil {
-		t.Fatal(err)
+		s.t.Fatal(err)
 	}
-	s.put(platform.WorkerTable, "i-1", string(entry))
-	return s
+	return string(entry)
 }
 
 // put stores a row.
@@ -137,7 +151,14 @@
 	r.Instance, r.stop = i, cancel
 	go func() { r.done <- i.Run(ctx) }()
 	s.t.Cleanup(cancel)
-	s.waitFor("readiness", func() bool { return r.status("http://"+r.settings.ReadinessAddress+"/api/readyz") == http.StatusOK })
+	s.waitFor("readiness", func() bool {
+		select {
+		case err := <-r.done:
+			s.t.Fatalf("the instance ended before it was ready: %v", err)
+		default:
+		}
+		return r.status("http://"+r.settings.ReadinessAddress+"/api/readyz") == http.StatusOK
+	})
 	return r
 }
 
@@ -172,6 +193,25 @@
 	return http.DefaultClient.Do(request)
 }
 
+// sendPrompt sends a request with the parts of a prompt and returns its status and body.
+func (s *testPlatform) sendPrompt(r *runningInstance, id, prefix string) (int, string) {
+	s.t.Helper()
+	request, err := http.NewRequestWithContext(s.t.Context(), http.MethodPost, "http://"+r.settings.CallerAddress+"/a/x", strings.NewReader("body"))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	request.Host = "h"
+	request.Header.Set("X-Request-Id", id)
+	request.Header.Set("X-Prompt-Prefix", prefix)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(text)
+}
+
 // endpoints returns the body of an endpoint answer of r.
 func (r *runningInstance) endpoints() string {
 	response, err := http.Get("http://" + r.settings.DirectoryAddress + "/api/resolve?name=h&zone=z")
@@ -349,3 +389,47 @@
 		t.Error(err)
 	}
 }
+
+// TestDeadlyPartStopsReachingWorkersOfAnyInstance has workers that crash on a part of
+// prompts; one of three instances is started after the others have found that out.
+func TestDeadlyPartStopsReachingWorkersOfAnyInstance(t *testing.T) {
+	s := newTestPlatform(t)
+	s.worker.deadlyPart = "bad"
+	s.put(platform.WorkerTable, "i-2", s.workerEntry(1))
+	a, b := s.start("127.0.0.8"), s.start("127.0.0.9")
+	rejected := func(r *runningInstance) func() bool {
+		return func() bool {
+			status, text := s.sendPrompt(r, "bad", "common:100,bad:50,own:9")
+			return status == http.StatusServiceUnavailable && strings.Contains(text, "2009")
+		}
+	}
+	for n := 0; !rejected(a)(); n++ {
+		if n == 20 {
+			t.Fatalf("the part is not kept back after 20 requests with it, %d runs", s.worker.deadlyRuns.Load())
+		}
+		if status, text := s.sendPrompt(a, fmt.Sprint("good", n), fmt.Sprintf("common:100,good:50,own%d:9", n)); status != http.StatusOK {
+			t.Errorf("sound request %d: status %d, %q", n, status, text)
+		}
+		for _, id := range []string{"i-1", "i-2"} {
+			s.put(platform.WorkerTable, id, s.workerEntry(n+2))
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	s.waitFor("the other instance to keep the part back", rejected(b))
+	c := s.start("127.0.0.10")
+	for _, r := range []*runningInstance{a, b, c} {
+		before := s.worker.deadlyRuns.Load()
+		if !rejected(r)() || s.worker.deadlyRuns.Load() != before {
+			t.Errorf("instance %s lets the part through", r.settings.Name)
+		}
+		if status, _ := s.sendPrompt(r, "good", "common:100,other:50,own:9"); status != http.StatusOK {
+			t.Errorf("instance %s: status %d for a sound request with the same first part", r.settings.Name, status)
+		}
+	}
+	for _, r := range []*runningInstance{a, b, c} {
+		r.stop()
+		if err := <-r.done; err != nil {
+			t.Errorf("instance %s stopped with %v", r.settings.Name, err)
+		}
+	}
+}
--- a/hosted/metrics.go
+++ b/hosted/metrics.go
@@ -32,6 +32,9 @@
 	})
 	gauge("peers", "Instances that are told of this one's load.", func() float64 { return float64(i.peerCount()) })
 	gauge("jobs_owned", "Jobs whose items this instance runs.", func() float64 { return float64(i.jobs.Owned()) })
+	gauge("prompt_parts_quarantined", "Parts of prompts that are kept from upstreams because they crash them.", func() float64 {
+		return float64(i.quarantine.Len())
+	})
 	gauge("requests_in_flight", "Calls to upstreams that have not ended, waiting ones included.", func() float64 {
 		return float64(i.dispatcher.InFlight())
 	})
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -206,7 +206,8 @@
 }
 
 // Forward acts as the upstream: an item is a stream of events. An item whose id
-// begins with "poison" or "broken" fails, one with "endless" has events without end.
+// begins with "poison" or "broken" fails, one with "endless" has events without end, and
+// one with "quarantined" is kept back.
 func (f *fleet) Forward(ctx context.Context, c *contract.ForwardRequest, sink contract.ForwardSink) error {
 	f.mu.Lock()
 	f.runs[c.RequestID]++
@@ -217,6 +218,8 @@
 		return sink.Begin(http.StatusUnprocessableEntity, nil)
 	case strings.HasPrefix(c.RequestID, "broken"):
 		return sink.Begin(http.StatusInternalServerError, nil)
+	case strings.HasPrefix(c.RequestID, "quarantined"):
+		return code.New(code.PromptQuarantined, "kept back").WithRetryAfter(time.Second)
 	}
 	if err := sink.Begin(http.StatusOK, nil); err != nil {
 		return err
--- a/job/run.go
+++ b/job/run.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/storage"
 	"github.com/daisylb/daisylb/upstream"
@@ -106,6 +107,9 @@
 	// oversizedRetryInterval is the time after an answer over maxItemTextBytes, which
 	// the next attempt may produce again.
 	oversizedRetryInterval = 5 * time.Second
+	// maxQuarantinePause is the longest time between two attempts of an item whose
+	// prompt is quarantined.
+	maxQuarantinePause = 10 * time.Second
 	// itemIdleTimeout is the longest time between two events of an item.
 	itemIdleTimeout = 2 * time.Second
 )
@@ -200,6 +204,9 @@
 	switch {
 	case errors.As(err, &statusErr):
 		c.status = statusErr.Status
+	case code.Of(err) == code.PromptQuarantined:
+		sleep(r.ctx, min(code.From(err).RetryAfter, maxQuarantinePause))
+		return false
 	case err != nil:
 		return false
 	}
--- a/job/service_test.go
+++ b/job/service_test.go
@@ -467,3 +467,29 @@
 // maxItemTextBytes is the limit of the text of an item that a call for results can
 // return.
 const maxItemTextBytes = 1 << 20
+
+// TestItemOfAQuarantinedPromptPausesBetweenAttempts checks that such an item is neither
+// tried in quick succession nor listed before its time is over.
+func TestItemOfAQuarantinedPromptPausesBetweenAttempts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, nil)
+		defer f.close()
+		if err := f.instances[0].Submit(t.Context(), f.submission("j", "quarantined")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Second)
+		if _, results, err := f.instances[0].Results(t.Context(), "j", 0, 0); err != nil || len(results) != 0 {
+			t.Errorf("%v, %+v; want no result yet", err, results)
+		}
+		f.mu.Lock()
+		n := f.runs["quarantined"]
+		f.mu.Unlock()
+		if n < 4 || n > 60 {
+			t.Errorf("%d attempts in 50 s, want one in 1 to 10 s", n)
+		}
+		time.Sleep(20 * time.Second)
+		if results := f.read(f.instances[0], "j"); len(results) != 1 || results[0].Succeeded {
+			t.Errorf("%+v, want the item as failed", results)
+		}
+	})
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -87,6 +87,10 @@
 	// through the store, and whether that process sends its load to this instance
 	// at all. It may be nil.
 	LastContact func(process string) (time.Time, bool)
+	// ExtraPart is a further part of the table, whose rows belong to another user. Each
+	// update of the table is passed to ExtraUpdate. Both may be empty.
+	ExtraPart   string
+	ExtraUpdate func(feed.Update)
 }
 
 // Roster maintains the list of instances. It is safe for concurrent use.
@@ -153,7 +157,11 @@
 	self := o.Self
 	r.self.Store(&self)
 	r.view.Store(&View{IDs: map[string]bool{}, Peers: map[string]netip.AddrPort{}})
-	r.follower = feed.New(feed.Options{Rows: o.Rows, Table: Table, PollTimeout: feedPollTimeout, MinInterval: r.minPollInterval, Update: r.update, Log: o.Log})
+	parts := []string{""}
+	if o.ExtraPart != "" {
+		parts = append(parts, o.ExtraPart)
+	}
+	r.follower = feed.New(feed.Options{Rows: o.Rows, Table: Table, Parts: parts, PollTimeout: feedPollTimeout, MinInterval: r.minPollInterval, Update: r.update, Log: o.Log})
 	return r
 }
 
@@ -169,6 +177,12 @@
 	return names
 }
 
+// Loaded reports whether the table has been read.
+func (r *Roster) Loaded() bool {
+	_, ok := r.follower.Age()
+	return ok
+}
+
 // UpToDate reports whether the list has been read and is up to date.
 func (r *Roster) UpToDate() bool {
 	age, ok := r.follower.Age()
@@ -265,13 +279,16 @@
 
 // update applies changed rows from the feed.
 func (r *Roster) update(u feed.Update) {
+	if r.options.ExtraUpdate != nil {
+		r.options.ExtraUpdate(u)
+	}
 	r.mu.Lock()
 	now := time.Now()
 	if u.Recovered || u.FullRead && len(r.members) == 0 {
 		r.followedSince = now
 	}
 	for _, row := range u.Rows {
-		if r.applySuspicion(row, now) {
+		if row.Part != "" || r.applySuspicion(row, now) {
 			continue
 		}
 		if row.Removed {
--- a/upstream/cause.go
+++ b/upstream/cause.go
@@ -36,6 +36,8 @@
 	causeDeadline   failureCause = "deadline"
 	causePreempted  failureCause = "preempted"
 	causeNoSlot     failureCause = "no_slot"
+	// causeQuarantined is not a failure of an upstream: the prompt has crashed some.
+	causeQuarantined failureCause = "quarantined"
 )
 
 // causesOfErrors maps errors to causes. The first entry found in an error's chain
--- a/upstream/dispatcher.go
+++ b/upstream/dispatcher.go
@@ -39,6 +39,8 @@
 	Transport *http.Transport
 	// Wire writes and reads the headers of routed services; nil if there are none.
 	Wire Wire
+	// Quarantine keeps prompts that crash upstreams from them; nil if nothing does.
+	Quarantine Quarantine
 	// Logger may be nil.
 	Logger *zap.Logger
 	// Registerer may be nil.
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -16,10 +16,12 @@
 
 // forwarding is the state of one Forward call. It is used by one goroutine.
 type forwarding struct {
-	call    *contract.ForwardRequest
-	pool    *pool
-	sink    contract.ForwardSink
-	request request
+	call *contract.ForwardRequest
+	pool *pool
+	// promptParts are the keys of the parts of the prompt in the quarantine.
+	promptParts []uint64
+	sink        contract.ForwardSink
+	request     request
 	// failedRuns counts the upstreams that may have run the request and failed,
 	// refusals those that reported that they did not run it, unreachable those that
 	// accepted no connection.
@@ -28,6 +30,11 @@
 	unreachable int
 	// dispatched is set when an upstream may have received the request.
 	dispatched bool
+	// isTrial is set while the call is a trial of a quarantined part of the prompt.
+	isTrial bool
+	// answerRecorded is set when the upstream of the current attempt has answered so much
+	// that it did not crash at the beginning.
+	answerRecorded bool
 	// begun is set when the caller has received the headers.
 	begun       bool
 	lastEventID string
@@ -85,7 +92,7 @@
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	now := time.Now()
-	f := &forwarding{call: call, pool: p, sink: sink, lastEventID: call.LastEventID, startedAt: now, lastEventAt: now, request: request{
+	f := &forwarding{call: call, pool: p, promptParts: partKeys(call.Service, call.PromptParts), sink: sink, lastEventID: call.LastEventID, startedAt: now, lastEventAt: now, request: request{
 		pool:           p,
 		class:          call.Class,
 		dispatchOnce:   !call.Repeatable,
@@ -103,13 +110,14 @@
 	for {
 		f.request.batchWork = d.sched.batchWork(f)
 		f.setDeadline()
-		granted, err := d.acquireInTime(ctx, f)
+		granted, err := d.acquireAdmitted(ctx, f)
 		if err != nil {
-			return f.endError(err)
+			return err
 		}
 		f.upstreamID, f.load, f.queueTime = granted.target.id, granted.load, granted.startedAt.Sub(f.startedAt)
 		d.logSent(granted, f)
 		fail := d.forwardOnce(granted, f)
+		d.recordAttempt(granted, f, fail)
 		d.finishAttempt(granted, fail)
 		f.slotTime += time.Since(granted.startedAt)
 		if fail == nil {
@@ -189,6 +197,28 @@
 	}
 }
 
+// acquireAdmitted waits for a slot, unless the prompt of the request is quarantined or
+// becomes so while it waits.
+func (d *Dispatcher) acquireAdmitted(ctx context.Context, f *forwarding) (*slot, error) {
+	if err := d.admit(ctx, f); err != nil {
+		return nil, err
+	}
+	granted, err := d.acquireInTime(ctx, f)
+	if errors.Is(err, errQuarantined) {
+		f.cause = causeQuarantined
+		return nil, f.quarantineError(0)
+	}
+	if err != nil {
+		d.returnTrial(f)
+		return nil, f.endError(err)
+	}
+	if err := d.admit(ctx, f); err != nil {
+		d.sched.discard(granted)
+		return nil, err
+	}
+	return granted, nil
+}
+
 // acquireInTime waits for a slot until the request's deadline.
 func (d *Dispatcher) acquireInTime(ctx context.Context, f *forwarding) (*slot, error) {
 	granted := d.sched.tryAcquireInTurn(ctx, f.request)
@@ -197,6 +227,9 @@
 	}
 	waitCtx, cancel := context.WithDeadline(ctx, f.request.deadline)
 	defer cancel()
+	waitCtx, stopWaiting := context.WithCancelCause(waitCtx)
+	defer stopWaiting(nil)
+	defer d.watchQuarantine(f, stopWaiting)()
 	return d.sched.acquireFor(waitCtx, ctx, f.request)
 }
 
@@ -269,6 +302,7 @@
 	defer timer.Stop()
 	wire := d.options.Wire
 	header := wire.Header(f.call, granted.target.id, f.lastEventID, time.Until(f.call.Deadline))
+	f.answerRecorded = false
 	// If an attempt fails from here on, the request may still be running at the
 	// upstream.
 	before := f.dispatched
--- a/upstream/forward_response.go
+++ b/upstream/forward_response.go
@@ -109,6 +109,7 @@
 			if err := a.begin(); err != nil {
 				return callerGone(err)
 			}
+			d.recordAnswer(a.forwarding)
 			return nil
 		}
 		if err != nil {
@@ -129,6 +130,9 @@
 			a.slot.recordToken(now)
 			a.timer.Reset(a.eventTimeout)
 			a.lastEventAt = now
+			if a.slot.tokens.Load() == answeredEvents {
+				d.recordAnswer(a.forwarding)
+			}
 		}
 		if err := a.begin(); err != nil {
 			return callerGone(err)
@@ -158,6 +162,9 @@
 		// about the time to a first event.
 		d.sched.observeFirst(a.slot, time.Now())
 	}
+	if a.response.StatusCode < http.StatusMultipleChoices {
+		d.recordAnswer(a.forwarding)
+	}
 	if err := a.begin(); err != nil {
 		return callerGone(err)
 	}
--- /dev/null
+++ b/upstream/quarantine.go
@@ -0,0 +1,122 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/daisylb/daisylb/code"
+)
+
+// Quarantine keeps requests from upstreams that a part of their prompt would crash.
+// Package quarantine implements it. Its methods are called concurrently; only Admit may
+// block, while a trial is due.
+type Quarantine interface {
+	// Admit reports whether a request with these parts may be sent. If not, retryAfter
+	// is the time until one may be. If isTrial is set, it may be sent to one upstream.
+	Admit(ctx context.Context, parts []uint64) (admitted, isTrial bool, retryAfter time.Duration)
+	// Watch calls notify when one of the parts is quarantined, until stop is called.
+	Watch(parts []uint64, notify func()) (stop func())
+	// RecordCrash is called when an upstream has closed the connection of a request
+	// before it began to answer.
+	RecordCrash(parts []uint64, upstream string, startedMillis int64, request string)
+	// RecordAnswer is called when an upstream has begun to answer and went on.
+	RecordAnswer(parts []uint64)
+	// ReturnTrial is called when a trial was run by no upstream.
+	ReturnTrial(parts []uint64)
+}
+
+// errQuarantined ends the wait of a request whose prompt is quarantined meanwhile.
+var errQuarantined = errors.New("a part of the prompt is quarantined")
+
+// answeredEvents is the number of events after which an upstream has survived the
+// beginning of an answer.
+const answeredEvents = 3
+
+// partKeys returns the keys by which the quarantine knows the parts of a prompt: what
+// crashes the upstreams of one service need not crash those of another.
+func partKeys(service string, parts []uint64) []uint64 {
+	if len(parts) == 0 {
+		return nil
+	}
+	serviceHash := xxhash.Sum64String(service)
+	keys := make([]uint64, len(parts))
+	for i, p := range parts {
+		keys[i] = p ^ serviceHash
+	}
+	return keys
+}
+
+// admit returns an error if the prompt of a request is quarantined. A trial stays
+// admitted until an upstream has run it.
+func (d *Dispatcher) admit(ctx context.Context, f *forwarding) error {
+	if d.options.Quarantine == nil || f.isTrial {
+		return nil
+	}
+	admitted, isTrial, retryAfter := d.options.Quarantine.Admit(ctx, f.promptParts)
+	f.isTrial = isTrial
+	if admitted {
+		return nil
+	}
+	f.cause = causeQuarantined
+	return f.quarantineError(retryAfter)
+}
+
+// quarantineError returns the error of a call whose prompt is quarantined.
+func (f *forwarding) quarantineError(retryAfter time.Duration) error {
+	const message = "a part of the prompt has crashed upstreams and is kept from them"
+	switch {
+	case f.begun:
+		return code.Wrap(code.StreamBroken, errQuarantined, "the stream broke after event %q and is not resumed: %s", f.lastEventID, message)
+	case f.dispatched:
+		return code.Wrap(code.PromptQuarantined, errQuarantined, message).WithOutcome(code.Unknown)
+	}
+	return code.Wrap(code.PromptQuarantined, errQuarantined, message).WithRetryAfter(retryAfter)
+}
+
+// watchQuarantine calls cancel when the prompt of a request is quarantined, until stop is
+// called.
+func (d *Dispatcher) watchQuarantine(f *forwarding, cancel context.CancelCauseFunc) (stop func()) {
+	if d.options.Quarantine == nil || f.isTrial || len(f.promptParts) == 0 {
+		return func() {}
+	}
+	return d.options.Quarantine.Watch(f.promptParts, func() { cancel(errQuarantined) })
+}
+
+// recordAnswer reports, once for each attempt, that its upstream has answered.
+func (d *Dispatcher) recordAnswer(f *forwarding) {
+	if d.options.Quarantine == nil || f.answerRecorded {
+		return
+	}
+	f.answerRecorded = true
+	d.options.Quarantine.RecordAnswer(f.promptParts)
+}
+
+// recordAttempt reports what a failed attempt says about the prompt of its request.
+func (d *Dispatcher) recordAttempt(granted *slot, f *forwarding, fail *failure) {
+	q := d.options.Quarantine
+	if q == nil || len(f.promptParts) == 0 {
+		return
+	}
+	ran := fail == nil || !fail.unreachable && !fail.refused
+	if !ran {
+		d.returnTrial(f)
+	}
+	f.isTrial = false
+	if fail == nil || !ran || f.answerRecorded || context.Cause(granted.ctx) != nil {
+		return
+	}
+	if cause := causeOf(fail); cause == causeClosed || cause == causeReset {
+		q.RecordCrash(f.promptParts, granted.target.id, granted.target.incarnation, f.call.RequestID)
+	}
+}
+
+// returnTrial gives up the trial of a call, if it is one, before an upstream has run it.
+func (d *Dispatcher) returnTrial(f *forwarding) {
+	if f.isTrial {
+		f.isTrial = false
+		d.options.Quarantine.ReturnTrial(f.promptParts)
+	}
+}
