Break a stream off at text that is not an event

Callers found the text of a worker's error, at times the whole head of a second response, in the middle of their event stream; a stream that was resumed by a worker with such a body ended as if it were complete.

Cause: the reader of raw events took any lines that end with an empty line for an event. A stream without length and chunks ends with its connection, so whatever the worker writes behind its events belongs to the body: a status line and headers read like an event, and the body that follows them like the next ones. The same holds for a resumption that is answered with status 200, the type of an event stream and the text of an error. Ruled out: the status of the resumption. A response other than a signed 200 with the type of an event stream to the same request was and is never passed on (25 of the responses in TestFailedResumptionLeavesTheStreamWhole). Cuts of a length, of chunks, of an event and resets were and are errors (TestStreamThatBreaksOffIsAnError). Change: a line must be a comment or a field (a name without spaces and delimiters, and a colon unless the name is a standard one), and an event needs a standard field unless it has only comments. Otherwise the attempt fails with UpstreamBadAnswer and cause not_events: a resumable stream is resumed after its last event, another one is aborted. Conclusion: bytes behind the events of a worker no longer reach the caller, and do not end its stream as complete.

--- /dev/null
+++ b/upstream/broken_stream_test.go
@@ -0,0 +1,173 @@
+package upstream
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/daisylb/daisylb/code"
+)
+
+const (
+	signedHead      = "HTTP/1.1 200 OK\r\nSigned: yes\r\nId: {id}\r\n"
+	eventStreamType = "Content-Type: text/event-stream\r\n"
+	// unframedHead is the head of a stream that ends with its connection.
+	unframedHead = signedHead + eventStreamType + "\r\n"
+	chunkedHead  = signedHead + eventStreamType + "Transfer-Encoding: chunked\r\n\r\n"
+	errorText    = `{"error":"out of memory"}`
+)
+
+// resetAfter returns a script that writes a text and resets the connection.
+func resetAfter(text string) script {
+	return func(t testing.TB, w *scriptedWorker, c net.Conn, r *http.Request) {
+		rawScript(text)(t, w, c, r)
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}
+}
+
+// inTurn returns a script that runs the scripts one after another, by the number of the
+// request at any worker, and the last one for all further requests.
+func inTurn(scripts ...script) script {
+	var requests atomic.Int64
+	return func(t testing.TB, w *scriptedWorker, c net.Conn, r *http.Request) {
+		n := min(int(requests.Add(1)), len(scripts))
+		scripts[n-1](t, w, c, r)
+	}
+}
+
+// TestStreamThatBreaksOffIsAnError has workers that break their streams in every place:
+// the caller must get whole events only, and an error.
+func TestStreamThatBreaksOffIsAnError(t *testing.T) {
+	two := eventsUpTo(2)
+	length := func(n int) string {
+		return signedHead + eventStreamType + fmt.Sprintf("Content-Length: %d\r\n\r\n", n)
+	}
+	for name, c := range map[string]struct {
+		script script
+		want   string
+	}{
+		"unframed, within a line":             {rawScript(unframedHead + two + "id: 3\nda"), two},
+		"unframed, after a version line":      {rawScript(unframedHead + two + "x-version: 4\n"), two},
+		"unframed, before the blank line":     {rawScript(unframedHead + two + "id: 3\ndata: piece 3\n"), two},
+		"unframed, within a blank line":       {rawScript(unframedHead + two + "id: 3\ndata: piece 3\r\n\r"), two},
+		"unframed, reset between events":      {resetAfter(unframedHead + two), two},
+		"unframed, reset within an event":     {resetAfter(unframedHead + two + "id: 3\nda"), two},
+		"length, between events":              {rawScript(length(len(eventsUpTo(3))) + two), two},
+		"length, within an event":             {rawScript(length(len(eventsUpTo(3))) + two + "id: 3"), two},
+		"length that ends within an event":    {rawScript(length(len(two)+5) + eventsUpTo(3)), two},
+		"chunked, without the last chunk":     {rawScript(chunkedHead + chunk(two)), two},
+		"chunked, within a chunk":             {rawScript(chunkedHead + chunk(two) + "40\r\nid: 3\nda"), two},
+		"chunked, within a chunk size":        {rawScript(chunkedHead + chunk(two) + "1"), two},
+		"chunked, within the last chunk":      {rawScript(chunkedHead + chunk(two) + "0\r\n"), two},
+		"chunked, last chunk within an event": {rawScript(chunkedHead + chunk(two+"id: 3\nda") + endOfChunks), two},
+		"unframed, then error text":           {rawScript(unframedHead + two + errorText + "\n\n"), two},
+		"unframed, then a line of error text": {rawScript(unframedHead + two + "error: out of memory\n\n"), two},
+		"unframed, then a response":           {rawScript(unframedHead + two + "HTTP/1.1 500 Error\r\nContent-Length: 25\r\n\r\n" + errorText), two},
+		"chunked, then a response in a chunk": {rawScript(chunkedHead + chunk(two+"HTTP/1.1 200 OK\r\n\r\n"+event(3)) + endOfChunks), two},
+		"chunked, error text after a chunk":   {rawScript(chunkedHead + chunk(two) + "HTTP/1.1 500 Error\r\n\r\n" + errorText), two},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &answerSink{}
+			err := newForwarder(t, startWorker(t, c.script)).Forward(t.Context(), streamCall("a", false), s)
+			if err == nil || code.From(err).Outcome == code.NotRun {
+				t.Errorf("got %v, want an error whose outcome is not NotRun", err)
+			}
+			if d := cmp.Diff(c.want, s.body.String()); d != "" {
+				t.Error(d)
+			}
+		})
+	}
+}
+
+// TestStreamThatEndsWithItsConnectionIsComplete has workers whose streams have neither a
+// length nor chunks.
+func TestStreamThatEndsWithItsConnectionIsComplete(t *testing.T) {
+	for name, text := range map[string]string{
+		"events":             eventsUpTo(3),
+		"comments":           ": on\n\n" + eventsUpTo(3) + ": off\n\n",
+		"version lines":      "x-version: 4\n" + event(1) + "x-version: 5\n" + event(2),
+		"trailing blank":     eventsUpTo(3) + "\n",
+		"carriage returns":   strings.ReplaceAll(eventsUpTo(3), "\n", "\r\n"),
+		"fields without ids": "event: note\ndata: x\ndata\nretry: 5\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := startWorker(t, rawScript(unframedHead+text))
+			s := &answerSink{}
+			if err := newForwarder(t, w).Forward(t.Context(), streamCall("a", false), s); err != nil {
+				t.Fatal(err)
+			}
+			if d := cmp.Diff(text, s.body.String()); d != "" {
+				t.Error(d)
+			}
+		})
+	}
+}
+
+// failedResumptions are the responses of a worker that cannot resume a stream.
+var failedResumptions = map[string]script{
+	"400":                    rawScript("HTTP/1.1 400 Bad\r\nSigned: yes\r\nId: {id}\r\nContent-Length: 25\r\n\r\n" + errorText),
+	"400 that did not run":   rawScript("HTTP/1.1 400 Bad\r\nNot-Run: 1\r\nContent-Length: 25\r\n\r\n" + errorText),
+	"404":                    rawScript("HTTP/1.1 404 None\r\nSigned: yes\r\nId: {id}\r\nContent-Length: 25\r\n\r\n" + errorText),
+	"416, unframed":          rawScript("HTTP/1.1 416 Range\r\nSigned: yes\r\nId: {id}\r\n\r\n" + errorText),
+	"429":                    rawScript("HTTP/1.1 429 Busy\r\nSigned: yes\r\nId: {id}\r\nContent-Length: 25\r\n\r\n" + errorText),
+	"500":                    rawScript("HTTP/1.1 500 Error\r\nSigned: yes\r\nId: {id}\r\nContent-Length: 25\r\n\r\n" + errorText),
+	"500, as events":         rawScript("HTTP/1.1 500 Error\r\nSigned: yes\r\nId: {id}\r\n" + eventStreamType + "\r\nid: 3\ndata: error\n\n"),
+	"502, unsigned":          rawScript("HTTP/1.1 502 Error\r\nContent-Length: 25\r\n\r\n" + errorText),
+	"503":                    rawScript("HTTP/1.1 503 Full\r\nSigned: yes\r\nId: {id}\r\nContent-Length: 25\r\n\r\n" + errorText),
+	"503 that did not run":   rawScript("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: {id}\r\nContent-Length: 25\r\n\r\n" + errorText),
+	"504":                    rawScript("HTTP/1.1 504 Late\r\nSigned: yes\r\nId: {id}\r\nContent-Length: 0\r\n\r\n"),
+	"200, plain":             rawScript(signedHead + "Content-Type: application/json\r\nContent-Length: 25\r\n\r\n" + errorText),
+	"200, no type":           rawScript(signedHead + "Content-Length: 25\r\n\r\n" + errorText),
+	"200, unsigned":          rawScript("HTTP/1.1 200 OK\r\nId: {id}\r\n" + eventStreamType + "\r\n" + event(3)),
+	"200, of another":        rawScript("HTTP/1.1 200 OK\r\nSigned: yes\r\nId: other\r\n" + eventStreamType + "\r\n" + event(3)),
+	"200, encoded":           rawScript(signedHead + eventStreamType + "Content-Encoding: gzip\r\n\r\n" + event(3)),
+	"204":                    rawScript("HTTP/1.1 204 None\r\nSigned: yes\r\nId: {id}\r\n\r\n"),
+	"206":                    rawScript("HTTP/1.1 206 Part\r\nSigned: yes\r\nId: {id}\r\n" + eventStreamType + "\r\n" + event(3)),
+	"302":                    rawScript("HTTP/1.1 302 Found\r\nSigned: yes\r\nId: {id}\r\nLocation: /\r\nContent-Length: 0\r\n\r\n"),
+	"no HTTP":                rawScript(errorText + "\n\n"),
+	"no answer":              rawScript(""),
+	"reset":                  resetAfter(""),
+	"reset after the head":   resetAfter(unframedHead),
+	"error text as stream":   rawScript(unframedHead + errorText + "\n\n"),
+	"error head as stream":   rawScript(unframedHead + "HTTP/1.1 500 Error\r\nContent-Length: 25\r\n\r\n" + errorText),
+	"only events that came":  resetAfter(unframedHead + eventsUpTo(2)),
+	"cut in its first event": rawScript(unframedHead + "id: 3\ndata: pie"),
+}
+
+// TestFailedResumptionLeavesTheStreamWhole breaks a stream within an event and has the
+// next worker fail to resume it. If a third one resumes it, the caller must get every
+// event once, in order; if none does, the events before the break and an error.
+func TestFailedResumptionLeavesTheStreamWhole(t *testing.T) {
+	broken := rawScript(signedHead + eventStreamType + "Content-Length: 500\r\n\r\n" + eventsUpTo(2) + "id: 3\ndata: pie")
+	for name, failed := range failedResumptions {
+		t.Run(name+", then resumed", func(t *testing.T) {
+			s := inTurn(broken, failed, eventsScript(6, endOfChunks))
+			sink := &answerSink{}
+			d := newForwarder(t, startWorker(t, s), startWorker(t, s), startWorker(t, s))
+			if err := d.Forward(t.Context(), streamCall("a", true), sink); err != nil {
+				t.Error(err)
+			}
+			if diff := cmp.Diff(eventsUpTo(6), sink.body.String()); diff != "" {
+				t.Error(diff)
+			}
+		})
+		t.Run(name+", always", func(t *testing.T) {
+			s := inTurn(broken, failed)
+			call, sink := streamCall("a", true), &answerSink{}
+			call.Deadline = time.Now().Add(shortTimeout)
+			err := newForwarder(t, startWorker(t, s), startWorker(t, s), startWorker(t, s)).Forward(t.Context(), call, sink)
+			if code.Of(err) != code.StreamBroken {
+				t.Errorf("got %v, want StreamBroken", err)
+			}
+			if diff := cmp.Diff(eventsUpTo(2), sink.body.String()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/upstream/cause.go
+++ b/upstream/cause.go
@@ -30,6 +30,7 @@
 	causeInterim      failureCause = "interim_answers" // there are more than maxInterimAnswers interim responses
 	causeEventSize    failureCause = "event_bytes"     // an event is over maxEventBytes
 	causeAnswerSize   failureCause = "answer_bytes"    // the answer is over its size limit
+	causeNotEvents    failureCause = "not_events"      // an event stream continues with text that is not an event
 	causeMalformed    failureCause = "malformed"       // the response is not valid
 	// Causes at the caller or at this instance.
 	causeCallerGone failureCause = "caller_gone"
@@ -51,6 +52,7 @@
 	{errHeadLines, causeHeadLines},
 	{errInterimAnswers, causeInterim},
 	{errEventTooLong, causeEventSize},
+	{errNotEvents, causeNotEvents},
 	{errOtherRequest, causeOtherRequest},
 	{errUnsigned, causeUnsigned},
 	{errEncoded, causeEncoding},
--- a/upstream/events.go
+++ b/upstream/events.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"strings"
 )
 
 // rawEvent is one complete event of a stream, byte for byte, including its terminating
@@ -39,13 +40,15 @@
 
 // next returns the next event, which is valid until the next call. Empty lines belong
 // to the event that follows them; at the end of the stream they form an event without
-// content. next returns io.EOF at the end of the stream and io.ErrUnexpectedEOF if the
-// stream ends within an event.
+// content. next returns io.EOF at the end of the stream, io.ErrUnexpectedEOF if the
+// stream ends within an event, and errNotEvents before text that is not an event: a
+// stream without length and chunks may be followed by another response.
 func (r *rawEventReader) next() (rawEvent, error) {
 	r.buffer = r.buffer[:0]
 	e := rawEvent{}
 	// blank is set while only empty lines have been read.
 	blank := true
+	var lines lineKinds
 	for {
 		start := len(r.buffer)
 		for {
@@ -74,10 +77,16 @@
 			if blank {
 				continue
 			}
+			if !lines.formEvent() {
+				return e, errNotEvents
+			}
 			e.bytes = r.buffer
 			return e, nil
 		}
 		blank = false
+		if !lines.add(line) {
+			return e, errNotEvents
+		}
 		if id, ok := bytes.CutPrefix(line, idField); ok {
 			e.id, e.hasContent = string(bytes.TrimSpace(id)), true
 		}
@@ -87,6 +96,37 @@
 	}
 }
 
+// lineKinds records which kinds of lines an event has.
+type lineKinds struct {
+	standardField bool
+	otherField    bool
+}
+
+// add records a line that is not empty. It reports false if the line is neither a
+// comment nor a field. Fields other than the standard ones need a colon.
+func (k *lineKinds) add(line []byte) bool {
+	name, _, hasColon := bytes.Cut(line, []byte{':'})
+	switch string(name) {
+	case "":
+	case "data", "event", "id", "retry":
+		k.standardField = true
+	default:
+		k.otherField = true
+		return hasColon && !bytes.ContainsFunc(name, isNoFieldName)
+	}
+	return true
+}
+
+// formEvent reports whether the lines form an event: comments only, or at least one
+// standard field.
+func (k *lineKinds) formEvent() bool { return k.standardField || !k.otherField }
+
+// isNoFieldName reports whether r is a space, a control character or a delimiter of
+// HTTP, which the names of fields do not contain.
+func isNoFieldName(r rune) bool {
+	return r <= ' ' || strings.ContainsRune("\"(),/:;<=>?@[\\]{}\x7f", r)
+}
+
 // isAfter reports whether the event id comes after the id last. Ids that are not
 // numbers cannot be compared and count as later.
 func isAfter(id, last string) bool {
