Run an answer again only where its caller's data ends at an event id

Callers of resumable streams whose events had no ids, or with events without ids after the last id, got the first events of a second run behind those of the first; a plain body over 256 KiB on such a route was continued with the events of another worker. A repeatable request of a route without resumption was broken off when its worker had sent nothing but a comment.

Cause: whether another run may follow was decided by whether the status had been passed on and the route allows resumption, not by what the caller has. Without an id there is no position to resume after, so that the next worker starts at the beginning. Ruled out: data before the break that has ids: it is not repeated (TestBrokenStreamGoesOnAfterItsLastEvent, TestRepeatedEventsOfAResumedStreamAreSkipped). Change: another run may follow if the caller has comments only, or if the route allows resumption and the last data has an id. The same check applies to preempted attempts. Figures: `go test ./upstream -run 'TestBrokenAnswerWithout|TestStreamOfComments'` before: "got nil, want StreamBroken" and the text of 2 runs in all three cases of the first test; 3003 in place of the events in one of two cases of the second; after: all pass. `go test ./upstream` passes. Conclusion: data of two runs is joined only after an event id.

--- a/upstream/broken_stream_test.go
+++ b/upstream/broken_stream_test.go
@@ -171,3 +171,49 @@
 		})
 	}
 }
+
+// TestBrokenAnswerWithoutAPositionIsNotResumed has a worker break an answer whose
+// events have no ids, or that is no stream: a second run would repeat what the caller
+// has.
+func TestBrokenAnswerWithoutAPositionIsNotResumed(t *testing.T) {
+	const unnumbered = "data: a\n\ndata: b\n\n"
+	plain := strings.Repeat("x", bufferedBodyBytes)
+	for name, c := range map[string]struct{ head, text string }{
+		"events without ids":              {eventStreamType, unnumbered},
+		"events without ids after others": {eventStreamType, eventsUpTo(2) + unnumbered},
+		"plain body":                      {"", plain},
+	} {
+		t.Run(name, func(t *testing.T) {
+			first := rawScript(signedHead + c.head + "Content-Length: 1000000\r\n\r\n" + c.text)
+			s := inTurn(first, eventsScript(4, endOfChunks))
+			a, b, sink := startWorker(t, s), startWorker(t, s), &answerSink{}
+			err := newForwarder(t, a, b).Forward(t.Context(), streamCall("a", true), sink)
+			if code.Of(err) != code.StreamBroken {
+				t.Errorf("got %v, want StreamBroken", err)
+			}
+			if sink.body.String() != c.text || a.requestCount.Load()+b.requestCount.Load() != 1 {
+				t.Errorf("got %.80q after %d runs, want the text of one run", sink.body.String(), a.requestCount.Load()+b.requestCount.Load())
+			}
+		})
+	}
+}
+
+// TestStreamOfCommentsIsRunAgain has a worker break a stream that has comments only:
+// the request may run again from its beginning, also when streams of its route cannot be
+// resumed.
+func TestStreamOfCommentsIsRunAgain(t *testing.T) {
+	comments := rawScript(signedHead + eventStreamType + "Content-Length: 1000\r\n\r\n: on\n\n")
+	for name, resumable := range map[string]bool{"resumable": true, "repeatable": false} {
+		t.Run(name, func(t *testing.T) {
+			s := inTurn(comments, eventsScript(4, endOfChunks))
+			call, sink := streamCall("a", resumable), &answerSink{}
+			call.Repeatable = true
+			if err := newForwarder(t, startWorker(t, s), startWorker(t, s)).Forward(t.Context(), call, sink); err != nil {
+				t.Error(err)
+			}
+			if diff := cmp.Diff(": on\n\n"+eventsUpTo(4), sink.body.String()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -36,7 +36,11 @@
 	// that it did not crash at the beginning.
 	answerRecorded bool
 	// begun is set when the caller has received the headers.
-	begun       bool
+	begun bool
+	// hasData is set when the caller has received more than comments, unnumbered while
+	// it has data that follows no event id and that another run would repeat.
+	hasData     bool
+	unnumbered  bool
 	lastEventID string
 	events      int
 	// slotTime is the time for which earlier attempts held slots.
@@ -135,7 +139,7 @@
 		if fail.final {
 			return fail.err
 		}
-		if fail.preempted {
+		if fail.preempted && f.mayRunAgain() {
 			f.preemptions++
 			continue
 		}
@@ -247,12 +251,18 @@
 		return false
 	}
 	if fail.unreachable || fail.refused {
-		return !f.begun || f.call.Resumable
+		return f.mayRunAgain()
 	}
 	if f.failedRuns >= f.call.MaxAttempts || !f.call.Repeatable {
 		return false
 	}
-	return !f.begun || f.call.Resumable
+	return f.mayRunAgain()
+}
+
+// mayRunAgain reports whether the data of another run can follow what the caller has
+// received.
+func (f *forwarding) mayRunAgain() bool {
+	return !f.hasData || f.call.Resumable && !f.unnumbered
 }
 
 // isLastAttempt reports whether the request cannot be retried after the current attempt
--- a/upstream/forward_response.go
+++ b/upstream/forward_response.go
@@ -143,6 +143,9 @@
 			return callerGone(err)
 		}
 		a.events++
+		if e.hasContent {
+			a.hasData, a.unnumbered = true, e.id == ""
+		}
 		if e.id != "" {
 			a.lastEventID = e.id
 		}
@@ -167,6 +170,7 @@
 	if a.response.StatusCode < http.StatusMultipleChoices {
 		d.recordAnswer(a.forwarding)
 	}
+	a.hasData, a.unnumbered = true, true
 	if err := a.begin(); err != nil {
 		return callerGone(err)
 	}
