Pass on the events of a resumed run from its first id on only

Callers found an error event without an id in the middle of a resumed stream, which then ended as if it were complete; data without an id between the old and the new events of a resumed run reached them too.

Cause: an event was skipped only if its id was known not to be new. Without an id, or with one that is no number where the others are, its place in the stream is not known, and it was passed on. Ruled out: workers that begin before the requested event: their events are skipped by id (TestRepeatedEventsOfAResumedStreamAreSkipped). Data without ids after the first new id is the run's own and is passed on as in a first run. A caller's own resumption is passed on unchanged, as long as one run answers it. Change: where the events of an attempt are appended to earlier ones (a resumption inside a response, an item of a job after its last event), the first data must have an id that can be compared with the last one; otherwise the attempt fails with UpstreamBadAnswer and cause no_position. Conclusion: what a resumed run sends before its place is known stays away from the caller.

--- a/upstream/broken_stream_test.go
+++ b/upstream/broken_stream_test.go
@@ -136,6 +136,7 @@
 	"reset after the head":   resetAfter(unframedHead),
 	"error text as stream":   rawScript(unframedHead + errorText + "\n\n"),
 	"error head as stream":   rawScript(unframedHead + "HTTP/1.1 500 Error\r\nContent-Length: 25\r\n\r\n" + errorText),
+	"events without ids":     rawScript(unframedHead + "event: error\ndata: out of memory\n\n"),
 	"only events that came":  resetAfter(unframedHead + eventsUpTo(2)),
 	"cut in its first event": rawScript(unframedHead + "id: 3\ndata: pie"),
 }
@@ -217,3 +218,29 @@
 		})
 	}
 }
+
+// TestResumedEventsBeforeTheFirstNewIDAreNotPassedOn has a worker resume a stream with
+// data whose place in the stream is not known.
+func TestResumedEventsBeforeTheFirstNewIDAreNotPassedOn(t *testing.T) {
+	broken := rawScript(signedHead + eventStreamType + "Content-Length: 500\r\n\r\n" + eventsUpTo(2) + "id: 3\ndata: pie")
+	for name, text := range map[string]string{
+		"error event":            "event: error\ndata: out of memory\n\n",
+		"before the next":        "data: x\n\n" + event(3),
+		"after an old one":       event(2) + "data: x\n\n" + event(3),
+		"id that is no number":   "id: error\ndata: out of memory\n\n",
+		"id without its number":  "id:\ndata: x\n\n" + event(3),
+		"comment, then an error": ": on\n\ndata: out of memory\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := inTurn(broken, rawScript(unframedHead+text), eventsScript(6, endOfChunks))
+			sink := &answerSink{}
+			d := newForwarder(t, startWorker(t, s), startWorker(t, s), startWorker(t, s))
+			if err := d.Forward(t.Context(), streamCall("a", true), sink); err != nil {
+				t.Error(err)
+			}
+			if diff := cmp.Diff(eventsUpTo(6), strings.ReplaceAll(sink.body.String(), ": on\n\n", "")); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/upstream/cause.go
+++ b/upstream/cause.go
@@ -31,6 +31,7 @@
 	causeEventSize    failureCause = "event_bytes"     // an event is over maxEventBytes
 	causeAnswerSize   failureCause = "answer_bytes"    // the answer is over its size limit
 	causeNotEvents    failureCause = "not_events"      // an event stream continues with text that is not an event
+	causeNoPosition   failureCause = "no_position"     // a resumed stream begins with data whose place is not known
 	causeMalformed    failureCause = "malformed"       // the response is not valid
 	// Causes at the caller or at this instance.
 	causeCallerGone failureCause = "caller_gone"
@@ -53,6 +54,7 @@
 	{errInterimAnswers, causeInterim},
 	{errEventTooLong, causeEventSize},
 	{errNotEvents, causeNotEvents},
+	{errNoPosition, causeNoPosition},
 	{errOtherRequest, causeOtherRequest},
 	{errUnsigned, causeUnsigned},
 	{errEncoded, causeEncoding},
--- a/upstream/events.go
+++ b/upstream/events.go
@@ -134,3 +134,11 @@
 	b, err2 := strconv.ParseInt(last, 10, 64)
 	return err1 != nil || err2 != nil || a > b
 }
+
+// isComparable reports whether the order of an event's id and the id last is known, or
+// at least that both are of the same kind.
+func isComparable(id, last string) bool {
+	_, err1 := strconv.ParseInt(id, 10, 64)
+	_, err2 := strconv.ParseInt(last, 10, 64)
+	return id != "" && (err1 == nil) == (err2 == nil)
+}
--- a/upstream/forward_response.go
+++ b/upstream/forward_response.go
@@ -58,6 +58,7 @@
 	errOtherRequest = errors.New("the answer belongs to another request")
 	errUnsigned     = errors.New("the answer has no signature")
 	errEncoded      = errors.New("the answer is encoded")
+	errNoPosition   = errors.New("the first data of a resumed stream has no position")
 )
 
 // StatusError is the failure of an attempt whose upstream responded with a status that
@@ -105,6 +106,9 @@
 // copyEvents copies complete events to the caller as they arrive.
 func (d *Dispatcher) copyEvents(a *forwardedAnswer) *failure {
 	events := newRawEventReader(a.response.Body)
+	// continues is set until the first new event of an attempt whose events are appended
+	// to those of an earlier one.
+	continues := a.lastEventID != "" && (a.begun || a.call.Class == contract.Batch)
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
@@ -121,6 +125,12 @@
 			// A repeated event is not progress: the timeout keeps running.
 			continue
 		}
+		if continues && e.hasContent {
+			if !isComparable(e.id, a.lastEventID) {
+				return &failure{err: code.Wrap(code.UpstreamBadAnswer, errNoPosition, "after event %q upstream %q sent an event with the id %.40q", a.lastEventID, a.slot.target.id, e.id)}
+			}
+			continues = false
+		}
 		now := time.Now()
 		if a.slot.firstTokenNanos.Load() == 0 {
 			d.sched.observeFirst(a.slot, now)
