Try an item again whose answer is no event stream

A job's caller could get an item as succeeded with an empty text, or with the text up to a break: a worker that answered the item with status 200 and a plain body counted as having completed it.

Cause: the body was passed on as it is; the collector of the job takes the text from the data of events only, finds none and lists the item by its status. Ruled out: resumptions inside one call, where only an event stream was accepted; other statuses, which are counted or tried again. Change: for batch requests, a 200 that is no event stream fails the attempt with UpstreamBadAnswer and cause not_events, and the item runs again after its last event. Figures: `go test ./upstream -run TestBatchItemIsNot` before: both cases fail, the sink has the plain body and the call succeeds; after: both pass. `go test ./upstream ./job` passes. Conclusion: an item succeeds only with a complete event stream.

--- a/upstream/broken_stream_test.go
+++ b/upstream/broken_stream_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
 )
 
 const (
@@ -244,3 +245,25 @@
 		})
 	}
 }
+// TestBatchItemIsNotCompletedByAPlainAnswer has a worker that answers an item with
+// status 200 and a body that is no event stream.
+func TestBatchItemIsNotCompletedByAPlainAnswer(t *testing.T) {
+	plain := rawScript(signedHead + "Content-Type: application/json\r\nContent-Length: 25\r\n\r\n" + errorText)
+	for _, lastEventID := range []string{"", "2"} {
+		t.Run("after "+lastEventID, func(t *testing.T) {
+			s := inTurn(plain, eventsScript(4, endOfChunks))
+			call, sink := streamCall("a", true), &answerSink{}
+			call.Class, call.LastEventID = contract.Batch, lastEventID
+			if err := newForwarder(t, startWorker(t, s), startWorker(t, s)).Forward(t.Context(), call, sink); err != nil {
+				t.Fatal(err)
+			}
+			want := eventsUpTo(4)
+			if lastEventID == "2" {
+				want = event(3) + event(4)
+			}
+			if d := cmp.Diff(want, sink.body.String()); d != "" {
+				t.Error(d)
+			}
+		})
+	}
+}
--- a/upstream/forward_response.go
+++ b/upstream/forward_response.go
@@ -43,6 +43,8 @@
 		return &failure{err: code.Wrap(code.UpstreamBadAnswer, errUnsigned, "the answer has no signature")}
 	case response.Header.Get("Content-Encoding") != "":
 		return &failure{err: code.Wrap(code.UpstreamBadAnswer, errEncoded, "the answer is encoded")}
+	case f.call.Class == contract.Batch && status == http.StatusOK && !isEventStream(response.Header):
+		return &failure{err: code.Wrap(code.UpstreamBadAnswer, errNotEvents, "the answer has the type %.80q", response.Header.Get("Content-Type"))}
 	case f.begun && f.call.Class == contract.Batch && status >= http.StatusBadRequest && !provesNotRun(status):
 		return &failure{err: &StatusError{Status: status}, final: true}
 	case f.begun && (status != http.StatusOK || !isEventStream(response.Header)):
