Count the first event with content as the first token

A worker that sends a comment while it reads the prompt looked fast: the limit, the ejection and the timeouts of workers and the log's "first" were fed the time to the comment. Callers could be sent to such a worker before a faster one.

Cause: the time to the first token was recorded for each event until the first one with data or an id, comments included. Ruled out: the timeout between events and the pause that the caller bears: comments do not restart them (TestStalledWorkerThatSendsAByteNowAndThenIsLeft). Change: the time is recorded with the first event that has content. `go test -cpu 1 ./upstream` passes. Conclusion: comments only keep a connection open.

--- a/upstream/broken_stream_test.go
+++ b/upstream/broken_stream_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -245,6 +246,7 @@
 		})
 	}
 }
+
 // TestBatchItemIsNotCompletedByAPlainAnswer has a worker that answers an item with
 // status 200 and a body that is no event stream.
 func TestBatchItemIsNotCompletedByAPlainAnswer(t *testing.T) {
@@ -267,3 +269,31 @@
 		})
 	}
 }
+
+// TestCommentIsNotCountedAsAFirstToken has a worker send a comment long before its
+// first event.
+func TestCommentIsNotCountedAsAFirstToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const queued, prefill = 100 * time.Millisecond, 800 * time.Millisecond
+		s := func(_ testing.TB, _ *scriptedWorker, c net.Conn, r *http.Request) {
+			time.Sleep(queued)
+			_, _ = c.Write([]byte(streamHead(r, "") + chunk(": on\n\n")))
+			time.Sleep(prefill)
+			_, _ = c.Write([]byte(chunk(event(1)) + endOfChunks))
+		}
+		dial, workers, wait := pipeWorkers(s)
+		d, logs := newLoggedForwarder(t, dial, workers...)
+		if err := d.Forward(t.Context(), streamCall("a", false), &answerSink{}); err != nil {
+			t.Fatal(err)
+		}
+		wait.Wait()
+		d.sched.mu.Lock()
+		defer d.sched.mu.Unlock()
+		if first := d.fleet.Load().targets["w0"].firstToken.Value; first != queued+prefill {
+			t.Errorf("the time to the first token is %v, want %v", first, queued+prefill)
+		}
+		if done := logs.FilterMessage("forwarded").All(); len(done) != 1 || done[0].ContextMap()["first"] != queued+prefill {
+			t.Errorf("wrong log: %v", done)
+		}
+	})
+}
--- a/upstream/forward_response.go
+++ b/upstream/forward_response.go
@@ -133,20 +133,8 @@
 			}
 			continues = false
 		}
-		now := time.Now()
-		if a.slot.firstTokenNanos.Load() == 0 {
-			d.sched.observeFirst(a.slot, now)
-			if a.forwarding.firstEvent == 0 {
-				a.forwarding.firstEvent = now.Sub(a.startedAt)
-			}
-		}
 		if e.hasContent {
-			a.slot.recordToken(now)
-			a.timer.Reset(a.eventTimeout)
-			a.lastEventAt = now
-			if a.slot.tokens.Load() == answeredEvents {
-				d.recordAnswer(a.forwarding)
-			}
+			d.recordEvent(a)
 		}
 		if err := a.begin(); err != nil {
 			return callerGone(err)
@@ -164,6 +152,24 @@
 	}
 }
 
+// recordEvent records the arrival of an event with content: for the latencies of the
+// upstream, and as progress.
+func (d *Dispatcher) recordEvent(a *forwardedAnswer) {
+	now := time.Now()
+	if a.slot.firstTokenNanos.Load() == 0 {
+		d.sched.observeFirst(a.slot, now)
+		if a.forwarding.firstEvent == 0 {
+			a.forwarding.firstEvent = now.Sub(a.startedAt)
+		}
+	}
+	a.slot.recordToken(now)
+	a.timer.Reset(a.eventTimeout)
+	a.lastEventAt = now
+	if a.slot.tokens.Load() == answeredEvents {
+		d.recordAnswer(a.forwarding)
+	}
+}
+
 // bufferedBodyBytes is the size up to which a body is read completely before it is
 // passed on, so that the request can be retried if the body is truncated.
 const bufferedBodyBytes = 256 << 10
