Do not take a stream that ends before its first event for a complete one

A caller got an empty stream with status 200 that ended as if it were complete: its worker had closed the connection behind the head of a stream without length and chunks.

Cause: such a body ends with its connection, so that a worker that crashed between its head and its first event and one that has finished look alike. The end between events was always taken for the end of the answer. Ruled out: streams whose length or chunks say that they have ended; they are complete without events too. A resumption after the last event: nothing is left to send, and each repetition would be as empty (TestStreamWithoutFurtherEventsIsComplete). Change: a stream that ends with its connection and has had no event with content from its beginning has broken off. It is run again where its route allows it. Conclusion: an answer without a first event needs a marked end. A crash between two events of such a stream, or of its resumption before its first event, still cannot be told from its end.

--- a/upstream/broken_stream_test.go
+++ b/upstream/broken_stream_test.go
@@ -297,3 +297,46 @@
 		}
 	})
 }
+
+// TestStreamThatEndsBeforeItsFirstEventIsNotComplete has a worker close the connection
+// behind the head of a stream without length and chunks.
+func TestStreamThatEndsBeforeItsFirstEventIsNotComplete(t *testing.T) {
+	for name, text := range map[string]string{"nothing": "", "blank line": "\n", "comment": ": on\n\n"} {
+		t.Run(name+", resumable", func(t *testing.T) {
+			s := inTurn(rawScript(unframedHead+text), eventsScript(4, endOfChunks))
+			sink := &answerSink{}
+			if err := newForwarder(t, startWorker(t, s), startWorker(t, s)).Forward(t.Context(), streamCall("a", true), sink); err != nil {
+				t.Error(err)
+			}
+			if events := strings.TrimPrefix(sink.body.String(), text); events != eventsUpTo(4) {
+				t.Errorf("got %q", events)
+			}
+		})
+		t.Run(name+", not resumable", func(t *testing.T) {
+			w := startWorker(t, rawScript(unframedHead+text))
+			err := newForwarder(t, w).Forward(t.Context(), streamCall("a", false), &answerSink{})
+			if err == nil || code.From(err).Outcome == code.NotRun {
+				t.Errorf("got %v, want an error whose outcome is not NotRun", err)
+			}
+		})
+	}
+}
+
+// TestStreamWithoutFurtherEventsIsComplete has a worker resume a stream whose caller has
+// every event, and one whose framing says that the stream has no events.
+func TestStreamWithoutFurtherEventsIsComplete(t *testing.T) {
+	for name, c := range map[string]struct{ method, after, text string }{
+		"nothing after the last event": {http.MethodPost, "4", unframedHead},
+		"no events, chunked":           {http.MethodPost, "", chunkedHead + endOfChunks},
+		"no events, length":            {http.MethodPost, "", signedHead + eventStreamType + "Content-Length: 0\r\n\r\n"},
+		"answer without a body":        {http.MethodHead, "", unframedHead},
+	} {
+		t.Run(name, func(t *testing.T) {
+			call, sink := streamCall("a", true), &answerSink{}
+			call.Method, call.LastEventID = c.method, c.after
+			if err := newForwarder(t, startWorker(t, rawScript(c.text))).Forward(t.Context(), call, sink); err != nil || sink.status != 200 || sink.body.Len() > 0 {
+				t.Errorf("got error %v, status %d and %q, want an empty stream", err, sink.status, sink.body.String())
+			}
+		})
+	}
+}
--- a/upstream/forward_response.go
+++ b/upstream/forward_response.go
@@ -114,11 +114,11 @@
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
-			if err := a.begin(); err != nil {
-				return callerGone(err)
+			fail := a.endEvents()
+			if fail == nil {
+				d.recordAnswer(a.forwarding)
 			}
-			d.recordAnswer(a.forwarding)
-			return nil
+			return fail
 		}
 		if err != nil {
 			return connectionFailure(a.slot, err)
@@ -152,6 +152,23 @@
 	}
 }
 
+// endEvents ends a stream whose body has ended between events.
+func (a *forwardedAnswer) endEvents() *failure {
+	if a.lastEventID == "" && !a.hasData && endsWithConnection(a.response) {
+		// A worker that crashed before its first event looks the same.
+		return connectionFailure(a.slot, io.ErrUnexpectedEOF)
+	}
+	if err := a.begin(); err != nil {
+		return callerGone(err)
+	}
+	return nil
+}
+
+// endsWithConnection reports whether only the end of its connection ends a response.
+func endsWithConnection(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
+}
+
 // recordEvent records the arrival of an event with content: for the latencies of the
 // upstream, and as progress.
 func (d *Dispatcher) recordEvent(a *forwardedAnswer) {
