Abort an answer whose handler fails after its beginning

A caller of /v1/batches/{id}/results got the JSON of an internal error behind the first result lines, and a response that ended as if it were complete, when the store failed in between.

Cause: the batch handler aborts such a response by a panic with http.ErrAbortHandler. The listener recovered it like any other panic and wrote its own error behind the part that was sent. The same happened to any handler that panicked after the beginning of its answer. Ruled out: the client of the product: it reports a response that breaks off (TestTruncatedResultsAreAnError), but there it was tested without the listener. Chat streams: their error is an event of its own, without [DONE], as documented. The callers' listener of routed requests has no recovery. Change: the listener records whether a response has begun. A failed one that has begun, and one that its handler aborted, is aborted after it is counted and logged; an abort is logged as stream_broken and no longer as a panic. "Connection: close" behind a body over the limit is set here, since MaxBytesReader sets it only for a ResponseWriter of net/http. Conclusion: a part of an answer at this listener ends with an aborted connection.

--- a/caller/listener.go
+++ b/caller/listener.go
@@ -118,16 +118,25 @@
 		id := &Identity{RequestID: requestID(r)}
 		r = withIdentity(r, id)
 		w.Header().Set(HeaderRequestID, id.RequestID)
-		err := l.admit(w, r, id, h)
-		l.finish(w, r, route, start, err)
+		tracked := &startedWriter{ResponseWriter: w}
+		err := l.admit(tracked, r, id, h)
+		l.finish(tracked, r, route, start, err)
 	})
 }
 
+// errAborted is the cause of a handler that panicked with http.ErrAbortHandler.
+var errAborted = errors.New("the handler aborted the response")
+
 // admit checks and authenticates a request and passes it to h. A panic in h
-// becomes code.Internal, so that the cause is logged and not sent.
+// becomes code.Internal, so that the cause is logged and not sent; with
+// http.ErrAbortHandler it becomes code.StreamBroken.
 func (l *Listener) admit(w http.ResponseWriter, r *http.Request, id *Identity, h handler) (err error) {
 	defer func() {
-		if p := recover(); p != nil {
+		p := recover()
+		switch {
+		case p == http.ErrAbortHandler:
+			err = code.Wrap(code.StreamBroken, errAborted, "the response was aborted")
+		case p != nil:
 			l.log.Error("panic in handler", zap.String("request_id", id.RequestID), zap.Any("panic", p), zap.ByteString("stack", debug.Stack()))
 			err = code.New(code.Internal, "internal error")
 		}
@@ -166,8 +175,9 @@
 }
 
 // finish records the result of a request and writes its error, unless the error
-// was already sent in the stream.
-func (l *Listener) finish(w http.ResponseWriter, r *http.Request, route string, start time.Time, err error) {
+// was already sent in the stream. It aborts a response that has begun or that its
+// handler aborted, since an error behind a part of an answer would end it as complete.
+func (l *Listener) finish(w *startedWriter, r *http.Request, route string, start time.Time, err error) {
 	err = contextError(r.Context(), err)
 	number := code.Of(err)
 	l.metrics.observe(route, number, time.Since(start))
@@ -176,6 +186,9 @@
 	if err == nil || errors.As(err, &sent) {
 		return
 	}
+	if w.started || errors.Is(err, errAborted) {
+		panic(http.ErrAbortHandler)
+	}
 	code.WriteHTTP(w, IdentityOf(r).RequestID, err)
 }
 
--- a/caller/request.go
+++ b/caller/request.go
@@ -127,6 +127,8 @@
 	var maxBytesErr *http.MaxBytesError
 	switch {
 	case errors.As(err, &maxBytesErr):
+		// MaxBytesReader does this only with a ResponseWriter of net/http.
+		w.Header().Set("Connection", "close")
 		return nil, tooLarge(limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, code.Wrap(code.SlowSender, err, "the body did not arrive within %v", bodyReadTimeout)
