Reset the connection of an HTTP/1.0 caller whose answer breaks off

A caller that speaks HTTP/1.0 got the first events of a stream and the regular end of the connection when its worker broke off: the part looked like the whole.

Cause: an answer that has begun was aborted by a panic with http.ErrAbortHandler. For HTTP/1.1 that leaves out the last chunk. An answer to HTTP/1.0 has neither length nor chunks and ends with its connection, which net/http closes with a FIN. Ruled out: HTTP/1.1 callers, also with "Connection: close": net/http answers them in chunks (TestCutAnswerNeverLooksWhole). Change: code.AbortHTTP resets the connection of such a caller before it panics; both callers' listeners use it. Conclusion: an incomplete answer is an error for callers of either version.

--- a/caller/listener.go
+++ b/caller/listener.go
@@ -187,7 +187,7 @@
 		return
 	}
 	if w.started || errors.Is(err, errAborted) {
-		panic(http.ErrAbortHandler)
+		code.AbortHTTP(w, r)
 	}
 	code.WriteHTTP(w, IdentityOf(r).RequestID, err)
 }
--- a/code/http.go
+++ b/code/http.go
@@ -1,8 +1,10 @@
 package code
 
 import (
+	"crypto/tls"
 	"encoding/json"
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 )
@@ -58,3 +60,28 @@
 	// An error means that the connection is closed; it cannot be reported.
 	_ = json.NewEncoder(w).Encode(NewBody(requestID, e))
 }
+
+// AbortHTTP ends a response that is not complete so that the caller notices, and does
+// not return. It panics with http.ErrAbortHandler, which closes the connection without
+// the last chunk. Responses to HTTP/1.0 end with their connection, which is therefore
+// reset.
+func AbortHTTP(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		// The error is ignored: recorders in unit tests have no connection.
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			reset(conn)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset closes a connection so that the other side sees an error, not its end.
+func reset(conn net.Conn) {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -218,7 +218,7 @@
 	if err != nil && s.started {
 		// The abort keeps the caller from taking a partial answer for a complete one.
 		h.options.Log.Info("answer aborted", zap.String("request", f.RequestID), zap.Error(err))
-		panic(http.ErrAbortHandler)
+		code.AbortHTTP(w, r)
 	}
 	return err
 }
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -136,6 +137,26 @@
 	}
 }
 
+// TestCutAnswerOfAnHTTP10CallerIsReset has a caller whose answers end with their
+// connection, so that only a reset tells a part from the whole.
+func TestCutAnswerOfAnHTTP10CallerIsReset(t *testing.T) {
+	s := newTestServer(t, document, func(ctx context.Context, sink contract.ForwardSink) error {
+		_ = respond(200, http.Header{"Content-Type": {"text/event-stream"}}, "id: 1\ndata: x\n\n")(ctx, sink)
+		return code.New(code.StreamBroken, "broke")
+	})
+	c, err := net.Dial("tcp4", strings.TrimPrefix(s.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := c.Write([]byte("POST /once/x HTTP/1.0\r\nHost: h\r\nX-Request-Id: r\r\nContent-Length: 1\r\n\r\nq")); err != nil {
+		t.Fatal(err)
+	}
+	if answer, err := io.ReadAll(c); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("got %q with error %v, want a reset", answer, err)
+	}
+}
+
 func TestRefusalsBeforeForwarding(t *testing.T) {
 	never := func(context.Context, contract.ForwardSink) error { return errors.New("forwarded") }
 	for name, c := range map[string]struct {
