Cut a stream after each of its bytes in a test

Cause: the places where tests broke streams were chosen by hand, so that the end of a stream before its first event was missed. Change: TestStreamCutAtEachByte, with and without resumption. Conclusion: a cut gives whole events and an error, or the complete stream; a stream that ends with its connection may end between events.

--- a/upstream/broken_stream_test.go
+++ b/upstream/broken_stream_test.go
@@ -340,3 +340,50 @@
 		})
 	}
 }
+
+// TestStreamCutAtEachByte ends the connection of a stream after each of its bytes. The
+// caller must get whole events and an error, or the complete stream from a second run. A
+// stream that ends with its connection may end between events.
+func TestStreamCutAtEachByte(t *testing.T) {
+	streamed := "x-version: 4\n" + event(1) + ": on\n\n" + strings.ReplaceAll(event(2), "\n", "\r\n") + event(3)
+	ends := map[string]bool{}
+	for _, end := range []string{event(1), ": on\n\n", "2\r\n\r\n", streamed} {
+		ends[streamed[:strings.Index(streamed, end)+len(end)]] = true
+	}
+	for name, text := range map[string]string{
+		"unframed": unframedHead + streamed,
+		"length":   signedHead + eventStreamType + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(streamed)) + streamed,
+		"chunked":  chunkedHead + chunk(streamed[:20]) + chunk(streamed[20:]) + endOfChunks,
+	} {
+		t.Run(name, func(t *testing.T) {
+			length := len(strings.ReplaceAll(text, "{id}", "a"))
+			for cut := range length + 1 {
+				first := func(_ testing.TB, _ *scriptedWorker, c net.Conn, r *http.Request) {
+					_, _ = c.Write([]byte(strings.ReplaceAll(text, "{id}", r.Header.Get("Id"))[:cut]))
+				}
+				got, err := forwardTo(t, false, first)
+				mayEnd := cut == length || name == "unframed" && ends[got]
+				if err == nil && !(mayEnd && ends[got]) || err != nil && got != "" && !ends[got] || cut == length && got != streamed {
+					t.Errorf("cut at %d: got %q with error %v", cut, got, err)
+				}
+				resumed, err := forwardTo(t, true, first, eventsScript(3, endOfChunks))
+				if events := strings.NewReplacer("\r", "", "x-version: 4\n", "", ": on\n\n", "").Replace(resumed); err != nil || events != eventsUpTo(3) && !(mayEnd && resumed == got) {
+					t.Errorf("cut at %d, resumed: got %q with error %v", cut, resumed, err)
+				}
+			}
+		})
+	}
+}
+
+// forwardTo returns the body and the error of a request for a stream, whose runs follow
+// the scripts in turn.
+func forwardTo(t *testing.T, resumable bool, scripts ...script) (string, error) {
+	t.Helper()
+	s := inTurn(scripts...)
+	dial, workers, wait := pipeWorkers(s, s)
+	d, _ := newLoggedForwarder(t, dial, workers...)
+	sink := &answerSink{}
+	err := d.Forward(t.Context(), streamCall("a", resumable), sink)
+	wait.Wait()
+	return sink.body.String(), err
+}
