Reset HTTP/1.0 connections that the callers' listener holds

Cause: the listener of hosted wraps callers' connections, and code.AbortHTTP reset only a *net.TCPConn. A caller that speaks HTTP/1.0 would have taken the part of a broken answer for the whole again. Ruled out: callers of HTTP/1.1, whose last chunk is missing. Change: AbortHTTP resets any connection with SetLinger, and the wrapped connection passes it on.

--- a/code/http.go
+++ b/code/http.go
@@ -80,7 +80,7 @@
 	if secure, ok := conn.(*tls.Conn); ok {
 		conn = secure.NetConn()
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -271,6 +271,14 @@
 	return nil
 }
 
+// SetLinger lets code.AbortHTTP reset the connection.
+func (c *callerConn) SetLinger(seconds int) error {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.mu.Lock()
--- a/hosted/connections_test.go
+++ b/hosted/connections_test.go
@@ -8,9 +8,12 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/daisylb/daisylb/code"
 )
 
 // pipeListener accepts the server ends of pipes.
@@ -391,3 +394,33 @@
 		}
 	})
 }
+
+// TestCutAnswerOfAnHTTP10CallerIsResetBehindTheListener checks that a connection that
+// connections holds can be reset, not only closed.
+func TestCutAnswerOfAnHTTP10CallerIsResetBehindTheListener(t *testing.T) {
+	held := newConnections(func() time.Duration { return 0 })
+	server := newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte("part"))
+		_ = http.NewResponseController(w).Flush()
+		code.AbortHTTP(w, r)
+	}))
+	held.configure(server)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan struct{})
+	go func() { defer close(served); _ = server.Serve(held.listener(l)) }()
+	defer func() { _ = server.Close(); <-served }()
+	c, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := c.Write([]byte("GET / HTTP/1.0\r\nHost: h\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	if answer, err := io.ReadAll(c); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("got %q with error %v, want a reset", answer, err)
+	}
+}
