Log an invalid worker entry once while it stays invalid

Cause: each write of an invalid entry gave a line of level warn. A writer that rewrites its entry with each heartbeat, as workers do, filled the log of every instance. Ruled out: lines for changes of others. The feed delivers an entry only when its row has changed, also after a full read. Change: Workers keeps the ids of invalid entries and logs an id when its entry becomes invalid; it is forgotten when the entry becomes valid or is removed. Conclusion: the number of lines is bounded by the changes from valid to invalid.

--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/google/go-cmp/cmp"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"pgregory.net/rapid"
 
 	"github.com/daisylb/daisylb/code"
@@ -82,6 +83,39 @@
 	}
 }
 
+// TestRewrittenInvalidEntryIsLoggedOnce rewrites an invalid entry, as its writer may do
+// with each heartbeat, beside changes of another worker.
+func TestRewrittenInvalidEntryIsLoggedOnce(t *testing.T) {
+	core, logs := observer.New(zap.WarnLevel)
+	w := newWorkers()
+	w.Log = zap.New(core)
+	version := uint64(0)
+	update := func(key, value string) {
+		version++
+		w.Update(feed.Update{Rows: []storage.TableRow{row(key, value, version)}})
+	}
+	for i := range 20 {
+		update("odd", fmt.Sprintf("invalid %d", i))
+		update("a", []string{"ready", "again"}[i%2])
+	}
+	if n := logs.Len(); n != 1 {
+		t.Errorf("%d lines for an entry that stayed invalid, want 1", n)
+	}
+	update("odd", "ready")
+	update("odd", "invalid again")
+	if n := logs.Len(); n != 2 {
+		t.Errorf("%d lines after the entry was valid in between, want 2", n)
+	}
+	update("odd", "")
+	update("odd", "invalid after its removal")
+	if n := logs.Len(); n != 3 {
+		t.Errorf("%d lines after the entry was removed in between, want 3", n)
+	}
+	if d := cmp.Diff([]string{"a"}, usable(w)); d != "" {
+		t.Error(d)
+	}
+}
+
 func TestRemovedWorkerIsUnusableAtOnce(t *testing.T) {
 	w := newWorkers()
 	w.Update(feed.Update{Rows: []storage.TableRow{row("a", "ready", 1), row("b", "ready", 1)}})
--- a/routing/workers.go
+++ b/routing/workers.go
@@ -37,6 +37,8 @@
 	// which the entry of a worker went missing, while its grace period lasts.
 	workers map[string]contract.Worker
 	missing map[string]time.Time
+	// invalid has the ids whose entries are invalid.
+	invalid map[string]bool
 	// recoveredAt is the time at which the store last became reachable again.
 	recoveredAt time.Time
 	// current is the document for the dispatcher.
@@ -63,6 +65,7 @@
 	if w.workers == nil {
 		w.workers = map[string]contract.Worker{}
 		w.missing = map[string]time.Time{}
+		w.invalid = map[string]bool{}
 	}
 	if u.Recovered {
 		w.recoveredAt = now
@@ -85,16 +88,21 @@
 }
 
 // applyEntry adds or replaces a worker and reports whether the document changes. An
-// invalid entry removes the worker. w.mu must be held.
+// invalid entry removes the worker; it is logged once, until the entry becomes valid or
+// is removed. w.mu must be held.
 func (w *Workers) applyEntry(id string, value []byte) bool {
 	delete(w.missing, id)
 	next, err := w.Decode(id, value)
 	prev, ok := w.workers[id]
 	if err != nil {
-		w.Log.Warn("worker with invalid entry not used", zap.String("worker", id), zap.Error(err))
+		if !w.invalid[id] {
+			w.Log.Warn("worker with invalid entry not used", zap.String("worker", id), zap.Error(err))
+		}
+		w.invalid[id] = true
 		delete(w.workers, id)
 		return ok
 	}
+	delete(w.invalid, id)
 	if ok && prev == next {
 		return false
 	}
@@ -112,6 +120,7 @@
 // expired during the outage; the worker then remains in use until the grace period
 // is over. w.mu must be held.
 func (w *Workers) removeEntry(id string, now time.Time) bool {
+	delete(w.invalid, id)
 	prev, ok := w.workers[id]
 	if !ok {
 		return false
