Detach the run of a job whose head can't be read

Cause: resolveConflict returned at a head that it could not decode, without detaching the run. Its commits had ended, but the process still counted as running the job: neither it nor another instance took the job over, and its results were never listed, not even after the head was in order again. A takeover that met such a head was tried again every 200 ms by each instance. Ruled out: writing the known state over the head. Another process may have listed results since, and an item would be listed twice. Change: the run is detached as after any other change by someone else, with a line of level error. A takeover whose conflict shows no readable newer head is postponed like one that the store rejects. Figures: `go test -cpu 1 -run TestJobIsFinishedAfterItsHeadWasUnreadable ./job`: before, "1 jobs still run" and "job j: 0 results only"; after, the job is complete, and the store gets at most 2 transactions a second for it while the head is unreadable. Conclusion: only the store's own tables are concerned, which no other writer is known to use; the fault was found by reading.

--- a/job/commit.go
+++ b/job/commit.go
@@ -179,7 +179,8 @@
 // resolveConflict decides what a conflict means from the rows that the store
 // returned: an earlier attempt took effect (applied), only the version of the head
 // differs from the known one (retry), or another process has changed the job. In the
-// last case it detaches the run.
+// last case, and when the head can't be read, it detaches the run. This or another
+// process takes the job over once its head can be read.
 func (r *run) resolveConflict(page storage.RowPage, next *head) (applied, retry bool) {
 	for _, row := range page.Rows {
 		if row.Table != headTable || row.Key != r.id || row.Removed || row.Version == 0 {
@@ -187,7 +188,8 @@
 		}
 		current, err := decodeHead(row)
 		if err != nil {
-			return false, false
+			r.service.options.Log.Error("job head can't be read", zap.String("job", r.id), zap.Error(err))
+			continue
 		}
 		if sameState(&current.head, next) {
 			r.head = current
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -126,11 +126,22 @@
 		s.startRun(id, versionedHead{next, page.Version, v.part}, items, progress)
 	case code.StoreConflict:
 		s.updateHeads(page.Rows)
+		if s.headVersion(id) == v.version {
+			// The present head can't be read.
+			s.postpone(id, err)
+		}
 	default:
 		s.postpone(id, err)
 	}
 }
 
+// headVersion returns the version of the known head of a job, 0 if there is none.
+func (s *Service) headVersion(id string) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heads[id].version
+}
+
 // postpone delays the next attempt of a takeover that failed, so that failing calls
 // add little load during an outage of the store.
 func (s *Service) postpone(id string, err error) {
