Accept jobs beside a reservation that can't be read

Cause: readReservations returned an error for a row that it could not decode, and nothing removed the row. From then on each submission on the route was answered with status 500 at all instances. Ruled out: counting such a row with a guessed number of tokens; it has no time either, so it would never expire. Change: the row counts as a reservation of no tokens at time 0, which is stale and removed with the others, and gives a line of level warn. Figures: `go test -cpu 1 -run TestUnreadableReservationDoesNotStopSubmissions ./job`: before, "1000 internal: the reservation … can't be read" at both instances; after, the job is accepted and complete. Conclusion: one row does not stop the submissions of a route. Only a table of the store's own is concerned; found by reading.

--- a/job/odd_rows_test.go
+++ b/job/odd_rows_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/storage"
 )
 
@@ -57,3 +58,20 @@
 		wantAll(t, f.read(f.instances[1], "j"), "short-a", "short-b")
 	})
 }
+
+func TestUnreadableReservationDoesNotStopSubmissions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, func(r *contract.Route) { r.MaxWaitingTokens = 1000 })
+		defer f.close()
+		if err := f.instances[0].Submit(t.Context(), f.submission("j1", "a")); err != nil {
+			t.Fatal(err)
+		}
+		f.overwrite(f.onlyRow("job_gates").RowKey, "\x00\xff")
+		for _, m := range f.instances {
+			if err := m.Submit(t.Context(), f.submission("j2", "b")); err != nil {
+				t.Error(err)
+			}
+		}
+		wantAll(t, f.read(f.instances[1], "j2"), "b")
+	})
+}
--- a/job/quota.go
+++ b/job/quota.go
@@ -91,10 +91,13 @@
 			set.generation = row.Version
 			continue
 		}
-		r := reservation{version: row.Version}
+		var r reservation
 		if err := json.Unmarshal(row.Value, &r); err != nil {
-			return reservationSet{}, code.Wrap(code.Internal, err, "the reservation %q can't be read", row.Key)
+			// Without a time it counts as expired and is removed with the stale ones.
+			s.options.Log.Warn("reservation that can't be read not counted", zap.String("key", row.Key), zap.Error(err))
+			r = reservation{}
 		}
+		r.version = row.Version
 		set.byJob[row.Key[len(prefix):]] = r
 	}
 	if page.More {
