Remove workers that stay missing over two outages in a row

Cause: when the store failed again and came back within the 2 s for which a missing entry is tolerated, the timer of the first recovery found the second one too recent and returned, and no other timer was set. The worker stayed in use until the end of the process unless its entry came back; requests went on to be sent to a worker that had left or crashed. Ruled out: the removal of the entry in a later full read. The feed reports a removal once. Change: a recovery with workers missing starts a timer for its own grace period.

--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -143,6 +143,27 @@
 	})
 }
 
+// TestWorkerMissingOverTwoOutagesIsGoneAfterTheSecond has an outage that begins within the
+// grace period of the one before.
+func TestWorkerMissingOverTwoOutagesIsGoneAfterTheSecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorkers()
+		w.Update(feed.Update{Rows: []storage.TableRow{row("gone", "ready", 1), row("other", "ready", 1)}})
+		w.Update(feed.Update{Recovered: true, FullRead: true, Rows: []storage.TableRow{row("gone", "", 2)}})
+		time.Sleep(routing.ReregistrationGrace / 2)
+		w.Update(feed.Update{Recovered: true})
+		time.Sleep(routing.ReregistrationGrace - time.Millisecond)
+		if d := cmp.Diff([]string{"gone", "other"}, usable(w)); d != "" {
+			t.Errorf("within the second grace period:\n%s", d)
+		}
+		time.Sleep(2 * time.Millisecond)
+		synctest.Wait()
+		if d := cmp.Diff([]string{"other"}, usable(w)); d != "" {
+			t.Errorf("after the second grace period:\n%s", d)
+		}
+	})
+}
+
 func TestRestartedWorkerIsDistinguished(t *testing.T) {
 	w := newWorkers()
 	w.Update(feed.Update{Rows: []storage.TableRow{row("a", "ready", 1)}})
--- a/routing/workers.go
+++ b/routing/workers.go
@@ -69,6 +69,10 @@
 	}
 	if u.Recovered {
 		w.recoveredAt = now
+		if len(w.missing) > 0 {
+			// The grace period begins anew, and its earlier timer has no effect.
+			time.AfterFunc(ReregistrationGrace, w.removeMissing)
+		}
 	}
 	changed := !w.loaded.Load()
 	for _, r := range u.Rows {
