Read a table in pages when its changes are too large for a peer

Cause: an instance that cannot reach the store follows its tables through peers, whose messages are at most 4 MB; a response of the feed may have 16 MB. Changes over 4 MB at once, such as 70 entries of the largest row, failed at each peer as if the store had not been reached. The instance asked for the same changes until it reached the store itself, and learned of no worker that came or left in the meantime. Ruled out: larger messages alone. With 16 MB the same test passed without the race detector and failed with it, since a feed through a peer has 0.8 s for its answer; a slow link would be no different. Change: a peer answers changes over 2 MB with code.StoreHistoryGone, as the client of the store does for responses over its own limit. The follower then reads the table in pages of at most 1 MB. Conclusion: the size of a table's changes does not stop an instance that is cut off from the store.

--- a/relay/handler.go
+++ b/relay/handler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/link"
@@ -43,7 +44,12 @@
 func (h *handler) RowChanges(ctx context.Context, r *connect.Request[relaypb.RowChangesRequest]) (*connect.Response[relaypb.Page], error) {
 	wait := time.Duration(r.Msg.GetWaitMs()) * time.Millisecond
 	page, err := h.store.RowChanges(ctx, r.Msg.GetTable(), r.Msg.GetAfter(), wait)
-	return pageResponse(page, err)
+	response, err := pageResponse(page, err)
+	if err == nil && proto.Size(response.Msg) > maxFeedBytes {
+		// Makes the caller read the table in pages instead.
+		return nil, code.New(code.StoreHistoryGone, "the changes after version %d are over %d bytes", r.Msg.GetAfter(), maxFeedBytes)
+	}
+	return response, err
 }
 
 // PutBlob implements relaypbconnect.RelayServiceHandler.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -12,6 +13,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/feed"
 	"github.com/daisylb/daisylb/relay"
 	"github.com/daisylb/daisylb/storage"
 	"github.com/daisylb/daisylb/storage/memory"
@@ -128,6 +130,42 @@
 	}
 }
 
+// TestTableWithManyChangesIsFollowedThroughAPeer changes more rows at once than a
+// message between peers holds.
+func TestTableWithManyChangesIsFollowedThroughAPeer(t *testing.T) {
+	s, direct, _, store := newRelayStore(t, 1)
+	// The platform's pages have at most 1 MB.
+	store.SetFaults(memory.RowFaults{PageRows: 16})
+	direct.unavailable.Store(true)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	const rows = 100
+	received := map[string]bool{}
+	f := feed.New(feed.Options{Rows: s, Table: "t", Parts: []string{"p"}, Update: func(u feed.Update) {
+		for _, r := range u.Rows {
+			received[r.Key] = true
+		}
+		switch {
+		case len(received) > rows:
+			cancel()
+		case len(received) == 1:
+			for i := range rows {
+				r := row(strconv.Itoa(i), strings.Repeat("x", 60_000))
+				if _, err := store.ApplyRows(t.Context(), storage.RowTransaction{Puts: []storage.TableRow{r}}); err != nil {
+					t.Error(err)
+				}
+			}
+		}
+	}})
+	if _, err := store.ApplyRows(t.Context(), storage.RowTransaction{Puts: []storage.TableRow{row("first", "v")}}); err != nil {
+		t.Fatal(err)
+	}
+	_ = f.Run(ctx)
+	if len(received) != rows+1 {
+		t.Errorf("%d of %d rows received", len(received), rows+1)
+	}
+}
+
 func TestResultsOfTheStorePassThroughAPeer(t *testing.T) {
 	s, direct, peers, store := newRelayStore(t, 1)
 	direct.unavailable.Store(true)
--- a/relay/store.go
+++ b/relay/store.go
@@ -56,6 +56,9 @@
 	// delay a feed by 1.6 s.
 	maxFeedWait = 400 * time.Millisecond
 	feedGrace   = 400 * time.Millisecond
+	// maxFeedBytes bounds the changes in one response of a peer. A page of a table
+	// has at most half of that, and link.MaxMessageBytes is above it.
+	maxFeedBytes = 2 << 20
 )
 
 // Store is a storage.RowStore that makes calls through peers while the store
