Pass objects of the largest size through a peer

Cause: messages between peers were limited to 4 MB, objects of the store have up to 8 MB. An instance that cannot reach the store could neither store nor read the body of a job over 4 MB through its peers. The write failed with "the answer of a peer was lost", so the caller did not learn whether the job was accepted, although the peer had refused the message. Ruled out: the time limit of the call, 2 s; the larger message takes about 0.1 s, and 0.9 s with the race detector. Change: the limit of relayed messages is 8 MB and the size of the other fields. Figures: `go test -run TestObjectOverFourMegabytesPassesThroughAPeer ./relay`, 5 MB: before, "write: 4003 store_unknown: the answer of a peer was lost" and no object; after, both calls succeed.

--- a/relay/handler.go
+++ b/relay/handler.go
@@ -25,7 +25,7 @@
 // Store must be the store itself and not a relay.Store, so that a call passes
 // through at most one peer.
 func NewHandler(store storage.RowStore) (string, http.Handler) {
-	return relaypbconnect.NewRelayServiceHandler(&handler{store}, link.HandlerOptions())
+	return relaypbconnect.NewRelayServiceHandler(&handler{store}, link.HandlerOptions(), connect.WithReadMaxBytes(maxMessageBytes))
 }
 
 // GetRows implements relaypbconnect.RelayServiceHandler.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"net/http/httptest"
@@ -130,6 +131,18 @@
 	}
 }
 
+func TestObjectOverFourMegabytesPassesThroughAPeer(t *testing.T) {
+	s, direct, _, _ := newRelayStore(t, 1)
+	direct.unavailable.Store(true)
+	body := bytes.Repeat([]byte("x"), 5<<20)
+	if err := s.PutBlob(t.Context(), "b", body); err != nil {
+		t.Errorf("write: %v", err)
+	}
+	if got, err := s.GetBlob(t.Context(), "b"); err != nil || !bytes.Equal(body, got) {
+		t.Errorf("read: %d bytes, %v", len(got), err)
+	}
+}
+
 // TestTableWithManyChangesIsFollowedThroughAPeer changes more rows at once than a
 // message between peers holds.
 func TestTableWithManyChangesIsFollowedThroughAPeer(t *testing.T) {
--- a/relay/store.go
+++ b/relay/store.go
@@ -56,8 +56,11 @@
 	// delay a feed by 1.6 s.
 	maxFeedWait = 400 * time.Millisecond
 	feedGrace   = 400 * time.Millisecond
+	// maxMessageBytes is the largest size of a message. It holds an object of 8 MB,
+	// the largest that the platform stores.
+	maxMessageBytes = 8<<20 + 64<<10
 	// maxFeedBytes bounds the changes in one response of a peer. A page of a table
-	// has at most half of that, and link.MaxMessageBytes is above it.
+	// has at most half of that.
 	maxFeedBytes = 2 << 20
 )
 
@@ -130,7 +133,7 @@
 	relayCtx, cancel := s.relayContext(ctx, c.readOnly)
 	defer cancel()
 	for _, address := range peers {
-		client := relaypbconnect.NewRelayServiceClient(s.options.Client, link.URL(address), link.ClientOptions())
+		client := relaypbconnect.NewRelayServiceClient(s.options.Client, link.URL(address), link.ClientOptions(), connect.WithReadMaxBytes(maxMessageBytes))
 		v, err = c.peer(relayCtx, client)
 		if !notAccepted(err) {
 			return v, err
