Read the other entries of an instance list with an odd one

Cause, by reading but for the first half: an entry of another type made the whole list an error, which counts as a list that cannot be read. A running instance kept its last list and learned of new instances by gossip only; a starting one found nobody to join. Ruled out, by reading: addresses that are no IP:port. Such an entry is one more candidate, whose probe fails. Change: an entry that can't be read has no id, is ignored, and gives one line of level warn while the number of such entries is the same. Figures: `go test -run TestOddEntriesDoNotHideTheInstanceList ./storage/httpstore`, five kinds of entries: before, "4001 store_unavailable: the store did not answer" for each; after, the other entries are read. Conclusion: as for workers, one entry does not hide the others. Rows of the configuration's history are still read all or none, since a change must not be left out.

--- a/instance/list.go
+++ b/instance/list.go
@@ -8,6 +8,7 @@
 
 	"github.com/daisylb/daisylb/instance/instancepb"
 	"github.com/daisylb/daisylb/retry"
+	"github.com/daisylb/daisylb/storage"
 )
 
 const (
@@ -53,11 +54,27 @@
 	}
 	m.listFailures = 0
 	m.listReadAt = time.Now()
+	m.logUnreadableEntries(list)
 	m.table.setList(m.listReadAt, list)
 	m.metrics.countListRead("read")
 	return m.listPollDelay()
 }
 
+// logUnreadableEntries logs the number of entries without an ID, which are ignored,
+// when it has changed. m.mu is held.
+func (m *Membership) logUnreadableEntries(list []storage.ListedInstance) {
+	unreadable := 0
+	for _, l := range list {
+		if l.ID == "" {
+			unreadable++
+		}
+	}
+	if unreadable > 0 && unreadable != m.unreadableEntries {
+		m.log.Warn("entries of the instance list ignored", zap.Int("unreadable", unreadable), zap.Int("entries", len(list)))
+	}
+	m.unreadableEntries = unreadable
+}
+
 // listPollDelay returns the delay until the next read, randomised to spread the
 // reads of all instances evenly. m.mu is held.
 func (m *Membership) listPollDelay() time.Duration {
--- a/instance/membership.go
+++ b/instance/membership.go
@@ -44,7 +44,10 @@
 	// listFailures counts the failed reads of the platform's list since
 	// listReadAt, when it was last read.
 	listFailures int
-	listReadAt   time.Time
+	// unreadableEntries is the number of entries of the last list that could not be
+	// read.
+	unreadableEntries int
+	listReadAt        time.Time
 	// lastRunningAt is when the process was last observed to run.
 	lastRunningAt time.Time
 }
--- a/instance/table.go
+++ b/instance/table.go
@@ -217,6 +217,9 @@
 	listed := make(map[handle]bool, len(list))
 	candidates := map[handle]Identity{}
 	for _, l := range list {
+		if l.ID == "" {
+			continue
+		}
 		h := handleOf(l.ID)
 		listed[h] = true
 		if h == t.self.handle {
@@ -227,7 +230,7 @@
 			t.setLeaving(now, r, l.Leaving)
 			continue
 		}
-		if l.ID != "" && l.PeerAddress != "" {
+		if l.PeerAddress != "" {
 			candidates[h] = Identity{ID: l.ID, DataCentre: l.DataCentre, CallerAddress: l.CallerAddress, PeerAddress: l.PeerAddress}
 		}
 	}
--- a/storage/httpstore/httpstore_test.go
+++ b/storage/httpstore/httpstore_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -195,3 +196,29 @@
 		t.Errorf("refused connection: got %v, want StoreUnavailable", err)
 	}
 }
+
+// TestOddEntriesDoNotHideTheInstanceList has entries of another form beside sound ones.
+func TestOddEntriesDoNotHideTheInstanceList(t *testing.T) {
+	for name, odd := range map[string]string{
+		"number":       `7`,
+		"id number":    `{"id":7,"peer_address":"10.0.0.9:1"}`,
+		"deep":         strings.Repeat("[", 9000) + strings.Repeat("]", 9000),
+		"leaving text": `{"id":"c","leaving":"yes"}`,
+		"out of range": `{"id":1e400}`,
+	} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, `[{"id":"a","peer_address":"10.0.0.1:1"},`+odd+`,{"id":"b","peer_address":"10.0.0.2:1"}]`)
+		}))
+		store, err := httpstore.New(httpstore.Options{URL: server.URL})
+		if err != nil {
+			t.Fatal(err)
+		}
+		list, err := store.Instances(t.Context())
+		want := []storage.ListedInstance{{ID: "a", PeerAddress: "10.0.0.1:1"}, {}, {ID: "b", PeerAddress: "10.0.0.2:1"}}
+		if d := cmp.Diff(want, list); d != "" || err != nil {
+			t.Errorf("%s: %v\n%s", name, err, d)
+		}
+		_ = store.Close()
+		server.Close()
+	}
+}
--- a/storage/httpstore/operations.go
+++ b/storage/httpstore/operations.go
@@ -128,7 +128,15 @@
 
 // Instances implements storage.InstanceList.
 func (s *Store) Instances(ctx context.Context) ([]storage.ListedInstance, error) {
-	var list []storage.ListedInstance
-	_, err := s.do(ctx, call{method: http.MethodGet, path: "/instances"}, &list)
-	return list, err
+	var entries []json.RawMessage
+	if _, err := s.do(ctx, call{method: http.MethodGet, path: "/instances"}, &entries); err != nil {
+		return nil, err
+	}
+	list := make([]storage.ListedInstance, len(entries))
+	for i, entry := range entries {
+		if err := json.Unmarshal(entry, &list[i]); err != nil {
+			list[i] = storage.ListedInstance{}
+		}
+	}
+	return list, nil
 }
--- a/storage/storage.go
+++ b/storage/storage.go
@@ -123,7 +123,8 @@
 // InstanceList is the platform's list of live and leaving instances. It lags
 // behind starts and stops.
 type InstanceList interface {
-	// Instances returns the list, which may be out of date.
+	// Instances returns the list, which may be out of date. An entry that can't be
+	// read has no ID.
 	Instances(ctx context.Context) ([]ListedInstance, error)
 }
 
