Take an answer that arrives in the same read as an interim response

Callers saw 502 for a request whose worker had sent an interim response (102, 103) and its answer in one segment; the request had run, and a repeatable one ran again at another worker.

Cause: after each interim response, receive took it as a sign of two different readings of the head that the limiter had already found the end of the final head. The limiter scans whole reads and is ahead of the parser whenever both heads arrive together, so that a valid answer gave errHeadAmbiguous.

Ruled out: the limits of the head.

Change: the limiter counts the heads of interim responses. The readings differ only if the parser has read more of them than the limiter.

The heads without an end, status 099 among them, are given up as before (TestHeadWithoutEndIsGivenUpAndNamed).

Conclusion: mended. The difference between limiter and parser that the check guards against is still found.

--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -445,6 +445,18 @@
 	}
 }
 
+func TestAnswerInTheSameReadAsInterimResponsesIsTaken(t *testing.T) {
+	answer := "HTTP/1.1 200 OK\r\nSigned: yes\r\nId: {id}\r\nContent-Length: 2\r\n\r\nok"
+	for _, n := range []int{1, 2, maxInterimAnswers} {
+		interim := strings.Repeat("HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n", n)
+		s := &answerSink{}
+		err := newForwarder(t, startWorker(t, rawScript(interim+answer))).Forward(t.Context(), streamCall("a", false), s)
+		if err != nil || s.status != http.StatusOK || s.body.String() != "ok" {
+			t.Errorf("%d interim responses: got error %v, status %d, body %q; want 200 and \"ok\"", n, err, s.status, s.body.String())
+		}
+	}
+}
+
 // TestHeadLimiterPassesEveryByte checks that the limiter passes on what it reads
 // unchanged, whatever the size of the reads.
 func TestHeadLimiterPassesEveryByte(t *testing.T) {
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -48,9 +48,11 @@
 	lineStart [statusDigit + 1]byte
 	// inStatusLine is set while the current line is a status line, interim while the
 	// head is that of an interim response, done after the head of the final response.
+	// interimHeads counts the complete heads of interim responses.
 	inStatusLine bool
 	interim      bool
 	done         bool
+	interimHeads int
 	// limitErr is the error of the exceeded limit. It is kept because a parser may
 	// return an error about the truncated head instead.
 	limitErr error
@@ -109,6 +111,9 @@
 	case empty:
 		l.done = !l.interim
 		l.inStatusLine = true
+		if l.interim {
+			l.interimHeads++
+		}
 	}
 	l.lineBytes = 0
 }
@@ -126,8 +131,9 @@
 			return response, nil
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errSwitchedProtocols
-		case c.limiter.done:
-			// The limiter and the parser disagree on where the head ends.
+		case c.limiter.interimHeads <= interim:
+			// The parser has read more interim responses than the limiter, so that they
+			// disagree on where the head ends.
 			return nil, errHeadAmbiguous
 		case interim == maxInterimAnswers:
 			return nil, errInterimAnswers
