--- /dev/null
+++ b/upstream/refusal_test.go
@@ -0,0 +1,152 @@
+package upstream
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/daisylb/daisylb/code"
+)
+
+// foreignRefusals are refusals that do not name the request that was sent.
+var foreignRefusals = map[string]script{
+	"of another request":              rawScript("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: other\r\nContent-Length: 0\r\n\r\n"),
+	"of no request":                   rawScript("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"),
+	"429 of another request":          rawScript("HTTP/1.1 429 Busy\r\nNot-Run: 1\r\nId: other\r\nContent-Length: 0\r\n\r\n"),
+	"421 of another request":          rawScript("HTTP/1.1 421 Elsewhere\r\nNot-Run: 1\r\nId: other\r\nContent-Length: 0\r\n\r\n"),
+	"signed, of another request":      rawScript("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nSigned: yes\r\nId: other\r\nContent-Length: 0\r\n\r\n"),
+	"after an interim response":       rawScript("HTTP/1.1 102 Processing\r\nId: {id}\r\n\r\nHTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: other\r\nContent-Length: 0\r\n\r\n"),
+	"before the answer, in one write": refusalBeforeAnswer,
+}
+
+// refusalBeforeAnswer writes the refusal of another request, and the answer to this one
+// behind it.
+func refusalBeforeAnswer(t testing.TB, w *scriptedWorker, c net.Conn, r *http.Request) {
+	answer := "HTTP/1.1 200 OK\r\nSigned: yes\r\nId: {id}\r\nContent-Length: 2\r\n\r\nok"
+	rawScript("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: other\r\nContent-Length: 0\r\n\r\n"+answer)(t, w, c, r)
+}
+
+func TestRefusalOfAnotherRequestDoesNotProveThatThisOneDidNotRun(t *testing.T) {
+	for name, s := range foreignRefusals {
+		for _, bodyBytes := range []int{4, 4 * maxInlineBodyBytes} {
+			t.Run(fmt.Sprintf("%s, body of %d bytes", name, bodyBytes), func(t *testing.T) {
+				t.Parallel()
+				a, b := startWorker(t, s), startWorker(t, s)
+				call := streamCall("a", false)
+				call.Body = make([]byte, bodyBytes)
+				call.Deadline = time.Now().Add(shortTimeout)
+				err := newForwarder(t, a, b).Forward(t.Context(), call, &answerSink{})
+				if code.Of(err) != code.OutcomeUnknown || code.From(err).Outcome != code.Unknown {
+					t.Errorf("got %v with outcome %q, want OutcomeUnknown with an unknown outcome", err, code.From(err).Outcome)
+				}
+				if n := a.requestCount.Load() + b.requestCount.Load(); n != 1 {
+					t.Errorf("%d workers got the request, want 1", n)
+				}
+			})
+		}
+	}
+}
+
+// TestForeignRefusalsCountAsAttempts has workers that repeat a refusal of another
+// request. A repeatable request must reach no more of them than its attempts allow.
+func TestForeignRefusalsCountAsAttempts(t *testing.T) {
+	for name, s := range foreignRefusals {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			workers := []*scriptedWorker{startWorker(t, s), startWorker(t, s), startWorker(t, s), startWorker(t, s)}
+			call := streamCall("a", true)
+			call.MaxAttempts = 2
+			call.Deadline = time.Now().Add(shortTimeout)
+			err := newForwarder(t, workers...).Forward(t.Context(), call, &answerSink{})
+			if err == nil || code.From(err).Outcome == code.NotRun {
+				t.Errorf("got %v with outcome %q, want an error whose outcome is not NotRun", err, code.From(err).Outcome)
+			}
+			n := int64(0)
+			for _, w := range workers {
+				n += w.requestCount.Load()
+			}
+			if n != int64(call.MaxAttempts) {
+				t.Errorf("%d workers got the request, want %d", n, call.MaxAttempts)
+			}
+		})
+	}
+}
+
+func TestBegunStreamGoesOnElsewhereAfterAForeignRefusal(t *testing.T) {
+	var attempts atomic.Int64
+	s := func(t testing.TB, w *scriptedWorker, c net.Conn, r *http.Request) {
+		switch attempts.Add(1) {
+		case 1:
+			eventsScript(2, "")(t, w, c, r)
+		case 2:
+			foreignRefusals["of another request"](t, w, c, r)
+		default:
+			eventsScript(5, endOfChunks)(t, w, c, r)
+		}
+	}
+	sink := &answerSink{}
+	if err := newForwarder(t, startWorker(t, s), startWorker(t, s)).Forward(t.Context(), streamCall("a", true), sink); err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(eventsUpTo(5), sink.body.String()); d != "" || attempts.Load() != 3 {
+		t.Errorf("%d attempts, want 3\n%s", attempts.Load(), d)
+	}
+}
+
+// TestOwnRefusalIsProofWhateverFollows covers refusals that name the request: written
+// before its body has been read, or followed by bytes that belong to no request.
+func TestOwnRefusalIsProofWhateverFollows(t *testing.T) {
+	refusal := "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: a\r\nContent-Length: 2\r\n\r\nno"
+	for name, text := range map[string]string{
+		"alone":                         refusal,
+		"after an interim response":     "HTTP/1.1 102 Processing\r\nNot-Run: 1\r\nId: other\r\n\r\n" + refusal,
+		"written twice":                 refusal + refusal,
+		"before an answer of another":   refusal + "HTTP/1.1 200 OK\r\nSigned: yes\r\nId: other\r\nContent-Length: 2\r\n\r\nok",
+		"before bytes of no answer":     refusal + "\x00\xffgarbage",
+		"without the end of its body":   strings.TrimSuffix(refusal, "o"),
+		"without a length, until close": strings.Replace(refusal, "Content-Length: 2\r\n", "", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			refusing := startHastyWorker(t, text)
+			answering := startWorker(t, eventsScript(3, endOfChunks))
+			call := streamCall("a", false)
+			call.Body = make([]byte, 8<<20)
+			call.Deadline = time.Now().Add(shortTimeout)
+			d := newForwarder(t, refusing, answering)
+			d.current().targets["w1"].setConfig(&upstreamConfig{Upstream: d.current().document.Upstreams["w1"], distance: callTimeout})
+			sink := &answerSink{}
+			if err := d.Forward(t.Context(), call, sink); err != nil || sink.body.String() != eventsUpTo(3) {
+				t.Errorf("got error %v and body %q", err, sink.body.String())
+			}
+			if refusing.requestCount.Load() == 0 {
+				t.Error("no worker refused the request")
+			}
+		})
+	}
+}
+
+// startHastyWorker starts a worker that writes a text as soon as it has read the head of
+// a request, and reads the body only then.
+func startHastyWorker(t *testing.T, text string) *scriptedWorker {
+	t.Helper()
+	return startWorker(t, func(_ testing.TB, _ *scriptedWorker, c net.Conn, r *http.Request) {
+		_, _ = io.WriteString(c, text)
+		_, _ = io.Copy(io.Discard, bufio.NewReader(r.Body))
+	})
+}
+
+func TestRequestWithoutIDIsRefusedWithoutID(t *testing.T) {
+	sink := &answerSink{}
+	w := startWorker(t, rawScript("HTTP/1.1 400 No Id\r\nNot-Run: 1\r\nSigned: yes\r\nContent-Length: 2\r\n\r\nno"))
+	if err := newForwarder(t, w).Forward(t.Context(), streamCall("", false), sink); err != nil || sink.status != http.StatusBadRequest || sink.body.String() != "no" {
+		t.Errorf("got error %v, status %d, body %q; want 400 and \"no\"", err, sink.status, sink.body.String())
+	}
+}
