Pass on no failure that does not name the request

Callers could get a failure of another request as their own, with a worker's signature, and an item of a job could be listed as failed for good (422) because of a response that named no item.

Cause: the id of a response was required for statuses below 300 only; any other status without an id counted as the answer to the request that had been sent.

Ruled out: responses with another id, which were rejected before. A worker's 400 has no id only if the request had none; both still match.

Change: a response belongs to a request only if it has the request's id, whatever its status. Otherwise the attempt has failed with unknown outcome, as with the answer of another request.

Conclusion: mended; the same class as the refusals that name another request.

--- a/upstream/forward_response.go
+++ b/upstream/forward_response.go
@@ -35,7 +35,7 @@
 func (f *forwarding) checkResponse(response *http.Response, head Head) *failure {
 	status := response.StatusCode
 	switch {
-	case head.RequestID != f.call.RequestID && (head.RequestID != "" || head.NotRun):
+	case head.RequestID != f.call.RequestID:
 		return &failure{err: code.Wrap(code.UpstreamBadAnswer, errOtherRequest, "the answer belongs to request %q", head.RequestID)}
 	case head.NotRun && status != http.StatusBadRequest:
 		return &failure{err: code.New(code.UpstreamRefused, "the upstream refused with status %d", status), refused: true}
--- a/upstream/refusal_test.go
+++ b/upstream/refusal_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
 )
 
 // foreignRefusals are refusals that do not name the request that was sent.
@@ -150,3 +151,37 @@
 		t.Errorf("got error %v, status %d, body %q; want 400 and \"no\"", err, sink.status, sink.body.String())
 	}
 }
+
+// TestFailureWithoutIDIsNotPassedOn has workers whose failures name no request.
+func TestFailureWithoutIDIsNotPassedOn(t *testing.T) {
+	for _, status := range []int{302, 404, 422, 500, 504} {
+		failure := rawScript(fmt.Sprintf("HTTP/1.1 %d Failed\r\nSigned: yes\r\nContent-Length: 2\r\n\r\nno", status))
+		sink := &answerSink{}
+		err := newForwarder(t, startWorker(t, failure)).Forward(t.Context(), streamCall("a", false), sink)
+		if code.Of(err) != code.OutcomeUnknown || sink.status != 0 {
+			t.Errorf("status %d: got error %v and status %d, want OutcomeUnknown and none", status, err, sink.status)
+		}
+	}
+}
+
+func TestFailureWithoutIDDoesNotEndTheResumptionOfABatchRequest(t *testing.T) {
+	var attempts atomic.Int64
+	s := func(t testing.TB, w *scriptedWorker, c net.Conn, r *http.Request) {
+		switch attempts.Add(1) {
+		case 1:
+			eventsScript(2, "")(t, w, c, r)
+		case 2:
+			rawScript("HTTP/1.1 422 Never\r\nContent-Length: 0\r\n\r\n")(t, w, c, r)
+		default:
+			eventsScript(5, endOfChunks)(t, w, c, r)
+		}
+	}
+	call, sink := streamCall("a", true), &answerSink{}
+	call.Class = contract.Batch
+	if err := newForwarder(t, startWorker(t, s), startWorker(t, s)).Forward(t.Context(), call, sink); err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(eventsUpTo(5), sink.body.String()); d != "" {
+		t.Error(d)
+	}
+}
