Send no new request to a worker that announced its shutdown in an answer

A worker that leaves may say so in its answers (Server-Leaving) and nowhere else. Later requests of callers and items of jobs still went to it, up to its end.

Cause: the header was not decoded. Head.Leaving existed and was never set; leaving was known from entries and load reports only.

Ruled out: the load report as the place of the mark. The next answer with a load replaces it, and a target is replaced when its entry vanishes or its address changes.

Such an upstream gets no new work, online or batch, resumptions and fallbacks included. A request that was granted a slot before is not sent: the mark is looked up again before the connection is made and before the request is written, and another upstream is chosen without counting an attempt. The next incarnation gets work.

Conclusion: done, apart from requests that are being written while the mark is made.

--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -25,6 +25,8 @@
 	unreachable bool
 	// refused means that the upstream did not run the request.
 	refused bool
+	// withheld means that nothing was sent because the upstream is leaving.
+	withheld bool
 	// preempted means that the scheduler ended the attempt, either for online work or
 	// to migrate the stream to a faster upstream.
 	preempted bool
@@ -71,10 +73,10 @@
 		result = "failed"
 	}
 	cancelled := cause != nil && !errors.Is(cause, errStalled)
-	if f != nil && !f.final && !cancelled {
+	if f != nil && !f.final && !f.withheld && !cancelled {
 		d.sched.recordFailure(granted.target, f)
 	}
-	if f != nil && cancelled {
+	if f != nil && (cancelled || f.withheld) {
 		result = "cancelled"
 	}
 	if f == nil {
--- a/upstream/cause.go
+++ b/upstream/cause.go
@@ -20,6 +20,7 @@
 	causeReset        failureCause = "reset"           // it reset the connection
 	causeSilent       failureCause = "silent"          // it made no progress within the timeout
 	causeUnreachable  failureCause = "unreachable"     // no connection could be made
+	causeLeaving      failureCause = "leaving"         // it announced its shutdown before the request was sent
 	causeRefused      failureCause = "refused"         // it reported that it did not run the request
 	causeStatus       failureCause = "status"          // it responded with a status that is not passed on
 	causeOtherRequest failureCause = "other_request"   // the response belongs to another request
@@ -69,6 +70,8 @@
 	switch {
 	case fail.preempted:
 		return causePreempted
+	case fail.withheld:
+		return causeLeaving
 	case fail.unreachable:
 		return causeUnreachable
 	case fail.refused:
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -143,6 +143,10 @@
 			f.preemptions++
 			continue
 		}
+		if fail.withheld {
+			d.log.Info("not sent", zap.String("request", f.call.RequestID), zap.String("upstream", granted.target.id), zap.Error(fail.err))
+			continue
+		}
 		if !f.mayRetry(fail) {
 			return f.failureError(fail)
 		}
@@ -301,11 +305,17 @@
 
 // forwardOnce makes one attempt. It returns nil if the answer is complete.
 func (d *Dispatcher) forwardOnce(granted *slot, f *forwarding) *failure {
+	if fail := d.sched.withheld(granted); fail != nil {
+		return fail
+	}
 	c, err := d.dial(granted.ctx, granted.target.address)
 	if err != nil {
 		return &failure{err: code.Wrap(code.NoUpstream, err, "upstream %q can't be reached", granted.target.id), unreachable: true}
 	}
 	defer c.close()
+	if fail := d.sched.withheld(granted); fail != nil {
+		return fail
+	}
 	first, next := d.forwardTimeouts(granted, f)
 	timer := d.silenceTimer(granted, f, next)
 	timer.Reset(first)
@@ -327,6 +337,7 @@
 	defer func() { _ = response.Body.Close() }()
 	head := wire.Head(response.StatusCode, response.Header)
 	d.sched.recordLoad(granted.target, head)
+	d.sched.recordLeaving(granted.target, head)
 	if fail := f.checkResponse(response, head); fail != nil {
 		if fail.refused {
 			f.dispatched = before
--- a/upstream/forward_test.go
+++ b/upstream/forward_test.go
@@ -38,7 +38,10 @@
 }
 
 func (testWire) Head(_ int, h http.Header) Head {
-	return Head{RequestID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+	return Head{
+		RequestID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "",
+		Misplaced: h.Get("Misplaced") != "", Leaving: h.Get("Leaving") != "", LoadKnown: h.Get("Load-Known") != "",
+	}
 }
 
 func (testWire) EndToEnd(h http.Header) http.Header { return h.Clone() }
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -72,6 +72,7 @@
 	random      *rand.Rand
 	fleet       *fleet
 	peerDigests map[string]*peerDigest
+	leaving     leavingUpstreams
 	// turns is nil if peers exchange their load only at intervals.
 	turns *turns
 	// peerLoadsSummedAt is when the peer loads of the targets were last computed.
@@ -113,6 +114,7 @@
 		}
 	}
 	s.fleet = f
+	s.restoreLeaving()
 	now := time.Now()
 	s.sumPeerLoads(now)
 	s.assess(now)
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -24,6 +24,9 @@
 	incarnation int64
 	config      atomic.Pointer[upstreamConfig]
 	report      atomic.Pointer[loadReport]
+	// announcedLeaving is set once the upstream has announced in a response that it
+	// shuts down. It is never reset: the next start is another incarnation.
+	announcedLeaving atomic.Bool
 
 	// guarded
 
@@ -77,10 +80,10 @@
 
 func (t *target) setConfig(next *upstreamConfig) { t.config.Store(next) }
 
-// leaving reports whether the upstream must not get new work, according to the document
-// or to its own load report.
+// leaving reports whether the upstream must not get new work, according to the document,
+// to its own load report or to a response.
 func (t *target) leaving() bool {
-	if t.config.Load().Draining {
+	if t.config.Load().Draining || t.announcedLeaving.Load() {
 		return true
 	}
 	r := t.report.Load()
--- a/upstream/wire.go
+++ b/upstream/wire.go
@@ -30,7 +30,7 @@
 	NotRun bool
 	// Misplaced is set if another upstream now has the address.
 	Misplaced bool
-	// Leaving is set if the upstream is about to shut down.
+	// Leaving is set if the upstream announces that it shuts down.
 	Leaving bool
 	// LoadKnown is set if the response reports a load: Running and Waiting count the
 	// requests at the upstream.
