Do not report a model call as not run after an earlier attempt was dispatched

A call of an idempotent model service ended with 3007 and the outcome not_run although its first attempt had reached an engine and broken off.

Cause: failureError corrected the outcome of the last attempt's error for the number NoUpstream only. A refusal of the last attempt kept its own outcome.

Ruled out: services that are not idempotent. They end with 3006 once an attempt was dispatched.

Change: any error with the outcome not_run gets the outcome unknown if an attempt was dispatched, as plain calls do.

Figures: go test ./upstream -run TestRefusalAfterABrokenAttemptDoesNotReportNotRun before: "got 3007 upstream_refused ... with outcome not_run after 4 attempts"; after: ok.

Conclusion: mended in the product's own interface. The routed services had it right.

--- a/upstream/complete.go
+++ b/upstream/complete.go
@@ -219,7 +219,7 @@
 		return code.Wrap(code.StreamBroken, f.err, "the stream broke after %d tokens and could not be resumed", c.partial.tokens)
 	case !c.dispatched.Load():
 		return e.WithOutcome(code.NotRun).WithRetryAfter(defaultRetryHint)
-	case e.Outcome == code.NotRun && e.Number == code.NoUpstream:
+	case e.Outcome == code.NotRun:
 		// An earlier attempt was dispatched.
 		return e.WithOutcome(code.Unknown)
 	}
--- a/upstream/refusal_test.go
+++ b/upstream/refusal_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/route"
 )
 
 // foreignRefusals are refusals that do not name the request that was sent.
@@ -185,3 +187,27 @@
 		t.Error(d)
 	}
 }
+
+// TestRefusalAfterABrokenAttemptDoesNotReportNotRun breaks the first attempt of a call of
+// a model service; all further ones are refused.
+func TestRefusalAfterABrokenAttemptDoesNotReportNotRun(t *testing.T) {
+	var attempts atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && attempts.Add(1) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		http.Error(w, "full", http.StatusServiceUnavailable)
+	}))
+	defer server.Close()
+	h := newHarness(t, 0, fastEngine, func(_ *Options, d *contract.Document) {
+		d.Limits.RetryShare = 1
+		for i := range route.MaxAttempts {
+			d.Upstreams[fmt.Sprint("u", i)] = contract.Upstream{Address: server.Listener.Addr().String(), Services: []string{"chat"}, Slots: 4}
+		}
+	})
+	err := h.Complete(t.Context(), call(contract.Batch, "a", 3), func(contract.Chunk) error { return nil })
+	if e := code.From(err); err == nil || e.Outcome != code.Unknown || attempts.Load() != route.MaxAttempts {
+		t.Errorf("got %v with outcome %q after %d attempts, want an unknown outcome after %d", err, e.Outcome, attempts.Load(), route.MaxAttempts)
+	}
+	h.close()
+}
