Take no refusal on a kept connection as proof that a model call did not run

A call of an idempotent model service ended with the outcome not_run although an engine had run it: the engine had written an earlier refusal once more on a kept connection.

Cause: checkStatus takes 503 and 429 as a refusal, and nothing compared the response with the attempt before its first chunk. A kept connection may hold the response of an earlier attempt.

Ruled out: services that are not idempotent. Their calls open a connection of their own, whose first response cannot be that of an earlier one.

Change: a response whose X-Request-Id is that of another attempt is a failed attempt with unknown outcome, whatever its status. On a connection that has carried another attempt, a response without the attempt's id counts the call as dispatched; it still goes on elsewhere. The stand-in engine returns the id.

An engine that does not return X-Request-Id costs the outcome not_run on kept connections; the answer of its calls is unchanged.

--- a/standin/engine/completions.go
+++ b/standin/engine/completions.go
@@ -46,6 +46,9 @@
 
 func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
 	faults := e.faults.Load()
+	if id := r.Header.Get("X-Request-Id"); id != "" {
+		w.Header().Set("X-Request-Id", id)
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
 	if err != nil {
 		writeError(w, http.StatusBadRequest, err.Error())
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -8,6 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -142,9 +145,12 @@
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Accept", "text/event-stream")
 	request.Header.Set("X-Request-Id", id)
+	var reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) }}
+	request = request.WithContext(httptrace.WithClientTrace(granted.ctx, trace))
 	response, err := d.transports.forSlot(granted).RoundTrip(request)
 	if err == nil {
-		return response, nil
+		return checkAttemptID(response, c, id, reused.Load())
 	}
 	if isDialError(err) {
 		return nil, &failure{err: code.Wrap(code.NoUpstream, err, "upstream %q can't be reached", granted.target.id), unreachable: true}
@@ -153,6 +159,25 @@
 	return nil, &failure{err: code.Wrap(code.UpstreamFailed, err, "upstream %q failed", granted.target.id)}
 }
 
+// checkAttemptID returns a failure if the response belongs to another attempt. On a
+// connection that has carried another attempt, only a response with the attempt's id is
+// known to belong to it, so that no other one proves that the attempt did not run.
+func checkAttemptID(response *http.Response, c *completion, id string, reused bool) (*http.Response, *failure) {
+	answered := response.Header.Get("X-Request-Id")
+	if answered == id {
+		return response, nil
+	}
+	if reused {
+		c.dispatched.Store(true)
+	}
+	if !strings.HasPrefix(answered, attemptPrefix) {
+		return response, nil
+	}
+	c.dispatched.Store(true)
+	_ = response.Body.Close()
+	return nil, &failure{err: code.Wrap(code.UpstreamBadAnswer, errOtherRequest, "the answer belongs to request %q", answered)}
+}
+
 // isDialError reports whether the error means that no connection was made.
 func isDialError(err error) bool {
 	var op *net.OpError
--- a/upstream/refusal_test.go
+++ b/upstream/refusal_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -211,3 +212,87 @@
 	}
 	h.close()
 }
+
+// startRepeatingServer starts a server that keeps its connections. It answers the first
+// request on each with first, and all later ones, which it runs, with the text again.
+func startRepeatingServer(t *testing.T, first, again func(r *http.Request) string) (address string, runs *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	runs = &atomic.Int64{}
+	var wait sync.WaitGroup
+	wait.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			wait.Go(func() {
+				defer func() { _ = c.Close() }()
+				reader, answer := bufio.NewReader(c), first
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if r.Method == http.MethodPost {
+						runs.Add(1)
+					}
+					if _, err := io.WriteString(c, answer(r)); err != nil {
+						return
+					}
+					answer = again
+				}
+			})
+		}
+	})
+	t.Cleanup(func() { _ = l.Close(); wait.Wait() })
+	return l.Addr().String(), runs
+}
+
+func textResponse(status int, header, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d Text\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(body), body)
+}
+
+// shortCompletion is the whole answer of an engine to r.
+func shortCompletion(r *http.Request) string {
+	id := r.Header.Get("X-Request-Id")
+	return textResponse(http.StatusOK, "", `data: {"id":"`+id+`","choices":[{"delta":{"content":"a"},"finish_reason":"stop"}]}`+"\n\ndata: [DONE]\n\n")
+}
+
+// TestRefusalOnAKeptConnectionDoesNotProveThatAModelCallDidNotRun repeats a refusal on a
+// connection that has carried a call before.
+func TestRefusalOnAKeptConnectionDoesNotProveThatAModelCallDidNotRun(t *testing.T) {
+	for name, header := range map[string]string{"without id": "", "of another attempt": "X-Request-Id: " + attemptPrefix + "other\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			refusal := func(*http.Request) string { return textResponse(http.StatusServiceUnavailable, header, "full") }
+			var answered atomic.Bool
+			once := func(r *http.Request) string {
+				if r.Method != http.MethodPost || answered.Swap(true) {
+					return refusal(r)
+				}
+				return shortCompletion(r)
+			}
+			address, runs := startRepeatingServer(t, once, refusal)
+			h := newHarness(t, 0, fastEngine, func(o *Options, d *contract.Document) {
+				o.PollInterval = time.Hour
+				d.Upstreams["u"] = contract.Upstream{Address: address, Services: []string{"chat"}, Slots: 4}
+			})
+			complete := func() error {
+				c := call(contract.Online, "a", 3)
+				c.Deadline = time.Now().Add(shortTimeout)
+				return h.Complete(t.Context(), c, func(contract.Chunk) error { return nil })
+			}
+			if err := complete(); err != nil {
+				t.Fatal(err)
+			}
+			if err := complete(); err == nil || code.From(err).Outcome != code.Unknown || runs.Load() < 2 {
+				t.Errorf("got %v with outcome %q after %d runs, want an unknown outcome after 2 or more", err, code.From(err).Outcome, runs.Load())
+			}
+			h.close()
+		})
+	}
+}
