Give each plain call a connection of its own

A caller of an idempotent plain service got the answer to another caller's call: the service had written an earlier response once more on a kept connection.

Cause: calls of idempotent plain services used kept connections, and nothing in a plain response says which call it belongs to. net/http drops such bytes only if they arrive before the next request is sent.

Ruled out: comparing X-Request-Id. A plain service may return an id of its own or none.

Change: all plain calls use the transport that opens a connection for every call, as those that may run once did before. net/http then sends none of them a second time by itself either.

Figures: go test ./upstream -run TestPlainCallsGetNoAnswerOfAnEarlierCall before: "/second: got answer ... answer to /first"; after: ok. The cost of the connections was not measured.

Conclusion: mended.

--- a/upstream/plain.go
+++ b/upstream/plain.go
@@ -102,7 +102,7 @@
 	if f != nil {
 		return nil, f
 	}
-	response, err := d.transports.forSlot(granted).RoundTrip(request)
+	response, err := d.transports.single.RoundTrip(request)
 	if err != nil && isDialError(err) {
 		return nil, &failure{err: code.Wrap(code.NoUpstream, err, "upstream %q can't be reached", granted.target.id), unreachable: true}
 	}
--- a/upstream/refusal_test.go
+++ b/upstream/refusal_test.go
@@ -296,3 +296,20 @@
 		})
 	}
 }
+
+func TestPlainCallsGetNoAnswerOfAnEarlierCall(t *testing.T) {
+	answer := func(r *http.Request) string { return textResponse(http.StatusOK, "", "answer to "+r.URL.Path) }
+	again := func(*http.Request) string { return textResponse(http.StatusOK, "", "answer to /first") }
+	address, _ := startRepeatingServer(t, answer, again)
+	h := newHarness(t, 0, fastEngine, func(_ *Options, d *contract.Document) {
+		d.Services["pickup"] = contract.Service{Kind: contract.KindPlain, Idempotent: true}
+		d.Upstreams["p"] = contract.Upstream{Address: address, Services: []string{"pickup"}, Slots: 4}
+	})
+	for _, path := range []string{"/first", "/second", "/third"} {
+		got, err := h.Call(t.Context(), &contract.PlainCall{Service: "pickup", Idempotent: true, Method: http.MethodPost, Path: path})
+		if err != nil || string(got.Body) != "answer to "+path {
+			t.Errorf("%s: got answer %+v, error %v", path, got, err)
+		}
+	}
+	h.close()
+}
--- a/upstream/transports.go
+++ b/upstream/transports.go
@@ -24,7 +24,8 @@
 	batch  *http.Transport
 	// single opens a new connection for every call. On a kept-alive connection net/http
 	// would send a request with an idempotency key a second time if the connection
-	// breaks.
+	// breaks, and an upstream might write an earlier response once more: those of plain
+	// services need not name their request.
 	single *http.Transport
 	// reports is for load reports and probes.
 	reports *http.Transport
@@ -47,7 +48,7 @@
 	return ts
 }
 
-// forSlot returns the transport for an attempt.
+// forSlot returns the transport for an attempt of a model service.
 func (ts *transports) forSlot(g *slot) *http.Transport {
 	switch {
 	case g.dispatchOnce:
