Give the trial of a request that was not sent to the next request

Cause: an attempt can now end before it is sent because its upstream announces its shutdown. It counted as a run, so that the trial of a quarantined prompt was used up without an answer and the part stayed kept back until the next one. Ruled out: attempts that are refused or meet no connection, which returned the trial before. Change: a withheld attempt returns the trial. A crash at the first reading of the clock counts as well, which the test found in virtual time. Figures: go test ./upstream -run TrialThatWasNotSent before: "trial false, <nil>; want a trial"; after: passes.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -34,12 +34,16 @@
 	Request string `json:"request"`
 }
 
+// neverAnswered is before all readings of a clock.
+const neverAnswered time.Duration = -1
+
 // part is what is known about one part of prompts. A part without evidence has none.
 type part struct {
 	// crashes is keyed by a hash of the upstream's incarnation.
 	crashes map[uint64]crash
 	// answeredAt is when a request with the part was last answered at this instance
-	// while there was evidence, by the store's clock. Earlier crashes do not count.
+	// while there was evidence, by the store's clock, or neverAnswered. Earlier crashes do
+	// not count.
 	answeredAt time.Duration
 	// removalAt is when this instance removes the rows of earlier crashes.
 	removalAt time.Time
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -291,7 +291,7 @@
 func (l *List) part(id uint64) *part {
 	p, ok := l.parts[id]
 	if !ok && len(l.parts) < maxParts {
-		p = &part{crashes: map[uint64]crash{}, changedAt: time.Now()}
+		p = &part{crashes: map[uint64]crash{}, answeredAt: neverAnswered, changedAt: time.Now()}
 		l.parts[id] = p
 	}
 	return p
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -134,7 +134,7 @@
 		ttl = quarantineTTL
 	}
 	expired := l.storeTime(now)-p.lastAt() > ttl && l.options.RemovesExpired()
-	refuted := p.answeredAt > 0 && !now.Before(p.removalAt)
+	refuted := p.answeredAt != neverAnswered && !now.Before(p.removalAt)
 	if !expired && !refuted {
 		return nil
 	}
--- a/upstream/quarantine.go
+++ b/upstream/quarantine.go
@@ -100,7 +100,7 @@
 	if q == nil || len(f.promptParts) == 0 {
 		return
 	}
-	ran := fail == nil || !fail.unreachable && !fail.refused
+	ran := fail == nil || !fail.unreachable && !fail.refused && !fail.withheld
 	if !ran {
 		d.returnTrial(f)
 	}
--- a/upstream/quarantine_test.go
+++ b/upstream/quarantine_test.go
@@ -158,6 +158,34 @@
 	})
 }
 
+// TestTrialThatWasNotSentGoesToTheNextRequest covers attempts that end before an upstream
+// runs the request.
+func TestTrialThatWasNotSentGoesToTheNextRequest(t *testing.T) {
+	for name, fail := range map[string]*failure{
+		"unreachable": {unreachable: true},
+		"refused":     {refused: true},
+		"leaving":     {withheld: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d := newCrashingWorkers(t, 1)
+				f := &forwarding{call: streamCall("a", false), promptParts: partKeys("s", []uint64{deadlyPart})}
+				for k := range 3 {
+					d.options.Quarantine.RecordCrash(f.promptParts, fmt.Sprint("u", k), 1, "r")
+					time.Sleep(time.Second)
+				}
+				time.Sleep(5 * time.Second)
+				for range 3 {
+					if err := d.admit(t.Context(), f); err != nil || !f.isTrial {
+						t.Fatalf("trial %v, %v; want a trial", f.isTrial, err)
+					}
+					d.recordAttempt(&slot{ctx: t.Context()}, f, fail)
+				}
+			})
+		})
+	}
+}
+
 // startPipeWorker returns a dispatcher before one worker that is connected by pipes.
 func startPipeWorker(t *testing.T, s script) *crashingWorkers {
 	t.Helper()
