Keep the logs of two soaks with one seed apart

Cause: a soak's directory was named by its seed alone, and the ids of requests begin anew in each soak.

Ruled out: other ids for each soak, since they decide the length of answers.

The wrong mark was found by reading and not seen in a run.

Conclusion: Received refers to the soak that is judged.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -112,7 +112,7 @@
 // runSoak runs one soak in a directory of its own under dir, prints its result and
 // reports whether it ended without violations.
 func runSoak(ctx context.Context, o soak.Options, dir string) bool {
-	o.Dir = filepath.Join(dir, fmt.Sprint(o.Seed))
+	o.Dir = filepath.Join(dir, fmt.Sprintf("%d-%v", o.Seed, o.FaultPeriod))
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return false
