Do not report a rejected model call as not run after an attempt that broke off

A call of an idempotent model service ended with 3007 and the outcome not_run although its first attempt had reached an engine and broken off; the second engine had rejected the request with status 404.

Cause: a rejection is final, so that its error was returned with its own outcome, which speaks of the last attempt only.

Ruled out: refusals with 503 and 429, which end in failureError.

Change: a rejection has the outcome unknown if an earlier attempt was dispatched.

Figures: go test ./upstream -run TestRejectionAfterABrokenAttemptDoesNotReportNotRun before: "got 3007 upstream_refused: the upstream answered status 404 ... with outcome not_run after 2 attempts"; after: ok.

Conclusion: mended in the interface for model services.

--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -198,6 +198,9 @@
 	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
 		text, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
 		err := code.New(code.UpstreamRefused, "the upstream answered status %d: %s", status, text)
+		if c.dispatched.Load() {
+			err = err.WithOutcome(code.Unknown)
+		}
 		// A request to resume that one engine rejects may be accepted by another.
 		return &failure{err: err, final: c.partial.text.Len() == 0}
 	}
--- a/upstream/refusal_test.go
+++ b/upstream/refusal_test.go
@@ -213,6 +213,28 @@
 	h.close()
 }
 
+func TestRejectionAfterABrokenAttemptDoesNotReportNotRun(t *testing.T) {
+	var attempts atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost && attempts.Add(1) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		http.Error(w, "no such model", http.StatusNotFound)
+	}))
+	defer server.Close()
+	h := newHarness(t, 0, fastEngine, func(_ *Options, d *contract.Document) {
+		d.Limits.RetryShare = 1
+		for i := range route.MaxAttempts {
+			d.Upstreams[fmt.Sprint("u", i)] = contract.Upstream{Address: server.Listener.Addr().String(), Services: []string{"chat"}, Slots: 4}
+		}
+	})
+	err := h.Complete(t.Context(), call(contract.Batch, "a", 3), func(contract.Chunk) error { return nil })
+	if e := code.From(err); err == nil || e.Outcome != code.Unknown || attempts.Load() != 2 {
+		t.Errorf("got %v with outcome %q after %d attempts, want an unknown outcome after 2", err, e.Outcome, attempts.Load())
+	}
+	h.close()
+}
+
 // startRepeatingServer starts a server that keeps its connections. It answers the first
 // request on each with first, and all later ones, which it runs, with the text again.
 func startRepeatingServer(t *testing.T, first, again func(r *http.Request) string) (address string, runs *atomic.Int64) {
