Reject waiting requests when all upstreams of their service leave

Cause: a request that came when all upstreams of its service were leaving was rejected at once with 2004; one that waited already got no slot any more and was kept until its deadline, although nothing could serve it. Ruled out: upstreams that are suspended or unreachable; they may take work again. Change: the assessment of a service whose upstreams all leave rejects its waiters as a vanished service does: no_upstream, not run, with a time to retry after. Figures: go test ./upstream -run WhenAllUpstreamsLeave before: "the request still waits although its only upstream leaves", online and batch; after: passes. Conclusion: what is known to be unservable does not wait for its deadline.

--- a/upstream/health.go
+++ b/upstream/health.go
@@ -132,6 +132,10 @@
 	if len(ps.open) == 0 {
 		ps.open = slices.AppendSeq(ps.open, p.fallbackTargets(now))
 	}
+	if p.allLeaving() {
+		// A new request would be rejected, too.
+		ps.rejectWaiters()
+	}
 }
 
 // readmit ends the ejection of a target of a routed service when its time is over. Such
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -51,7 +51,7 @@
 	request
 	// ctx is the context of the attempt.
 	ctx context.Context
-	// granted receives the slot. It is closed if the service no longer exists.
+	// granted receives the slot. It is closed if no upstream of the service takes work.
 	granted chan *slot
 }
 
@@ -147,7 +147,7 @@
 	select {
 	case granted, ok := <-w.granted:
 		if !ok {
-			return nil, code.New(code.NoUpstream, "service %q has no upstream any more", r.pool.name).WithRetryAfter(defaultRetryHint)
+			return nil, code.New(code.NoUpstream, "service %q has no upstream that takes work any more", r.pool.name).WithRetryAfter(defaultRetryHint)
 		}
 		return granted, nil
 	case <-ctx.Done():
--- a/upstream/vanished_test.go
+++ b/upstream/vanished_test.go
@@ -74,3 +74,42 @@
 		})
 	}
 }
+
+// TestWaitingRequestIsRejectedWhenAllUpstreamsLeave: no slot can come free for it.
+func TestWaitingRequestIsRejectedWhenAllUpstreamsLeave(t *testing.T) {
+	for _, class := range []contract.Class{contract.Online, contract.Batch} {
+		t.Run(class.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dial, workers, wait := pipeWorkers(eventsScript(1, endOfChunks))
+				d, _ := newLoggedForwarder(t, dial, workers...)
+				p, err := d.current().pool("s", contract.KindRouted)
+				if err != nil {
+					t.Fatal(err)
+				}
+				deadline := time.Now().Add(time.Minute)
+				other := request{pool: p, deadline: deadline}
+				for d.sched.tryAcquire(t.Context(), other) != nil {
+				}
+				done := make(chan error, 1)
+				go func() {
+					call := streamCall("a", true)
+					call.Class, call.Deadline = class, deadline
+					done <- d.Forward(t.Context(), call, &answerSink{})
+				}()
+				synctest.Wait()
+				d.sched.recordLeaving(p.targets[0], Head{Leaving: true})
+				synctest.Wait()
+				select {
+				case err := <-done:
+					if e := code.From(err); e.Number != code.NoUpstream || e.Outcome != code.NotRun || e.RetryAfter == 0 {
+						t.Errorf("got %v with retry after %v, want no_upstream, not run, with a time to retry after", err, e.RetryAfter)
+					}
+				default:
+					t.Error("the request still waits although its only upstream leaves")
+					<-done
+				}
+				wait.Wait()
+			})
+		})
+	}
+}
