Take the present pool of a service for each attempt

Cause: Forward took the pool of its service once. After the last worker of the service had left the document, a further attempt went to a removed worker, whose address may belong to another service by then, or waited in a queue that nobody serves, until its deadline. Ruled out: waiters that were queued when the service vanished; setFleet rejects those. Change: each attempt uses the pool of the present fleet, and the scheduler places or queues no request of a pool that the fleet does not have. Figures: go test ./upstream -run AfterItsServiceVanished before: "the removed worker got 3 requests, want 1", with the service gone for good and with its return; after: passes.

--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -112,6 +112,7 @@
 // forwardAttempts makes attempts, one after another, until the call is done.
 func (d *Dispatcher) forwardAttempts(ctx context.Context, f *forwarding) error {
 	for {
+		d.refreshPool(f)
 		f.request.batchWork = d.sched.batchWork(f)
 		f.setDeadline()
 		granted, err := d.acquireAdmitted(ctx, f)
@@ -158,6 +159,14 @@
 	}
 }
 
+// refreshPool lets the next attempt use the present pool of the service: the one of an
+// earlier attempt is not served any more if the service was gone in between.
+func (d *Dispatcher) refreshPool(f *forwarding) {
+	if p, err := d.current().pool(f.call.Service, contract.KindRouted); err == nil {
+		f.pool, f.request.pool = p, p
+	}
+}
+
 // defaultTimePerToken is the slot time for each output token until one has been
 // observed.
 const defaultTimePerToken = 4 * time.Millisecond
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -131,6 +131,10 @@
 // limits the wait.
 func (s *scheduler) acquireFor(ctx, attemptCtx context.Context, r request) (*slot, error) {
 	s.mu.Lock()
+	if !s.isCurrent(r.pool) {
+		s.mu.Unlock()
+		return nil, serviceGoneError(r.pool)
+	}
 	if s.isQueueEmpty(&r) {
 		if granted := s.place(attemptCtx, &r); granted != nil {
 			s.mu.Unlock()
@@ -147,7 +151,7 @@
 	select {
 	case granted, ok := <-w.granted:
 		if !ok {
-			return nil, code.New(code.NoUpstream, "service %q has no upstream that takes work any more", r.pool.name).WithRetryAfter(defaultRetryHint)
+			return nil, serviceGoneError(r.pool)
 		}
 		return granted, nil
 	case <-ctx.Done():
@@ -168,7 +172,7 @@
 func (s *scheduler) tryAcquireInTurn(ctx context.Context, r request) *slot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.isQueueEmpty(&r) {
+	if !s.isCurrent(r.pool) || !s.isQueueEmpty(&r) {
 		return nil
 	}
 	return s.place(ctx, &r)
@@ -204,6 +208,17 @@
 	w.pool.observeDemand(time.Now())
 }
 
+// isCurrent reports whether the fleet has the service of p, so that its queues are served
+// and its targets are in use. The caller holds the lock.
+func (s *scheduler) isCurrent(p *pool) bool {
+	current, ok := s.fleet.pools[p.name]
+	return ok && current.poolState == p.poolState
+}
+
+func serviceGoneError(p *pool) error {
+	return code.New(code.NoUpstream, "service %q has no upstream that takes work any more", p.name).WithRetryAfter(defaultRetryHint)
+}
+
 // abandon removes a waiter from its queue, or releases the slot that it was granted in
 // the meantime.
 func (s *scheduler) abandon(w *waiter) {
--- a/upstream/vanished_test.go
+++ b/upstream/vanished_test.go
@@ -1,6 +1,9 @@
 package upstream
 
 import (
+	"fmt"
+	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -113,3 +116,47 @@
 		})
 	}
 }
+
+// TestAttemptAfterItsServiceVanishedReachesNoRemovedWorker breaks off a request while the
+// last worker of its service is removed, with and without the service coming back.
+func TestAttemptAfterItsServiceVanishedReachesNoRemovedWorker(t *testing.T) {
+	for _, returns := range []bool{false, true} {
+		t.Run(fmt.Sprintf("returns %v", returns), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				breaksOff := func(testing.TB, *scriptedWorker, net.Conn, *http.Request) { time.Sleep(2 * time.Second) }
+				dial, workers, wait := pipeWorkers(breaksOff, eventsScript(3, endOfChunks))
+				d, _ := newLoggedForwarder(t, dial, workers...)
+				before := *d.options.Document()
+				after := before
+				before.Upstreams = map[string]contract.Upstream{"w0": before.Upstreams["w0"]}
+				after.Upstreams = map[string]contract.Upstream{"w1": after.Upstreams["w1"]}
+				away := before
+				away.Services, away.Upstreams = nil, nil
+				var document atomic.Pointer[contract.Document]
+				document.Store(&before)
+				d.options.Document = document.Load
+				done := make(chan error, 1)
+				go func() {
+					call := streamCall("a", true)
+					call.Class, call.Deadline = contract.Online, time.Now().Add(10*time.Second)
+					done <- d.Forward(t.Context(), call, &answerSink{})
+				}()
+				time.Sleep(time.Second)
+				document.Store(&away)
+				d.current()
+				if returns {
+					document.Store(&after)
+					d.current()
+				}
+				err := <-done
+				if returns && err != nil || !returns && code.Of(err) != code.NoUpstream {
+					t.Errorf("service returns %v: got %v", returns, err)
+				}
+				if n := workers[0].requestCount.Load(); n != 1 {
+					t.Errorf("the removed worker got %d requests, want 1", n)
+				}
+				wait.Wait()
+			})
+		})
+	}
+}
