Let only an answer with a marked end exonerate its prompt

It removed the evidence against the parts of its prompt in the whole fleet. Ruled out: three events, or a length or chunks that have ended: the worker went on after the beginning. Change: such an end is no answer to the quarantine. The caller's stream is as before. Conclusion: evidence is removed by answers only.

--- a/upstream/forward_response.go
+++ b/upstream/forward_response.go
@@ -115,7 +115,7 @@
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
 			fail := a.endEvents()
-			if fail == nil {
+			if fail == nil && !endsWithConnection(a.response) {
 				d.recordAnswer(a.forwarding)
 			}
 			return fail
