Repeat a read that was woken although a buffered request has begun

A connection that a planned stop wakes while the next request is already buffered, and begins before the timed-out read returns, passed the timeout on to net/http, whose read-ahead takes it for the end of the connection and cancels the request: a whole request without an answer. It needs a caller that sends requests ahead. Ruled out: requests that are not buffered; their first byte clears the wake before the read returns. Change: a wake is remembered until a read has timed out because of it, and that read is repeated with the deadline then in force. Figures: go test ./hosted -run WakeOfABuffered before: "got 0, i/o timeout; want the byte after the wake"; after: passes. Conclusion: a wake never reaches net/http while a request runs.

--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -196,6 +196,8 @@
 	// the past. readDeadline is the one to restore.
 	woken        bool
 	readDeadline time.Time
+	// interrupted is set from a wake until a read has timed out because of it.
+	interrupted bool
 	// idleSince and limitWhenIdle belong to the current idle time.
 	idleSince     time.Time
 	limitWhenIdle time.Duration
@@ -205,7 +207,7 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.extendDeadline() {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.wasWoken() {
 		n, err = c.Conn.Read(p)
 	}
 	if n == 0 {
@@ -220,15 +222,17 @@
 	return n, err
 }
 
-// extendDeadline moves the read deadline of a woken connection by lastReadTime and reports
-// whether it has done so.
-func (c *callerConn) extendDeadline() bool {
+// wasWoken reports whether a read that timed out was woken, and must be repeated. The
+// deadline of an unread connection is then moved by lastReadTime. A request that was
+// buffered may have begun since; its own deadline is in force again.
+func (c *callerConn) wasWoken() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.woken || !c.unread {
+	if !c.interrupted {
 		return false
 	}
-	return c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)) == nil
+	c.interrupted = false
+	return !c.woken || c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)) == nil
 }
 
 // begin records that a byte of the next request has been read.
@@ -338,7 +342,7 @@
 	if !c.unread || c.woken {
 		return
 	}
-	c.woken = true
+	c.woken, c.interrupted = true, true
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
--- a/hosted/connections_test.go
+++ b/hosted/connections_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -424,3 +425,31 @@
 		t.Errorf("got %q with error %v, want a reset", answer, err)
 	}
 }
+
+// interruptedConn times out in its first read, after a request has begun meanwhile.
+type interruptedConn struct {
+	net.Conn
+	afterTimeout func()
+	reads        int
+}
+
+func (c *interruptedConn) Read(p []byte) (int, error) {
+	if c.reads++; c.reads == 1 {
+		c.afterTimeout()
+		return 0, os.ErrDeadlineExceeded
+	}
+	p[0] = 'x'
+	return 1, nil
+}
+
+func (c *interruptedConn) SetReadDeadline(time.Time) error { return nil }
+
+func TestWakeOfABufferedRequestDoesNotEndItsRead(t *testing.T) {
+	conn := &interruptedConn{}
+	c := &callerConn{Conn: conn, connections: newConnections(func() time.Duration { return 0 }), unread: true}
+	conn.afterTimeout = c.begin
+	c.wake()
+	if n, err := c.Read(make([]byte, 1)); n != 1 || err != nil {
+		t.Errorf("got %d, %v; want the byte after the wake", n, err)
+	}
+}
