Tell callers when to return whose prompt is quarantined while they wait

Cause: a request that is rejected because its prompt is quarantined while it waits for a slot had no retry hint, so that its caller came back at once. Ruled out: requests that are rejected on arrival; they have the time to the next trial. Change: such a request gets the default hint. Figures: go test ./upstream -run WaitingRequestIsRejectedOnce fails before, with the hint now demanded; after: passes.

--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -223,7 +223,7 @@
 	granted, err := d.acquireInTime(ctx, f)
 	if errors.Is(err, errQuarantined) {
 		f.cause = causeQuarantined
-		return nil, f.quarantineError(0)
+		return nil, f.quarantineError(defaultRetryHint)
 	}
 	if err != nil {
 		d.returnTrial(f)
--- a/upstream/quarantine_test.go
+++ b/upstream/quarantine_test.go
@@ -146,7 +146,7 @@
 			q.RecordCrash(partKeys("s", []uint64{deadlyPart}), fmt.Sprint("u", k), 1, "r")
 		}
 		err := <-waiting
-		if waited := time.Since(startedAt); code.Of(err) != code.PromptQuarantined || code.From(err).Outcome != code.NotRun || waited > time.Second {
+		if waited := time.Since(startedAt); code.Of(err) != code.PromptQuarantined || code.From(err).Outcome != code.NotRun || code.From(err).RetryAfter == 0 || waited > time.Second {
 			t.Errorf("got %v after %v, want a rejection when the part is quarantined", err, waited)
 		}
 		for range 4 {
