Run the test of a stream that stalls half way in virtual time

Cause: the test lets the engines stall when ten tokens have arrived. The engine generates a token each millisecond whether they are read or not, so if the reader is held up for 20 ms, the whole answer of 30 tokens is generated by then, no engine runs the request any more and none is made to stall. The test then reports "no stream stalled and was resumed".

Ruled out: a stalled stream that is not resumed.

Change: the test runs in virtual time, where the engine cannot run ahead of its reader. Its checks are the same.

--- a/upstream/faults_test.go
+++ b/upstream/faults_test.go
@@ -90,29 +90,33 @@
 	}
 }
 
+// TestStreamThatStallsHalfWayIsResumedElsewhere runs in virtual time: on a busy machine the
+// engine may have generated the whole answer before ten tokens of it have arrived.
 func TestStreamThatStallsHalfWayIsResumedElsewhere(t *testing.T) {
-	h := newHarness(t, 3, fastEngine, nil)
-	h.runCalls(t, contract.Online, 20, 4, 12)
-	c := call(contract.Online, "stalls", 30)
-	var text strings.Builder
-	tokens := 0
-	err := h.Complete(context.Background(), c, func(chunk contract.Chunk) error {
-		text.WriteString(chunk.Text)
-		if tokens++; tokens == 10 {
-			for _, e := range h.engines {
-				if e.CurrentLoad().Running > 0 {
-					e.SetFaults(engine.Faults{Stall: true})
+	synctest.Test(t, func(t *testing.T) {
+		h := newHarnessOn(t, pipeNetwork(), 3, fastEngine, nil)
+		h.runCalls(t, contract.Online, 20, 4, 12)
+		c := call(contract.Online, "stalls", 30)
+		var text strings.Builder
+		tokens := 0
+		err := h.Complete(context.Background(), c, func(chunk contract.Chunk) error {
+			text.WriteString(chunk.Text)
+			if tokens++; tokens == 10 {
+				for _, e := range h.engines {
+					if e.CurrentLoad().Running > 0 {
+						e.SetFaults(engine.Faults{Stall: true})
+					}
 				}
 			}
+			return nil
+		})
+		if want := engine.Answer(c.Chat.Messages, 30); err != nil || text.String() != want {
+			t.Errorf("%v: got %q, want %q", err, text.String(), want)
+		}
+		if h.engineCounts().Resumed == 0 {
+			t.Error("no stream stalled and was resumed")
 		}
-		return nil
 	})
-	if want := engine.Answer(c.Chat.Messages, 30); err != nil || text.String() != want {
-		t.Errorf("%v: got %q, want %q", err, text.String(), want)
-	}
-	if h.engineCounts().Resumed == 0 {
-		t.Error("no stream stalled and was resumed")
-	}
 }
 
 func TestUnresponsiveUpstreamsGiveANumberedErrorAtTheDeadline(t *testing.T) {
