Assess only parts with enough evidence for a quarantine

Cause: each change of the evidence recounted the crashes of every part, sorted by time, replaced the set of quarantined parts and compared all waiting requests with it, although nearly all parts have a single crash and the set rarely changes. In a large fleet each instance does this with the evidence of all.

Change: parts with fewer crashes than a quarantine takes are passed over, an unchanged set is left alone, and only the instance that removes expired rows looks for them.

--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -379,6 +380,9 @@
 			delete(l.parts, id)
 			continue
 		}
+		if !p.quarantined && len(p.crashes) < minCrashes {
+			continue
+		}
 		n, limit := p.crashCount(), minCrashes
 		if !p.quarantined && !l.answers.last(id, now).IsZero() {
 			limit = minCrashesProven
@@ -392,6 +396,9 @@
 			next[id] = true
 		}
 	}
+	if maps.Equal(next, *l.quarantined.Load()) {
+		return
+	}
 	l.quarantined.Store(&next)
 	for w := range l.watchers {
 		if containsAny(w.parts, next) {
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -139,11 +139,7 @@
 // now: those that an answer has refuted, or all if they have expired. The caller holds
 // the lock.
 func (l *List) removableKeys(id uint64, p *part, now time.Time) []storage.RowKey {
-	ttl := evidenceTTL
-	if p.crashCount() >= minCrashes {
-		ttl = quarantineTTL
-	}
-	expired := l.storeTime(now)-p.lastAt() > ttl && l.options.RemovesExpired()
+	expired := l.options.RemovesExpired() && l.isExpired(p, now)
 	refuted := p.answeredAt != neverAnswered && !now.Before(p.removalAt)
 	if !expired && !refuted {
 		return nil
@@ -160,6 +156,16 @@
 	return keys
 }
 
+// isExpired reports whether the evidence against a part is too old to be kept. The caller
+// holds the lock.
+func (l *List) isExpired(p *part, now time.Time) bool {
+	ttl := evidenceTTL
+	if p.crashCount() >= minCrashes {
+		ttl = quarantineTTL
+	}
+	return l.storeTime(now)-p.lastAt() > ttl
+}
+
 // recordWritten records that a transaction took effect.
 func (l *List) recordWritten(t storage.RowTransaction) {
 	l.mu.Lock()
