--- a/review/_standins/worker.go
+++ b/review/_standins/worker.go
@@ -55,6 +55,9 @@
 	crashed chan struct{}
 }
 
+// dialer makes the connections of clients that only look whether they can be made.
+var dialer net.Dialer
+
 // addWorker starts a worker and registers it.
 func (w *world) addWorker(s shape) (*worker, error) {
 	w.mu.Lock()
--- a/review/_standins/world.go
+++ b/review/_standins/world.go
@@ -209,8 +209,17 @@
 // addInstance starts an instance with a settings file like that of the platform.
 func (w *world) addInstance() (*instance, error) {
 	n := len(w.instances) + 1
-	i := &instance{world: w, name: fmt.Sprintf("edge-%d", n), ip: w.ip(n)}
+	i, err := w.newInstance(fmt.Sprintf("edge-%d", n), w.ip(n))
+	if err != nil {
+		return nil, err
+	}
 	w.instances = append(w.instances, i)
+	return i, i.start()
+}
+
+// newInstance writes the settings file of an instance.
+func (w *world) newInstance(name, ip string) (*instance, error) {
+	i := &instance{world: w, name: name, ip: ip}
 	address := func(port int) string { return fmt.Sprintf("%s:%d", i.ip, w.ports[port]) }
 	settings := map[string]any{
 		"node_name": i.name, "role": "instance", "machine_class": "edge", "serves": []string{"edge", "registry"},
@@ -229,10 +238,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := os.WriteFile(i.path("json"), data, 0o600); err != nil {
-		return nil, err
-	}
-	return i, i.start()
+	return i, os.WriteFile(i.path("json"), data, 0o600)
 }
 
 func (i *instance) path(kind string) string { return filepath.Join(i.world.dir, i.name+"."+kind) }
