Give items up only for a route that is confirmed to be gone

Cause: run.route returned nil without a document as well as without a route, and runItem gave an item up after its route had been missing for 3 s. Ruled out: failed runs (the workers recorded none) and expiry (60 s).

Change: the age of the document's feed tells when the store last confirmed the document. An item is given up only if documents without its route have been confirmed for 3 s. That also covers a document that is behind. Instances without a document take over no jobs, which others can run. The feed records a poll after its rows were delivered, so that the age never refers to rows that are still on their way.

TestItemOfARemovedRouteIsGivenUp passes before and after.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -257,10 +257,10 @@
 	return true
 }
 
-// deliver records the time of a successful poll and calls Update if there is
-// anything to report.
+// deliver calls Update if there is anything to report, and then records the time of the
+// successful poll, so that Age never refers to rows that were not delivered yet.
 func (f *Follower) deliver(u Update) {
-	f.lastResponse.Store(int64(max(time.Since(f.started), 1)))
+	polledAt := time.Since(f.started)
 	if f.unreachable {
 		f.unreachable = false
 		u.Recovered = true
@@ -269,4 +269,5 @@
 	if len(u.Rows) > 0 || u.Recovered || u.FullRead {
 		f.options.Update(u)
 	}
+	f.lastResponse.Store(int64(max(polledAt, 1)))
 }
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -45,12 +45,14 @@
 	store       *relay.Store
 	document    *routing.Document
 	workers     *routing.Workers
-	feeds       []*feed.Follower
-	roster      *roster.Roster
-	quarantine  *quarantine.List
-	dispatcher  *upstream.Dispatcher
-	broadcast   *upstream.Broadcast
-	jobs        *job.Service
+	// documentFeed follows the table of the document, workerFeed that of the workers.
+	documentFeed *feed.Follower
+	workerFeed   *feed.Follower
+	roster       *roster.Roster
+	quarantine   *quarantine.List
+	dispatcher   *upstream.Dispatcher
+	broadcast    *upstream.Broadcast
+	jobs         *job.Service
 	// peersMu serializes updates of peerGroups, peerIDs and instanceAddresses.
 	peersMu sync.Mutex
 	// peerGroups holds the instances that share workers with this one, one group
@@ -125,10 +127,8 @@
 func (i *Instance) buildRouting() error {
 	i.document = &routing.Document{Key: platform.DocumentKey, Decode: platform.DecodeRouting, Log: i.log}
 	i.workers = &routing.Workers{Decode: platform.DecodeWorker, DataCentres: i.settings.Load().Regions, Log: i.log}
-	i.feeds = []*feed.Follower{
-		feed.New(feed.Options{Rows: i.store, Table: platform.OperatorTable, Update: i.document.Update, Log: i.log}),
-		feed.New(feed.Options{Rows: i.store, Table: platform.WorkerTable, Update: i.updateWorkers, Log: i.log}),
-	}
+	i.documentFeed = feed.New(feed.Options{Rows: i.store, Table: platform.OperatorTable, Update: i.document.Update, Log: i.log})
+	i.workerFeed = feed.New(feed.Options{Rows: i.store, Table: platform.WorkerTable, Update: i.updateWorkers, Log: i.log})
 	return nil
 }
 
@@ -256,14 +256,15 @@
 // buildJobs builds the job service.
 func (i *Instance) buildJobs() error {
 	i.jobs = job.New(job.Options{
-		Store:     i.store,
-		Process:   i.id,
-		Forwarder: i.dispatcher,
-		Routing:   i.document.Current,
-		Decode:    platform.DecodeItems,
-		Describe:  func(f *contract.ForwardRequest, it *job.Item) { platform.FillForwarding(f, it.Header) },
-		Retention: i.settings.Load().Bounds.ResultRetention,
-		Log:       i.log,
+		Store:      i.store,
+		Process:    i.id,
+		Forwarder:  i.dispatcher,
+		Routing:    i.document.Current,
+		RoutingAge: i.documentFeed.Age,
+		Decode:     platform.DecodeItems,
+		Describe:   func(f *contract.ForwardRequest, it *job.Item) { platform.FillForwarding(f, it.Header) },
+		Retention:  i.settings.Load().Bounds.ResultRetention,
+		Log:        i.log,
 		Fleet: func() job.Fleet {
 			view := i.roster.View()
 			return job.Fleet{LivenessKnown: i.roster.UpToDate(), Alive: view.IDs, Isolated: i.roster.Isolated(), Replaced: view.Replaced}
@@ -357,7 +358,7 @@
 	runCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	group, runCtx := errgroup.WithContext(runCtx)
-	for _, f := range i.feeds {
+	for _, f := range []*feed.Follower{i.documentFeed, i.workerFeed} {
 		group.Go(func() error { return f.Run(runCtx) })
 	}
 	for _, run := range []func(context.Context) error{i.dispatcher.Run, i.broadcast.Run, i.roster.Run, i.quarantine.Run, i.jobs.Run, i.publishReady} {
--- a/hosted/metrics.go
+++ b/hosted/metrics.go
@@ -19,8 +19,8 @@
 		}
 		return 0
 	})
-	gauge("document_age_seconds", "Time since the store last confirmed the document; -1 before it did.", ageOf(i.feeds[0]))
-	gauge("workers_age_seconds", "Time since the store last confirmed the workers' entries; -1 before it did.", ageOf(i.feeds[1]))
+	gauge("document_age_seconds", "Time since the store last confirmed the document; -1 before it did.", ageOf(i.documentFeed))
+	gauge("workers_age_seconds", "Time since the store last confirmed the workers' entries; -1 before it did.", ageOf(i.workerFeed))
 	gauge("workers_used", "Upstreams that this instance uses.", func() float64 {
 		if d := i.workers.Current(); d != nil {
 			return float64(len(d.Upstreams))
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -107,8 +107,15 @@
 	// An isolated one reaches neither the store nor other instances.
 	frozen   atomic.Bool
 	isolated atomic.Bool
-	cancel   context.CancelFunc
-	done     chan struct{}
+	// document is the routing document of the instance. The store confirms it while
+	// confirmed is set; confirmedAt is the time of the last confirmation after
+	// startedAt.
+	document    atomic.Pointer[contract.Routing]
+	confirmed   atomic.Bool
+	confirmedAt atomic.Int64
+	startedAt   time.Time
+	cancel      context.CancelFunc
+	done        chan struct{}
 }
 
 const (
@@ -143,8 +150,15 @@
 }
 
 func (f *fleet) start(process string) *instance {
+	return f.startWith(process, &contract.Routing{Version: 1, Routes: []contract.Route{f.route}})
+}
+
+// startWith starts an instance with a document that the store confirms.
+func (f *fleet) startWith(process string, document *contract.Routing) *instance {
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &instance{fleet: f, cancel: cancel, done: make(chan struct{}), store: &instanceStore{Rows: f.store}}
+	m := &instance{fleet: f, cancel: cancel, done: make(chan struct{}), store: &instanceStore{Rows: f.store}, startedAt: time.Now()}
+	m.document.Store(document)
+	m.confirmed.Store(true)
 	f.mu.Lock()
 	f.alive[process] = true
 	f.mu.Unlock()
@@ -155,7 +169,13 @@
 			defer f.mu.Unlock()
 			return job.Fleet{LivenessKnown: true, Alive: copyOf(f.alive), Isolated: m.isolated.Load(), Replaced: func(p string, _ uint64) bool { return f.replaced[p] }}
 		},
-		Routing:  func() *contract.Routing { return &contract.Routing{Version: 1, Routes: []contract.Route{f.route}} },
+		Routing: m.document.Load,
+		RoutingAge: func() (time.Duration, bool) {
+			if m.confirmed.Load() {
+				m.confirmedAt.Store(int64(time.Since(m.startedAt)))
+			}
+			return time.Since(m.startedAt) - time.Duration(m.confirmedAt.Load()), m.document.Load() != nil
+		},
 		Decode:   func(raw []byte) ([]job.Item, error) { return items(strings.Fields(string(raw))...), nil },
 		Describe: func(c *contract.ForwardRequest, it *job.Item) { c.RequestID = it.ID },
 	})
--- a/job/run.go
+++ b/job/run.go
@@ -97,8 +97,8 @@
 
 const (
 	// itemRetryInterval is the time between two attempts of an item.
-	// missingRouteGrace is how long the route of an item may be missing before the
-	// item is listed as failed.
+	// missingRouteGrace is how long the route of an item must have been missing from
+	// confirmed documents before the item is listed as failed.
 	itemRetryInterval = 100 * time.Millisecond
 	missingRouteGrace = 3 * time.Second
 	// maxForwardAttempts bounds the upstreams that one call of the Forwarder tries.
@@ -115,12 +115,14 @@
 )
 
 // runItem runs an item until it has a result or this process no longer owns the job.
-// An item without success by the expiry of the job, or without a route for
-// missingRouteGrace, is listed as failed.
+// An item without success by the expiry of the job is listed as failed, and so is one
+// whose route the store has confirmed to be missing for missingRouteGrace.
 func (r *run) runItem(index int, c *collector) {
 	item := &r.items[index]
 	routeMissingSince := time.Time{}
 	for r.ctx.Err() == nil {
+		// The age is read before the document, so that it is never that of a newer one.
+		confirmedAt, confirmed := r.routingConfirmedAt()
 		route := r.route(item)
 		now := time.Now()
 		switch {
@@ -129,7 +131,8 @@
 		case route != nil:
 			routeMissingSince = time.Time{}
 		}
-		if now.After(r.expiresAt) || route == nil && now.Sub(routeMissingSince) > missingRouteGrace {
+		routeGone := route == nil && confirmed && confirmedAt.Sub(routeMissingSince) > missingRouteGrace
+		if now.After(r.expiresAt) || routeGone {
 			r.finish(index, Result{Item: item.ID})
 			return
 		}
@@ -149,6 +152,13 @@
 	}
 }
 
+// routingConfirmedAt returns when the store last confirmed that the routing document is
+// the one in force. It reports false before the first document.
+func (r *run) routingConfirmedAt() (time.Time, bool) {
+	age, ok := r.service.options.RoutingAge()
+	return time.Now().Add(-age), ok && r.service.options.Routing() != nil
+}
+
 // route returns the route of an item in the document in force, or nil.
 func (r *run) route(item *Item) *contract.Route {
 	document := r.service.options.Routing()
--- a/job/service.go
+++ b/job/service.go
@@ -45,6 +45,9 @@
 	Forwarder Forwarder
 	// Routing returns the routing document in force, or nil.
 	Routing func() *contract.Routing
+	// RoutingAge returns how long ago the store confirmed that the routing document is
+	// the one in force. It reports false before the first confirmation.
+	RoutingAge func() (time.Duration, bool)
 	// Decode reads the items of a submission.
 	Decode func(raw []byte) ([]Item, error)
 	// Describe sets the fields of a request that an item's headers define.
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -40,12 +40,13 @@
 }
 
 // dueTakeovers returns the ids of the jobs that this instance takes over now, and
-// updates the list of orphans.
+// updates the list of orphans. An instance without a document takes over none, since it
+// could not run them.
 func (s *Service) dueTakeovers(now time.Time) []string {
 	fleet := s.options.Fleet()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.stopping || !fleet.LivenessKnown {
+	if s.stopping || !fleet.LivenessKnown || s.options.Routing() == nil {
 		return nil
 	}
 	for process := range fleet.Alive {
