Bound the silence of an item's upstream by the time that the item has left

Cause: forwardTimeouts let a request wait for its deadline where its service has one upstream. The deadline of an item is that of its job, and an item can go on at the same upstream on a new connection. Ruled out: the length of the time-outs alone, since no time-out applied.

Change: an upstream may be silent towards an item for at most half of the time until the item is due, or until its job expires when it is overdue, whatever the number of upstreams. MaxGap had no effect on items and is not set any more.

TestItemLeavesASilentConnectionToTheOnlyUpstream fails before (done 36 s after it was due) and passes now.

--- a/contract/forward.go
+++ b/contract/forward.go
@@ -38,7 +38,8 @@
 	// Due is the time at which the result of a batch request is due; the zero value
 	// means none.
 	Due time.Time
-	// MaxGap is the longest time without data that the caller tolerates.
+	// MaxGap is the longest time without data that the caller of an online request
+	// tolerates.
 	MaxGap time.Duration
 	// Affinity is a hash of the beginning of the prompt, which is the same for
 	// requests that should go to the same upstream; 0 means none.
--- a/job/run.go
+++ b/job/run.go
@@ -110,8 +110,6 @@
 	// maxQuarantinePause is the longest time between two attempts of an item whose
 	// prompt is quarantined.
 	maxQuarantinePause = 10 * time.Second
-	// itemIdleTimeout is the longest time between two events of an item.
-	itemIdleTimeout = 2 * time.Second
 )
 
 // runItem runs an item until it has a result or this process no longer owns the job.
@@ -193,7 +191,6 @@
 		Resumable:   true,
 		Deadline:    r.expiresAt,
 		Due:         r.dueAt(route),
-		MaxGap:      itemIdleTimeout,
 	}
 	r.service.options.Describe(f, item)
 	f.LastEventID = c.lastEvent
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -361,20 +361,40 @@
 }
 
 // forwardTimeouts returns how long an upstream may be silent before its first event and
-// between events. A request that cannot be retried elsewhere waits until its deadline.
+// between events. An online request that cannot be retried elsewhere waits until its
+// deadline. A batch request can go on at the same upstream: its connection may be dead
+// although the upstream is not.
 func (d *Dispatcher) forwardTimeouts(granted *slot, f *forwarding) (first, next time.Duration) {
-	// One second is added so that the deadline, not this timeout, ends the attempt.
-	untilDeadline := max(time.Until(f.call.Deadline), 0) + time.Second
+	first, next = d.sched.tokenTimeouts(granted)
+	if f.call.Class == contract.Batch {
+		limit := batchSilenceLimit(f.call, time.Now())
+		return min(first, limit), min(next, limit)
+	}
 	if !f.call.Repeatable || len(f.pool.targets) < 2 || f.isLastAttempt() {
+		// One second is added so that the deadline, not this timeout, ends the attempt.
+		untilDeadline := max(time.Until(f.call.Deadline), 0) + time.Second
 		return untilDeadline, untilDeadline
 	}
-	first, next = d.sched.tokenTimeouts(granted)
-	if f.call.Class == contract.Online && f.call.MaxGap > 0 {
+	if f.call.MaxGap > 0 {
 		first, next = min(first, f.call.MaxGap/2), min(next, f.call.MaxGap/2)
 	}
 	return first, next
 }
 
+// minBatchSilenceLimit is longer than a sound upstream pauses within an answer.
+const minBatchSilenceLimit = 2 * time.Second
+
+// batchSilenceLimit returns how long an upstream that has been silent since a time may
+// stay so: half of what is left until the result is due, or until the deadline when it
+// is overdue. Another attempt then has as much time as the silent one.
+func batchSilenceLimit(call *contract.ForwardRequest, since time.Time) time.Duration {
+	end := call.Due
+	if !since.Before(end) {
+		end = call.Deadline
+	}
+	return max(end.Sub(since)/2, minBatchSilenceLimit)
+}
+
 // roomCheckInterval is the time between two checks whether a silent stream could go on
 // at another upstream.
 const roomCheckInterval = 100 * time.Millisecond
--- a/upstream/silence_test.go
+++ b/upstream/silence_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -95,3 +96,54 @@
 		wait.Wait()
 	})
 }
+
+// fallsSilent returns a script whose worker falls silent behind the first events of its
+// first request, and answers later ones.
+func fallsSilent(events, last int) script {
+	var requests atomic.Int64
+	return func(t testing.TB, w *scriptedWorker, c net.Conn, r *http.Request) {
+		if requests.Add(1) > 1 {
+			eventsScript(last, endOfChunks)(t, w, c, r)
+			return
+		}
+		text := streamHead(r, "")
+		for n := 1; n <= events; n++ {
+			text += chunk(event(n))
+		}
+		_, _ = c.Write([]byte(text))
+		_, _ = c.Read(make([]byte, 1))
+	}
+}
+
+// batchCall returns a batch request like that of an item whose job is due in window and
+// is given up some time later.
+func batchCall(id string, window time.Duration) *contract.ForwardRequest {
+	call := streamCall(id, true)
+	call.Class, call.Due, call.Deadline = contract.Batch, time.Now().Add(window), time.Now().Add(3*window)
+	return call
+}
+
+// TestItemLeavesASilentConnectionToTheOnlyUpstream has a connection that falls silent
+// while the upstream itself is sound.
+func TestItemLeavesASilentConnectionToTheOnlyUpstream(t *testing.T) {
+	const window, last = 18 * time.Second, 6
+	for _, events := range []int{0, 1, 3} {
+		t.Run(fmt.Sprintf("after %d events", events), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dial, workers, wait := pipeWorkers(fallsSilent(events, last))
+				d, _ := newLoggedForwarder(t, dial, workers...)
+				call, sink := batchCall("a", window), &answerSink{}
+				if err := d.Forward(t.Context(), call, sink); err != nil {
+					t.Error(err)
+				}
+				if !time.Now().Before(call.Due) {
+					t.Errorf("the item was done %v after it was due", time.Since(call.Due))
+				}
+				if diff := cmp.Diff(eventsUpTo(last), sink.body.String()); diff != "" {
+					t.Error(diff)
+				}
+				wait.Wait()
+			})
+		})
+	}
+}
