Let a sound upstream pause for a second within an item's answer

The run of an item was ended after 1 s of silence where latencies are short (four times minTokenTimeout), although a sound upstream may be silent for a second or so and go on. Items resume at their last event, so that callers saw only the additional runs.

Change: an upstream may always be silent towards an item for minBatchSilenceLimit.

TestPauseDoesNotEndTheRunOfAnItem fails before ("a sound upstream was left 1 times") and passes now.

--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -368,7 +368,7 @@
 	first, next = d.sched.tokenTimeouts(granted)
 	if f.call.Class == contract.Batch {
 		limit := batchSilenceLimit(f.call, time.Now())
-		return min(first, limit), min(next, limit)
+		return min(max(first, minBatchSilenceLimit), limit), min(max(next, minBatchSilenceLimit), limit)
 	}
 	if !f.call.Repeatable || len(f.pool.targets) < 2 || f.isLastAttempt() {
 		// One second is added so that the deadline, not this timeout, ends the attempt.
--- a/upstream/silence_test.go
+++ b/upstream/silence_test.go
@@ -147,3 +147,37 @@
 		})
 	}
 }
+
+// TestPauseDoesNotEndTheRunOfAnItem has a sound upstream that pauses for longer than it
+// usually takes between two events.
+func TestPauseDoesNotEndTheRunOfAnItem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const window, pause, last = 18 * time.Second, 1500 * time.Millisecond, 20
+		var pausing atomic.Bool
+		worker := func(_ testing.TB, _ *scriptedWorker, c net.Conn, r *http.Request) {
+			_, err := c.Write([]byte(streamHead(r, "")))
+			for n := 1; n <= last && err == nil; n++ {
+				time.Sleep(10 * time.Millisecond)
+				if n == last/2 && pausing.Load() {
+					time.Sleep(pause)
+				}
+				_, err = c.Write([]byte(chunk(event(n))))
+			}
+			_, _ = c.Write([]byte(endOfChunks))
+		}
+		dial, workers, wait := pipeWorkers(worker, worker)
+		d, logs := newLoggedForwarder(t, dial, workers...)
+		for i, paused := range []bool{false, false, false, false, true} {
+			pausing.Store(paused)
+			sink := &answerSink{}
+			if err := d.Forward(t.Context(), batchCall(fmt.Sprint(i), window), sink); err != nil {
+				t.Error(err)
+			}
+			d.sched.sweep(time.Now())
+		}
+		if again := logs.FilterMessage("forwarding again").Len(); again != 0 {
+			t.Errorf("a sound upstream was left %d times", again)
+		}
+		wait.Wait()
+	})
+}
