Reject requests that a planned stop would cut and others can serve

Cause: an instance that leaves passed every request on, although the request's deadline and the end of the open requests are known. Ruled out: the reserve before the end of the grace period alone (requests taken later than 3.4 s would be cut with all of it), and the time for which the listener is open (callers may keep an endpoint answer for that long).

Change: once callers are told to move, a request whose deadline lies behind the end of the open requests is answered 503, as not run, if another instance accepts callers. The last instance serves on.

TestPlannedStopCutsNoRequestThatCameLate fails before ("got no whole answer, status 502") and passes now, three runs.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -26,13 +26,16 @@
 	Forward(ctx context.Context, f *contract.ForwardRequest, sink contract.ForwardSink) error
 }
 
-// Options configures a Handler. All fields are required.
+// Options configures a Handler. All fields are required but Admit.
 type Options struct {
 	// Routing returns the document in force, or nil before the first.
 	Routing   func() *contract.Routing
 	Forwarder Forwarder
 	Jobs      Jobs
-	Log       *zap.Logger
+	// Admit returns an error if an online request that may run until a deadline must not
+	// be begun; nil admits all.
+	Admit func(deadline time.Time) error
+	Log   *zap.Logger
 }
 
 // Handler serves the callers' listener. It is safe for concurrent use.
@@ -212,6 +215,11 @@
 		return code.New(code.NoUpstream, "the route has no service").WithRetryAfter(noServiceRetryAfter)
 	}
 	f.Deadline = requestDeadline(route, r, receivedAt)
+	if h.options.Admit != nil {
+		if err := h.options.Admit(f.Deadline); err != nil {
+			return err
+		}
+	}
 	s := &sink{w: w, controller: http.NewResponseController(w)}
 	_ = s.controller.SetWriteDeadline(f.Deadline.Add(writeGrace))
 	err := h.options.Forwarder.Forward(r.Context(), f, s)
--- a/hosted/endpoints.go
+++ b/hosted/endpoints.go
@@ -13,9 +13,12 @@
 func callerAddresses(members []roster.Member, self string) []string {
 	var addresses []string
 	for _, m := range members {
-		if m.Ready && !m.Leaving {
+		if acceptsCallers(m) {
 			addresses = append(addresses, m.CallerAddress)
 		}
 	}
 	return route.Subset(addresses, self, maxEndpoints)
 }
+
+// acceptsCallers reports whether callers are sent to an instance.
+func acceptsCallers(m roster.Member) bool { return m.Ready && !m.Leaving }
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -70,6 +71,10 @@
 	metricsServer   *http.Server
 	relayServer     *http.Server
 
+	// requestsEndAt is when open requests are ended in a planned stop. It is set once
+	// callers are told to move to other instances.
+	requestsEndAt atomic.Pointer[time.Time]
+
 	// mu guards leaving.
 	mu sync.Mutex
 	// leaving is set when the instance shuts down.
@@ -275,7 +280,7 @@
 
 // buildServers builds the HTTP servers.
 func (i *Instance) buildServers() {
-	handler := entry.NewHandler(entry.Options{Routing: i.document.Current, Forwarder: i.dispatcher, Jobs: i.jobs, Log: i.log})
+	handler := entry.NewHandler(entry.Options{Routing: i.document.Current, Forwarder: i.dispatcher, Jobs: i.jobs, Admit: i.admit, Log: i.log})
 	i.callerServer = newServer(handler)
 	// The read timeout of a caller's request is its own deadline, which package entry
 	// enforces.
@@ -430,6 +435,16 @@
 	return nil
 }
 
+// admit rejects an online request that may still run when a planned stop ends the open
+// requests, if the caller can use another instance instead.
+func (i *Instance) admit(deadline time.Time) error {
+	end := i.requestsEndAt.Load()
+	if end == nil || !deadline.After(*end) || !slices.ContainsFunc(i.roster.View().Alive, acceptsCallers) {
+		return nil
+	}
+	return code.New(code.Draining, "the instance is stopping before the request's deadline").WithRetryAfter(drainingRetryAfter)
+}
+
 // shutdown carries out the planned stop. The instance is removed from endpoint
 // answers, keeps serving for as long as callers may keep an earlier answer, hands
 // its jobs over and waits for open requests. stopListening closes the callers'
@@ -447,6 +462,7 @@
 	time.Sleep(linger / 2)
 	// From now on, answers carry "Connection: close", so that callers with open
 	// connections move to other instances.
+	i.requestsEndAt.Store(&deadline)
 	i.connections.closeAfterAnswer.Store(true)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
--- a/hosted/instance_test.go
+++ b/hosted/instance_test.go
@@ -134,6 +134,13 @@
 
 // start runs an instance on ip and waits until it is ready.
 func (s *testPlatform) start(ip string) *runningInstance {
+	s.t.Helper()
+	return s.startWithTTL(ip, 20*time.Millisecond)
+}
+
+// startWithTTL is like start, with the time for which callers may keep an endpoint
+// answer.
+func (s *testPlatform) startWithTTL(ip string, ttl time.Duration) *runningInstance {
 	s.t.Helper()
 	address := func() string { return fmt.Sprintf("%s:%d", ip, freePort(s.t, ip)) }
 	port := freePort(s.t, ip)
@@ -143,7 +150,7 @@
 		Bounds: platform.Bounds{GracePeriod: 20 * time.Second, MaxTTL: 5 * time.Second, ResultRetention: time.Minute},
 		Store:  platform.StoreSettings{Address: strings.TrimPrefix(s.storeServer.URL, "http://")},
 	}}
-	i, err := hosted.New(hosted.Options{Settings: r.settings, EndpointTTL: 20 * time.Millisecond})
+	i, err := hosted.New(hosted.Options{Settings: r.settings, EndpointTTL: ttl})
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/hosted/options.go
+++ b/hosted/options.go
@@ -36,6 +36,8 @@
 	// exitReserve is the part of the grace period that is reserved for handing over
 	// and exiting.
 	exitReserve = 900 * time.Millisecond
+	// drainingRetryAfter is short, since another instance can take the request at once.
+	drainingRetryAfter = 50 * time.Millisecond
 	// lastAnswerTime is the part of exitReserve in which requests that are still open
 	// are answered.
 	lastAnswerTime = 200 * time.Millisecond
--- a/hosted/stop_test.go
+++ b/hosted/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -123,3 +124,97 @@
 		t.Errorf("the instance stopped with %v", err)
 	}
 }
+
+// TestPlannedStopCutsNoRequestThatCameLate has a worker that needs longer for a request
+// than is left of the grace period when the last requests come. Callers that can go
+// elsewhere get a whole answer or a refusal of a request that did not run.
+func TestPlannedStopCutsNoRequestThatCameLate(t *testing.T) {
+	const ttl, grace, work, interval = time.Second, 4 * time.Second, 1500 * time.Millisecond, 200 * time.Millisecond
+	s := newTestPlatform(t)
+	leaving, other := s.startWithTTL("127.0.0.4", ttl), s.startWithTTL("127.0.0.5", ttl)
+	s.waitFor("both instances", func() bool {
+		return strings.Contains(leaving.endpoints(), other.settings.CallerAddress)
+	})
+	var received sync.Map
+	s.worker.onRequest = func(id string) {
+		received.Store(id, true)
+		time.Sleep(work)
+	}
+	next := leaving.settings
+	next.Bounds.GracePeriod = grace
+	leaving.Reload(next)
+	leaving.stop()
+	var refused, served atomic.Int64
+	var wait sync.WaitGroup
+	for n := 0; ; n++ {
+		conn, err := net.Dial("tcp4", leaving.settings.CallerAddress)
+		if err != nil {
+			break
+		}
+		id := fmt.Sprint("r", n)
+		wait.Go(func() {
+			defer func() { _ = conn.Close() }()
+			switch status := exchangeOnce(conn, id); status {
+			case http.StatusOK:
+				served.Add(1)
+			case http.StatusServiceUnavailable:
+				refused.Add(1)
+				if _, ok := received.Load(id); ok {
+					t.Errorf("%s was refused as not run, but the worker has received it", id)
+				}
+			default:
+				t.Errorf("%s got no whole answer, status %d", id, status)
+			}
+		})
+		time.Sleep(interval)
+	}
+	wait.Wait()
+	if refused.Load() == 0 || served.Load() == 0 {
+		t.Errorf("%d requests were refused and %d served, want some of both", refused.Load(), served.Load())
+	}
+	other.stop()
+	for _, r := range []*runningInstance{leaving, other} {
+		if err := <-r.done; err != nil {
+			t.Errorf("the instance stopped with %v", err)
+		}
+	}
+}
+
+// exchangeOnce sends a request and returns the status of its answer, or 0 if that is not
+// whole.
+func exchangeOnce(conn net.Conn, id string) int {
+	if _, err := fmt.Fprintf(conn, "POST /a/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nContent-Length: 4\r\n\r\nbody", id); err != nil {
+		return 0
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	text, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode == http.StatusOK && string(text) != wantStream(id) {
+		return 0
+	}
+	return response.StatusCode
+}
+
+// TestLastInstanceServesCallersUntilItStops stops the only instance, whose callers can go
+// nowhere else.
+func TestLastInstanceServesCallersUntilItStops(t *testing.T) {
+	s := newTestPlatform(t)
+	a := s.startWithTTL("127.0.0.4", 300*time.Millisecond)
+	a.stop()
+	for n := 0; ; n++ {
+		conn, err := net.Dial("tcp4", a.settings.CallerAddress)
+		if err != nil {
+			break
+		}
+		if status := exchangeOnce(conn, fmt.Sprint("r", n)); status == http.StatusServiceUnavailable {
+			t.Errorf("request %d was refused", n)
+		}
+		_ = conn.Close()
+		time.Sleep(20 * time.Millisecond)
+	}
+	if err := <-a.done; err != nil {
+		t.Errorf("the instance stopped with %v", err)
+	}
+}
