Finish the calls that peers relay through an instance that stops

A planned stop closed the peers' listener as soon as no caller's request was open. A write that an instance cut off from the store made through it at that moment was cut, and its outcome was unknown: a job or an end of a job could only be answered with 502.

Change: once the callers' listener is closed, calls of peers are rejected as not made, upon which they use another instance, and the exit waits for those under way until the end of the open requests.

TestPlannedStopFinishesCallsOfPeers fails before ("4003 store_unknown: the answer of a peer was lost") and passes now; TestCallGoesPastAPeerThatIsStopping shows that peers go on elsewhere.

--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -74,6 +74,9 @@
 	// requestsEndAt is when open requests are ended in a planned stop. It is set once
 	// callers are told to move to other instances.
 	requestsEndAt atomic.Pointer[time.Time]
+	// relayStopping is set once peers are told to make their calls of the store through
+	// other instances.
+	relayStopping atomic.Bool
 
 	// mu guards leaving.
 	mu sync.Mutex
@@ -290,7 +293,7 @@
 	i.directoryServer = newServer(http.HandlerFunc(i.serveDirectory))
 	i.readinessServer = newServer(http.HandlerFunc(i.serveReadiness))
 	mux := http.NewServeMux()
-	mux.Handle(relay.NewHandler(i.storeClient))
+	mux.Handle(relay.NewHandler(i.storeClient, i.relayStopping.Load))
 	i.relayServer = newServer(mux)
 	i.metricsServer = newServer(promhttp.HandlerFor(i.registry, promhttp.HandlerOpts{}))
 }
@@ -470,6 +473,7 @@
 	i.jobs.Stop(handOverCtx)
 	cancelHandOver()
 	time.Sleep(time.Until(startedAt.Add(linger)))
+	i.relayStopping.Store(true)
 	stopListening()
 	i.log.Info("no longer listening", zap.Int("open_connections", i.connections.count()))
 	// http.Server.Shutdown is not used: it closes connections whose requests have been
@@ -482,9 +486,21 @@
 		}
 		cancelAnswer()
 	}
+	i.finishRelayedCalls(deadline.Add(lastAnswerTime))
 	_ = i.callerServer.Close()
 	_ = i.directoryServer.Close()
 	_ = i.readinessServer.Close()
 	_ = i.metricsServer.Close()
 	_ = i.relayServer.Close()
 }
+
+// finishRelayedCalls waits until the calls of the store that peers make through this
+// instance have ended, or until a deadline. A peer whose call is cut does not know
+// whether it took effect.
+func (i *Instance) finishRelayedCalls(deadline time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := i.relayServer.Shutdown(ctx); err != nil {
+		i.log.Warn("calls of peers were cut at the end of the grace period", zap.Error(err))
+	}
+}
--- a/hosted/stop_test.go
+++ b/hosted/stop_test.go
@@ -2,15 +2,22 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/relay"
+	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 // loadCaller sends one request after another on kept-alive connections until the
@@ -218,3 +225,37 @@
 		t.Errorf("the instance stopped with %v", err)
 	}
 }
+
+// TestPlannedStopFinishesCallsOfPeers stops an instance while a peer makes a slow call of
+// the store through it.
+func TestPlannedStopFinishesCallsOfPeers(t *testing.T) {
+	s := newTestPlatform(t)
+	a := s.start("127.0.0.4")
+	peer := net.JoinHostPort(a.settings.IP, strconv.Itoa(a.settings.FirstPort))
+	store := relay.New(relay.Options{Direct: unreachableStore{}, Peers: func() []string { return []string{peer} }, Client: http.DefaultClient})
+	s.store.SetFaults(memory.RowFaults{ResponseDelay: time.Second})
+	result := make(chan error, 1)
+	go func() {
+		row := storage.TableRow{RowKey: storage.RowKey{Table: "t", Key: "k"}, Value: []byte("v")}
+		_, err := store.ApplyRows(t.Context(), storage.RowTransaction{Puts: []storage.TableRow{row}})
+		result <- err
+	}()
+	s.waitFor("the call", func() bool {
+		page, err := s.store.GetRows(t.Context(), "t", "", "", "")
+		return err == nil && len(page.Rows) == 1
+	})
+	a.stop()
+	if err := <-result; err != nil {
+		t.Errorf("a call that was under way was cut: %v", err)
+	}
+	if err := <-a.done; err != nil {
+		t.Errorf("the instance stopped with %v", err)
+	}
+}
+
+// unreachableStore is a store that can't be reached.
+type unreachableStore struct{ storage.RowStore }
+
+func (unreachableStore) ApplyRows(context.Context, storage.RowTransaction) (storage.RowPage, error) {
+	return storage.RowPage{}, code.New(code.StoreUnavailable, "unreachable")
+}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -23,9 +23,23 @@
 
 // NewHandler returns the path and the handler that serve peers from store.
 // Store must be the store itself and not a relay.Store, so that a call passes
-// through at most one peer.
-func NewHandler(store storage.RowStore) (string, http.Handler) {
-	return relaypbconnect.NewRelayServiceHandler(&handler{store}, link.HandlerOptions(), connect.WithReadMaxBytes(maxMessageBytes))
+// through at most one peer. While stopping reports true, calls are rejected with
+// code.StoreUnavailable, upon which peers use another instance; nil means never.
+func NewHandler(store storage.RowStore, stopping func() bool) (string, http.Handler) {
+	return relaypbconnect.NewRelayServiceHandler(&handler{store}, link.HandlerOptions(),
+		connect.WithReadMaxBytes(maxMessageBytes), connect.WithInterceptors(rejectWhile(stopping)))
+}
+
+// rejectWhile returns an interceptor that rejects calls while stopping reports true.
+func rejectWhile(stopping func() bool) connect.UnaryInterceptorFunc {
+	return func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+			if stopping != nil && stopping() {
+				return nil, code.New(code.StoreUnavailable, "the instance is stopping")
+			}
+			return next(ctx, r)
+		}
+	}
 }
 
 // GetRows implements relaypbconnect.RelayServiceHandler.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -29,7 +29,9 @@
 	unavailable atomic.Bool
 	// loseResponses loses the responses of transactions that were applied.
 	loseResponses atomic.Bool
-	calls         atomic.Int64
+	// stopping is set while the instance of the store is stopping.
+	stopping atomic.Bool
+	calls    atomic.Int64
 }
 
 func (r *faultyStore) err() error {
@@ -95,7 +97,7 @@
 	for range peers {
 		peerStore := &faultyStore{RowStore: store}
 		mux := http.NewServeMux()
-		mux.Handle(relay.NewHandler(peerStore))
+		mux.Handle(relay.NewHandler(peerStore, peerStore.stopping.Load))
 		server := serve(mux)
 		t.Cleanup(server.Close)
 		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
@@ -225,6 +227,20 @@
 	}
 }
 
+func TestCallGoesPastAPeerThatIsStopping(t *testing.T) {
+	s, direct, peers, _ := newRelayStore(t, 2)
+	direct.unavailable.Store(true)
+	peers[0].stopping.Store(true)
+	for range 8 {
+		if _, err := s.ApplyRows(t.Context(), storage.RowTransaction{Puts: []storage.TableRow{row("k", "v")}}); err != nil {
+			t.Error(err)
+		}
+	}
+	if n := peers[0].calls.Load(); n != 0 {
+		t.Errorf("%d calls were made through an instance that is stopping", n)
+	}
+}
+
 func TestLostAnswerOfTheStoreItselfIsNotRepeatedThroughAPeer(t *testing.T) {
 	s, direct, peers, _ := newRelayStore(t, 2)
 	direct.loseResponses.Store(true)
