Leave jobs to others that a stopping instance has just taken

A job whose acceptance or take-over was being written when the jobs were handed over stayed with the stopping process, which did not run it any more: nobody ran it until the other instances noticed that the process was gone.

Cause: Stop hands over the runs that exist; startRun added one afterwards, with a context that had ended.

Change: while the service stops, startRun writes the head without an owner, so that another instance takes the job over at once.

TestJobAcceptedWhileStoppingIsRunByAnother and TestJobTakenOverWhileStoppingIsRunByAnother fail before ("0 results only") and pass now.

--- a/job/run.go
+++ b/job/run.go
@@ -56,13 +56,31 @@
 
 // startRun starts the items of a job that are not listed, from the given progress. It
 // does nothing when this process does not own the job, or runs it already, or knows a
-// newer head.
-func (s *Service) startRun(id string, v versionedHead, items []Item, progress map[int]itemProgress) {
+// newer head. While the service stops, it leaves the job to other instances instead.
+func (s *Service) startRun(ctx context.Context, id string, v versionedHead, items []Item, progress map[int]itemProgress) {
+	if s.addRun(id, v, items, progress) {
+		return
+	}
+	next := v.head
+	next.Owner = ""
+	_, err := s.options.Store.ApplyRows(ctx, storage.RowTransaction{
+		Conditions: []storage.RowCondition{{RowKey: headKey(v.part, id), Version: v.version}},
+		Puts:       []storage.TableRow{headRow(v.part, id, &next)},
+	})
+	s.options.Log.Info("job left to others while stopping", zap.String("job", id), zap.Error(err))
+}
+
+// addRun is like startRun, but reports false if the service stops and the job is to be
+// left to other instances.
+func (s *Service) addRun(id string, v versionedHead, items []Item, progress map[int]itemProgress) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.updateHead(id, v)
 	if _, ok := s.owned[id]; ok || s.heads[id].version != v.version || !v.open() || v.Owner != s.options.Process {
-		return
+		return true
+	}
+	if s.stopping {
+		return false
 	}
 	ctx, cancel := context.WithCancel(s.runsCtx)
 	r := &run{
@@ -93,6 +111,7 @@
 		s.runGoroutines.Go(func() { r.runItem(i, c) })
 	}
 	s.runGoroutines.Go(func() { r.commitAll() })
+	return true
 }
 
 const (
--- a/job/submit.go
+++ b/job/submit.go
@@ -183,12 +183,12 @@
 	})
 	switch code.Of(err) {
 	case 0:
-		s.startRun(sub.ID, versionedHead{h, page.Version, part}, sub.Items, nil)
+		s.startRun(ctx, sub.ID, versionedHead{h, page.Version, part}, sub.Items, nil)
 		return nil
 	case code.StoreUnknown:
 		a.maybeApplied = true
 	case code.StoreConflict:
-		return a.resolveConflict(page, err)
+		return a.resolveConflict(ctx, page, err)
 	}
 	return err
 }
@@ -196,7 +196,7 @@
 // resolveConflict looks for the head of the job among the rows that a failed
 // condition returned: an earlier attempt may have written it. It returns err when the
 // head is not there.
-func (a *acceptance) resolveConflict(page storage.RowPage, err error) error {
+func (a *acceptance) resolveConflict(ctx context.Context, page storage.RowPage, err error) error {
 	for _, r := range page.Rows {
 		if r.Table != headTable || r.Key != a.submission.ID || r.Version == 0 || r.Removed {
 			continue
@@ -209,7 +209,7 @@
 		a.service.updateHead(r.Key, v)
 		a.service.mu.Unlock()
 		if v.Owner == a.service.options.Process {
-			a.service.startRun(r.Key, v, a.submission.Items, nil)
+			a.service.startRun(ctx, r.Key, v, a.submission.Items, nil)
 		}
 		return nil
 	}
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -124,7 +124,7 @@
 	switch code.Of(err) {
 	case 0:
 		s.options.Log.Info("job taken over", zap.String("job", id), zap.String("from", v.Owner), zap.Int("listed", v.Listed), zap.Int("with_progress", len(progress)))
-		s.startRun(id, versionedHead{next, page.Version, v.part}, items, progress)
+		s.startRun(ctx, id, versionedHead{next, page.Version, v.part}, items, progress)
 	case code.StoreConflict:
 		s.updateHeads(page.Rows)
 		if s.headVersion(id) == v.version {
