Determine how long an upstream may be silent again during an attempt

Cause: an attempt determined its time-outs at its beginning, from the default of ten seconds times four, and kept them when latencies became known. Ruled out: that they were sent to the dark worker again.

Change: silenceTimer determines the limit again before it ends an attempt, at least once a second of silence. All attempts use it, also those of completions. Whether a service has one upstream only is looked up at that moment, too.

TestItemOfADarkUpstreamGoesOnOnceLatenciesAreKnown fails before ("the items took 43.6s") and passes now.

--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -91,8 +91,8 @@
 // startAttempt sends the request and reads the answer up to its first token.
 func (d *Dispatcher) startAttempt(granted *slot, c *completion) startedAttempt {
 	o := startedAttempt{slot: granted}
-	first, next := d.sched.tokenTimeouts(granted)
-	timer := time.AfterFunc(first, func() { granted.cancel(errStalled) })
+	silence := d.newSilenceTimer(granted)
+	silence.start()
 	id := attemptPrefix + uuid.NewString()
 	response, f := d.sendAttempt(granted, c, id)
 	if f == nil {
@@ -104,17 +104,16 @@
 		}
 	}
 	if f != nil {
-		timer.Stop()
+		silence.stop()
 		o.failure = f
 		return o
 	}
 	o.stream = &stream{
-		slot:         granted,
-		body:         response.Body,
-		events:       newEventReader(response.Body, maxStreamBytes(c.maxAnswerBytes)),
-		decoder:      chunkDecoder{attemptID: id},
-		timer:        timer,
-		tokenTimeout: next,
+		slot:    granted,
+		body:    response.Body,
+		events:  newEventReader(response.Body, maxStreamBytes(c.maxAnswerBytes)),
+		decoder: chunkDecoder{attemptID: id},
+		silence: silence,
 	}
 	o.failure = o.stream.advance()
 	if o.failure != nil {
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"net/http"
 	"time"
 
@@ -325,10 +324,9 @@
 	if fail := d.sched.withheld(granted); fail != nil {
 		return fail
 	}
-	first, next := d.forwardTimeouts(granted, f)
-	timer := d.silenceTimer(granted, f, next)
-	timer.Reset(first)
-	defer timer.Stop()
+	silence := d.newForwardSilenceTimer(granted, f)
+	silence.start()
+	defer silence.stop()
 	wire := d.options.Wire
 	header := wire.Header(f.call, granted.target.id, f.lastEventID, time.Until(f.call.Deadline))
 	f.answerRecorded = false
@@ -353,82 +351,13 @@
 		}
 		return fail
 	}
-	a := &forwardedAnswer{slot: granted, response: response, timer: timer, eventTimeout: next, forwarding: f, header: wire.EndToEnd(response.Header)}
+	a := &forwardedAnswer{slot: granted, response: response, silence: silence, forwarding: f, header: wire.EndToEnd(response.Header)}
 	if response.StatusCode == http.StatusOK && isEventStream(response.Header) {
 		return d.copyEvents(a)
 	}
 	return d.copyBody(a)
 }
 
-// forwardTimeouts returns how long an upstream may be silent before its first event and
-// between events. An online request that cannot be retried elsewhere waits until its
-// deadline. A batch request can go on at the same upstream: its connection may be dead
-// although the upstream is not.
-func (d *Dispatcher) forwardTimeouts(granted *slot, f *forwarding) (first, next time.Duration) {
-	first, next = d.sched.tokenTimeouts(granted)
-	if f.call.Class == contract.Batch {
-		limit := batchSilenceLimit(f.call, time.Now())
-		return min(max(first, minBatchSilenceLimit), limit), min(max(next, minBatchSilenceLimit), limit)
-	}
-	if !f.call.Repeatable || len(f.pool.targets) < 2 || f.isLastAttempt() {
-		// One second is added so that the deadline, not this timeout, ends the attempt.
-		untilDeadline := max(time.Until(f.call.Deadline), 0) + time.Second
-		return untilDeadline, untilDeadline
-	}
-	if f.call.MaxGap > 0 {
-		first, next = min(first, f.call.MaxGap/2), min(next, f.call.MaxGap/2)
-	}
-	return first, next
-}
-
-// minBatchSilenceLimit is longer than a sound upstream pauses within an answer.
-const minBatchSilenceLimit = 2 * time.Second
-
-// batchSilenceLimit returns how long an upstream that has been silent since a time may
-// stay so: half of what is left until the result is due, or until the deadline when it
-// is overdue. Another attempt then has as much time as the silent one.
-func batchSilenceLimit(call *contract.ForwardRequest, since time.Time) time.Duration {
-	end := call.Due
-	if !since.Before(end) {
-		end = call.Deadline
-	}
-	return max(end.Sub(since)/2, minBatchSilenceLimit)
-}
-
-// roomCheckInterval is the time between two checks whether a silent stream could go on
-// at another upstream.
-const roomCheckInterval = 100 * time.Millisecond
-
-// silenceTimer returns a timer that cancels an attempt whose upstream is silent. An
-// online stream that has begun is kept until another upstream has room: it would be
-// broken off if it could not be resumed before its caller leaves, while the upstream may
-// go on. The caller sets the timer, again after each event to next, and stops it at the
-// end of the attempt.
-func (d *Dispatcher) silenceTimer(granted *slot, f *forwarding, next time.Duration) *time.Timer {
-	begunBefore, r := f.begun, f.request
-	var timer *time.Timer
-	// tokensWhenKept is the number of tokens when the stream was last kept, -1 if it was
-	// not.
-	tokensWhenKept := int64(-1)
-	timer = time.AfterFunc(math.MaxInt64, func() {
-		tokens := granted.tokens.Load()
-		kept := tokensWhenKept
-		tokensWhenKept = -1
-		switch {
-		case granted.ctx.Err() != nil:
-		case kept >= 0 && tokens > kept:
-			// An event arrived while the timer was set for the next check.
-			timer.Reset(next)
-		case granted.class == contract.Online && (begunBefore || tokens > 0) && !d.sched.hasRoomElsewhere(granted.target, r):
-			tokensWhenKept = tokens
-			timer.Reset(roomCheckInterval)
-		default:
-			granted.cancel(errStalled)
-		}
-	})
-	return timer
-}
-
 // recordLoad records the load that the headers of a response report.
 func (s *scheduler) recordLoad(t *target, h Head) {
 	if h.LoadKnown {
--- a/upstream/forward_response.go
+++ b/upstream/forward_response.go
@@ -83,11 +83,10 @@
 
 // forwardedAnswer is a response while it is copied to the caller.
 type forwardedAnswer struct {
-	slot         *slot
-	response     *http.Response
-	header       http.Header
-	timer        *time.Timer
-	eventTimeout time.Duration
+	slot     *slot
+	response *http.Response
+	header   http.Header
+	silence  *silenceTimer
 	*forwarding
 }
 
@@ -180,7 +179,7 @@
 		}
 	}
 	a.slot.recordToken(now)
-	a.timer.Reset(a.eventTimeout)
+	a.silence.progress(now)
 	a.lastEventAt = now
 	if a.slot.tokens.Load() == answeredEvents {
 		d.recordAnswer(a.forwarding)
@@ -221,7 +220,7 @@
 		}
 		n, err := a.response.Body.Read(body)
 		buffer = body[:n]
-		a.timer.Reset(a.eventTimeout)
+		a.silence.progress(time.Now())
 		if errors.Is(err, io.EOF) {
 			if n > 0 {
 				if err := a.sink.Write(buffer); err != nil {
--- a/upstream/observe.go
+++ b/upstream/observe.go
@@ -120,20 +120,20 @@
 	batchTimeoutFactor      = 4
 )
 
-// tokenTimeouts returns how long an attempt may wait for its first and for each further
-// token.
-func (s *scheduler) tokenTimeouts(g *slot) (first, next time.Duration) {
+// tokenTimeout returns how long an attempt may wait for its first token, or for a further
+// one when it has begun.
+func (s *scheduler) tokenTimeout(g *slot, begun bool) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	first, next = defaultTokenTimeout, defaultTokenTimeout
-	if p := g.pool.medianFirstToken; p > 0 {
-		first = max(firstTokenTimeoutFactor*p, minFirstTokenTimeout)
-	}
-	if d := g.pool.medianSpacing; d > 0 {
-		next = max(tokenTimeoutSpacings*d, minTokenTimeout)
+	timeout := defaultTokenTimeout
+	switch first, spacing := g.pool.medianFirstToken, g.pool.medianSpacing; {
+	case begun && spacing > 0:
+		timeout = max(tokenTimeoutSpacings*spacing, minTokenTimeout)
+	case !begun && first > 0:
+		timeout = max(firstTokenTimeoutFactor*first, minFirstTokenTimeout)
 	}
 	if g.class == contract.Batch {
-		first, next = batchTimeoutFactor*first, batchTimeoutFactor*next
+		return batchTimeoutFactor * timeout
 	}
-	return first, next
+	return timeout
 }
--- a/upstream/probe.go
+++ b/upstream/probe.go
@@ -68,18 +68,19 @@
 	if response.StatusCode != http.StatusOK {
 		return 0, 0
 	}
+	silence := &silenceTimer{limit: func(time.Time, bool) time.Duration { return probeTimeout }, end: cancel}
+	silence.start()
 	return readProbe(g, &stream{
 		slot:    g,
 		events:  newEventReader(response.Body, maxLineBytes),
 		decoder: chunkDecoder{attemptID: id},
-		timer:   time.AfterFunc(probeTimeout, cancel),
+		silence: silence,
 	})
 }
 
 // readProbe reads the answer to a probe and returns its latencies.
 func readProbe(g *slot, s *stream) (first, spacing time.Duration) {
-	defer s.timer.Stop()
-	s.tokenTimeout = probeTimeout
+	defer s.silence.stop()
 	for !s.done {
 		if f := s.advance(); f != nil {
 			break
--- /dev/null
+++ b/upstream/silence.go
@@ -0,0 +1,147 @@
+package upstream
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"github.com/daisylb/daisylb/contract"
+)
+
+// silenceTimer ends an attempt whose upstream has made no progress for too long. How
+// long that is may change while the attempt runs, because latencies are observed and
+// upstreams come and go. It is therefore determined again at each check.
+type silenceTimer struct {
+	startedAt time.Time
+	// limit returns how long an upstream that made progress last at a time may be silent
+	// from then on. begun is set after the first progress. nil means without limit.
+	limit func(last time.Time, begun bool) time.Duration
+	// keep reports whether the attempt goes on for now although its upstream is silent;
+	// nil means that it never does.
+	keep func(begun bool) bool
+	// end ends the attempt.
+	end func()
+
+	timer *time.Timer
+	// interval is the time from a progress to the next check.
+	interval time.Duration
+	// progressNanos is the time of the last progress after startedAt, 0 before the first.
+	progressNanos atomic.Int64
+	stopped       atomic.Bool
+}
+
+const (
+	// silenceCheckInterval is the longest time between two checks of a silent attempt.
+	silenceCheckInterval = time.Second
+	// roomCheckInterval is the time between two checks whether an attempt that is kept
+	// could go on at another upstream.
+	roomCheckInterval = 100 * time.Millisecond
+)
+
+// start begins to watch the attempt.
+func (s *silenceTimer) start() {
+	s.startedAt = time.Now()
+	if s.limit == nil {
+		s.stopped.Store(true)
+		return
+	}
+	s.interval = min(s.limit(s.startedAt, true), silenceCheckInterval)
+	// check uses the timer, which must be set before it can expire.
+	s.timer = time.AfterFunc(math.MaxInt64, s.check)
+	s.timer.Reset(min(s.limit(s.startedAt, false), silenceCheckInterval))
+}
+
+// progress records that the upstream has made progress.
+func (s *silenceTimer) progress(now time.Time) {
+	s.progressNanos.Store(int64(max(now.Sub(s.startedAt), 1)))
+	if !s.stopped.Load() {
+		s.timer.Reset(s.interval)
+	}
+}
+
+// stop lets the attempt go on without a limit of its silence.
+func (s *silenceTimer) stop() {
+	if !s.stopped.Swap(true) {
+		s.timer.Stop()
+	}
+}
+
+// check ends the attempt, or sets the timer to the next check.
+func (s *silenceTimer) check() {
+	if s.stopped.Load() {
+		return
+	}
+	progress := time.Duration(s.progressNanos.Load())
+	last, begun := s.startedAt.Add(progress), progress > 0
+	remaining := s.limit(last, begun) - time.Since(last)
+	switch {
+	case remaining > 0:
+		s.timer.Reset(min(remaining, silenceCheckInterval))
+	case s.keep != nil && s.keep(begun):
+		s.timer.Reset(roomCheckInterval)
+	default:
+		s.end()
+	}
+}
+
+// newSilenceTimer returns the timer of an attempt of a model service.
+func (d *Dispatcher) newSilenceTimer(granted *slot) *silenceTimer {
+	return &silenceTimer{
+		limit: func(_ time.Time, begun bool) time.Duration { return d.sched.tokenTimeout(granted, begun) },
+		end:   func() { granted.cancel(errStalled) },
+	}
+}
+
+// newForwardSilenceTimer returns the timer of an attempt of an opaque request.
+func (d *Dispatcher) newForwardSilenceTimer(granted *slot, f *forwarding) *silenceTimer {
+	s := d.newSilenceTimer(granted)
+	call := f.call
+	if call.Class == contract.Batch {
+		// A batch request can go on at the same upstream: its connection may be dead
+		// although the upstream is not.
+		s.limit = func(last time.Time, begun bool) time.Duration {
+			limit := max(d.sched.tokenTimeout(granted, begun), minBatchSilenceLimit)
+			return min(limit, batchSilenceLimit(call, last))
+		}
+		return s
+	}
+	if !call.Repeatable || f.isLastAttempt() {
+		// The context of the call ends the attempt at the deadline.
+		s.limit = nil
+		return s
+	}
+	s.limit = func(_ time.Time, begun bool) time.Duration {
+		limit := d.sched.tokenTimeout(granted, begun)
+		if call.MaxGap > 0 {
+			limit = min(limit, call.MaxGap/2)
+		}
+		return limit
+	}
+	begunBefore, r := f.begun, f.request
+	s.keep = func(begun bool) bool {
+		// A stream that has begun would be broken off if it could not be resumed before
+		// its caller leaves, while its upstream may go on.
+		return d.isOnlyUpstream(call.Service) || (begunBefore || begun) && !d.sched.hasRoomElsewhere(granted.target, r)
+	}
+	return s
+}
+
+// isOnlyUpstream reports whether a routed service has fewer than two upstreams.
+func (d *Dispatcher) isOnlyUpstream(service string) bool {
+	p, err := d.current().pool(service, contract.KindRouted)
+	return err != nil || len(p.targets) < 2
+}
+
+// minBatchSilenceLimit is longer than a sound upstream pauses within an answer.
+const minBatchSilenceLimit = 2 * time.Second
+
+// batchSilenceLimit returns how long an upstream that has been silent since a time may
+// stay so: half of what is left until the result is due, or until the deadline when it
+// is overdue. Another attempt then has as much time as the silent one.
+func batchSilenceLimit(call *contract.ForwardRequest, since time.Time) time.Duration {
+	end := call.Due
+	if !since.Before(end) {
+		end = call.Deadline
+	}
+	return max(end.Sub(since)/2, minBatchSilenceLimit)
+}
--- a/upstream/silence_test.go
+++ b/upstream/silence_test.go
@@ -181,3 +181,103 @@
 		wait.Wait()
 	})
 }
+
+// TestItemOfADarkUpstreamGoesOnOnceLatenciesAreKnown has an upstream that goes dark while
+// no latency has been observed. Another item shows how long an event takes.
+func TestItemOfADarkUpstreamGoesOnOnceLatenciesAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const window, spacing, last = time.Hour, 60 * time.Millisecond, 60
+		streaming := func(_ testing.TB, _ *scriptedWorker, c net.Conn, r *http.Request) {
+			_, err := c.Write([]byte(streamHead(r, "")))
+			for n := 1; n <= last && err == nil; n++ {
+				time.Sleep(spacing)
+				_, err = c.Write([]byte(chunk(event(n))))
+			}
+			_, _ = c.Write([]byte(endOfChunks))
+		}
+		dark := func(_ testing.TB, _ *scriptedWorker, c net.Conn, r *http.Request) {
+			_, _ = c.Write([]byte(streamHead(r, "") + chunk(event(1))))
+			_, _ = c.Read(make([]byte, 1))
+		}
+		dial, workers, wait := pipeWorkers(dark, streaming)
+		d, logs := newLoggedForwarder(t, dial, workers...)
+		begin := time.Now()
+		for i := range 8 {
+			wait.Go(func() {
+				if err := d.Forward(t.Context(), batchCall(fmt.Sprint(i), window), &answerSink{}); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		done := make(chan struct{})
+		go func() { wait.Wait(); close(done) }()
+		for running := true; running; {
+			d.sched.sweep(time.Now())
+			select {
+			case <-done:
+				running = false
+			case <-time.After(DefaultSweepInterval):
+			}
+		}
+		if logs.FilterMessage("forwarding again").Len() == 0 {
+			t.Error("no item ran at the upstream that went dark")
+		}
+		// The items that run undisturbed show the spacing, upon which the others go on.
+		timeout := batchTimeoutFactor * tokenTimeoutSpacings * spacing
+		if took := time.Since(begin); took > timeout+3*last*spacing {
+			t.Errorf("the items took %v, want that those of the dark upstream go on after %v", took, timeout)
+		}
+	})
+}
+
+// TestSilenceLimitIsDeterminedAgain changes the limit of an attempt while its upstream is
+// silent.
+func TestSilenceLimitIsDeterminedAgain(t *testing.T) {
+	for name, c := range map[string]struct{ before, after, want time.Duration }{
+		"shorter": {40 * time.Second, 3 * time.Second, 3 * time.Second},
+		"longer":  {500 * time.Millisecond, 10 * time.Second, 10 * time.Second},
+		"over":    {40 * time.Second, time.Millisecond, silenceCheckInterval},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var limit atomic.Int64
+				limit.Store(int64(c.before))
+				ended := make(chan time.Time, 1)
+				s := &silenceTimer{
+					limit: func(time.Time, bool) time.Duration { return time.Duration(limit.Load()) },
+					end:   func() { ended <- time.Now() },
+				}
+				begin := time.Now()
+				s.start()
+				defer s.stop()
+				limit.Store(int64(c.after))
+				if got := (<-ended).Sub(begin); got != c.want {
+					t.Errorf("the attempt ended after %v, want %v", got, c.want)
+				}
+			})
+		})
+	}
+}
+
+// TestRequestThatMayRunOnceWaitsForItsDeadline has an upstream that answers shortly before
+// the deadline of a request that nobody else may run.
+func TestRequestThatMayRunOnceWaitsForItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const timeout, last = 10 * time.Second, 3
+		late := func(t testing.TB, w *scriptedWorker, c net.Conn, r *http.Request) {
+			time.Sleep(timeout - time.Second)
+			eventsScript(last, endOfChunks)(t, w, c, r)
+		}
+		dial, workers, wait := pipeWorkers(late, late)
+		d, _ := newLoggedForwarder(t, dial, workers...)
+		call, sink := streamCall("a", false), &answerSink{}
+		call.Deadline = time.Now().Add(timeout)
+		if err := d.Forward(t.Context(), call, sink); err != nil {
+			t.Error(err)
+		}
+		if diff := cmp.Diff(eventsUpTo(last), sink.body.String()); diff != "" {
+			t.Error(diff)
+		}
+		wait.Wait()
+	})
+}
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -15,9 +15,8 @@
 	body    io.ReadCloser
 	events  *eventReader
 	decoder chunkDecoder
-	// timer cancels the attempt if no chunk with text arrives within tokenTimeout.
-	timer        *time.Timer
-	tokenTimeout time.Duration
+	// silence ends the attempt if no chunk with text arrives in time.
+	silence *silenceTimer
 
 	chunk        contract.Chunk
 	finishReason string
@@ -43,8 +42,9 @@
 		}
 		s.recordChunk(chunk)
 		if chunk.Text != "" {
-			s.slot.recordToken(time.Now())
-			s.timer.Reset(s.tokenTimeout)
+			now := time.Now()
+			s.slot.recordToken(now)
+			s.silence.progress(now)
 			s.chunk = chunk
 			s.chunk.More = s.events.hasBufferedEvent()
 			return nil
@@ -94,12 +94,14 @@
 // drain reads to the end of the body, so that the connection can be reused. If there
 // are bytes after the answer, the connection is closed instead.
 func (s *stream) drain() {
-	s.timer.Reset(drainTimeout)
+	s.silence.stop()
+	timer := time.AfterFunc(drainTimeout, s.silence.end)
+	defer timer.Stop()
 	_, _ = io.CopyN(io.Discard, s.events.lines, 1)
 }
 
 func (s *stream) close() {
-	s.timer.Stop()
+	s.silence.stop()
 	_ = s.body.Close()
 }
 
--- a/upstream/stream_test.go
+++ b/upstream/stream_test.go
@@ -20,10 +20,12 @@
 		finish = chunk.FinishReason
 		return nil
 	}}
+	silence := &silenceTimer{limit: func(time.Time, bool) time.Duration { return time.Hour }, end: func() {}}
+	silence.start()
 	s := &stream{
 		slot: &slot{startedAt: time.Now()}, body: io.NopCloser(strings.NewReader(body)),
 		events: newEventReader(strings.NewReader(body), maxStreamBytes(c.maxAnswerBytes)), decoder: chunkDecoder{attemptID: "dlb-1"},
-		timer: time.NewTimer(time.Hour), tokenTimeout: time.Hour,
+		silence: silence,
 	}
 	defer s.close()
 	if f = s.advance(); f == nil {
