Wait for a silent upstream that nobody else can finish the answer for

A sound upstream that paused for a second or less within its answer had the answer broken off, although no other upstream could go on behind what the caller had received: a body over 256 KB, or events without ids.

Cause: whether a request can be tried again was determined at the beginning of an attempt, before the caller had received data of it.

Change: once data was passed on behind which no attempt can go on, an online request waits for its deadline.

TestPauseDoesNotEndAnAnswerThatNobodyElseCanFinish fails before ("3003 stream_broken", 262145 of 278528 bytes) and passes now.

--- a/upstream/forward_response.go
+++ b/upstream/forward_response.go
@@ -143,7 +143,7 @@
 		}
 		a.events++
 		if e.hasContent {
-			a.hasData, a.unnumbered = true, e.id == ""
+			a.recordData(e.id == "")
 		}
 		if e.id != "" {
 			a.lastEventID = e.id
@@ -151,6 +151,15 @@
 	}
 }
 
+// recordData records that the caller has received data, and whether it follows no event
+// id. A silent upstream is waited for if nobody else can finish the answer.
+func (a *forwardedAnswer) recordData(unnumbered bool) {
+	a.hasData, a.unnumbered = true, unnumbered
+	if a.call.Class == contract.Online && !a.mayRunAgain() {
+		a.silence.stop()
+	}
+}
+
 // endEvents ends a stream whose body has ended between events.
 func (a *forwardedAnswer) endEvents() *failure {
 	if a.lastEventID == "" && !a.hasData && endsWithConnection(a.response) {
@@ -204,7 +213,7 @@
 	if a.response.StatusCode < http.StatusMultipleChoices {
 		d.recordAnswer(a.forwarding)
 	}
-	a.hasData, a.unnumbered = true, true
+	a.recordData(true)
 	if err := a.begin(); err != nil {
 		return callerGone(err)
 	}
--- a/upstream/silence_test.go
+++ b/upstream/silence_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -281,3 +282,41 @@
 		wait.Wait()
 	})
 }
+
+// TestPauseDoesNotEndAnAnswerThatNobodyElseCanFinish has sound upstreams that pause behind
+// data after which no other upstream can go on.
+func TestPauseDoesNotEndAnAnswerThatNobodyElseCanFinish(t *testing.T) {
+	const pause, last = 1500 * time.Millisecond, 4
+	body := strings.Repeat("x", bufferedBodyBytes+(16<<10))
+	unnumbered := strings.Repeat("data: piece\n\n", last)
+	for name, c := range map[string]struct{ begin, end, want string }{
+		"long body":                 {body[:bufferedBodyBytes+1], body[bufferedBodyBytes+1:], body},
+		"events without a position": {unnumbered[:len(unnumbered)/2], unnumbered[len(unnumbered)/2:], unnumbered},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				pausing := func(_ testing.TB, _ *scriptedWorker, nc net.Conn, r *http.Request) {
+					kind := "text/plain"
+					if strings.HasPrefix(c.begin, "data:") {
+						kind = "text/event-stream"
+					}
+					_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nId: %s\r\nSigned: yes\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s",
+						r.Header.Get("Id"), kind, len(c.want), c.begin)
+					time.Sleep(pause)
+					_, _ = nc.Write([]byte(c.end))
+				}
+				dial, workers, wait := pipeWorkers(pausing, pausing)
+				d, _ := newLoggedForwarder(t, dial, workers...)
+				call, sink := streamCall("a", true), &answerSink{}
+				call.MaxGap = 2 * time.Second
+				if err := d.Forward(t.Context(), call, sink); err != nil {
+					t.Errorf("the answer was broken off: %v", err)
+				}
+				if sink.body.String() != c.want {
+					t.Errorf("the caller got %d bytes of %d", sink.body.Len(), len(c.want))
+				}
+				wait.Wait()
+			})
+		})
+	}
+}
