Leave a refusal whose body has no end at once

A worker that refused a request in chunks and then sent chunks without end, or stalled, held the request until its deadline although another worker was free.

Cause: closing the body of a response reads a chunked body to its end. Ruled out: that memory grows, since every reader has a limit with a test.

Change: an attempt closes its connection and not the body.

--- a/upstream/broken_stream_test.go
+++ b/upstream/broken_stream_test.go
@@ -387,3 +387,39 @@
 	wait.Wait()
 	return sink.body.String(), err
 }
+
+// TestAnswerCutWithinItsHeadReachesNobody has a worker that closes the connection after
+// each byte of the head of its answer.
+func TestAnswerCutWithinItsHeadReachesNobody(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nSigned: yes\r\nId: a\r\n"
+	for name, rest := range map[string]string{
+		"length":                    "Content-Type: text/plain\r\nContent-Length: 1234\r\n\r\n",
+		"chunks":                    "Content-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"end of the connection":     "Content-Type: text/plain\r\nConnection: close\r\n\r\n",
+		"stream":                    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"stream without length":     "Content-Type: text/event-stream\r\n\r\n",
+		"behind an interim answer":  "Content-Length: 12\r\n\r\n",
+		"header with several lines": "Content-Type: text/plain\r\nX-Long: a\r\n b\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := head + rest
+			if name == "behind an interim answer" {
+				text = "HTTP/1.1 102 Processing\r\nId: a\r\n\r\n" + text
+			}
+			for n := range len(text) {
+				for _, class := range []contract.Class{contract.Online, contract.Batch} {
+					synctest.Test(t, func(t *testing.T) {
+						dial, workers, wait := pipeWorkers(rawScript(text[:n]))
+						d, _ := newLoggedForwarder(t, dial, workers...)
+						call, sink := streamCall("a", false), &answerSink{}
+						call.Class = class
+						if err := d.Forward(t.Context(), call, sink); err == nil || sink.status != 0 {
+							t.Errorf("after %q: status %d, error %v", text[:n], sink.status, err)
+						}
+						wait.Wait()
+					})
+				}
+			}
+		})
+	}
+}
--- a/upstream/endless_test.go
+++ b/upstream/endless_test.go
@@ -477,3 +477,49 @@
 		}
 	}
 }
+
+// TestRefusalWhoseBodyNeverEndsAllowsAnotherUpstream has an upstream that refuses a
+// request and whose body then goes on without end, or stalls.
+func TestRefusalWhoseBodyNeverEndsAllowsAnotherUpstream(t *testing.T) {
+	refusal := func(r *http.Request) string {
+		return "HTTP/1.1 503 Busy\r\nNot-Run: yes\r\nId: " + r.Header.Get("Id") + "\r\nTransfer-Encoding: chunked\r\n\r\n"
+	}
+	for name, interval := range map[string]time.Duration{"endless": time.Millisecond, "stalled": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var requests atomic.Int64
+				worker := func(t testing.TB, w *scriptedWorker, c net.Conn, r *http.Request) {
+					if requests.Add(1) > 1 {
+						eventsScript(3, endOfChunks)(t, w, c, r)
+						return
+					}
+					_, err := c.Write([]byte(refusal(r)))
+					closed := make(chan struct{})
+					go func() { _, _ = c.Read(make([]byte, 1)); close(closed) }()
+					for err == nil {
+						select {
+						case <-closed:
+							return
+						case <-time.After(interval):
+							_, err = c.Write([]byte(chunk("busy")))
+						}
+					}
+				}
+				dial, workers, wait := pipeWorkers(worker, worker)
+				d, _ := newLoggedForwarder(t, dial, workers...)
+				call, sink := streamCall("a", false), &answerSink{}
+				begin := time.Now()
+				if err := d.Forward(t.Context(), call, sink); err != nil {
+					t.Error(err)
+				}
+				if diff := cmp.Diff(eventsUpTo(3), sink.body.String()); diff != "" {
+					t.Error(diff)
+				}
+				if took := time.Since(begin); took > 10*time.Millisecond {
+					t.Errorf("another upstream was used after %v", took)
+				}
+				wait.Wait()
+			})
+		})
+	}
+}
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -341,7 +341,8 @@
 	if err != nil {
 		return connectionFailure(granted, err)
 	}
-	defer func() { _ = response.Body.Close() }()
+	// The body is not closed: that would read a chunked body to its end, which may never
+	// come. The connection is closed instead.
 	head := wire.Head(response.StatusCode, response.Header)
 	d.sched.recordLoad(granted.target, head)
 	d.sched.recordLeaving(granted.target, head)
