Soak: late long requests, rolls, refused tables and silent connections

A drained worker now runs on for 8 s, since long requests last 4.2 s. With a single worker a drained one is replaced before it is taken from the list; the index was out of range before.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -23,6 +23,8 @@
 	readInterval  = 400 * time.Millisecond
 	// failedAddressBackoff is how long a caller skips an address that failed.
 	failedAddressBackoff = 2 * time.Second
+	// One online request in longShare is long.
+	longShare = 12
 )
 
 // callerPool simulates callers: they resolve the addresses of instances, use
@@ -116,7 +118,11 @@
 		if once {
 			prefix = oncePrefix
 		}
-		a := c.attempt(address, prefix, fmt.Sprintf("r%d", c.lastRequest.Add(1)), once)
+		kind := "r"
+		if rand.IntN(longShare) == 0 {
+			kind = longPrefix
+		}
+		a := c.attempt(address, prefix, fmt.Sprintf("%s%d", kind, c.lastRequest.Add(1)), once)
 		if a.Status == 0 {
 			u.failedAt[address] = time.Now()
 		}
--- a/soak/history.go
+++ b/soak/history.go
@@ -165,11 +165,18 @@
 const (
 	minEvents       = 4
 	eventCountRange = 17
+	// longPrefix begins the ids of requests with longEvents events. They take longer than
+	// is left of a grace period once callers are no longer accepted.
+	longPrefix = "s"
+	longEvents = 280
 )
 
-// eventCount returns the number of events of a request, from minEvents to
+// eventCount returns the number of events of a request: longEvents, or from minEvents to
 // minEvents+eventCountRange-1.
 func eventCount(request string) int {
+	if strings.HasPrefix(request, longPrefix) {
+		return longEvents
+	}
 	sum := 0
 	for _, c := range request {
 		sum = sum*31 + int(c)
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -25,6 +25,8 @@
 	stopStep  = 100 * time.Millisecond
 	// stopDocuments is the number of documents that are written during a stop.
 	stopDocuments = 3
+	// rollInterval is the time between two stops of a roll.
+	rollInterval = time.Second
 )
 
 // inject executes a fault and records its period as a disturbance.
@@ -55,8 +57,10 @@
 	case faultTerm:
 		var others sync.WaitGroup
 		others.Go(func() { s.disturbStop(ctx, f, i) })
-		s.terminate(k)
+		s.terminate(k, 1)
 		others.Wait()
+	case faultRoll:
+		s.roll(ctx, f)
 	case faultKill, faultHup:
 		i.signal(signals[f.Kind])
 	case faultKillAll:
@@ -73,7 +77,7 @@
 		s.writeDocuments(ctx, documentBurst)
 	case faultDrain:
 		s.replaceWorker(ctx)
-	case faultWorkerBreaks, faultWorkerSlow, faultWorkerLink:
+	case faultWorkerBreaks, faultWorkerSlow, faultWorkerLink, faultWorkerSilent:
 		s.disturbWorker(ctx, f)
 	case faultCallerLink:
 		s.disturbLink(ctx, s.callerLinks[k], f)
@@ -91,21 +95,47 @@
 }
 
 // terminate stops an instance as planned, after which it is restarted. It does
-// nothing while another instance is being stopped.
-func (s *soak) terminate(k int) {
+// nothing and reports false if the instance or most others are being stopped.
+func (s *soak) terminate(k, most int) bool {
 	s.mu.Lock()
-	busy := len(s.terminating) > 0
+	busy := s.terminating[k] || len(s.terminating) >= most
 	if !busy {
 		s.terminating[k] = true
 	}
 	s.mu.Unlock()
 	if busy {
-		return
+		return false
+	}
+	var late sync.WaitGroup
+	for range lateCallers {
+		c := &persistentCaller{callerPool: s.callers, operator: s.operator, address: s.instances[k].callerAddress()}
+		late.Go(c.sendLate)
 	}
 	s.instances[k].terminate()
+	late.Wait()
 	s.mu.Lock()
 	delete(s.terminating, k)
 	s.mu.Unlock()
+	return true
+}
+
+// roll stops all instances in turn, up to half of them at a time, each with SIGHUP and
+// documents at some moment of its stop.
+func (s *soak) roll(ctx context.Context, f Fault) {
+	var stops sync.WaitGroup
+	for n := range s.instances {
+		k := (f.Index + n) % len(s.instances)
+		stops.Go(func() {
+			for !s.terminate(k, max(len(s.instances)/2, 1)) && ctx.Err() == nil {
+				wait(ctx, stopStep)
+			}
+		})
+		next := f
+		next.Index += n * stopSteps
+		stops.Go(func() { s.disturbStop(ctx, next, s.instances[k]) })
+		wait(ctx, rollInterval)
+	}
+	stops.Wait()
 }
 
 // writeDocuments writes n documents. Each adds the changing route or removes
@@ -127,14 +157,15 @@
 	s.mu.Lock()
 	s.lastWorker++
 	id := fmt.Sprintf("n%d", s.lastWorker)
-	old := s.workers[0]
-	s.workers = s.workers[1:]
-	link := s.workerLinks[0]
-	s.workerLinks = s.workerLinks[1:]
+	ip := s.workers[0].ip()
 	s.mu.Unlock()
-	if err := s.addWorker(ctx, id, s.workers[0].ip()); err != nil {
+	if err := s.addWorker(ctx, id, ip); err != nil {
 		return
 	}
+	s.mu.Lock()
+	old, link := s.workers[0], s.workerLinks[0]
+	s.workers, s.workerLinks = s.workers[1:], s.workerLinks[1:]
+	s.mu.Unlock()
 	if err := putRow(ctx, s.store.rows, "servers", old.id, old.entry("draining", 1)); err != nil {
 		return
 	}
@@ -157,6 +188,9 @@
 	case faultWorkerLink:
 		s.disturbLink(ctx, link, f)
 		return
+	case faultWorkerSilent:
+		link.silence()
+		return
 	case faultWorkerBreaks:
 		w.mu.Lock()
 		w.brokenUntil = until
@@ -196,6 +230,13 @@
 		for _, m := range s.storeModes {
 			m.Store(int32(storeServes))
 		}
+	case faultStoreTable:
+		// The process that starts meanwhile does not know the table.
+		table := storeTables[f.Index/7%len(storeTables)]
+		s.store.refusedTable.Store(&table)
+		s.instances[k].signal(syscall.SIGKILL)
+		wait(ctx, f.Duration)
+		s.store.refusedTable.Store(nil)
 	case faultStoreLosesResponses, faultStoreLateEffects:
 		faults := memory.RowFaults{LoseResponses: lostResponses}
 		if f.Kind == faultStoreLateEffects {
--- a/soak/persistent.go
+++ b/soak/persistent.go
@@ -16,6 +16,11 @@
 
 const (
 	persistentPerInstance = 2
+	// One of persistentLongShare of their requests is long.
+	persistentLongShare = 3
+	// lateCallers send a request each in the lateWindow after the beginning of a stop.
+	lateCallers = 4
+	lateWindow  = 3500 * time.Millisecond
 	// Requests with a pause are sent in two parts. The pause exceeds closeRaceBound,
 	// so that a close within it is no race with the first part.
 	sendPause = 300 * time.Millisecond
@@ -50,7 +55,7 @@
 			c.disconnect()
 			continue
 		}
-		a, reusable := c.exchange()
+		a, reusable := c.exchange(c.newRequestID())
 		c.history.update(func() { c.history.Attempts = append(c.history.Attempts, a) })
 		if !reusable {
 			c.disconnect()
@@ -107,14 +112,34 @@
 	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// newRequestID returns the id of an ordinary request, of one with a large body or of a
+// long one.
+func (c *persistentCaller) newRequestID() string {
+	prefix := "k"
+	switch {
+	case rand.IntN(8) == 0:
+		prefix = largeBodyPrefix
+	case rand.IntN(persistentLongShare) == 0:
+		prefix = longPrefix
+	}
+	return fmt.Sprintf("%s%d", prefix, c.lastRequest.Add(1))
+}
+
+// sendLate sends a long request at some time while an instance that is being stopped
+// accepts connections.
+func (c *persistentCaller) sendLate() {
+	time.Sleep(time.Duration(rand.Int64N(int64(lateWindow))))
+	if !c.connect() {
+		return
+	}
+	defer c.disconnect()
+	a, _ := c.exchange(fmt.Sprintf("%s%d", longPrefix, c.lastRequest.Add(1)))
+	c.history.update(func() { c.history.Attempts = append(c.history.Attempts, a) })
+}
+
 // exchange sends a request and reads the response. It reports whether the connection
 // can be used again.
-func (c *persistentCaller) exchange() (a Attempt, reusable bool) {
-	n := c.lastRequest.Add(1)
-	id := fmt.Sprintf("k%d", n)
-	if rand.IntN(8) == 0 {
-		id = fmt.Sprintf("%s%d", largeBodyPrefix, n)
-	}
+func (c *persistentCaller) exchange(id string) (a Attempt, reusable bool) {
 	a = Attempt{Request: id, Once: rand.IntN(2) == 0, Instance: c.address, SentAt: time.Now()}
 	defer func() { a.DoneAt = time.Now() }()
 	deadline := a.SentAt.Add(callTimeout)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -41,6 +42,9 @@
 	faultWorkerSlow          = "worker slow"
 	faultWorkerLink          = "worker link"
 	faultCallerLink          = "caller link"
+	faultRoll                = "roll"
+	faultStoreTable          = "store table"
+	faultWorkerSilent        = "worker silent"
 )
 
 // All kinds have the same weight. Plans of planned work only find violations
@@ -49,6 +53,10 @@
 	plannedKinds = []string{faultTerm, faultHup, faultDocument, faultDocuments, faultDrain}
 	allKinds     = append([]string{faultKill, faultKillAll, faultFreeze, faultStoreDown, faultStoreLosesResponses, faultStoreLateEffects, faultStoreDropsHistory,
 		faultStoreOneInstance, faultWorkerBreaks, faultWorkerSlow, faultWorkerLink, faultCallerLink}, plannedKinds...)
+	// Additional kinds are drawn apart, so that the seeds keep the faults that they had
+	// before these kinds existed.
+	plannedAdditions = []string{faultRoll}
+	additions        = []string{faultRoll, faultStoreTable, faultStoreTable, faultWorkerSilent, faultWorkerSilent}
 )
 
 const (
@@ -57,28 +65,37 @@
 	maxFaultDuration = 4 * time.Second
 	// meanFaultInterval is the mean time between two faults.
 	meanFaultInterval = 1500 * time.Millisecond
+	// meanAdditionInterval is that between two of the additional kinds.
+	meanAdditionInterval = 6 * time.Second
 )
 
 // NewPlan draws the faults of a soak of the given length. One in three plans
 // has planned work only. The same seed and length give the same plan.
 func NewPlan(seed uint64, length time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, seed))
-	kinds := allKinds
+	kinds, more := allKinds, additions
 	if random.IntN(3) == 0 {
-		kinds = plannedKinds
+		kinds, more = plannedKinds, plannedAdditions
 	}
-	var plan []Fault
-	for range max(int(length/meanFaultInterval), 1) {
-		plan = append(plan, Fault{
+	plan := drawFaults(random, kinds, length, meanFaultInterval)
+	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, ^seed)), more, length, meanAdditionInterval)...)
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
+// drawFaults draws the faults of some kinds, one an interval.
+func drawFaults(random *rand.Rand, kinds []string, length, interval time.Duration) []Fault {
+	var faults []Fault
+	for range max(int(length/interval), 1) {
+		faults = append(faults, Fault{
 			Kind:     kinds[random.IntN(len(kinds))],
 			At:       minFaultStart + time.Duration(random.Int64N(int64(max(length-minFaultStart, 1)))),
 			Duration: minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration))),
 			Index:    random.IntN(1 << 16),
 		})
 	}
-	slices.SortFunc(plan, func(a, b Fault) int { return int(a.At - b.At) })
-	return plan
+	return faults
 }
 
 // isPlanned reports whether a kind of fault must not cut any request.
-func isPlanned(kind string) bool { return slices.Contains(plannedKinds, kind) }
+func isPlanned(kind string) bool { return slices.Contains(plannedKinds, kind) || kind == faultRoll }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -41,6 +42,8 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	// silent has, for each relayed connection, whether it has gone silent for good.
+	silent map[*atomic.Bool]bool
 }
 
 func newProxy(ip, target string) (*proxy, error) {
@@ -48,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}, silent: map[*atomic.Bool]bool{}}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	go p.accept()
 	return p, nil
@@ -77,6 +80,17 @@
 	clear(p.conns)
 }
 
+// silence lets about half of the open connections go silent for good. New ones work.
+func (p *proxy) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for silent := range p.silent {
+		if rand.IntN(2) == 0 {
+			silent.Store(true)
+		}
+	}
+}
+
 func (p *proxy) close() {
 	p.cancel()
 	_ = p.listener.Close()
@@ -108,20 +122,22 @@
 		return
 	}
 	p.mu.Lock()
-	p.conns[client], p.conns[server] = true, true
+	silent := &atomic.Bool{}
+	p.conns[client], p.conns[server], p.silent[silent] = true, true, true
 	p.mu.Unlock()
 	var copies sync.WaitGroup
-	copies.Go(func() { p.copy(server, client, true) })
-	copies.Go(func() { p.copy(client, server, false) })
+	copies.Go(func() { p.copy(server, client, true, silent) })
+	copies.Go(func() { p.copy(client, server, false, silent) })
 	copies.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	delete(p.silent, silent)
 	delete(p.conns, client)
 	delete(p.conns, server)
 }
 
 // copy copies one direction. When it ends it closes both connections.
-func (p *proxy) copy(to, from net.Conn, toTarget bool) {
+func (p *proxy) copy(to, from net.Conn, toTarget bool, silent *atomic.Bool) {
 	defer func() { _ = to.Close(); _ = from.Close() }()
 	buffer := make([]byte, 16<<10)
 	for {
@@ -133,6 +149,9 @@
 		n, err := from.Read(buffer[:size])
 		if n > 0 {
 			p.delay(toTarget)
+			for silent.Load() && p.ctx.Err() == nil {
+				wait(p.ctx, throttleStep)
+			}
 			if p.ctx.Err() != nil {
 				return
 			}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -77,8 +77,8 @@
 	stallLimit         = 100 * time.Millisecond
 	stallCheckInterval = 50 * time.Millisecond
 	// workerDrainTime is how long a worker keeps running after it was marked as
-	// draining.
-	workerDrainTime = 4 * time.Second
+	// draining: drainBound and the time of the longest request.
+	workerDrainTime = 8 * time.Second
 )
 
 // Run carries out a soak. It stops everything that it started before it returns.
--- a/soak/store.go
+++ b/soak/store.go
@@ -31,6 +31,10 @@
 	hangTime = 4 * time.Second
 )
 
+// storeTables are the tables that may be refused: the document's, the workers' and the
+// jobs'.
+var storeTables = []string{"op", "servers", "jobs"}
+
 // store is the stand-in for the platform's store. Each instance has a listener
 // of its own, so that calls of single instances can be rejected.
 type store struct {
@@ -38,6 +42,8 @@
 	handler http.Handler
 	history *History
 	servers []*http.Server
+	// refusedTable is the table whose calls are refused, nil if none is.
+	refusedTable atomic.Pointer[string]
 
 	mu            sync.Mutex
 	currentSecond StoreCalls
@@ -82,6 +88,10 @@
 	case storeSlow:
 		wait(r.Context(), slowDelay)
 	}
+	if table := s.refusedTable.Load(); table != nil && r.URL.Query().Get("table") == *table {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	s.handler.ServeHTTP(w, r)
 	if r.Method != http.MethodGet {
 		s.recordQueuedTokens(r.Context())
