Keep items whose service a newer configuration has

An item of a job of the product's own interface was given up with unknown_service when the instance that ran it still had an older document than the instance that had accepted the job, for example right after a service was added.

Cause: unknown_service is final, whichever document it was judged by.

Change: a job's row carries the version of the document under which it was accepted, and the failure is final only under that version or a newer one. Rows without a version are treated as before.

TestItemOfANewerConfigurationIsNotGivenUp fails before ("was given up") and passes now.

--- a/batch/fake_test.go
+++ b/batch/fake_test.go
@@ -203,7 +203,9 @@
 	if o.Claims == nil {
 		o.Claims = newClaims()
 	}
-	o.Document = testDocument
+	if o.Document == nil {
+		o.Document = testDocument
+	}
 	r, err := NewRunner(o)
 	if err != nil {
 		t.Fatal(err)
--- a/batch/items_test.go
+++ b/batch/items_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/storage"
 	"github.com/daisylb/daisylb/storage/memory"
 )
@@ -340,3 +342,41 @@
 		})
 	}
 }
+
+// TestItemOfANewerConfigurationIsNotGivenUp runs a job at an instance whose document lacks
+// the service of its items, since it is older than the one under which the job was accepted.
+func TestItemOfANewerConfigurationIsNotGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.New()
+		newest := testDocument()
+		newest.Version = 2
+		service, err := NewService(ServiceOptions{Store: store, Document: func() *contract.Document { return newest }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var inForce atomic.Pointer[contract.Document]
+		inForce.Store(&contract.Document{Version: 1, Services: map[string]contract.Service{}, Limits: newest.Limits})
+		executor := newExecutor(func(context.Context, string) (string, error) {
+			if inForce.Load().Version < newest.Version {
+				return "", code.New(code.UnknownService, "no such service")
+			}
+			return "done", nil
+		})
+		job := submit(t, service, "k", chatLines(3))
+		r := startRunner(t, RunnerOptions{Store: store, Executor: executor, Document: inForce.Load})
+		defer r.stop()
+		time.Sleep(10 * time.Second)
+		inForce.Store(newest)
+		waitFor(t, "the end of the job", func() bool {
+			current, err := service.Status(context.Background(), account, job.ID)
+			return err == nil && current.State == StateFinished
+		})
+		lines := results(t, service, job.ID)
+		checkEachOnce(t, lines, 3)
+		for _, l := range lines {
+			if l.failed() {
+				t.Errorf("item %s was given up: %v", l.ID, l.Error)
+			}
+		}
+	})
+}
--- a/batch/job.go
+++ b/batch/job.go
@@ -132,6 +132,8 @@
 	Segments       int    `json:"segments"`
 	// OpenKey is the key of the job's row in the index of open jobs.
 	OpenKey string `json:"open_key"`
+	// ConfigVersion is the version of the document under which the job was accepted.
+	ConfigVersion uint64 `json:"config_version,omitempty"`
 }
 
 // openRow is the value of a row in the index of open jobs.
--- a/batch/service.go
+++ b/batch/service.go
@@ -363,7 +363,7 @@
 		},
 		Account: u.account, Content: content, Upload: u.id,
 		Objects: p.objects, ManifestOffset: p.manifestOffset, Segments: p.segments,
-		OpenKey: openKey(deadline.Add(-runTime), id),
+		OpenKey: openKey(deadline.Add(-runTime), id), ConfigVersion: u.doc.Version,
 	}
 }
 
--- a/batch/task.go
+++ b/batch/task.go
@@ -99,6 +99,9 @@
 // recordFailure counts a failed attempt and reports whether it is final, with the
 // result of the item if it is.
 func (t *task) recordFailure(item *item, err *code.Error) (result ResultLine, final bool) {
+	if err.Number == code.UnknownService && t.configIsOlder() {
+		return ResultLine{}, false
+	}
 	if isFinal(err.Number) {
 		return errorLine(item.customID, err), true
 	}
@@ -125,6 +128,13 @@
 	return defaultAttempts
 }
 
+// configIsOlder reports whether the document in force here is older than the one under
+// which the job was accepted. It may lack services of the job's items.
+func (t *task) configIsOlder() bool {
+	doc := t.lease.runner.opts.Document()
+	return doc == nil || doc.Version < t.lease.job.row.ConfigVersion
+}
+
 // isFinal reports whether another attempt would be useless or is not allowed.
 func isFinal(n code.Number) bool {
 	switch n {
