--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -18,7 +17,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/entry"
 	"github.com/daisylb/daisylb/feed"
@@ -437,70 +435,3 @@
 	i.roster.UpdateSelf(func(m *roster.Member) { m.Ready = true })
 	return nil
 }
-
-// admit rejects an online request that may still run when a planned stop ends the open
-// requests, if the caller can use another instance instead.
-func (i *Instance) admit(deadline time.Time) error {
-	end := i.requestsEndAt.Load()
-	if end == nil || !deadline.After(*end) || !slices.ContainsFunc(i.roster.View().Alive, acceptsCallers) {
-		return nil
-	}
-	return code.New(code.Draining, "the instance is stopping before the request's deadline").WithRetryAfter(drainingRetryAfter)
-}
-
-// shutdown carries out the planned stop. The instance is removed from endpoint
-// answers, keeps serving for as long as callers may keep an earlier answer, hands
-// its jobs over and waits for open requests. stopListening closes the callers'
-// listener.
-func (i *Instance) shutdown(stopListening func()) {
-	startedAt := time.Now()
-	grace := i.settings.Load().Bounds.GracePeriod
-	deadline := startedAt.Add(grace - exitReserve)
-	i.mu.Lock()
-	i.leaving = true
-	i.mu.Unlock()
-	i.log.Info("leaving")
-	i.roster.UpdateSelf(func(m *roster.Member) { m.Leaving, m.Ready = true, false })
-	linger := min(time.Duration(endpointLingerTTLs*float64(i.endpointTTL)), grace/2)
-	time.Sleep(linger / 2)
-	// From now on, answers carry "Connection: close", so that callers with open
-	// connections move to other instances.
-	i.requestsEndAt.Store(&deadline)
-	i.connections.closeAfterAnswer.Store(true)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	handOverCtx, cancelHandOver := context.WithTimeout(ctx, linger/2)
-	i.jobs.Stop(handOverCtx)
-	cancelHandOver()
-	time.Sleep(time.Until(startedAt.Add(linger)))
-	i.relayStopping.Store(true)
-	stopListening()
-	i.log.Info("no longer listening", zap.Int("open_connections", i.connections.count()))
-	// http.Server.Shutdown is not used: it closes connections whose requests have been
-	// read but not parsed.
-	if err := i.connections.drain(ctx); err != nil {
-		i.log.Warn("requests were still open at the end of the grace period", zap.Int("open_connections", i.connections.count()), zap.Error(err))
-		answerCtx, cancelAnswer := context.WithTimeout(context.Background(), lastAnswerTime)
-		if err := i.connections.endRequests(answerCtx, code.New(code.Draining, "the instance is stopping")); err != nil {
-			i.log.Warn("requests were cut at the end of the grace period", zap.Int("open_connections", i.connections.count()), zap.Error(err))
-		}
-		cancelAnswer()
-	}
-	i.finishRelayedCalls(deadline.Add(lastAnswerTime))
-	_ = i.callerServer.Close()
-	_ = i.directoryServer.Close()
-	_ = i.readinessServer.Close()
-	_ = i.metricsServer.Close()
-	_ = i.relayServer.Close()
-}
-
-// finishRelayedCalls waits until the calls of the store that peers make through this
-// instance have ended, or until a deadline. A peer whose call is cut does not know
-// whether it took effect.
-func (i *Instance) finishRelayedCalls(deadline time.Time) {
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	if err := i.relayServer.Shutdown(ctx); err != nil {
-		i.log.Warn("calls of peers were cut at the end of the grace period", zap.Error(err))
-	}
-}
