--- a/soak/check.go
+++ b/soak/check.go
@@ -28,6 +28,10 @@
 	maxWritesPerSecond = 800
 	maxReadsPerSecond  = 2000
 	maxAttempts        = 3
+	// A planned stop may cut a request that was sent until lateSend after it began, in the
+	// last sixth of the grace period.
+	lateSend  = 3 * time.Second
+	lastSixth = gracePeriod * 5 / 6
 )
 
 // checks has all checks by name.
@@ -305,12 +309,13 @@
 // plannedStop finds requests that were cut while only planned work was going
 // on. A request may race with the close of its connection. If it fails within
 // closeRaceBound and neither an instance nor a worker has received it, the caller
-// may send it again, so it is not a violation.
+// may send it again, so it is not a violation. Nor is one whose deadline was reached, or
+// that the grace period was too short for.
 func plannedStop(h *History) (found []Violation) {
 	runs := h.runsByRequest()
 	for _, a := range h.Attempts {
 		raced := !a.Received && len(runs[a.Request]) == 0 && a.DoneAt.Sub(a.SentAt) < closeRaceBound
-		if !a.Written || raced || a.Status != 0 && (a.Status != 200 || a.Completed) || !h.undisturbed("", a.SentAt, a.DoneAt, false) {
+		if !a.Written || raced || a.DoneAt.Sub(a.SentAt) >= callTimeout || h.graceTooShort(&a) || a.Status != 0 && (a.Status != 200 || a.Completed) || !h.undisturbed("", a.SentAt, a.DoneAt, false) {
 			continue
 		}
 		found = append(found, Violation{ID: a.Request, Detail: fmt.Sprintf("cut at %s after %d events, with status %d", a.Instance, len(a.Events), a.Status)})
@@ -318,6 +323,14 @@
 	return found
 }
 
+// graceTooShort reports whether a request was sent early in a planned stop of its instance
+// and ended in the last part of the grace period.
+func (h *History) graceTooShort(a *Attempt) bool {
+	return slices.ContainsFunc(h.Stops, func(s Stop) bool {
+		return s.Instance == a.Instance && !a.SentAt.After(s.At.Add(lateSend)) && !a.DoneAt.Before(s.At.Add(lastSixth)) && a.DoneAt.Before(s.At.Add(gracePeriod))
+	})
+}
+
 // storeRates finds seconds with more calls of the store than its rates allow.
 func storeRates(h *History) (found []Violation) {
 	for _, s := range h.StoreCalls {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -49,6 +49,25 @@
 	return h
 }
 
+// cutInStop adds a planned stop to a history and returns a request of that instance, by
+// the times after the beginning of the stop at which it was sent and cut.
+func cutInStop(h *History, sent, cut time.Duration) Attempt {
+	h.Stops = append(h.Stops, Stop{"a", after(0)})
+	return Attempt{Request: "r5", Instance: "a", SentAt: after(sent), DoneAt: after(cut), Status: 200, Events: Events("r5")[:1], Written: true}
+}
+
+// TestCutThatTheGracePeriodAllowsIsNoViolation covers requests that were sent early in a
+// planned stop and outlasted it, and one that reached its deadline.
+func TestCutThatTheGracePeriodAllowsIsNoViolation(t *testing.T) {
+	h := validHistory()
+	late := cutInStop(h, lateSend-time.Second, lastSixth+time.Second)
+	expired := Attempt{Request: "r7", Instance: "c", SentAt: after(0), DoneAt: after(callTimeout), Status: 200, Events: Events("r7")[:1], Written: true}
+	h.Attempts = append(h.Attempts, late, expired)
+	if found := Check(h); len(found) > 0 {
+		t.Errorf("violations: %v", found)
+	}
+}
+
 // TestEachCheckDetectsItsMutants alters a valid history so that it violates one
 // guarantee at a time.
 func TestEachCheckDetectsItsMutants(t *testing.T) {
@@ -109,6 +128,9 @@
 				h.Attempts = append(h.Attempts, Attempt{Request: "r5", Instance: "a", SentAt: after(0), DoneAt: after(closeRaceBound), Written: true})
 			},
 			func(h *History) { h.Disturbances[0].Planned = true },
+			// Sent too late in a stop, and cut too early in one.
+			func(h *History) { h.Attempts = append(h.Attempts, cutInStop(h, lateSend+time.Second, lastSixth)) },
+			func(h *History) { h.Attempts = append(h.Attempts, cutInStop(h, time.Second, lastSixth-time.Second)) },
 			func(h *History) { h.Attempts[0].Completed, h.Attempts[0].Events = false, Events("r1")[:1] },
 		},
 		"store's rates": {func(h *History) { h.StoreCalls[0].Writes = maxWritesPerSecond + 1 }, func(h *History) { h.StoreCalls[0].Reads = maxReadsPerSecond + 1 }},
--- a/soak/history.go
+++ b/soak/history.go
@@ -83,6 +83,12 @@
 	AcknowledgedAt time.Time
 }
 
+// Stop is the SIGTERM of an instance.
+type Stop struct {
+	Instance string
+	At       time.Time
+}
+
 // Probe is a request that shows which document an instance applies.
 type Probe struct {
 	Prefix   string
@@ -131,6 +137,7 @@
 	Jobs         map[string]*Job
 	Reads        []JobRead
 	Drains       []Drain
+	Stops        []Stop
 	Probes       []Probe
 	Changes      []Change
 	Disturbances []Disturbance
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -111,6 +111,9 @@
 		c := &persistentCaller{callerPool: s.callers, operator: s.operator, address: s.instances[k].callerAddress()}
 		late.Go(c.sendLate)
 	}
+	s.history.update(func() {
+		s.history.Stops = append(s.history.Stops, Stop{s.instances[k].callerAddress(), time.Now()})
+	})
 	s.instances[k].terminate()
 	late.Wait()
 	s.mu.Lock()
