Do not take a stopping instance for the one that callers can go to

The last instance of a fleet could reject requests during its own stop.

Cause: the view of the fleet includes the instance itself, and for up to 250 ms after the SIGTERM as one that still accepts callers.

Change: the instance itself is left out.

--- a/hosted/stop.go
+++ b/hosted/stop.go
@@ -15,12 +15,18 @@
 // requests, if the caller can use another instance instead.
 func (i *Instance) admit(deadline time.Time) error {
 	end := i.requestsEndAt.Load()
-	if end == nil || !deadline.After(*end) || !slices.ContainsFunc(i.roster.View().Alive, acceptsCallers) {
+	if end == nil || !deadline.After(*end) || !i.othersAcceptCallers() {
 		return nil
 	}
 	return code.New(code.Draining, "the instance is stopping before the request's deadline").WithRetryAfter(drainingRetryAfter)
 }
 
+// othersAcceptCallers reports whether another instance accepts callers. The view may still
+// have this one as accepting them.
+func (i *Instance) othersAcceptCallers() bool {
+	return slices.ContainsFunc(i.roster.View().Alive, func(m roster.Member) bool { return m.ID != i.id && acceptsCallers(m) })
+}
+
 // shutdown carries out the planned stop. The instance is removed from endpoint
 // answers, keeps serving for as long as callers may keep an earlier answer, hands
 // its jobs over and waits for open requests. stopListening closes the callers'
--- a/hosted/stop_test.go
+++ b/hosted/stop_test.go
@@ -205,10 +205,21 @@
 }
 
 // TestLastInstanceServesCallersUntilItStops stops the only instance, whose callers can go
-// nowhere else.
+// nowhere else. With the short TTL callers are told to move before the instance has read
+// of its own stop, in most of the runs.
 func TestLastInstanceServesCallersUntilItStops(t *testing.T) {
+	const runs = 5
+	for n := range runs {
+		t.Run(fmt.Sprintf("short TTL, run %d", n), func(t *testing.T) { testLastInstance(t, 20*time.Millisecond) })
+	}
+	t.Run("long TTL", func(t *testing.T) { testLastInstance(t, 300*time.Millisecond) })
+}
+
+func testLastInstance(t *testing.T, ttl time.Duration) {
 	s := newTestPlatform(t)
-	a := s.startWithTTL("127.0.0.4", 300*time.Millisecond)
+	a := s.startWithTTL("127.0.0.4", ttl)
+	s.waitFor("the instance in its own endpoint answers", func() bool { return strings.Contains(a.endpoints(), a.settings.CallerAddress) })
+	s.store.SetFaults(memory.RowFaults{FeedsStalled: true})
 	a.stop()
 	for n := 0; ; n++ {
 		conn, err := net.Dial("tcp4", a.settings.CallerAddress)
@@ -219,7 +230,7 @@
 			t.Errorf("request %d was refused", n)
 		}
 		_ = conn.Close()
-		time.Sleep(20 * time.Millisecond)
+		time.Sleep(ttl / 10)
 	}
 	if err := <-a.done; err != nil {
 		t.Errorf("the instance stopped with %v", err)
