Serve a request that has arrived before the last read of a connection

A connection that is about to close, at its idle limit or in a planned stop, is read for 50 ms more. Go's poller looks at the deadline before it looks at the socket: when the reading goroutine gets no processor for these 50 ms, the read returns a timeout although a whole request lies in the socket's buffer, perhaps for seconds.

That the operators' requests ended this way is not shown.

Now a last read that timed out is followed by a receive that does not wait. A longer last read does not mend it, since a stall may be longer still.

--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -209,6 +209,9 @@
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.wasWoken() {
 		n, err = c.Conn.Read(p)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isWoken() {
+			n, err = readReceived(c.Conn, p, err)
+		}
 	}
 	if n == 0 {
 		return n, err
@@ -235,6 +238,13 @@
 	return !c.woken || c.Conn.SetReadDeadline(time.Now().Add(lastReadTime)) == nil
 }
 
+// isWoken reports whether the connection is about to close.
+func (c *callerConn) isWoken() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.woken
+}
+
 // begin records that a byte of the next request has been read.
 func (c *callerConn) begin() {
 	c.mu.Lock()
