Don't hold a request responsible that an upstream has answered before

A part of a prompt that crashes upstreams does so before the third event. What was remembered of an answer was that of the current attempt only: an attempt that broke after a resumption accused the prompt, although an earlier upstream had answered it, and a begun stream was not resumed when its part was quarantined because of others.

The answer is now kept for the whole call, and items report the events that earlier calls have received. A deadly part gets no such answer, so that nothing changes for it. After a take-over by another instance, an item counts as not answered until it is.

Failed before: TestAnsweredStreamIsResumedThoughItsPromptIsQuarantined: 3003 stream_broken: the stream broke after event "3" and is not resumed TestBreaksAfterAnAnswerDoNotAccuseThePrompt: 4 attempts, 1 quarantined parts; want 8, 0 TestItemWithEventsIsNotTakenForOneThatWasNeverAnswered: the item is listed as failed

--- a/contract/forward.go
+++ b/contract/forward.go
@@ -30,6 +30,9 @@
 	// LastEventID is the id of the last event that the caller has received; "" means
 	// none.
 	LastEventID string
+	// ReceivedEvents is the number of events that earlier calls for the same request
+	// have received.
+	ReceivedEvents int
 	// Deadline is the time by which the answer must be complete.
 	Deadline time.Time
 	// Objective is the latency objective: the time to the first byte within which
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -226,8 +226,9 @@
 }
 
 // Forward acts as the upstream: an item is a stream of events. An item whose id
-// begins with "poison" or "broken" fails, one with "endless" has events without end, and
-// one with "quarantined" is kept back.
+// begins with "poison" or "broken" fails, one with "endless" has events without end,
+// one with "quarantined" is kept back, and one with "breaking" breaks after 3 events and
+// is kept back until these are reported.
 func (f *fleet) Forward(ctx context.Context, c *contract.ForwardRequest, sink contract.ForwardSink) error {
 	f.mu.Lock()
 	f.runs[c.RequestID]++
@@ -248,6 +249,9 @@
 		return f.endless(ctx, sink)
 	}
 	first, _ := strconv.Atoi(c.LastEventID)
+	if strings.HasPrefix(c.RequestID, "breaking") && first > 0 && c.ReceivedEvents != first {
+		return code.New(code.PromptQuarantined, "kept back, events received: %d", c.ReceivedEvents).WithRetryAfter(time.Second)
+	}
 	for n := first + 1; n <= itemEvents; n++ {
 		select {
 		case <-ctx.Done():
@@ -258,6 +262,9 @@
 		if err := sink.Write([]byte(event)); err != nil {
 			return err
 		}
+		if strings.HasPrefix(c.RequestID, "breaking") && first == 0 && n == 3 {
+			return code.New(code.StreamBroken, "the upstream is gone")
+		}
 	}
 	return nil
 }
--- a/job/run.go
+++ b/job/run.go
@@ -212,7 +212,7 @@
 		Due:         r.dueAt(route),
 	}
 	r.service.options.Describe(f, item)
-	f.LastEventID = c.lastEvent
+	f.LastEventID, f.ReceivedEvents = c.lastEvent, c.events
 	c.status = 0
 	ctx, cancel := r.service.whileConnected(r.ctx)
 	defer cancel()
@@ -264,6 +264,8 @@
 	mu        sync.Mutex
 	text      strings.Builder
 	lastEvent string
+	// events is the number of events that this process has received.
+	events    int
 	status    int
 	failures  int
 	succeeded bool
@@ -292,7 +294,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.text.Reset()
-	c.lastEvent, c.savedBytes, c.restarted = "", 0, true
+	c.lastEvent, c.events, c.savedBytes, c.restarted = "", 0, 0, true
 }
 
 // newCollector returns a collector that continues from stored progress.
@@ -327,6 +329,7 @@
 		line = bytes.TrimRight(line, "\r\n")
 		if id, ok := bytes.CutPrefix(line, idField); ok {
 			c.lastEvent = string(bytes.TrimSpace(id))
+			c.events++
 		}
 		if data, ok := bytes.CutPrefix(line, dataField); ok {
 			if c.text.Len()+len(data) > maxItemTextBytes {
--- a/job/service_test.go
+++ b/job/service_test.go
@@ -493,3 +493,17 @@
 		}
 	})
 }
+
+func TestItemWithEventsIsNotTakenForOneThatWasNeverAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, nil)
+		defer f.close()
+		if err := f.instances[0].Submit(t.Context(), f.submission("j", "breaking")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Second)
+		if results := f.read(f.instances[0], "j"); len(results) != 1 || !results[0].Succeeded {
+			t.Errorf("%+v, want the item's result", results)
+		}
+	})
+}
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -34,6 +34,9 @@
 	// answerRecorded is set when the upstream of the current attempt has answered so much
 	// that it did not crash at the beginning.
 	answerRecorded bool
+	// answered is set when any upstream has answered that much. The prompt crashes none
+	// then.
+	answered bool
 	// begun is set when the caller has received the headers.
 	begun bool
 	// hasData is set when the caller has received more than comments, unnumbered while
@@ -95,7 +98,7 @@
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
 	now := time.Now()
-	f := &forwarding{call: call, pool: p, promptParts: partKeys(call.Service, call.PromptParts), sink: sink, lastEventID: call.LastEventID, startedAt: now, lastEventAt: now, request: request{
+	f := &forwarding{call: call, pool: p, promptParts: partKeys(call.Service, call.PromptParts), sink: sink, answered: call.ReceivedEvents >= answeredEvents, lastEventID: call.LastEventID, startedAt: now, lastEventAt: now, request: request{
 		pool:           p,
 		class:          call.Class,
 		dispatchOnce:   !call.Repeatable,
--- a/upstream/quarantine.go
+++ b/upstream/quarantine.go
@@ -50,9 +50,9 @@
 }
 
 // admit returns an error if the prompt of a request is quarantined. A trial stays
-// admitted until an upstream has run it.
+// admitted until an upstream has run it, and a request that has been answered for good.
 func (d *Dispatcher) admit(ctx context.Context, f *forwarding) error {
-	if d.options.Quarantine == nil || f.isTrial {
+	if d.options.Quarantine == nil || f.isTrial || f.answered {
 		return nil
 	}
 	admitted, isTrial, retryAfter := d.options.Quarantine.Admit(ctx, f.promptParts)
@@ -79,7 +79,7 @@
 // watchQuarantine calls cancel when the prompt of a request is quarantined, until stop is
 // called.
 func (d *Dispatcher) watchQuarantine(f *forwarding, cancel context.CancelCauseFunc) (stop func()) {
-	if d.options.Quarantine == nil || f.isTrial || len(f.promptParts) == 0 {
+	if d.options.Quarantine == nil || f.isTrial || f.answered || len(f.promptParts) == 0 {
 		return func() {}
 	}
 	return d.options.Quarantine.Watch(f.promptParts, func() { cancel(errQuarantined) })
@@ -90,11 +90,12 @@
 	if d.options.Quarantine == nil || f.answerRecorded {
 		return
 	}
-	f.answerRecorded = true
+	f.answerRecorded, f.answered = true, true
 	d.options.Quarantine.RecordAnswer(f.promptParts)
 }
 
-// recordAttempt reports what a failed attempt says about the prompt of its request.
+// recordAttempt reports what a failed attempt says about the prompt of its request. The
+// prompt of a request that has been answered before did not cause the failure.
 func (d *Dispatcher) recordAttempt(granted *slot, f *forwarding, fail *failure) {
 	q := d.options.Quarantine
 	if q == nil || len(f.promptParts) == 0 {
@@ -105,7 +106,7 @@
 		d.returnTrial(f)
 	}
 	f.isTrial = false
-	if fail == nil || !ran || f.answerRecorded || context.Cause(granted.ctx) != nil {
+	if fail == nil || !ran || f.answered || context.Cause(granted.ctx) != nil {
 		return
 	}
 	if cause := causeOf(fail); cause == causeClosed || cause == causeReset {
--- a/upstream/quarantine_test.go
+++ b/upstream/quarantine_test.go
@@ -186,6 +186,80 @@
 	}
 }
 
+func TestAnsweredStreamIsResumedThoughItsPromptIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := quarantine.New(quarantine.Options{})
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = q.Run(ctx) }()
+		defer cancel()
+		calls := atomic.Int64{}
+		worker := func(t testing.TB, w *scriptedWorker, nc net.Conn, r *http.Request) {
+			if calls.Add(1) > 1 {
+				eventsScript(5, endOfChunks)(t, w, nc, r)
+				return
+			}
+			_, _ = nc.Write([]byte(streamHead(r, "") + chunk(eventsUpTo(answeredEvents))))
+			for k := range 6 {
+				time.Sleep(200 * time.Millisecond)
+				q.RecordCrash(partKeys("s", []uint64{sharedPart}), fmt.Sprint("u", k), 1, "r")
+			}
+			time.Sleep(time.Second)
+		}
+		d, wait := newPipeForwarder(t, q, worker, worker)
+		call := streamCall("a", true)
+		call.Class, call.PromptParts = contract.Online, []uint64{sharedPart}
+		s := &answerSink{}
+		resumedInQuarantine := false
+		s.wrote = func() { resumedInQuarantine = resumedInQuarantine || calls.Load() > 1 && q.Len() > 0 }
+		if err := d.Forward(t.Context(), call, s); err != nil || s.body.String() != eventsUpTo(5) || !resumedInQuarantine {
+			t.Errorf("%v, %d bytes, resumed in quarantine %v; want the whole stream", err, s.body.Len(), resumedInQuarantine)
+		}
+		wait()
+	})
+}
+
+func TestBreaksAfterAnAnswerDoNotAccuseThePrompt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := quarantine.New(quarantine.Options{})
+		const events = 30
+		breaksLate := func(t testing.TB, w *scriptedWorker, nc net.Conn, r *http.Request) {
+			_, _ = nc.Write([]byte(streamHead(r, "")))
+			for n := range events {
+				_, _ = nc.Write([]byte(chunk(event(n + 1))))
+				time.Sleep(time.Second)
+			}
+		}
+		calls := atomic.Int64{}
+		worker := func(t testing.TB, w *scriptedWorker, nc net.Conn, r *http.Request) {
+			if calls.Add(1) == 1 {
+				breaksLate(t, w, nc, r)
+				return
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		d, wait := newPipeForwarder(t, q, slices.Repeat([]script{worker}, 10)...)
+		call := streamCall("a", true)
+		call.Class, call.Deadline, call.MaxAttempts = contract.Batch, time.Now().Add(time.Minute), 8
+		call.PromptParts = []uint64{sharedPart}
+		if err := d.Forward(t.Context(), call, &answerSink{}); code.Of(err) != code.StreamBroken {
+			t.Errorf("%v, want a broken stream", err)
+		}
+		if n := calls.Load(); n != 8 || q.Len() != 0 {
+			t.Errorf("%d attempts, %d quarantined parts; want 8, 0", n, q.Len())
+		}
+		wait()
+	})
+}
+
+// newPipeForwarder returns a dispatcher before workers that are connected by pipes.
+func newPipeForwarder(t *testing.T, q Quarantine, scripts ...script) (*Dispatcher, func()) {
+	t.Helper()
+	dial, workers, wait := pipeWorkers(scripts...)
+	d, _ := newLoggedForwarder(t, dial, workers...)
+	d.options.Quarantine = q
+	return d, wait.Wait
+}
+
 // startPipeWorker returns a dispatcher before one worker that is connected by pipes.
 func startPipeWorker(t *testing.T, s script) *crashingWorkers {
 	t.Helper()
