Let an answer refute evidence that arrives after it

Callers of one instance got 503 (2009) for up to seconds although another instance had answered a request with the same part after its last crash.

An answer refuted the evidence only where evidence was known when it came. Evidence travels with the feed, and three crashes 100 ms apart, as of upstreams that go down and up again and again, are over before the first row arrives: the answer of an instance that read the rows a moment later had no effect on the others. The time of the last answer is kept there anyway; it is now compared with each crash that arrives, by the store's clock. A part that crashes all upstreams has no answer, so that nothing changes for it.

--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -200,19 +200,25 @@
 	for _, id := range parts {
 		l.answers.add(id, now)
 		if p, ok := l.parts[id]; ok {
-			p.answeredAt = l.storeTime(now)
-			if p.removalAt.IsZero() {
-				p.removalAt = now.Add(rand.N(maxRemovalDelay))
-			}
+			l.refute(p, now)
 			changed = true
 		}
 	}
 	if changed {
 		l.assess(now)
-		l.wakeRun()
 	}
 }
 
+// refute records an answer to a request with a part that has evidence. The caller holds
+// the lock.
+func (l *List) refute(p *part, answeredAt time.Time) {
+	p.answeredAt = max(p.answeredAt, l.storeTime(answeredAt))
+	if p.removalAt.IsZero() {
+		p.removalAt = time.Now().Add(rand.N(maxRemovalDelay))
+	}
+	l.wakeRun()
+}
+
 const (
 	// confirmDelay is the time in which an answer refutes the suspicion against a part
 	// that was in answered requests before.
@@ -352,6 +358,9 @@
 		p.changedAt = now
 	}
 	p.crashes[incarnation] = next
+	if at := l.answers.last(id, now); !at.IsZero() && l.storeTime(at) > next.At {
+		l.refute(p, at)
+	}
 	return true
 }
 
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -188,6 +188,41 @@
 	})
 }
 
+func TestAnswerBeforeTheEvidenceArrivesExoneratesThePart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memory.NewRows()
+		held := &heldStore{Rows: store}
+		answering, other := start(held, "answering", false), start(store, "other", false)
+		defer stopAll([]*instance{answering, other})
+		time.Sleep(time.Second)
+		held.holding.Store(true)
+		time.Sleep(time.Minute)
+		crash([]*instance{other}, 3, rare)
+		answering.RecordAnswer([]uint64{rare})
+		if admitted(other, rare) {
+			t.Fatal("the part is not quarantined")
+		}
+		held.holding.Store(false)
+		time.Sleep(2 * time.Second)
+		if !admitted(answering, rare) || !admitted(other, rare) || rowCount(t, store) != 0 {
+			t.Errorf("a part is kept back that was answered after its last crash, %d rows", rowCount(t, store))
+		}
+	})
+}
+
+// heldStore delays calls for changes while it is holding.
+type heldStore struct {
+	storage.Rows
+	holding atomic.Bool
+}
+
+func (s *heldStore) RowChanges(ctx context.Context, table string, after uint64, wait time.Duration) (storage.RowPage, error) {
+	for s.holding.Load() && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return s.Rows.RowChanges(ctx, table, after, wait)
+}
+
 func TestOneRequestOfTheFleetIsTheTrial(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, all := startFleet(t, 10)
