List a large result over several transactions

What callers saw: a job with a result of more than about 780,000 bytes in JSON never listed that item, nor any other that finished after it, although all had run.

Cause: a batch of results was always written in one transaction. The store refuses one of over 1 MB or 100 entries, and the commit was tried again without end, with all later results behind it.

Now the rows of the results are written ahead, in transactions that fit, and the last one lists them. Each of them changes the head (its new field counts the rows), so that none takes effect after a takeover, and an attempt whose answer was lost is recognised as before. Readers read only listed positions, so that rows written ahead are not seen. If the owner ends in between, the next one may list a shorter result at that position: a reader takes the first JSON value and ignores rows behind it. Instances of the version before can't read such a position; that needs a large result, an owner that ends and a mixed fleet.

Rather than this, a result could be an object of the store: then objects of owners that ended would have to be found and removed.

The store of the tests of package job now refuses what is over the limits of a transaction.

--- a/job/commit.go
+++ b/job/commit.go
@@ -119,19 +119,25 @@
 // retries until the store has decided, and reports false when this process no longer
 // owns the job.
 func (r *run) commit(batch []itemResult) bool {
-	next := r.head.head
-	next.Done = slices.Clone(next.Done)
-	t := storage.RowTransaction{}
+	first := r.head.Listed
+	var rows []storage.TableRow
 	results := make([]Result, 0, len(batch))
+	for i, f := range batch {
+		rows = append(rows, chunkRows(resultTable, r.head.part, r.id, first+i, f.result)...)
+		results = append(results, f.result)
+	}
+	rows, ok := r.writeAhead(rows)
+	if !ok {
+		return false
+	}
+	next := r.head.head
+	next.Done, next.Ahead = slices.Clone(next.Done), 0
 	for _, f := range batch {
-		t.Puts = append(t.Puts, chunkRows(resultTable, r.head.part, r.id, next.Listed, f.result)...)
 		next.Listed++
 		next.Done = append(next.Done, f.index)
 		next.Tokens -= r.items[f.index].Tokens
-		results = append(results, f.result)
 	}
-	first := r.head.Listed
-	if !r.apply(r.ctx, &next, t) {
+	if !r.apply(r.ctx, &next, storage.RowTransaction{Puts: rows}) {
 		return false
 	}
 	r.service.mu.Lock()
@@ -142,6 +148,33 @@
 	return true
 }
 
+// writeAhead writes rows of results that are not listed yet, until the rest fits into one
+// transaction with the next head, and returns the rest. Each transaction changes the head,
+// so that none takes effect after another instance has taken the job over. It reports false
+// when this process no longer owns the job.
+func (r *run) writeAhead(rows []storage.TableRow) (rest []storage.TableRow, ok bool) {
+	for n := fittingRows(rows); n < len(rows); n = fittingRows(rows) {
+		next := r.head.head
+		next.Ahead += n
+		if !r.apply(r.ctx, &next, storage.RowTransaction{Puts: rows[:n:n]}) {
+			return nil, false
+		}
+		rows = rows[n:]
+	}
+	return rows, true
+}
+
+// fittingRows returns how many rows of results one transaction holds beside a head.
+func fittingRows(rows []storage.TableRow) int {
+	size := 0
+	for n, row := range rows {
+		if size += len(row.Value); size > storage.MaxRowTransactionBytes-storage.MaxRowBytes || n > storage.MaxRowWrites/2 {
+			return n
+		}
+	}
+	return len(rows)
+}
+
 // apply writes the next head together with the rows of t. It retries until the store
 // has decided or ctx ends, and reports whether the next head is in force.
 func (r *run) apply(ctx context.Context, next *head, t storage.RowTransaction) bool {
@@ -211,7 +244,7 @@
 // sameState reports whether two heads have the same owner and the same results, and
 // whether both or neither are ended.
 func sameState(a, b *head) bool {
-	return a.Owner == b.Owner && a.Ended == b.Ended && a.Listed == b.Listed && slices.Equal(a.Done, b.Done)
+	return a.Owner == b.Owner && a.Ended == b.Ended && a.Listed == b.Listed && a.Ahead == b.Ahead && slices.Equal(a.Done, b.Done)
 }
 
 // handOver makes commitAll release the job, with the progress of its items, so that
@@ -251,7 +284,7 @@
 // items as far as one transaction holds it. Items run until the head is written.
 func (r *run) release(ctx context.Context) {
 	next := r.head.head
-	next.Owner = ""
+	next.Owner, next.Ahead = "", 0
 	rows := append(r.unconfirmed, r.collectProgress(0, r.unconfirmed)...)
 	written := r.apply(ctx, &next, storage.RowTransaction{Puts: rows})
 	r.service.options.Log.Info("job handed over", zap.String("job", r.id), zap.Bool("written", written), zap.Int("progress_rows", len(rows)))
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -34,6 +34,8 @@
 	// replaced has the processes whose machine runs another one now.
 	replaced map[string]bool
 	runs     map[string]int
+	// slow is an item whose runs begin late.
+	slow string
 	// resumedAfter has, by item, the last event that each run was given to resume
 	// after.
 	resumedAfter map[string][]string
@@ -57,6 +59,10 @@
 	// those of the feed takes, in nanoseconds.
 	failBlobs                           atomic.Bool
 	reservationReadLatency, callLatency atomic.Int64
+	// afterResults, if set, is called after the first transaction with rows of results.
+	// failWrites lets transactions fail.
+	afterResults func()
+	failWrites   atomic.Bool
 }
 
 func (s *instanceStore) RowChanges(ctx context.Context, table string, after uint64, wait time.Duration) (storage.RowPage, error) {
@@ -87,7 +93,17 @@
 	if s.beforeCall != nil && len(t.Puts) == 1 && t.Puts[0].Table == "job_gates" {
 		s.beforeCall("reserve")
 	}
-	return s.Rows.ApplyRows(ctx, t)
+	if !t.WithinLimits() {
+		return storage.RowPage{}, code.New(code.StoreTooLarge, "the transaction is over a limit")
+	}
+	if s.failWrites.Load() {
+		return storage.RowPage{}, code.New(code.StoreUnavailable, "no rows are written")
+	}
+	page, err := s.Rows.ApplyRows(ctx, t)
+	if s.afterResults != nil && err == nil && t.Puts[0].Table == "job_results" {
+		s.afterResults()
+	}
+	return page, err
 }
 
 func (s *instanceStore) PutBlob(ctx context.Context, name string, body []byte) error {
@@ -232,7 +248,14 @@
 	f.mu.Lock()
 	f.runs[c.RequestID]++
 	f.resumedAfter[c.RequestID] = append(f.resumedAfter[c.RequestID], c.LastEventID)
+	slow := f.slow == c.RequestID
 	f.mu.Unlock()
+	if slow {
+		select {
+		case <-ctx.Done():
+		case <-time.After(2 * itemEvents * eventTime):
+		}
+	}
 	switch {
 	case strings.HasPrefix(c.RequestID, "poison"):
 		return sink.Begin(http.StatusUnprocessableEntity, nil)
@@ -284,6 +307,9 @@
 // eventData returns the data of an event. It is long enough for progress to be
 // written, unless the id begins with "short".
 func eventData(id string, n int) string {
+	if strings.HasPrefix(id, "large") {
+		return largeData(id, n)
+	}
 	if strings.HasPrefix(id, "short") {
 		return fmt.Sprintf("%s-%d", id, n)
 	}
--- a/job/read.go
+++ b/job/read.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"time"
@@ -89,7 +90,8 @@
 	var results []Result
 	for i, n := range numbers {
 		var r Result
-		if err := json.Unmarshal(values[i], &r); err != nil || n != after+i {
+		// Rows that a former owner wrote ahead may follow the value.
+		if err := json.NewDecoder(bytes.NewReader(values[i])).Decode(&r); err != nil || n != after+i {
 			return nil, code.New(code.Internal, "result %d of job %q can't be read", after+i, id)
 		}
 		results = append(results, r)
--- a/job/rows.go
+++ b/job/rows.go
@@ -37,6 +37,9 @@
 	// the submission, in the order of the results.
 	Listed int   `json:"listed"`
 	Done   []int `json:"done,omitempty"`
+	// Ahead is the number of rows of the next results that the owner has written since
+	// it listed the last ones.
+	Ahead int `json:"ahead,omitempty"`
 	// Tokens is the sum over the items that are not listed.
 	Tokens int64 `json:"tokens"`
 	// AcceptedMS is the store's clock when the job was accepted. GiveUpAfterMS is how
@@ -100,9 +103,8 @@
 	return storage.TableRow{RowKey: headKey(part, id), Value: value}
 }
 
-// chunkBytes is the most that one row holds of a value. It stays under the platform's
-// smallest limit for a row.
-const chunkBytes = 48 << 10
+// chunkBytes is the most that one row holds of a value.
+const chunkBytes = storage.MaxRowBytes
 
 // chunkKeyFormat is the key of a chunk of a result or of progress: the id of the job,
 // the position of the result or the index of the item, and the number of the chunk.
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -116,7 +116,7 @@
 		return
 	}
 	next := v.head
-	next.Owner = s.options.Process
+	next.Owner, next.Ahead = s.options.Process, 0
 	page, err := s.options.Store.ApplyRows(ctx, storage.RowTransaction{
 		Conditions: []storage.RowCondition{{RowKey: headKey(v.part, id), Version: v.version}},
 		Puts:       []storage.TableRow{headRow(v.part, id, &next)},
--- a/storage/rows.go
+++ b/storage/rows.go
@@ -53,6 +53,19 @@
 	return len(slices.Compact(parts)) <= 1
 }
 
+// WithinLimits reports whether the transaction keeps the limits of a store. A store
+// refuses a larger one with code.StoreTooLarge.
+func (t *RowTransaction) WithinLimits() bool {
+	size := 0
+	for _, r := range t.Puts {
+		if len(r.Value) > MaxRowBytes {
+			return false
+		}
+		size += len(r.Value)
+	}
+	return size <= MaxRowTransactionBytes && len(t.Conditions)+len(t.Puts)+len(t.Removes) <= MaxRowWrites
+}
+
 // RowPage is the result of an operation on Rows. More is set when further rows
 // have to be read with another call. Version is the newest version in the store
 // at the time of the result, Now the store's monotonic clock.
@@ -65,6 +78,9 @@
 
 // Limits of one RowTransaction.
 const (
+	// MaxRowBytes is the largest size of the value of a row before encoding. It is three
+	// quarters of the smallest limit of a platform, since base64 adds a third.
+	MaxRowBytes = 48 << 10
 	// MaxRowWrites is the largest number of puts, removes and conditions together.
 	MaxRowWrites = 100
 	// MaxRowTransactionBytes is the largest size of a transaction before encoding.
@@ -78,6 +94,7 @@
 // Errors: code.StoreUnavailable and code.StoreThrottled when the operation did not
 // take effect; code.StoreUnknown when a transaction may have taken effect or may
 // still do so; code.StoreConflict when a condition did not hold;
+// code.StoreTooLarge when a transaction is over a limit;
 // code.StoreHistoryGone when a feed cannot be continued and the table has to be
 // read again.
 type Rows interface {
