Write progress in rows that the store takes

What callers would see: after an outage of the store of a few seconds, or with text that JSON escapes, the progress of an item was either never written again, so that the next owner of its job began it anew, or its row was larger than the store takes. The store then refused each further write of progress of the whole job, and the hand-over of the job at a planned stop as well, since both carry that row: the job waited until its owner counted as failed.

Cause: progressRow compared the text, not the encoded row, with the limit of a row, and left out an item whose new text was over it, which only grows.

Now a row holds as many whole events as fit, and the rest follows in further rows. A single event over the size of a row is still left out.

Evidence, go test ./job -run Progress, before: - TestProgressIsNotLargerThanARow: "two events of 4096 bytes: a row of 49176" (limit 49152); - TestTextOfSeveralRowsIsSavedAsProgress: "0 rows hold 0 bytes up to event \"\", want 204899". After: both hold.

--- a/job/progress.go
+++ b/job/progress.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -82,40 +83,70 @@
 		size += len(row.Value) * 4 / 3
 	}
 	for index, c := range r.running {
-		row, ok := c.progressRow(r.head.part, r.id, index, minBytes)
-		if !ok {
-			continue
-		}
-		rows = append(rows, row)
-		if size += len(row.Value) * 4 / 3; size > storage.MaxRowTransactionBytes/2 || len(rows)+len(along) >= maxProgressRows {
-			break
+		for {
+			row, ok := c.progressRow(r.head.part, r.id, index, minBytes)
+			if !ok {
+				break
+			}
+			rows = append(rows, row)
+			if size += len(row.Value) * 4 / 3; size > storage.MaxRowTransactionBytes/2 || len(rows)+len(along) >= maxProgressRows {
+				return rows
+			}
 		}
 	}
 	return rows
 }
 
-// progressRow returns a row with the item's new text and marks it as saved. It
-// reports false when there is too little of it, more than one row holds, or when the
-// text was restarted.
+// eventEnd is the id of an event and the length of an item's text up to its end.
+type eventEnd struct {
+	id    string
+	bytes int
+}
+
+// progressRow returns a row with as much of the item's new text as the row holds, and marks
+// that text as saved. It reports false when there is too little of it, when a single event
+// is larger than a row, or when the text was restarted.
 func (c *collector) progressRow(part, id string, index, minBytes int) (storage.TableRow, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	size := c.text.Len() - c.savedBytes
-	changed := c.lastEvent != c.savedEvent && size >= minBytes || c.failures != c.savedFailures
-	if !changed || size > chunkBytes || c.restarted {
+	changed := len(c.unsaved) > 0 && c.text.Len()-c.savedBytes >= minBytes || c.failures != c.savedFailures
+	if !changed || c.restarted {
 		return storage.TableRow{}, false
 	}
-	p := progressChunk{After: c.savedEvent, Last: c.lastEvent, Text: c.text.String()[c.savedBytes:], Failures: c.failures}
-	value, err := json.Marshal(p)
-	if err != nil {
-		panic(err) // The type has only strings and numbers.
+	value, n := c.progressChunk()
+	if len(value) > storage.MaxRowBytes {
+		return storage.TableRow{}, false
 	}
 	key := storage.RowKey{Table: progressTable, Part: part, Key: fmt.Sprintf(chunkKeyFormat, id, index, c.nextRow)}
-	c.savedBytes, c.savedEvent, c.savedFailures = c.text.Len(), c.lastEvent, c.failures
+	if n > 0 {
+		c.savedBytes, c.savedEvent = c.unsaved[n-1].bytes, c.unsaved[n-1].id
+		c.unsaved = slices.Delete(c.unsaved, 0, n)
+	}
+	c.savedFailures = c.failures
 	c.nextRow++
 	return storage.TableRow{RowKey: key, Value: value}, true
 }
 
+// progressChunk encodes a chunk with the first n events that are not saved: all, or half as
+// many as often as it takes for the chunk to fit into a row, but at least one. The lock is
+// held.
+func (c *collector) progressChunk() (value []byte, n int) {
+	for n = len(c.unsaved); ; n /= 2 {
+		last := eventEnd{c.savedEvent, c.savedBytes}
+		if n > 0 {
+			last = c.unsaved[n-1]
+		}
+		p := progressChunk{After: c.savedEvent, Last: last.id, Text: c.text.String()[c.savedBytes:last.bytes], Failures: c.failures}
+		value, err := json.Marshal(p)
+		if err != nil {
+			panic(err) // The type has only strings and numbers.
+		}
+		if n <= 1 || len(value) <= storage.MaxRowBytes {
+			return value, n
+		}
+	}
+}
+
 // loadProgress returns the stored progress of the items of a job by their index.
 func (s *Service) loadProgress(ctx context.Context, part, id string) (map[int]itemProgress, error) {
 	page, err := storage.ReadRows(ctx, s.options.Store, progressTable, part, id+"/", id+"0")
--- a/job/progress_test.go
+++ b/job/progress_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -40,6 +42,52 @@
 	}
 }
 
+// writeEvents lets a collector receive events with data of a size.
+func writeEvents(t *testing.T, c *collector, n, size int) {
+	t.Helper()
+	c.status = http.StatusOK
+	for i := 1; i <= n; i++ {
+		if err := c.Write(fmt.Appendf(nil, "id: %d\ndata: %s\n\n", i, strings.Repeat("<", size))); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestProgressIsNotLargerThanARow guards against progress that the store refuses, again and
+// again, together with that of the other items.
+func TestProgressIsNotLargerThanARow(t *testing.T) {
+	for _, size := range []int{1, 100, storage.MaxRowBytes / 12, storage.MaxRowBytes / 6, storage.MaxRowBytes / 2, storage.MaxRowBytes} {
+		c := newCollector(itemProgress{})
+		writeEvents(t, c, 2, size)
+		row, ok := c.progressRow("0", "j", 0, 0)
+		if len(row.Value) > storage.MaxRowBytes {
+			t.Errorf("two events of %d bytes: a row of %d", size, len(row.Value))
+		}
+		if small := 6*size+200 < storage.MaxRowBytes; small != ok {
+			t.Errorf("two events of %d bytes: written %v", size, ok)
+		}
+	}
+}
+
+// TestTextOfSeveralRowsIsSavedAsProgress has more text since the last write than one row
+// holds, as after an outage of the store.
+func TestTextOfSeveralRowsIsSavedAsProgress(t *testing.T) {
+	c := newCollector(itemProgress{})
+	writeEvents(t, c, 100, 2<<10)
+	var rows []storage.TableRow
+	for {
+		row, ok := c.progressRow("0", "j", 0, 0)
+		if !ok {
+			break
+		}
+		rows = append(rows, row)
+	}
+	got := joinProgress(rows)[0]
+	if got.lastEvent != "100" || got.text != c.text.String() {
+		t.Errorf("%d rows hold %d bytes up to event %q, want %d up to 100", len(rows), len(got.text), got.lastEvent, c.text.Len())
+	}
+}
+
 func TestChunksOfALongResultJoinToTheSameResult(t *testing.T) {
 	long := make([]byte, 3*chunkBytes)
 	for i := range long {
--- a/job/run.go
+++ b/job/run.go
@@ -269,9 +269,10 @@
 	succeeded bool
 	// savedBytes is the length of the text that rows of progress hold, savedEvent its
 	// last event, savedFailures the failures they hold, and nextRow the number of the
-	// next row.
+	// next row. unsaved has the ends of the events after savedEvent.
 	savedBytes    int
 	savedEvent    string
+	unsaved       []eventEnd
 	savedFailures int
 	nextRow       int
 	// restarted is set when the text was discarded. No more progress is written then,
@@ -292,7 +293,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.text.Reset()
-	c.lastEvent, c.savedBytes, c.restarted = "", 0, true
+	c.lastEvent, c.savedBytes, c.unsaved, c.restarted = "", 0, nil, true
 }
 
 // newCollector returns a collector that continues from stored progress.
@@ -323,6 +324,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	before := c.lastEvent
 	for line := range bytes.Lines(event) {
 		line = bytes.TrimRight(line, "\r\n")
 		if id, ok := bytes.CutPrefix(line, idField); ok {
@@ -338,6 +340,9 @@
 			c.text.Write(bytes.TrimPrefix(data, []byte(" ")))
 		}
 	}
+	if c.lastEvent != before {
+		c.unsaved = append(c.unsaved, eventEnd{c.lastEvent, c.text.Len()})
+	}
 	return nil
 }
 
