Demand more evidence while upstreams crash without the part

Three crashes were enough against a part, however many upstreams crashed without a request that had it. A part that is the cause explains most crashes of its time; one that is not has a share of them. Each instance now remembers for a minute which upstreams crashed, from its own attempts and from all rows of evidence. While those without the part, crashes that a quarantined part explains aside, are at least as many as those with it, six crashes are needed, as for a part that was answered lately. A deadly part reaches that number soon, since no answer interrupts it.

TestUpstreamsThatCrashByThemselvesAccuseNoPart failed before: "instance 0 keeps 6 parts back because upstreams crash by themselves". Its counterpart with a deadly part among the crashes bounds what that costs.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -17,7 +16,7 @@
 const (
 	// minCrashes is the number of crashes, on as many upstreams, from which a part is
 	// quarantined. minCrashesProven applies at an instance that has lately answered
-	// requests with the part.
+	// requests with the part, and while upstreams crash as often without it.
 	minCrashes       = 3
 	minCrashesProven = 2 * minCrashes
 	// crashSpacing is the least time between two crashes that count separately. Upstreams
@@ -65,15 +64,7 @@
 			times = append(times, c.At)
 		}
 	}
-	slices.Sort(times)
-	n := 0
-	var last time.Duration
-	for _, at := range times {
-		if n == 0 || at-last >= crashSpacing {
-			n, last = n+1, at
-		}
-	}
-	return n
+	return countSeparate(times)
 }
 
 // lastAt returns the time of the newest evidence or trial, by the store's clock.
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -51,6 +51,8 @@
 	clockKnown  bool
 	parts       map[uint64]*part
 	answers     recentAnswers
+	// upstreamCrashes has the crashes of the last evidenceTTL.
+	upstreamCrashes []upstreamCrash
 	// unpublished has the crashes whose rows are not written yet, unconfirmed those that
 	// may yet be refuted by an answer.
 	unpublished []ownCrash
@@ -236,6 +238,7 @@
 		l.options.Log.Warn("invalid row of a crash ignored", zap.String("key", r.Key), zap.Error(err))
 		return false
 	}
+	l.recordUpstreamCrash(incarnation, next.At, l.storeTime(now))
 	if _, ok := p.crashes[incarnation]; !ok {
 		p.changedAt = now
 	}
@@ -275,7 +278,7 @@
 			continue
 		}
 		n, limit := p.crashCount(), minCrashes
-		if !p.quarantined && !l.answers.last(id, now).IsZero() {
+		if !p.quarantined && n >= minCrashes && (!l.answers.last(id, now).IsZero() || l.isContested(p, now)) {
 			limit = minCrashesProven
 		}
 		quarantined := n >= limit
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -160,6 +160,48 @@
 	})
 }
 
+func TestUpstreamsThatCrashByThemselvesAccuseNoPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := startFleet(t, 3)
+		defer stopAll(all)
+		const parts, crashesOfEach = 6, 5
+		for k := range parts * crashesOfEach {
+			all[k%len(all)].RecordCrash([]uint64{uint64(100 + k%parts)}, fmt.Sprint("u", k), 1, fmt.Sprint("r", k))
+			time.Sleep(300 * time.Millisecond)
+		}
+		for n, i := range all {
+			if i.Len() != 0 {
+				t.Errorf("instance %d keeps %d parts back because upstreams crash by themselves", n, i.Len())
+			}
+		}
+	})
+}
+
+func TestDeadlyPartIsKeptBackBesideUpstreamsThatCrashByThemselves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := startFleet(t, 3)
+		defer stopAll(all)
+		crashes := 0
+		for k := 0; k < 60 && admitted(all[k%3], deadly); k++ {
+			part := uint64(100 + k)
+			if k%4 == 0 {
+				part, crashes = deadly, crashes+1
+			}
+			all[k%3].RecordCrash([]uint64{part}, fmt.Sprint("u", k), 1, fmt.Sprint("r", k))
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		for n, i := range all {
+			if admitted(i, deadly) || i.Len() != 1 {
+				t.Errorf("instance %d keeps %d parts back, the deadly one %v", n, i.Len(), !admitted(i, deadly))
+			}
+		}
+		if crashes > 7 {
+			t.Errorf("%d crashes until the part was kept back, want at most 7", crashes)
+		}
+	})
+}
+
 func TestPartOfAnsweredRequestsIsNotAccused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, all := startFleet(t, 2)
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -62,8 +62,10 @@
 	now := time.Now()
 	evidence := crash{At: l.storeTime(now), Upstream: upstream, Request: request}
 	suspected, proven := l.suspects(parts, now)
+	incarnation := incarnationHash(upstream, startedMillis)
+	l.recordUpstreamCrash(incarnation, evidence.At, evidence.At)
 	for _, id := range suspected {
-		own := ownCrash{partID: id, incarnation: incarnationHash(upstream, startedMillis), crash: evidence, seenAt: now}
+		own := ownCrash{partID: id, incarnation: incarnation, crash: evidence, seenAt: now}
 		if proven {
 			l.unconfirmed = append(l.unconfirmed, own)
 			continue
