Try a request with two quarantined parts after its delay

Requests with two quarantined parts got 503 (2009), and such items were kept back, for as long as no request had only one of the parts: up to the end of the quarantine, an hour.

The time to the trial was taken as at least zero before the minute for several parts was added, so that it never reached zero. The time at which the trial is due is now computed first.

TestRequestWithTwoQuarantinedPartsIsTriedToo failed before: "the trial came after 5m0s, want 1 min to 1 min 5 s", 5 min being the end of the test.

--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -131,6 +131,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var held []uint64
+	var dueAt time.Time
 	returned := true
 	for _, id := range parts {
 		p, ok := l.parts[id]
@@ -139,11 +140,14 @@
 		}
 		held = append(held, id)
 		returned = returned && now.Before(p.returnedUntil)
-		retryAfter = max(retryAfter, p.trialDueAt().Sub(now))
+		if at := p.trialDueAt(); at.After(dueAt) {
+			dueAt = at
+		}
 	}
 	if len(held) > 1 {
-		retryAfter += jointTrialDelay
+		dueAt = dueAt.Add(jointTrialDelay)
 	}
+	retryAfter = dueAt.Sub(now)
 	switch {
 	case len(held) == 0:
 		return nil, true, false, 0
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -328,6 +328,33 @@
 	})
 }
 
+func TestRequestWithTwoQuarantinedPartsIsTriedToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := startFleet(t, 2)
+		defer stopAll(all)
+		crash(all, 3, rare, deadly)
+		if d := timeToTrial(t, all[0], 5*time.Minute, rare, deadly); d < time.Minute || d > time.Minute+5*time.Second {
+			t.Errorf("the trial came after %v, want 1 min to 1 min 5 s", d)
+		}
+	})
+}
+
+// timeToTrial returns the time until a request with these parts is a trial, at most limit.
+func timeToTrial(t *testing.T, i *instance, limit time.Duration, parts ...uint64) time.Duration {
+	t.Helper()
+	since := time.Now()
+	for time.Since(since) < limit {
+		if ok, isTrial, _ := i.Admit(t.Context(), parts); ok {
+			if !isTrial {
+				t.Error("admitted without a trial")
+			}
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return time.Since(since)
+}
+
 func TestTrialThatNoUpstreamRanIsGivenToAnotherRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, all := startFleet(t, 2)
