Don't put off trials while upstreams crash without the part

Items whose prompt shares two suspected parts, or whose trials had met crashes of their own, were kept back for 48 s or a minute after the last crash, beside idle upstreams.

The delay grows with each failed trial because a part that crashes again is deadly. While upstreams crash as often without it, a failed trial says little. The delay then stays at that of the second trial, 12 s, and several parts add that of the first, 3 s, instead of a minute. Trials can't crash more upstreams than crash anyway: as soon as the crashes with the part are the majority of the last minute, the delays grow as before. A deadly part alone is tried as before.

TestTrialsAreNotPutOffBesideUpstreamsThatCrashByThemselves failed before: "trial 1 came after 1m0s, want at most 16 s", the same for trial 3, 1 min being the end of the test.

--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -131,7 +131,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var held []uint64
-	var dueAt time.Time
 	returned := true
 	for _, id := range parts {
 		p, ok := l.parts[id]
@@ -140,14 +139,8 @@
 		}
 		held = append(held, id)
 		returned = returned && now.Before(p.returnedUntil)
-		if at := p.trialDueAt(); at.After(dueAt) {
-			dueAt = at
-		}
-	}
-	if len(held) > 1 {
-		dueAt = dueAt.Add(jointTrialDelay)
 	}
-	retryAfter = dueAt.Sub(now)
+	retryAfter = l.trialDueAt(held, now).Sub(now)
 	switch {
 	case len(held) == 0:
 		return nil, true, false, 0
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -202,6 +202,32 @@
 	})
 }
 
+func TestTrialsAreNotPutOffBesideUpstreamsThatCrashByThemselves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := startFleet(t, 2)
+		defer stopAll(all)
+		accused := []uint64{rare, shared}
+		for k := range 24 {
+			parts := []uint64{uint64(100 + k)}
+			if k%2 == 0 {
+				parts = accused
+			}
+			all[k%4/2].RecordCrash(parts, fmt.Sprint("u", k), 1, fmt.Sprint("r", k))
+			time.Sleep(300 * time.Millisecond)
+		}
+		if all[0].Len() != 2 {
+			t.Fatalf("%d parts are quarantined, want 2", all[0].Len())
+		}
+		for n := range 3 {
+			if d := timeToTrial(t, all[n%2], time.Minute, accused...); d > 16*time.Second {
+				t.Errorf("trial %d came after %v, want at most 16 s", n+1, d)
+			}
+			all[n%2].RecordCrash(accused, fmt.Sprint("trial", n), 1, "r")
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 func TestPartOfAnsweredRequestsIsNotAccused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, all := startFleet(t, 2)
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -11,12 +11,15 @@
 
 const (
 	// firstTrialDelay is the time from the last evidence to the first trial of a part. It
-	// grows by trialDelayFactor with every trial, up to maxTrialDelay.
-	firstTrialDelay  = 3 * time.Second
-	trialDelayFactor = 4
-	maxTrialDelay    = 10 * time.Minute
+	// grows by trialDelayFactor with every trial, up to maxTrialDelay, or
+	// maxContestedTrialDelay while upstreams crash as often without the part.
+	firstTrialDelay        = 3 * time.Second
+	trialDelayFactor       = 4
+	maxTrialDelay          = 10 * time.Minute
+	maxContestedTrialDelay = trialDelayFactor * firstTrialDelay
 	// jointTrialDelay is the further delay of a trial with more than one quarantined part.
 	// Until then, requests with a single one of them can show which parts are innocent.
+	// While upstreams crash as often without any of them, it is firstTrialDelay.
 	jointTrialDelay = time.Minute
 	// claimTimeout bounds the time for which a request waits for its trial.
 	claimTimeout = 300 * time.Millisecond
@@ -33,13 +36,33 @@
 	By string `json:"by"`
 }
 
-// trialDueAt returns when the part may be tried again.
-func (p *part) trialDueAt() time.Time {
+// trialDueAt returns when a request with these quarantined parts may be a trial. The
+// caller holds the lock.
+func (l *List) trialDueAt(held []uint64, now time.Time) time.Time {
+	var dueAt time.Time
+	jointDelay := firstTrialDelay
+	for _, id := range held {
+		p, maxDelay := l.parts[id], maxContestedTrialDelay
+		if !l.isContested(p, now) {
+			maxDelay, jointDelay = maxTrialDelay, jointTrialDelay
+		}
+		if at := p.changedAt.Add(p.trialDelay(maxDelay)); at.After(dueAt) {
+			dueAt = at
+		}
+	}
+	if len(held) > 1 {
+		dueAt = dueAt.Add(jointDelay)
+	}
+	return dueAt
+}
+
+// trialDelay returns the time from the last evidence to the next trial of the part.
+func (p *part) trialDelay(maxDelay time.Duration) time.Duration {
 	delay := firstTrialDelay
-	for n := 0; n < p.trial.Number && delay < maxTrialDelay; n++ {
+	for n := 0; n < p.trial.Number && delay < maxDelay; n++ {
 		delay *= trialDelayFactor
 	}
-	return p.changedAt.Add(min(delay, maxTrialDelay))
+	return min(delay, maxDelay)
 }
 
 // trialClaim is a trial to be claimed: the parts, in the order of the rows to be written.
