Run items soon after the quarantine of their prompt ends

An item whose prompt was quarantined stayed idle for up to 10 s after an answer at any instance had released it, beside idle upstreams.

The item paused until the next trial, at most 10 s, and learned of the release only at its next attempt. It now asks every 2 s; while the part is held, that is a look at a map.

TestItemIsRunSoonAfterItsPromptIsReleased failed before: "<nil>, []; want the item's result 3 s after the release".

--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -37,6 +37,8 @@
 	// resumedAfter has, by item, the last event that each run was given to resume
 	// after.
 	resumedAfter map[string][]string
+	// releasedAt is when items whose id begins with "released" are no longer kept back.
+	releasedAt time.Time
 	// maxRunBytes is the largest size of the events that one run of an endless item
 	// has written.
 	maxRunBytes int
@@ -241,6 +243,8 @@
 		return sink.Begin(http.StatusInternalServerError, nil)
 	case strings.HasPrefix(c.RequestID, "quarantined"):
 		return code.New(code.PromptQuarantined, "kept back").WithRetryAfter(time.Second)
+	case strings.HasPrefix(c.RequestID, "released") && time.Now().Before(f.releasedAt):
+		return code.New(code.PromptQuarantined, "kept back").WithRetryAfter(time.Minute)
 	}
 	if err := sink.Begin(http.StatusOK, nil); err != nil {
 		return err
--- a/job/run.go
+++ b/job/run.go
@@ -127,8 +127,9 @@
 	// the next attempt may produce again.
 	oversizedRetryInterval = 5 * time.Second
 	// maxQuarantinePause is the longest time between two attempts of an item whose
-	// prompt is quarantined.
-	maxQuarantinePause = 10 * time.Second
+	// prompt is quarantined. An answer at any instance may end the quarantine before
+	// the next trial.
+	maxQuarantinePause = 2 * time.Second
 )
 
 // runItem runs an item until it has a result or this process no longer owns the job.
--- a/job/service_test.go
+++ b/job/service_test.go
@@ -507,3 +507,18 @@
 		}
 	})
 }
+
+func TestItemIsRunSoonAfterItsPromptIsReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, nil)
+		defer f.close()
+		f.releasedAt = time.Now().Add(12 * time.Second)
+		if err := f.instances[0].Submit(t.Context(), f.submission("j", "released")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(12*time.Second + itemEvents*eventTime + 3*time.Second)
+		if _, results, err := f.instances[0].Results(t.Context(), "j", 0, 0); err != nil || len(results) != 1 || !results[0].Succeeded {
+			t.Errorf("%v, %+v; want the item's result 3 s after the release", err, results)
+		}
+	})
+}
