--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -160,6 +160,74 @@
 	})
 }
 
+func TestUpstreamsThatCrashByThemselvesAccuseNoPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := startFleet(t, 3)
+		defer stopAll(all)
+		const parts, crashesOfEach = 6, 5
+		for k := range parts * crashesOfEach {
+			all[k%len(all)].RecordCrash([]uint64{uint64(100 + k%parts)}, fmt.Sprint("u", k), 1, fmt.Sprint("r", k))
+			time.Sleep(300 * time.Millisecond)
+		}
+		for n, i := range all {
+			if i.Len() != 0 {
+				t.Errorf("instance %d keeps %d parts back because upstreams crash by themselves", n, i.Len())
+			}
+		}
+	})
+}
+
+func TestDeadlyPartIsKeptBackBesideUpstreamsThatCrashByThemselves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := startFleet(t, 3)
+		defer stopAll(all)
+		crashes := 0
+		for k := 0; k < 60 && admitted(all[k%3], deadly); k++ {
+			part := uint64(100 + k)
+			if k%4 == 0 {
+				part, crashes = deadly, crashes+1
+			}
+			all[k%3].RecordCrash([]uint64{part}, fmt.Sprint("u", k), 1, fmt.Sprint("r", k))
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		for n, i := range all {
+			if admitted(i, deadly) || i.Len() != 1 {
+				t.Errorf("instance %d keeps %d parts back, the deadly one %v", n, i.Len(), !admitted(i, deadly))
+			}
+		}
+		if crashes > 7 {
+			t.Errorf("%d crashes until the part was kept back, want at most 7", crashes)
+		}
+	})
+}
+
+func TestTrialsAreNotPutOffBesideUpstreamsThatCrashByThemselves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := startFleet(t, 2)
+		defer stopAll(all)
+		accused := []uint64{rare, shared}
+		for k := range 24 {
+			parts := []uint64{uint64(100 + k)}
+			if k%2 == 0 {
+				parts = accused
+			}
+			all[k%4/2].RecordCrash(parts, fmt.Sprint("u", k), 1, fmt.Sprint("r", k))
+			time.Sleep(300 * time.Millisecond)
+		}
+		if all[0].Len() != 2 {
+			t.Fatalf("%d parts are quarantined, want 2", all[0].Len())
+		}
+		for n := range 3 {
+			if d := timeToTrial(t, all[n%2], time.Minute, accused...); d > 16*time.Second {
+				t.Errorf("trial %d came after %v, want at most 16 s", n+1, d)
+			}
+			all[n%2].RecordCrash(accused, fmt.Sprint("trial", n), 1, "r")
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 func TestPartOfAnsweredRequestsIsNotAccused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, all := startFleet(t, 2)
@@ -286,6 +354,33 @@
 	})
 }
 
+func TestRequestWithTwoQuarantinedPartsIsTriedToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, all := startFleet(t, 2)
+		defer stopAll(all)
+		crash(all, 3, rare, deadly)
+		if d := timeToTrial(t, all[0], 5*time.Minute, rare, deadly); d < time.Minute || d > time.Minute+5*time.Second {
+			t.Errorf("the trial came after %v, want 1 min to 1 min 5 s", d)
+		}
+	})
+}
+
+// timeToTrial returns the time until a request with these parts is a trial, at most limit.
+func timeToTrial(t *testing.T, i *instance, limit time.Duration, parts ...uint64) time.Duration {
+	t.Helper()
+	since := time.Now()
+	for time.Since(since) < limit {
+		if ok, isTrial, _ := i.Admit(t.Context(), parts); ok {
+			if !isTrial {
+				t.Error("admitted without a trial")
+			}
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return time.Since(since)
+}
+
 func TestTrialThatNoUpstreamRanIsGivenToAnotherRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		_, all := startFleet(t, 2)
