Ask the kernel whether a dialled upstream has accepted the connection

A dial of an opaque request has 150 ms by the clock of the instance. An instance whose goroutine gets no processor for that long took the upstream for unreachable, though its kernel had the connection: the deadline of the dial and the readiness of the socket are seen together, and the deadline wins.

Ruled out by a trial: counting the 150 ms in three steps, so that a stall counts as one (36 of 38 dials still failed); the timers' goroutines run ahead of those that wait for the network.

Now the timer asks whether the socket is connected and ends the dial only if it is not. An upstream that does not answer is still given up after 150 ms (TestDialOfAnUpstreamThatDoesNotAnswerEndsInTime, which passes before and after). A goroutine that is held up between the creation of the socket and the connect call is not covered.

--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/url"
 	"sync"
-	"time"
 
 	"github.com/daisylb/daisylb/contract"
 )
@@ -25,19 +24,13 @@
 	stop    func() bool
 }
 
-// forwardDialTimeout is many times the latency between two data centres of a region. An
-// upstream that accepts no connection within it is down or partitioned.
-const forwardDialTimeout = 150 * time.Millisecond
-
-var forwardDialer = net.Dialer{Timeout: forwardDialTimeout, KeepAlive: -1}
-
 const connectionBufferBytes = 4 << 10
 
 var readerPool = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, connectionBufferBytes) }}
 
 // dial opens a connection that is closed when ctx ends.
 func (d *Dispatcher) dial(ctx context.Context, address string) (*connection, error) {
-	dial := forwardDialer.DialContext
+	dial := dialForward
 	if t := d.options.Transport; t != nil && t.DialContext != nil {
 		dial = t.DialContext
 	}
--- a/upstream/leaving_test.go
+++ b/upstream/leaving_test.go
@@ -180,7 +180,7 @@
 		if to == address && dials.Add(1) == 1 {
 			f.sched.recordLeaving(f.current().targets["w0"], Head{Leaving: true})
 		}
-		return forwardDialer.DialContext(ctx, network, to)
+		return dialForward(ctx, network, to)
 	}
 	leaving, staying := startWorker(t, eventsScript(3, endOfChunks)), startWorker(t, eventsScript(3, endOfChunks))
 	address = leaving.address
