Soak series of overlapping faults, and judge six more rules

The soak drew single faults. Nothing repeated a signal during a stop, a reload or a restart, no worker went down and up again, no job was submitted just before the signal of its instance, no document was large or moved a route, and requests named no parts of prompts, so that the quarantine was never at work.

An item may be given up after as many failures as its route allows. The check of the document in force knows moved routes.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -122,6 +122,9 @@
 		if rand.IntN(longShare) == 0 {
 			kind = longPrefix
 		}
+		if rand.IntN(4) == 0 {
+			prefix += splitPart
+		}
 		a := c.attempt(address, prefix, fmt.Sprintf("%s%d", kind, c.lastRequest.Add(1)), once)
 		if a.Status == 0 {
 			u.failedAt[address] = time.Now()
@@ -136,16 +139,18 @@
 func (c *callerPool) attempt(address, prefix, id string, once bool) Attempt {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	a := Attempt{Request: id, Once: once, Instance: address, SentAt: time.Now()}
+	a := Attempt{Request: id, Once: once, Instance: address, Changing: prefix == changePrefix, SentAt: time.Now()}
 	var written atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(i httptrace.WroteRequestInfo) { written.Store(i.Err == nil) }})
 	request := c.newRequest(ctx, http.MethodPost, address, prefix+id, id, strings.NewReader(requestBody(id)))
 	request.GetBody = nil
-	request.Header.Set("X-Model", modelName)
+	for name, value := range promptHeaders(id) {
+		request.Header.Set(name, value)
+	}
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(callTimeout.Milliseconds()))
 	response, err := c.client.Do(request)
 	if err == nil {
-		a.Status = response.StatusCode
+		a.Status, a.Stamp = response.StatusCode, response.Header.Get("X-Server-Stamp")
 		a.Events, a.Completed = readEvents(response.Body)
 		_ = response.Body.Close()
 	}
@@ -190,7 +195,10 @@
 			id := fmt.Sprintf("p%d", c.lastRequest.Add(1))
 			a := c.attempt(i.callerAddress(), changePrefix, id, true)
 			if a.Status == http.StatusOK || a.Status == http.StatusNotFound {
-				p := Probe{Prefix: changePrefix, Instance: i.callerAddress(), SentAt: a.SentAt, Found: a.Status == http.StatusOK}
+				p := Probe{Prefix: changePrefix, Instance: i.callerAddress(), SentAt: a.SentAt}
+				if a.Status == http.StatusOK {
+					p.Service = c.history.serviceOf(id)
+				}
 				c.history.update(func() { c.history.Probes = append(c.history.Probes, p) })
 			}
 		}
@@ -198,9 +206,10 @@
 	}
 }
 
-// runJob submits a job until it is accepted and reads its results. About one job
-// in five is cancelled after its first results.
-func (c *callerPool) runJob(ctx context.Context, n int, random *rand.Rand) {
+// runJob submits a job until it is accepted and reads its results. The first submission
+// is sent to the given address. About one job in five is cancelled after its first
+// results.
+func (c *callerPool) runJob(ctx context.Context, n int, random *rand.Rand, first string) {
 	j := &Job{ID: fmt.Sprintf("j%d", n)}
 	type item struct {
 		ID      string            `json:"id"`
@@ -213,7 +222,7 @@
 	for k := range 2 + random.IntN(6) {
 		id := fmt.Sprintf("%si%d", j.ID, k)
 		j.Items = append(j.Items, id)
-		items = append(items, item{id, batchPrefix + id, map[string]string{"X-Model": modelName}, []byte(requestBody(id)), itemTokens})
+		items = append(items, item{id, batchPrefix + id, promptHeaders(id), []byte(requestBody(id)), itemTokens})
 	}
 	body, err := json.Marshal(map[string]any{"requests": items})
 	if err != nil {
@@ -221,7 +230,7 @@
 	}
 	willCancel := random.IntN(5) == 0
 	c.history.update(func() { c.history.Jobs[j.ID] = j })
-	for ctx.Err() == nil && !c.submit(j, body) {
+	for address := first; ctx.Err() == nil && !c.submit(j, body, address); address = c.anyAddress() {
 		wait(ctx, readInterval)
 	}
 	for after := 0; ctx.Err() == nil && after < len(j.Items); wait(ctx, readInterval) {
@@ -232,6 +241,9 @@
 		if r := c.readJob(j.ID, c.instances[random.IntN(len(c.instances))].callerAddress(), from, false); r.Status == http.StatusOK {
 			after = max(after, from+len(r.Results))
 		}
+		if !willCancel && after < len(j.Items) {
+			c.readBody(j.ID, j.Items[random.IntN(len(j.Items))], c.anyAddress())
+		}
 		if willCancel && after > 0 {
 			c.cancelJob(ctx, j, random)
 			return
@@ -239,12 +251,16 @@
 	}
 }
 
+// anyAddress returns the address of an instance.
+func (c *callerPool) anyAddress() string {
+	return c.instances[rand.IntN(len(c.instances))].callerAddress()
+}
+
 // submit sends a job once and reports whether it was accepted.
-func (c *callerPool) submit(j *Job, body []byte) bool {
+func (c *callerPool) submit(j *Job, body []byte, address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	status := 0
-	address := c.instances[rand.IntN(len(c.instances))].callerAddress()
 	response, err := c.client.Do(c.newRequest(ctx, http.MethodPost, address, batchPrefix+j.ID, j.ID, bytes.NewReader(body)))
 	if err == nil {
 		status = response.StatusCode
@@ -284,8 +300,26 @@
 	return r
 }
 
+// readBody reads the body of an item and records it.
+func (c *callerPool) readBody(job, item, address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	r := BodyRead{Job: job, Item: item, Instance: address, SentAt: time.Now()}
+	response, err := c.client.Do(c.newRequest(ctx, http.MethodGet, address, fmt.Sprintf("/api/items/%s?id=%s", job, item), job, nil))
+	if err == nil {
+		body, readErr := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if readErr == nil {
+			r.Status, r.Unchanged = response.StatusCode, string(body) == requestBody(item)
+		}
+	}
+	r.DoneAt = time.Now()
+	c.history.update(func() { c.history.BodyReads = append(c.history.BodyReads, r) })
+}
+
 // cancelJob cancels a job, repeatedly until that is acknowledged.
 func (c *callerPool) cancelJob(ctx context.Context, j *Job, random *rand.Rand) {
+	c.history.update(func() { j.Cancelling = true })
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		address := c.instances[random.IntN(len(c.instances))].callerAddress()
--- a/soak/check.go
+++ b/soak/check.go
@@ -51,6 +51,12 @@
 	"store's rates":     storeRates,
 	"quota":             quota,
 	"turned away":       turnedAway,
+	"stamps":            stamps,
+	"service":           serviceAllowed,
+	"denied":            denied,
+	"kept connections":  keptConnections,
+	"left unfinished":   leftUnfinished,
+	"item bodies":       itemBodies,
 }
 
 // Check returns all violations in a history.
@@ -168,8 +174,15 @@
 }
 
 // completeOnce checks that each item of an accepted job that was not cancelled
-// is listed exactly once, with its complete text.
+// is listed exactly once, with its complete text, or as given up after maxAttempts
+// failures.
 func completeOnce(h *History) (found []Violation) {
+	failures := map[string]int{}
+	for _, r := range h.Runs {
+		if r.Status == http.StatusInternalServerError {
+			failures[r.Request]++
+		}
+	}
 	final := map[string][]Result{}
 	for _, r := range h.Reads {
 		if r.Final && r.Status == 200 {
@@ -183,6 +196,9 @@
 		listed := map[string]int{}
 		for _, r := range final[j.ID] {
 			listed[r.Item]++
+			if failures[r.Item] >= maxAttempts && !r.Succeeded {
+				continue
+			}
 			if !r.Succeeded || r.Text != answerText(r.Item) {
 				found = append(found, Violation{ID: r.Item, Detail: fmt.Sprintf("succeeded %v, text %q", r.Succeeded, r.Text)})
 			}
@@ -299,8 +315,8 @@
 				last = c
 			}
 		}
-		if last != nil && !raced && last.Added != p.Found && h.undisturbed(p.Instance, last.AcknowledgedAt, p.SentAt, true) {
-			found = append(found, Violation{ID: p.Prefix, Detail: fmt.Sprintf("found %v at %s, %v after the change", p.Found, p.Instance, p.SentAt.Sub(last.AcknowledgedAt))})
+		if last != nil && !raced && last.Service != p.Service && h.undisturbed(p.Instance, last.AcknowledgedAt, p.SentAt, true) {
+			found = append(found, Violation{ID: p.Prefix, Detail: fmt.Sprintf("service %q, not %q, at %s, %v after the change", p.Service, last.Service, p.Instance, p.SentAt.Sub(last.AcknowledgedAt))})
 		}
 	}
 	return found
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -57,8 +57,9 @@
 func (i *instance) settingsPath() string { return filepath.Join(i.dir, i.name+".json") }
 func (i *instance) logPath() string      { return filepath.Join(i.dir, i.name+".log") }
 
-// writeSettings writes the settings file of the daemon.
-func (i *instance) writeSettings() error {
+// writeSettings writes the settings file of the daemon, with a time for which the status
+// of jobs is kept.
+func (i *instance) writeSettings(status time.Duration) error {
 	listen := map[string]string{
 		"front":     i.callerAddress(),
 		"readiness": fmt.Sprintf("%s:%d", i.ip, i.ports.readiness),
@@ -67,7 +68,7 @@
 	data, err := json.Marshal(map[string]any{
 		"node_name": i.name, "ip": i.ip, "zone": "z", "zones": map[string]string{"z": "r"}, "listen": listen,
 		"port_range": []int{i.ports.rangeStart, i.ports.rangeStart}, "heartbeat_ms": 1200, "limits": map[string]any{"memory_mb": 300},
-		"bounds": map[string]any{"grace_s": gracePeriod.Seconds(), "drain_ms": drainBound.Milliseconds(), "ttl_max_s": 5, "status_s": 120},
+		"bounds": map[string]any{"grace_s": gracePeriod.Seconds(), "drain_ms": drainBound.Milliseconds(), "ttl_max_s": 5, "status_s": status.Seconds()},
 		"provider": map[string]any{"address": i.storeAddress, "writes_per_s": maxWritesPerSecond, "reads_per_s": maxReadsPerSecond,
 			"row_bytes": 65536, "blob_bytes": 8 << 20},
 	})
@@ -132,6 +133,21 @@
 	}
 }
 
+// process returns a function that sends a signal to the current process, and to none that
+// is started later.
+func (i *instance) process() func(syscall.Signal) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	command, exited := i.command, i.exited
+	return func(s syscall.Signal) {
+		select {
+		case <-exited:
+		default:
+			_ = command.Process.Signal(s)
+		}
+	}
+}
+
 // terminate sends SIGTERM and, after gracePeriod, SIGKILL. It waits until the
 // process has ended.
 func (i *instance) terminate() {
--- a/soak/history.go
+++ b/soak/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -18,6 +19,10 @@
 	DoneAt   time.Time
 	// Status is the HTTP status of the response, 0 when there was none.
 	Status int
+	// Stamp is the worker's mark in the headers of the response.
+	Stamp string
+	// Changing is set when the request is for the route that documents add and remove.
+	Changing bool
 	// Events has the data of the received events. Completed is set when the
 	// answer ended without a connection error.
 	Events    []string
@@ -35,6 +40,7 @@
 type WorkerRun struct {
 	Request string
 	Worker  string
+	Service string
 	// ResumedAfter is the number of the event after which the run resumed, 0
 	// for a run from the start.
 	ResumedAfter int
@@ -42,6 +48,13 @@
 	// Unchanged is set when the method, the host, the last part of the path, the
 	// model header and the body are those that the caller sent.
 	Unchanged bool
+	// Status is the status of the response. It is 0 until the response begins.
+	Status int
+	// EndedAt is zero while the run goes on. Finished is set when its whole response was
+	// sent, Cancelled when its sender's connection closed before.
+	EndedAt   time.Time
+	Finished  bool
+	Cancelled bool
 }
 
 // Job is a batch job of a caller.
@@ -52,6 +65,8 @@
 	// first 202.
 	Statuses   []int
 	AcceptedAt time.Time
+	// Cancelling is set from before the first request to cancel it.
+	Cancelling bool
 	// CancelledAt is when the cancellation was acknowledged.
 	CancelledAt time.Time
 }
@@ -77,6 +92,17 @@
 	Final bool
 }
 
+// BodyRead is one read of the body of an item.
+type BodyRead struct {
+	Job, Item string
+	Instance  string
+	SentAt    time.Time
+	DoneAt    time.Time
+	Status    int
+	// Unchanged is set when the body is that of the item.
+	Unchanged bool
+}
+
 // Drain is the acknowledged change of a worker to draining.
 type Drain struct {
 	Worker         string
@@ -94,13 +120,15 @@
 	Prefix   string
 	Instance string
 	SentAt   time.Time
-	Found    bool
+	// Service is the service that ran it, empty when the route was not known.
+	Service string
 }
 
-// Change is an acknowledged document that adds or removes a route.
+// Change is an acknowledged document that adds, moves or removes a route.
 type Change struct {
-	Prefix         string
-	Added          bool
+	Prefix string
+	// Service is that of the route, empty when the route was removed.
+	Service        string
 	AcknowledgedAt time.Time
 }
 
@@ -110,10 +138,20 @@
 type Disturbance struct {
 	Kind     string
 	Instance string
+	Worker   string
 	From, To time.Time
 	Planned  bool
 }
 
+// UnfinishedItem is an item of an open job that was not listed at the end of the time to
+// finish.
+type UnfinishedItem struct {
+	Job, Item string
+	At        time.Time
+	// Slots is the number of requests that all workers of its service run at a time.
+	Slots int
+}
+
 // StoreCalls counts the calls that the store received in one second.
 type StoreCalls struct {
 	StartedAt time.Time
@@ -136,6 +174,7 @@
 	Runs         []WorkerRun
 	Jobs         map[string]*Job
 	Reads        []JobRead
+	BodyReads    []BodyRead
 	Drains       []Drain
 	Stops        []Stop
 	Probes       []Probe
@@ -143,6 +182,7 @@
 	Disturbances []Disturbance
 	StoreCalls   []StoreCalls
 	QueuedTokens []QueuedTokens
+	Unfinished   []UnfinishedItem
 }
 
 // NewHistory returns an empty history.
@@ -155,6 +195,18 @@
 	change()
 }
 
+// serviceOf returns the service of the last run of a request, or an empty string.
+func (h *History) serviceOf(request string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, r := range slices.Backward(h.Runs) {
+		if r.Request == request {
+			return r.Service
+		}
+	}
+	return ""
+}
+
 // Event returns the data of event n of a request. It is the same at every
 // worker.
 func Event(request string, n int) string { return fmt.Sprintf("%s/%d", request, n) }
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -27,6 +28,8 @@
 	stopDocuments = 3
 	// rollInterval is the time between two stops of a roll.
 	rollInterval = time.Second
+	// workerKindPrefix begins the kinds of faults of a worker.
+	workerKindPrefix = "worker "
 )
 
 // inject executes a fault and records its period as a disturbance.
@@ -37,15 +40,23 @@
 	d.To = d.From.Add(time.Hour)
 	k := f.Index % len(s.instances)
 	switch f.Kind {
-	case faultTerm, faultHup, faultKill, faultFreeze, faultStoreOneInstance, faultCallerLink:
+	case faultTerm, faultHup, faultKill, faultFreeze, faultStoreOneInstance, faultCallerLink, faultTermAgain, faultReloads, faultJobsTerm, faultJobsKill, faultKillSeries:
 		d.Instance = s.instances[k].callerAddress()
 	}
+	w, link := s.pickWorker(f.Index)
+	if strings.HasPrefix(f.Kind, workerKindPrefix) {
+		d.Worker = w.id
+	}
 	index := 0
 	s.history.update(func() {
 		index = len(s.history.Disturbances)
 		s.history.Disturbances = append(s.history.Disturbances, d)
 	})
-	s.execute(ctx, f, k)
+	if d.Worker != "" {
+		s.disturbWorker(ctx, f, w, link)
+	} else {
+		s.execute(ctx, f, k)
+	}
 	s.history.update(func() { s.history.Disturbances[index].To = time.Now() })
 }
 
@@ -77,8 +88,8 @@
 		s.writeDocuments(ctx, documentBurst)
 	case faultDrain:
 		s.replaceWorker(ctx)
-	case faultWorkerBreaks, faultWorkerSlow, faultWorkerLink, faultWorkerSilent:
-		s.disturbWorker(ctx, f)
+	case faultTermAgain, faultReloads, faultRoutes, faultJobsTerm, faultJobsKill, faultKillSeries, faultKillInStop:
+		s.executeSeries(ctx, f, k)
 	case faultCallerLink:
 		s.disturbLink(ctx, s.callerLinks[k], f)
 	default:
@@ -145,10 +156,7 @@
 // it.
 func (s *soak) writeDocuments(ctx context.Context, n int) {
 	for range n {
-		s.operator.mu.Lock()
-		withChangeRoute := !s.operator.hasChangeRoute
-		s.operator.mu.Unlock()
-		if err := s.operator.write(ctx, withChangeRoute); err != nil {
+		if err := s.operator.write(ctx, documentShape{changeService: s.operator.toggledChangeService()}); err != nil {
 			return
 		}
 		wait(ctx, documentInterval)
@@ -162,14 +170,14 @@
 	id := fmt.Sprintf("n%d", s.lastWorker)
 	ip := s.workers[0].ip()
 	s.mu.Unlock()
-	if err := s.addWorker(ctx, id, ip); err != nil {
+	if err := s.addWorker(ctx, id, ip, serviceName); err != nil {
 		return
 	}
 	s.mu.Lock()
 	old, link := s.workers[0], s.workerLinks[0]
 	s.workers, s.workerLinks = s.workers[1:], s.workerLinks[1:]
 	s.mu.Unlock()
-	if err := putRow(ctx, s.store.rows, "servers", old.id, old.entry("draining", 1)); err != nil {
+	if err := old.announceDraining(ctx, s.store.rows); err != nil {
 		return
 	}
 	s.history.update(func() { s.history.Drains = append(s.history.Drains, Drain{old.id, time.Now()}) })
@@ -179,21 +187,31 @@
 	link.close()
 }
 
-// disturbWorker breaks or slows a worker or disturbs its link, for the duration
-// of the fault.
-func (s *soak) disturbWorker(ctx context.Context, f Fault) {
+// pickWorker returns the worker, with its link, that the index of a fault selects.
+func (s *soak) pickWorker(index int) (*worker, *proxy) {
 	s.mu.Lock()
-	k := f.Index % len(s.workers)
-	w, link := s.workers[k], s.workerLinks[k]
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	k := index % len(s.workers)
+	return s.workers[k], s.workerLinks[k]
+}
+
+// disturbWorker disturbs a worker or its link, for the duration of the fault.
+func (s *soak) disturbWorker(ctx context.Context, f Fault, w *worker, link *proxy) {
 	until := time.Now().Add(f.Duration)
 	switch f.Kind {
+	case faultWorkerPauses, faultWorkerFlaps, faultWorkerDark:
+		s.interruptWorker(ctx, f, w, link)
+		return
 	case faultWorkerLink:
 		s.disturbLink(ctx, link, f)
 		return
 	case faultWorkerSilent:
-		link.silence()
+		link.silence(false)
 		return
+	case faultWorkerFails:
+		w.mu.Lock()
+		w.failingUntil, w.failsAll = until, f.Index/7%2 == 0
+		w.mu.Unlock()
 	case faultWorkerBreaks:
 		w.mu.Lock()
 		w.brokenUntil = until
--- a/soak/persistent.go
+++ b/soak/persistent.go
@@ -153,7 +153,7 @@
 		a.Written = !errors.Is(err, os.ErrDeadlineExceeded)
 		return a, false
 	}
-	a.Status = response.StatusCode
+	a.Status, a.Stamp = response.StatusCode, response.Header.Get("X-Server-Stamp")
 	a.Events, a.Completed = readEvents(response.Body)
 	_ = response.Body.Close()
 	a.Written = time.Now().Before(deadline)
@@ -188,6 +188,10 @@
 	if rand.IntN(4) == 0 {
 		padding = "X-Padding: " + strings.Repeat("p", maxHeaderBytes-headerReserve) + "\r\n"
 	}
-	return fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Model: %s\r\nX-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n",
-		prefix, a.Request, hostName, a.Request, modelName, callTimeout.Milliseconds(), padding, len(requestBody(a.Request)))
+	var prompt strings.Builder
+	for name, value := range promptHeaders(a.Request) {
+		_, _ = fmt.Fprintf(&prompt, "%s: %s\r\n", name, value)
+	}
+	return fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n%sX-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n",
+		prefix, a.Request, hostName, a.Request, prompt.String(), callTimeout.Milliseconds(), padding, len(requestBody(a.Request)))
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -45,6 +45,17 @@
 	faultRoll                = "roll"
 	faultStoreTable          = "store table"
 	faultWorkerSilent        = "worker silent"
+	faultTermAgain           = "term again"
+	faultReloads             = "reloads"
+	faultRoutes              = "routes"
+	faultWorkerPauses        = "worker pauses"
+	faultJobsTerm            = "jobs, term"
+	faultJobsKill            = "jobs, kill"
+	faultKillSeries          = "kill series"
+	faultKillInStop          = "kill in stop"
+	faultWorkerFlaps         = "worker flaps"
+	faultWorkerDark          = "worker dark"
+	faultWorkerFails         = "worker fails"
 )
 
 // All kinds have the same weight. Plans of planned work only find violations
@@ -57,6 +68,12 @@
 	// before these kinds existed.
 	plannedAdditions = []string{faultRoll}
 	additions        = []string{faultRoll, faultStoreTable, faultStoreTable, faultWorkerSilent, faultWorkerSilent}
+	// workerKinds leave all instances and the store in touch.
+	workerKinds = []string{faultHup, faultDocument, faultDocuments, faultDrain, faultReloads, faultRoutes, faultWorkerBreaks, faultWorkerSlow, faultWorkerLink, faultWorkerSilent,
+		faultWorkerPauses, faultWorkerFlaps, faultWorkerFlaps, faultWorkerFlaps, faultWorkerDark, faultWorkerFails}
+	// Series are drawn apart again.
+	plannedSeries = []string{faultTermAgain, faultReloads, faultRoutes, faultWorkerPauses, faultJobsTerm}
+	allSeries     = append([]string{faultJobsKill, faultKillSeries, faultKillInStop, faultWorkerFlaps, faultWorkerFlaps, faultWorkerDark, faultWorkerFails}, plannedSeries...)
 )
 
 const (
@@ -67,22 +84,35 @@
 	meanFaultInterval = 1500 * time.Millisecond
 	// meanAdditionInterval is that between two of the additional kinds.
 	meanAdditionInterval = 6 * time.Second
+	// meanSeriesInterval is that between two series.
+	meanSeriesInterval = 4 * time.Second
 )
 
 // NewPlan draws the faults of a soak of the given length. One in three plans
-// has planned work only. The same seed and length give the same plan.
-func NewPlan(seed uint64, length time.Duration) []Fault {
+// has planned work only. With onlyWorkers all instances and the store stay in touch. The
+// same arguments give the same plan.
+func NewPlan(seed uint64, length time.Duration, onlyWorkers bool) []Fault {
 	random := rand.New(rand.NewPCG(seed, seed))
-	kinds, more := allKinds, additions
+	if onlyWorkers {
+		plan := drawFaults(random, workerKinds, length, meanFaultInterval)
+		sortFaults(plan)
+		return plan
+	}
+	kinds, more, series := allKinds, additions, allSeries
 	if random.IntN(3) == 0 {
-		kinds, more = plannedKinds, plannedAdditions
+		kinds, more, series = plannedKinds, plannedAdditions, plannedSeries
 	}
 	plan := drawFaults(random, kinds, length, meanFaultInterval)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, ^seed)), more, length, meanAdditionInterval)...)
-	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	plan = append(plan, drawFaults(rand.New(rand.NewPCG(^seed, seed)), series, length, meanSeriesInterval)...)
+	sortFaults(plan)
 	return plan
 }
 
+func sortFaults(faults []Fault) {
+	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+}
+
 // drawFaults draws the faults of some kinds, one an interval.
 func drawFaults(random *rand.Rand, kinds []string, length, interval time.Duration) []Fault {
 	var faults []Fault
@@ -98,4 +128,6 @@
 }
 
 // isPlanned reports whether a kind of fault must not cut any request.
-func isPlanned(kind string) bool { return slices.Contains(plannedKinds, kind) || kind == faultRoll }
+func isPlanned(kind string) bool {
+	return slices.Contains(plannedKinds, kind) || slices.Contains(plannedSeries, kind) || kind == faultRoll
+}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -80,12 +80,13 @@
 	clear(p.conns)
 }
 
-// silence lets about half of the open connections go silent for good. New ones work.
-func (p *proxy) silence() {
+// silence lets all or about half of the open connections go silent for good. New ones
+// work.
+func (p *proxy) silence(all bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for silent := range p.silent {
-		if rand.IntN(2) == 0 {
+		if all || rand.IntN(2) == 0 {
 			silent.Store(true)
 		}
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -25,6 +25,8 @@
 	Instances int
 	Workers   int
 	Callers   int
+	// OnlyWorkers draws a plan that leaves all instances and the store in touch.
+	OnlyWorkers bool
 	// Program is the path of the daemon. Dir is the directory for settings and
 	// logs.
 	Program string
@@ -42,6 +44,14 @@
 	Jobs       int
 	Items      int
 	Runs       int
+	// Denied and Cut are the numbers of requests that two checks count.
+	Denied int
+	Cut    int
+	// Late is the number of items that were not listed at the end of the time to finish.
+	Late int
+	// Stalls is the number of stalls of this process, beside which bounds in time are not
+	// judged.
+	Stalls int
 	// LogLines has the log lines of the daemons for each violation, by its id.
 	LogLines map[string][]string
 }
@@ -59,10 +69,16 @@
 	callerLinks []*proxy
 	callers     *callerPool
 	startedAt   time.Time
+	// jobs are the callers of jobs, which run until jobsCtx ends.
+	jobs    sync.WaitGroup
+	jobsCtx context.Context
 
 	mu          sync.Mutex
 	terminating map[int]bool
 	lastWorker  int
+	lastJob     int
+	// otherWorkers are those of the service that routes move to at times. They are sound.
+	otherWorkers []*worker
 }
 
 const (
@@ -72,10 +88,13 @@
 	jobBurst         = 4
 	jobBurstInterval = 2100 * time.Millisecond
 	finishTimeout    = 2 * time.Minute
+	// statusTime is for how long the status of jobs is kept.
+	statusTime = 2 * time.Minute
 	// stallLimit is how late a timer may fire before the host counts as
 	// stalled. Time bounds are not checked for that period.
 	stallLimit         = 100 * time.Millisecond
 	stallCheckInterval = 50 * time.Millisecond
+	stallKind          = "stall"
 	// workerDrainTime is how long a worker keeps running after it was marked as
 	// draining: drainBound and the time of the longest request.
 	workerDrainTime = 8 * time.Second
@@ -88,7 +107,7 @@
 	if err := s.start(ctx); err != nil {
 		return Report{}, err
 	}
-	plan := NewPlan(o.Seed, o.FaultPeriod)
+	plan := NewPlan(o.Seed, o.FaultPeriod, o.OnlyWorkers)
 	s.run(ctx, plan)
 	if err := ctx.Err(); err != nil {
 		return Report{}, err
@@ -103,11 +122,11 @@
 	ip := func(k int) string { return fmt.Sprintf("127.%d.%d.%d", 10+pid%200, pid/200%250, k+1) }
 	s.store = newStore(s.history)
 	s.operator = &operator{rows: s.store.rows, history: s.history}
-	if err := s.operator.write(ctx, false); err != nil {
+	if err := s.operator.write(ctx, documentShape{}); err != nil {
 		return err
 	}
 	for k := range s.options.Workers {
-		if err := s.addWorker(ctx, fmt.Sprintf("w%d", k), ip(200)); err != nil {
+		if err := errors.Join(s.addWorker(ctx, fmt.Sprintf("w%d", k), ip(200), serviceName), s.addWorker(ctx, fmt.Sprintf("t%d", k), ip(200), otherServiceName)); err != nil {
 			return err
 		}
 	}
@@ -128,7 +147,7 @@
 		}
 		s.instances, s.storeModes, s.callerLinks = append(s.instances, i), append(s.storeModes, mode), append(s.callerLinks, link)
 		proxyAddresses[i.callerAddress()] = link.address()
-		if err := errors.Join(i.writeSettings(), i.start()); err != nil {
+		if err := errors.Join(i.writeSettings(statusTime), i.start()); err != nil {
 			return err
 		}
 	}
@@ -148,11 +167,15 @@
 }
 
 // addWorker starts a worker behind a proxy and adds its entry to the store.
-func (s *soak) addWorker(ctx context.Context, id, ip string) error {
-	w, err := newWorker(id, ip, s.history)
+func (s *soak) addWorker(ctx context.Context, id, ip, service string) error {
+	w, err := newWorker(id, ip, service, s.history)
 	if err != nil {
 		return err
 	}
+	if service == otherServiceName {
+		s.otherWorkers = append(s.otherWorkers, w)
+		return putRow(ctx, s.store.rows, "servers", id, w.entry("ready", 0))
+	}
 	link, err := newProxy(ip, w.address)
 	if err != nil {
 		return err
@@ -173,7 +196,8 @@
 	defer cancel()
 	jobsCtx, cancelJobs := context.WithCancel(ctx)
 	defer cancelJobs()
-	var load, jobs, faults sync.WaitGroup
+	s.jobsCtx = jobsCtx
+	var load, faults sync.WaitGroup
 	for range s.options.Callers {
 		load.Go(func() { s.callers.sendRequests(loadCtx) })
 	}
@@ -182,7 +206,7 @@
 		load.Go(func() { c.run(loadCtx) })
 	}
 	load.Go(func() { s.callers.probeInstances(loadCtx) })
-	load.Go(func() { s.submitJobs(loadCtx, jobsCtx, &jobs) })
+	load.Go(func() { s.submitJobs(loadCtx) })
 	stallCtx, stopWatching := context.WithCancel(ctx)
 	defer stopWatching()
 	load.Go(func() { s.watchStalls(stallCtx) })
@@ -195,21 +219,30 @@
 		faults.Go(func() { s.inject(ctx, f) })
 	}
 	<-loadCtx.Done()
+	finish := time.Now().Add(finishBound)
 	faults.Wait()
 	timer := time.AfterFunc(finishTimeout, cancelJobs)
 	defer timer.Stop()
-	jobs.Wait()
+	s.awaitJobs(ctx, finish)
 	stopWatching()
 	load.Wait()
 	s.readAllJobs(ctx)
 }
 
-// submitJobs starts jobs in bursts until loadCtx ends. The jobs run until they
-// are finished or jobsCtx ends.
-func (s *soak) submitJobs(loadCtx, jobsCtx context.Context, jobs *sync.WaitGroup) {
+// startJob starts a job whose first submission goes to the given address.
+func (s *soak) startJob(first string) {
+	s.mu.Lock()
+	n := s.lastJob
+	s.lastJob++
+	s.mu.Unlock()
+	random := rand.New(rand.NewPCG(s.options.Seed, uint64(n)))
+	s.jobs.Go(func() { s.callers.runJob(s.jobsCtx, n, random, first) })
+}
+
+// submitJobs starts jobs in bursts until loadCtx ends.
+func (s *soak) submitJobs(loadCtx context.Context) {
 	for n := 0; loadCtx.Err() == nil; n++ {
-		random := rand.New(rand.NewPCG(s.options.Seed, uint64(n)))
-		jobs.Go(func() { s.callers.runJob(jobsCtx, n, random) })
+		s.startJob(s.callers.anyAddress())
 		if n%jobBurst == jobBurst-1 {
 			wait(loadCtx, jobBurstInterval)
 		}
@@ -223,7 +256,7 @@
 		before := time.Now()
 		wait(ctx, stallCheckInterval)
 		if late := time.Since(before) - stallCheckInterval; late > stallLimit {
-			s.recordDisturbance(Disturbance{Kind: "stall", From: before, To: time.Now()})
+			s.recordDisturbance(Disturbance{Kind: stallKind, From: before, To: time.Now()})
 		}
 	}
 }
@@ -271,12 +304,17 @@
 func (s *soak) report(plan []Fault) Report {
 	s.recordReceived()
 	r := Report{Plan: plan, Violations: Check(s.history), Attempts: len(s.history.Attempts), Jobs: len(s.history.Jobs), Runs: len(s.history.Runs),
-		LogLines: map[string][]string{}}
+		Denied: len(denials(s.history)), Cut: len(cutOnKeptConnections(s.history)), Late: len(s.history.Unfinished), LogLines: map[string][]string{}}
 	for _, a := range s.history.Attempts {
 		if a.Status == 200 && a.Completed {
 			r.Served++
 		}
 	}
+	for _, d := range s.history.Disturbances {
+		if d.Kind == stallKind {
+			r.Stalls++
+		}
+	}
 	for _, j := range s.history.Jobs {
 		r.Items += len(j.Items)
 	}
@@ -296,7 +334,7 @@
 	for _, p := range append(s.workerLinks, s.callerLinks...) {
 		p.close()
 	}
-	for _, w := range s.workers {
+	for _, w := range append(s.workers, s.otherWorkers...) {
 		_ = w.server.Close()
 	}
 	if s.store != nil {
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/daisylb/daisylb/storage/memory"
 )
 
 const (
@@ -18,6 +21,8 @@
 	workerQueue   = 12
 	eventInterval = 15 * time.Millisecond
 	slowFactor    = 6
+	// Half of the requests take prefillTime until their first event.
+	prefillTime = 150 * time.Millisecond
 )
 
 // wait waits until d has passed or ctx has ended.
@@ -32,6 +37,7 @@
 // request, starting after Last-Event-Id.
 type worker struct {
 	id                string
+	service           string
 	address           string
 	history           *History
 	server            *http.Server
@@ -44,14 +50,20 @@
 	// is the time until which its events take slowFactor times as long.
 	brokenUntil time.Time
 	slowUntil   time.Time
+	// failingUntil is the time until which it fails half of its requests, or all with
+	// failsAll.
+	failingUntil time.Time
+	failsAll     bool
+	// leaving is set when it has been marked as draining.
+	leaving bool
 }
 
-func newWorker(id, ip string, h *History) (*worker, error) {
+func newWorker(id, ip, service string, h *History) (*worker, error) {
 	l, err := net.Listen("tcp4", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{id: id, address: l.Addr().String(), history: h, slots: make(chan struct{}, workerSlots), startedUnixMillis: time.Now().UnixMilli()}
+	w := &worker{id: id, service: service, address: l.Addr().String(), history: h, slots: make(chan struct{}, workerSlots), startedUnixMillis: time.Now().UnixMilli()}
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(l) }()
 	return w, nil
@@ -60,7 +72,7 @@
 // entry returns the worker's entry in the store.
 func (w *worker) entry(state string, sequence int) string {
 	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"z","version":"1","slots":%d,"state":%q,"seq":%d,"born":%d}`,
-		serviceName, w.address, workerSlots, state, sequence, w.startedUnixMillis)
+		w.service, w.address, workerSlots, state, sequence, w.startedUnixMillis)
 }
 
 // before reports whether the current time is before t, a field that w.mu guards.
@@ -98,12 +110,75 @@
 	}
 	defer func() { <-w.slots }()
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	unchanged := r.Method == http.MethodPost && string(body) == requestBody(request) && r.Header.Get("X-Model") == modelName &&
+	unchanged := r.Method == http.MethodPost && string(body) == requestBody(request) && hasPromptHeaders(r.Header, request) &&
 		strings.HasSuffix(r.URL.Path, "/"+request) && r.Host == hostName
+	index := 0
 	w.history.update(func() {
-		w.history.Runs = append(w.history.Runs, WorkerRun{Request: request, Worker: w.id, ResumedAfter: after, StartedAt: time.Now(), Unchanged: unchanged})
+		index = len(w.history.Runs)
+		w.history.Runs = append(w.history.Runs, WorkerRun{Request: request, Worker: w.id, Service: w.service, ResumedAfter: after, StartedAt: time.Now(), Unchanged: unchanged})
 	})
-	w.stream(rw, r, request, after)
+	setRun := func(change func(*WorkerRun)) { w.history.update(func() { change(&w.history.Runs[index]) }) }
+	finished := false
+	defer func() {
+		cancelled := r.Context().Err() != nil
+		setRun(func(run *WorkerRun) { run.EndedAt, run.Finished, run.Cancelled = time.Now(), finished, cancelled })
+	}()
+	rw.Header().Set("X-Server-Stamp", stamp(w.id, request))
+	if w.fails() {
+		setRun(func(run *WorkerRun) { run.Status = http.StatusInternalServerError })
+		rw.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	setRun(func(run *WorkerRun) { run.Status = http.StatusOK })
+	finished = w.stream(rw, r, request, after)
+}
+
+// hasPromptHeaders reports whether a request has the headers that its caller sent.
+func hasPromptHeaders(h http.Header, request string) bool {
+	for name, value := range promptHeaders(request) {
+		if h.Get(name) != value {
+			return false
+		}
+	}
+	return true
+}
+
+// stamp returns the mark of a worker in the response to a request.
+func stamp(worker, request string) string { return worker + "." + request }
+
+// fails reports whether the next request is to be answered with a failure.
+func (w *worker) fails() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Now().Before(w.failingUntil) && (w.failsAll || rand.IntN(2) == 0)
+}
+
+// announce writes the entry of a new incarnation, unless the worker is leaving.
+func (w *worker) announce(ctx context.Context, rows *memory.Rows) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.leaving {
+		return nil
+	}
+	w.startedUnixMillis = time.Now().UnixMilli()
+	return putRow(ctx, rows, "servers", w.id, w.entry("ready", 0))
+}
+
+// announceDraining marks the worker as draining.
+func (w *worker) announceDraining(ctx context.Context, rows *memory.Rows) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = true
+	return putRow(ctx, rows, "servers", w.id, w.entry("draining", 1))
+}
+
+// withdraw removes the entry, unless the worker is leaving.
+func (w *worker) withdraw(ctx context.Context, rows *memory.Rows) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.leaving {
+		_ = removeRow(ctx, rows, "servers", w.id)
+	}
 }
 
 func (w *worker) reject(rw http.ResponseWriter, status int) {
@@ -111,10 +186,13 @@
 	rw.WriteHeader(status)
 }
 
-func (w *worker) stream(rw http.ResponseWriter, r *http.Request, request string, after int) {
-	rw.Header().Set("X-Server-Stamp", w.id+"."+request)
+// stream sends the events after one of them. It reports whether it has sent the last.
+func (w *worker) stream(rw http.ResponseWriter, r *http.Request, request string, after int) bool {
 	rw.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(rw)
+	if hashOf(request)%2 == 0 {
+		wait(r.Context(), prefillTime)
+	}
 	for n := after + 1; n <= eventCount(request); n++ {
 		interval := eventInterval
 		if w.before(&w.slowUntil) {
@@ -122,7 +200,7 @@
 		}
 		wait(r.Context(), interval)
 		if r.Context().Err() != nil {
-			return
+			return false
 		}
 		if w.before(&w.brokenUntil) {
 			// A crash may cut an event in the middle.
@@ -131,10 +209,11 @@
 			panic(http.ErrAbortHandler)
 		}
 		if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", n, Event(request, n)); err != nil {
-			return
+			return false
 		}
 		_ = controller.Flush()
 	}
+	return true
 }
 
 func (w *worker) ip() string {
