Reject requests that come late in the stop of the last instance and would be cut

What callers saw: streams that were sent more than 3 s after the SIGTERM of an instance were cut in the middle at the end of its grace period, while no other instance accepted callers. Later than 3 s a planned stop may not cut a request that it has passed on.

Cause: a stopping instance rejects requests that outlast its stop only while another instance accepts callers; the last one took everything until it closed its listener after 3.5 s, and on kept connections after that.

Change: the last instance rejects such requests from 3 s after the beginning of its stop. The refusal promises that the request has not run, and names the end of the stop as the time to come again. Requests that end before the stop does are served as before, and all are until then (TestLastInstanceServesCallersUntilItStops is unchanged).

TestLastInstanceCutsNoRequestThatCameLate on the code before: 7 requests "got no whole answer, status 0, received by the worker true"; it passes with the change, with `go test -race -cpu 1 ./hosted`.

--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -69,9 +69,9 @@
 	metricsServer   *http.Server
 	relayServer     *http.Server
 
-	// requestsEndAt is when open requests are ended in a planned stop. It is set once
-	// callers are told to move to other instances.
-	requestsEndAt atomic.Pointer[time.Time]
+	// requestEnds is set in a planned stop once callers are told to move to other
+	// instances.
+	requestEnds atomic.Pointer[requestEnds]
 	// relayStopping is set once peers are told to make their calls of the store through
 	// other instances.
 	relayStopping atomic.Bool
--- a/hosted/options.go
+++ b/hosted/options.go
@@ -36,6 +36,9 @@
 	// exitReserve is the part of the grace period that is reserved for handing over
 	// and exiting.
 	exitReserve = 900 * time.Millisecond
+	// lateRequestTime is the time from the beginning of a planned stop in which callers may
+	// send requests that the end of the grace period cuts.
+	lateRequestTime = 3 * time.Second
 	// drainingRetryAfter is short, since another instance can take the request at once.
 	drainingRetryAfter = 50 * time.Millisecond
 	// lastAnswerTime is the part of exitReserve in which requests that are still open
--- a/hosted/stop.go
+++ b/hosted/stop.go
@@ -11,14 +11,31 @@
 	"github.com/daisylb/daisylb/roster"
 )
 
+// requestEnds are the times of a planned stop that requests have to respect.
+type requestEnds struct {
+	// cutAt is when open requests are ended.
+	cutAt time.Time
+	// lastTakenAt is until when callers that know no other instance accept that a request
+	// is cut.
+	lastTakenAt time.Time
+}
+
 // admit rejects an online request that may still run when a planned stop ends the open
-// requests, if the caller can use another instance instead.
+// requests, if the caller can use another instance instead or the request comes late in
+// the stop.
 func (i *Instance) admit(deadline time.Time) error {
-	end := i.requestsEndAt.Load()
-	if end == nil || !deadline.After(*end) || !i.othersAcceptCallers() {
+	ends := i.requestEnds.Load()
+	if ends == nil || !deadline.After(ends.cutAt) {
 		return nil
 	}
-	return code.New(code.Draining, "the instance is stopping before the request's deadline").WithRetryAfter(drainingRetryAfter)
+	retryAfter := drainingRetryAfter
+	if !i.othersAcceptCallers() {
+		if time.Now().Before(ends.lastTakenAt) {
+			return nil
+		}
+		retryAfter = time.Until(ends.cutAt)
+	}
+	return code.New(code.Draining, "the instance is stopping before the request's deadline").WithRetryAfter(retryAfter)
 }
 
 // othersAcceptCallers reports whether another instance accepts callers. The view may still
@@ -44,7 +61,7 @@
 	time.Sleep(linger / 2)
 	// From now on, answers carry "Connection: close", so that callers with open
 	// connections move to other instances.
-	i.requestsEndAt.Store(&deadline)
+	i.requestEnds.Store(&requestEnds{cutAt: deadline, lastTakenAt: startedAt.Add(lateRequestTime)})
 	i.connections.closeAfterAnswer.Store(true)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
--- a/hosted/stop_test.go
+++ b/hosted/stop_test.go
@@ -187,6 +187,55 @@
 	}
 }
 
+// TestLastInstanceCutsNoRequestThatCameLate covers requests that callers send from the moment
+// on at which a planned stop may no longer cut them.
+func TestLastInstanceCutsNoRequestThatCameLate(t *testing.T) {
+	const ttl, grace, late, interval = time.Second, 7 * time.Second, 3 * time.Second, 50 * time.Millisecond
+	s := newTestPlatform(t)
+	a := s.startWithTTL("127.0.0.4", ttl)
+	s.waitFor("the instance in its own endpoint answers", func() bool { return strings.Contains(a.endpoints(), a.settings.CallerAddress) })
+	var received sync.Map
+	s.worker.onRequest = func(id string) { received.Store(id, true) }
+	gate := make(chan struct{})
+	s.worker.gate.Store(&gate)
+	go func() {
+		for {
+			select {
+			case <-s.worker.started:
+			case <-t.Context().Done():
+				return
+			}
+		}
+	}()
+	next := a.settings
+	next.Bounds.GracePeriod = grace
+	a.Reload(next)
+	kept, err := net.Dial("tcp4", a.settings.CallerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.stop()
+	time.AfterFunc(grace, func() { close(gate) })
+	time.Sleep(late)
+	var wait sync.WaitGroup
+	for n, conn := 0, kept; err == nil; n++ {
+		id, c := fmt.Sprint("r", n), conn
+		wait.Go(func() {
+			defer func() { _ = c.Close() }()
+			status := exchangeOnce(c, id)
+			if _, ran := received.Load(id); status != http.StatusOK && (status != http.StatusServiceUnavailable || ran) {
+				t.Errorf("%s got no whole answer, status %d, received by the worker %v", id, status, ran)
+			}
+		})
+		time.Sleep(interval)
+		conn, err = net.Dial("tcp4", a.settings.CallerAddress)
+	}
+	wait.Wait()
+	if err := <-a.done; err != nil {
+		t.Errorf("the instance stopped with %v", err)
+	}
+}
+
 // exchangeOnce sends a request and returns the status of its answer, or 0 if that is not
 // whole.
 func exchangeOnce(conn net.Conn, id string) int {
