--- a/soak/inject.go
+++ b/soak/inject.go
@@ -68,7 +68,7 @@
 	case faultTerm:
 		var others sync.WaitGroup
 		others.Go(func() { s.disturbStop(ctx, f, i) })
-		s.terminate(k, 1)
+		s.terminate(k, 1, func() {})
 		others.Wait()
 	case faultRoll:
 		s.roll(ctx, f)
@@ -106,8 +106,9 @@
 }
 
 // terminate stops an instance as planned, after which it is restarted. It does
-// nothing and reports false if the instance or most others are being stopped.
-func (s *soak) terminate(k, most int) bool {
+// nothing and reports false if the instance or most others are being stopped. Otherwise it
+// calls amid at the beginning of the stop and waits for it.
+func (s *soak) terminate(k, most int, amid func()) bool {
 	s.mu.Lock()
 	busy := s.terminating[k] || len(s.terminating) >= most
 	if !busy {
@@ -118,6 +119,7 @@
 		return false
 	}
 	var late sync.WaitGroup
+	late.Go(amid)
 	for range lateCallers {
 		c := &persistentCaller{callerPool: s.callers, operator: s.operator, address: s.instances[k].callerAddress()}
 		late.Go(c.sendLate)
@@ -140,7 +142,7 @@
 	for n := range s.instances {
 		k := (f.Index + n) % len(s.instances)
 		stops.Go(func() {
-			for !s.terminate(k, max(len(s.instances)/2, 1)) && ctx.Err() == nil {
+			for !s.terminate(k, max(len(s.instances)/2, 1), func() {}) && ctx.Err() == nil {
 				wait(ctx, stopStep)
 			}
 		})
--- a/soak/series.go
+++ b/soak/series.go
@@ -45,7 +45,7 @@
 		s.changeRoutes(ctx, f)
 	case faultJobsTerm:
 		s.startJobs(ctx, f, k)
-		s.terminate(k, 1)
+		s.terminate(k, len(s.instances), func() {})
 	case faultJobsKill:
 		s.startJobs(ctx, f, k)
 		s.instances[k].signal(syscall.SIGKILL)
@@ -57,14 +57,14 @@
 	}
 }
 
-// stopAmid stops an instance while its process gets a signal again and again and SIGHUP,
-// and while documents change. With SIGKILL the process gets it once, together with
-// another instance.
+// stopAmid stops an instance, also if all others are being stopped, while its process gets
+// a signal again and again and SIGHUP, and while documents change. With SIGKILL the process
+// gets it once, together with another instance.
 func (s *soak) stopAmid(ctx context.Context, f Fault, k int, again syscall.Signal) {
 	signal := s.instances[k].process()
 	var others sync.WaitGroup
 	others.Go(func() { s.disturbStop(ctx, f, s.instances[k]) })
-	others.Go(func() {
+	s.terminate(k, len(s.instances), func() {
 		for n := range seriesLength {
 			wait(ctx, stepTime(f, n))
 			if again == syscall.SIGKILL && n == f.Index/11%seriesLength {
@@ -78,7 +78,6 @@
 			}
 		}
 	})
-	s.terminate(k, 1)
 	others.Wait()
 }
 
