Let an answered item end an upstream's run of refusals

What callers would see: items wait for up to 10 s at a time for an upstream that has room and answers each item that it gets, if it refuses one now and then. With one upstream, 8 items of which each was refused once took 31.28 s in the test.

Cause: an upstream that refuses a request is suspended for longer after each failure in a row, from 0.5 to 10 s. Only the first token of an online request ended the row: observeFirst returned at once for batch. Now the first token of any request ends the row; times to the first token are still observed of online requests only.

Evidence: TestAnsweredItemEndsTheRunOfRefusals, go test -cpu 1 ./upstream, before: batch "8 items that were refused once each took 31.28s, want 500ms at most for each", online holds; after: both hold, 5 of 5 runs.

--- a/upstream/observe.go
+++ b/upstream/observe.go
@@ -17,17 +17,18 @@
 	maxAccounts = 4096
 )
 
-// observeFirst records the time to the first token of an online attempt.
+// observeFirst records that an attempt has got its first token, and the time to it if the
+// attempt is online.
 func (s *scheduler) observeFirst(g *slot, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, ps := g.target, g.pool.poolState
+	t.failures = 0
 	if g.class == contract.Batch {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	elapsed := now.Sub(g.startedAt)
-	t, ps := g.target, g.pool.poolState
 	t.firstToken = t.firstToken.Observe(now, elapsed)
-	t.failures = 0
 	t.lastFirstTokenAt = now
 	t.limit = t.limit.Observe(now, route.Sample{Observed: elapsed, Reference: ps.medianFirstToken, InFlight: t.online})
 	ps.hedgeQuantile = ps.hedgeQuantile.Observe(elapsed, route.HedgeQuantile)
--- a/upstream/refusal_test.go
+++ b/upstream/refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -335,3 +337,38 @@
 	}
 	h.close()
 }
+
+// TestAnsweredItemEndsTheRunOfRefusals has an upstream that refuses every other attempt of
+// an item, as one does that is full now and then. It must not be left alone for longer and
+// longer while it answers.
+func TestAnsweredItemEndsTheRunOfRefusals(t *testing.T) {
+	const items = 8
+	for _, class := range []contract.Class{contract.Online, contract.Batch} {
+		t.Run(class.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				full := rawScript("HTTP/1.1 503 Full\r\nNot-Run: 1\r\nId: {id}\r\nContent-Length: 0\r\n\r\n")
+				var scripts []script
+				for range items {
+					scripts = append(scripts, full, eventsScript(3, endOfChunks))
+				}
+				dial, workers, wait := pipeWorkers(inTurn(scripts...))
+				d, _ := newLoggedForwarder(t, dial, workers...)
+				ctx, cancel := context.WithCancel(t.Context())
+				wait.Go(func() { _ = d.Run(ctx) })
+				begin := time.Now()
+				for i := range items {
+					call := streamCall(fmt.Sprint(i), true)
+					call.Class, call.Deadline = class, time.Now().Add(time.Minute)
+					if err := d.Forward(ctx, call, &answerSink{}); err != nil {
+						t.Error(err)
+					}
+				}
+				if took := time.Since(begin); took > items*minSuspension+time.Second {
+					t.Errorf("%d items that were refused once each took %v, want %v at most for each", items, took, minSuspension)
+				}
+				cancel()
+				wait.Wait()
+			})
+		})
+	}
+}
