--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"flag"
@@ -14,6 +15,8 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -26,13 +29,14 @@
 	o := soak.Options{Out: os.Stdout}
 	flag.Uint64Var(&o.Seed, "seed", 1, "draws the plan of faults")
 	seeds := flag.Int("seeds", 1, "number of soaks, with this seed and those after it")
-	file := flag.String("file", "", "file with the plans to play instead, each line a seed and a time, followed by /workers for plans as with -only-workers")
+	file := flag.String("file", "", "file with the plans to play instead, each line a seed and a time, followed by /workers for plans as with -only-workers or by /2x3 for numbers of daemons and workers")
 	flag.DurationVar(&o.FaultPeriod, "for", 20*time.Second, "time in which faults are injected")
 	flag.IntVar(&o.Instances, "instances", 4, "number of daemons")
 	flag.IntVar(&o.Workers, "workers", 4, "number of workers")
 	flag.IntVar(&o.Callers, "people", 12, "online callers at a time")
 	flag.BoolVar(&o.OnlyWorkers, "only-workers", false, "disturb workers only, beside reloads and changed documents")
 	flag.StringVar(&o.Program, "daemon", "", "the daemon; empty builds ./cmd/daisylbd")
+	parallel := flag.Int("parallel", 1, "number of soaks at a time, at most 3")
 	quiet := flag.Bool("quiet", false, "print no faults unless something is wrong")
 	keep := flag.Bool("keep", false, "keep the settings and logs of the daemons and print where")
 	flag.Parse()
@@ -63,25 +67,73 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	status := 0
+	if !runAll(ctx, o, list, min(*parallel, maxParallel), dir) {
+		return 1
+	}
+	return 0
+}
+
+const maxParallel = 3
+
+// runAll runs the soaks of a list, several at a time. It reports whether all ended without
+// violations.
+func runAll(ctx context.Context, o soak.Options, list []plan, parallel int, dir string) bool {
+	var failed atomic.Bool
+	var running sync.WaitGroup
+	next := make(chan plan)
+	for slot := range parallel {
+		running.Go(func() {
+			for p := range next {
+				if !runSoak(ctx, p.options(o, slot), dir) {
+					failed.Store(true)
+				}
+			}
+		})
+	}
 	for _, p := range list {
-		o.Seed, o.FaultPeriod, o.OnlyWorkers = p.seed, p.duration, p.workers
-		if !runSoak(ctx, o, dir) {
-			status = 1
-		}
 		if ctx.Err() != nil {
 			break
 		}
+		next <- p
 	}
-	return status
+	close(next)
+	running.Wait()
+	return !failed.Load()
 }
 
-// plan identifies a plan of faults: the same seed and duration draw the same
-// faults.
+// plan identifies a plan of faults: the same seed, duration and kind draw the same
+// faults. Instances and upstreams are numbers of daemons and workers, 0 for those of the
+// command line.
 type plan struct {
-	seed     uint64
-	duration time.Duration
-	workers  bool
+	seed                 uint64
+	duration             time.Duration
+	onlyWorkers          bool
+	instances, upstreams int
+}
+
+// options returns the options of a soak with this plan.
+func (p plan) options(o soak.Options, slot int) soak.Options {
+	o.Seed, o.FaultPeriod, o.OnlyWorkers, o.Slot = p.seed, p.duration, o.OnlyWorkers || p.onlyWorkers, slot
+	o.Instances, o.Workers = cmp.Or(p.instances, o.Instances), cmp.Or(p.upstreams, o.Workers)
+	return o
+}
+
+// parsePlan parses a plan such as "7 20s", "7 20s/workers" with only workers disturbed, or
+// "7 20s/2x3" with two daemons and three workers.
+func parsePlan(seed, length string) (plan, error) {
+	var p plan
+	length, kind, _ := strings.Cut(length, "/")
+	var seedErr, durationErr, kindErr error
+	p.seed, seedErr = strconv.ParseUint(seed, 10, 64)
+	p.duration, durationErr = time.ParseDuration(length)
+	switch kind {
+	case "":
+	case "workers":
+		p.onlyWorkers = true
+	default:
+		_, kindErr = fmt.Sscanf(kind, "%dx%d", &p.instances, &p.upstreams)
+	}
+	return p, errors.Join(seedErr, durationErr, kindErr)
 }
 
 // loadPlans returns the plans listed in the file at path. Without a path it returns
@@ -90,7 +142,7 @@
 	var list []plan
 	if path == "" {
 		for k := range uint64(n) {
-			list = append(list, plan{o.Seed + k, o.FaultPeriod, o.OnlyWorkers})
+			list = append(list, plan{seed: o.Seed + k, duration: o.FaultPeriod})
 		}
 		return list, nil
 	}
@@ -106,21 +158,22 @@
 		if len(fields) < 2 {
 			return nil, fmt.Errorf("%s:%d: no time after the seed", path, number+1)
 		}
-		seed, seedErr := strconv.ParseUint(fields[0], 10, 64)
-		length, workers := strings.CutSuffix(fields[1], "/workers")
-		duration, durationErr := time.ParseDuration(length)
-		if err := errors.Join(seedErr, durationErr); err != nil {
+		p, err := parsePlan(fields[0], fields[1])
+		if err != nil {
 			return nil, fmt.Errorf("%s:%d: %w", path, number+1, err)
 		}
-		list = append(list, plan{seed, duration, workers})
+		list = append(list, p)
 	}
 	return list, nil
 }
 
+// output keeps the lines of a result together.
+var output sync.Mutex
+
 // runSoak runs one soak in a directory of its own under dir, prints its result and
 // reports whether it ended without violations.
 func runSoak(ctx context.Context, o soak.Options, dir string) bool {
-	o.Dir = filepath.Join(dir, fmt.Sprintf("%d-%v-%v", o.Seed, o.FaultPeriod, o.OnlyWorkers))
+	o.Dir = filepath.Join(dir, fmt.Sprintf("%d-%v-%d", o.Seed, o.FaultPeriod, o.Slot))
 	if err := os.MkdirAll(o.Dir, 0o700); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return false
@@ -130,6 +183,8 @@
 		fmt.Fprintf(os.Stderr, "seed %d: %v\n", o.Seed, err)
 		return false
 	}
+	output.Lock()
+	defer output.Unlock()
 	fmt.Printf("seed %d: %d faults, %d requests, %d served whole, %d jobs, %d items, %d runs, %d denied, %d cut, %d late items, %d stalls, %d violations\n",
 		o.Seed, len(r.Plan), r.Attempts, r.Served, r.Jobs, r.Items, r.Runs, r.Denied, r.Cut, r.Late, r.Stalls, len(r.Violations))
 	if len(r.Violations) == 0 {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -25,6 +25,8 @@
 	Instances int
 	Workers   int
 	Callers   int
+	// Slot tells soaks apart that one process runs at the same time. It is from 0 to 2.
+	Slot int
 	// OnlyWorkers draws a plan that leaves all instances and the store in touch.
 	OnlyWorkers bool
 	// Program is the path of the daemon. Dir is the directory for settings and
@@ -82,7 +84,13 @@
 }
 
 const (
-	startTimeout      = time.Minute
+	startTimeout = time.Minute
+	// A soak has slotAddresses: one an instance, one for the store and the workers and one
+	// for the links of callers.
+	slotAddresses     = 80
+	maxInstances      = 64
+	serverIP          = maxInstances
+	linkIP            = maxInstances + 1
 	heartbeatInterval = time.Second
 	// Jobs are submitted in bursts of jobBurst, which exceeds the quota.
 	jobBurst         = 4
@@ -118,15 +126,20 @@
 // start starts the store, the workers and the instances, and waits until all
 // instances are ready.
 func (s *soak) start(ctx context.Context) error {
+	if s.options.Instances > maxInstances {
+		return fmt.Errorf("%d instances, there are addresses for %d", s.options.Instances, maxInstances)
+	}
 	pid := os.Getpid()
-	ip := func(k int) string { return fmt.Sprintf("127.%d.%d.%d", 10+pid%200, pid/200%250, k+1) }
+	ip := func(k int) string {
+		return fmt.Sprintf("127.%d.%d.%d", 10+pid%200, pid/200%250, s.options.Slot*slotAddresses+k+1)
+	}
 	s.store = newStore(s.history)
 	s.operator = &operator{rows: s.store.rows, history: s.history}
 	if err := s.operator.write(ctx, documentShape{}); err != nil {
 		return err
 	}
 	for k := range s.options.Workers {
-		if err := errors.Join(s.addWorker(ctx, fmt.Sprintf("w%d", k), ip(200), serviceName), s.addWorker(ctx, fmt.Sprintf("t%d", k), ip(200), otherServiceName)); err != nil {
+		if err := errors.Join(s.addWorker(ctx, fmt.Sprintf("w%d", k), ip(serverIP), serviceName), s.addWorker(ctx, fmt.Sprintf("t%d", k), ip(serverIP), otherServiceName)); err != nil {
 			return err
 		}
 	}
@@ -136,12 +149,12 @@
 	}
 	proxyAddresses := map[string]string{}
 	for k := range s.options.Instances {
-		address, mode, err := s.store.listen(ip(200))
+		address, mode, err := s.store.listen(ip(serverIP))
 		if err != nil {
 			return err
 		}
 		i := &instance{name: fmt.Sprintf("i%d", k), ip: ip(k), program: s.options.Program, dir: s.options.Dir, storeAddress: address, ports: free}
-		link, err := newProxy(ip(201), i.callerAddress())
+		link, err := newProxy(ip(linkIP), i.callerAddress())
 		if err != nil {
 			return err
 		}
