Do not take an upstream for silent whose data has not been read

The silence of an upstream is measured by what the instance has processed. When the goroutine of the answer gets no processor, or waits in a write to a caller that reads slowly, the timer ended the run of a sound upstream: the run counted against max_attempts and against the upstream, the answer went on elsewhere, and the next real break of the stream found no attempt left.

Now a run is not ended while its reader is behind: it has not come back for more since its last read, or the socket has bytes, its end or a reset (poll, which leaves them to the reader).

--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"sync"
@@ -18,7 +17,7 @@
 // which leaves the outcome of a request that must not be repeated unknown, and it may
 // hold bytes that belong to an earlier request.
 type connection struct {
-	net.Conn
+	*countingConn
 	reader  *bufio.Reader
 	limiter *headLimiter
 	stop    func() bool
@@ -38,7 +37,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &connection{Conn: nc, reader: readerPool.Get().(*bufio.Reader), limiter: newHeadLimiter(nc)}
+	counting := &countingConn{Conn: nc}
+	c := &connection{countingConn: counting, reader: readerPool.Get().(*bufio.Reader), limiter: newHeadLimiter(counting)}
 	c.reader.Reset(c.limiter)
 	c.stop = context.AfterFunc(ctx, func() { _ = nc.Close() })
 	return c, nil
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -338,7 +338,7 @@
 	if fail := d.sched.withheld(granted); fail != nil {
 		return fail
 	}
-	silence := d.newForwardSilenceTimer(granted, f)
+	silence := d.newForwardSilenceTimer(granted, f, c)
 	silence.start()
 	defer silence.stop()
 	wire := d.options.Wire
--- a/upstream/silence.go
+++ b/upstream/silence.go
@@ -19,6 +19,8 @@
 	// keep reports whether the attempt goes on for now although its upstream is silent;
 	// nil means that it never does.
 	keep func(begun bool) bool
+	// backlog is what the reader of the attempt may not have read; nil if not known.
+	backlog *backlog
 	// end ends the attempt.
 	end func()
 
@@ -33,8 +35,8 @@
 const (
 	// silenceCheckInterval is the longest time between two checks of a silent attempt.
 	silenceCheckInterval = time.Second
-	// roomCheckInterval is the time between two checks whether an attempt that is kept
-	// could go on at another upstream.
+	// roomCheckInterval is the time between two checks of an attempt that goes on although
+	// its upstream seems silent.
 	roomCheckInterval = 100 * time.Millisecond
 )
 
@@ -76,7 +78,12 @@
 	remaining := s.limit(last, begun) - time.Since(last)
 	switch {
 	case remaining > 0:
+		if s.backlog != nil {
+			s.backlog.reset()
+		}
 		s.timer.Reset(min(remaining, silenceCheckInterval))
+	case s.backlog != nil && s.backlog.isUnread():
+		s.timer.Reset(roomCheckInterval)
 	case s.keep != nil && s.keep(begun):
 		s.timer.Reset(roomCheckInterval)
 	default:
@@ -92,9 +99,10 @@
 	}
 }
 
-// newForwardSilenceTimer returns the timer of an attempt of an opaque request.
-func (d *Dispatcher) newForwardSilenceTimer(granted *slot, f *forwarding) *silenceTimer {
+// newForwardSilenceTimer returns the timer of an attempt of an opaque request on c.
+func (d *Dispatcher) newForwardSilenceTimer(granted *slot, f *forwarding, c *connection) *silenceTimer {
 	s := d.newSilenceTimer(granted)
+	s.backlog = &backlog{conn: c.countingConn}
 	call := f.call
 	if call.Class == contract.Batch {
 		// A batch request can go on at the same upstream: its connection may be dead
