Compare crashes with and without a part once for each of its crashes

With much evidence, each answer and each crash compared every suspected part with all crashes of the last minute, under the lock of the list: 32 ms with 300 parts.

The comparison is made when the count of a part's crashes changes, and stops as soon as it is decided; the crashes are kept in the order of time.

--- a/quarantine/unexplained.go
+++ b/quarantine/unexplained.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -14,16 +15,28 @@
 	at          time.Duration
 }
 
-// recordUpstreamCrash remembers a crash for evidenceTTL. Reports of the same crash by
-// several instances, or about several parts, count once. The caller holds the lock.
+// recordUpstreamCrash remembers a crash for evidenceTTL, in the order of time. Reports of
+// the same crash by several instances, or about several parts, count once. The caller
+// holds the lock.
 func (l *List) recordUpstreamCrash(incarnation uint64, at, now time.Duration) {
-	l.upstreamCrashes = slices.DeleteFunc(l.upstreamCrashes, func(c upstreamCrash) bool { return now-c.at > evidenceTTL })
-	known := slices.ContainsFunc(l.upstreamCrashes, func(c upstreamCrash) bool {
-		return c.incarnation == incarnation && (at-c.at).Abs() < crashSpacing
-	})
-	if !known && now-at <= evidenceTTL && len(l.upstreamCrashes) < maxUpstreamCrashes {
-		l.upstreamCrashes = append(l.upstreamCrashes, upstreamCrash{incarnation, at})
+	all := l.upstreamCrashes
+	firstAfter := func(t time.Duration) int {
+		n, _ := slices.BinarySearchFunc(all, t, func(c upstreamCrash, t time.Duration) int { return cmp.Compare(c.at, t) })
+		return n
 	}
+	if expired := firstAfter(now - evidenceTTL); expired > 0 {
+		all = slices.Delete(all, 0, expired)
+	}
+	for n := firstAfter(at - crashSpacing); n < len(all) && all[n].at < at+crashSpacing; n++ {
+		if all[n].incarnation == incarnation {
+			l.upstreamCrashes = all
+			return
+		}
+	}
+	if now-at <= evidenceTTL && len(all) < maxUpstreamCrashes {
+		all = slices.Insert(all, firstAfter(at), upstreamCrash{incarnation, at})
+	}
+	l.upstreamCrashes = all
 }
 
 // isContested reports whether upstreams lately crashed at least as often without a
@@ -32,18 +45,35 @@
 // caller holds the lock.
 func (l *List) isContested(p *part, now time.Time) bool {
 	oldest := l.storeTime(now) - evidenceTTL
-	var with, without []time.Duration
+	var with []time.Duration
 	for _, c := range p.crashes {
 		if c.At > p.answeredAt && c.At >= oldest {
 			with = append(with, c.At)
 		}
 	}
-	for _, c := range l.upstreamCrashes {
-		if _, ok := p.crashes[c.incarnation]; !ok && c.at >= oldest && !l.isExplained(c.incarnation) {
-			without = append(without, c.at)
+	needed := max(countSeparate(with), minCrashes)
+	without, last := 0, time.Duration(0)
+	for _, c := range slices.Backward(l.upstreamCrashes) {
+		if c.at < oldest || without == needed {
+			break
+		}
+		if without > 0 && last-c.at < crashSpacing {
+			continue
 		}
+		if _, ok := p.crashes[c.incarnation]; !ok && !l.isExplained(c.incarnation) {
+			without, last = without+1, c.at
+		}
+	}
+	return without >= needed
+}
+
+// wasContested is like isContested when the last of the part's crashes was counted, so that
+// a step costs little while much is suspected. The caller holds the lock.
+func (l *List) wasContested(p *part, crashes int, now time.Time) bool {
+	if p.contestedCrashes != crashes {
+		p.contested, p.contestedCrashes = l.isContested(p, now), crashes
 	}
-	return countSeparate(without) >= max(countSeparate(with), minCrashes)
+	return p.contested
 }
 
 // isExplained reports whether a quarantined part explains the crash of an upstream. The
