--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -11,7 +11,9 @@
 // What exonerates a part is an answer: a part that crashes every upstream is never in an
 // answered request, and a part that merely shares requests or upstreams with one that
 // does soon is. An instance that has answered requests with a part lately suspects
-// another part of the same request first, and demands more evidence against it.
+// another part of the same request first, and demands more evidence against it. So does
+// an instance that knows of as many crashes without the part: upstreams crash for reasons
+// of their own, too.
 //
 // A quarantined part gets a trial from time to time, at ever longer intervals: one
 // request of one instance, chosen by a conditional write. If it is answered, the
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -49,7 +49,7 @@
 )
 
 // RecordCrash records that an upstream has closed the connection of a request with these
-// parts before it began to answer. startedMillis tells incarnations of the upstream
+// parts, which no upstream had begun to answer. startedMillis tells incarnations of the upstream
 // apart. Quarantined parts explain the crash. Otherwise the parts that were in no answered
 // request lately are suspected; if there are none, all are that are in no answered request
 // within confirmDelay either.
--- a/upstream/quarantine.go
+++ b/upstream/quarantine.go
@@ -19,8 +19,8 @@
 	Admit(ctx context.Context, parts []uint64) (admitted, isTrial bool, retryAfter time.Duration)
 	// Watch calls notify when one of the parts is quarantined, until stop is called.
 	Watch(parts []uint64, notify func()) (stop func())
-	// RecordCrash is called when an upstream has closed the connection of a request
-	// before it began to answer.
+	// RecordCrash is called when an upstream has closed the connection of a request that
+	// none had begun to answer.
 	RecordCrash(parts []uint64, upstream string, startedMillis int64, request string)
 	// RecordAnswer is called when an upstream has begun to answer and went on.
 	RecordAnswer(parts []uint64)
