Let machines of the random histories reach the store through others

In the histories of accepted jobs the store may now refuse single machines, which then make their calls through others (package relay).

--- a/job/history_test.go
+++ b/job/history_test.go
@@ -52,6 +52,16 @@
 	return f()
 }
 
+// machine returns the machine with a name. The lock is held.
+func (h *history) machine(name string) *machine {
+	for _, m := range h.machines {
+		if m.name == name {
+			return m
+		}
+	}
+	return nil
+}
+
 // number returns a random number below n.
 func (h *history) number(n int) int {
 	h.mu.Lock()
@@ -92,7 +102,7 @@
 // disturb lets one machine, the store or the upstreams fail for a while.
 func (h *history) disturb() {
 	m := h.machines[h.number(len(h.machines))]
-	switch kind := h.number(9); kind {
+	switch kind := h.number(11); kind {
 	case 0, 1, 2, 3:
 		if h.locked(func() bool { before := m.disturbed; m.disturbed = true; return before }) {
 			return
@@ -110,6 +120,8 @@
 		h.during(4*time.Second, func(on bool) { h.storeDown = on })
 	case 7:
 		h.during(4*time.Second, func(on bool) { h.upstreamsDown = on })
+	case 9, 10:
+		h.during(6*time.Second, func(on bool) { m.refused = on })
 	case 8:
 		other := h.machines[h.number(len(h.machines))]
 		h.during(5*time.Second, func(on bool) { m.hidden[other] = on })
