Don't take rows of instances that are gone for living ones

Cause: rows are never removed, and an instance that has not followed the table for the whole failure time counts every row as alive. It derives the failure time from their number. The same held after each outage of the store, and whenever its own row came late: members that had failed long before came back on the list.

Each row now has the store's clock at its write and the interval that its member keeps to. A first read counts rows as failed that are out of date by that, against the newest row from before the reader's start, so that an outage of the store makes nobody old. A failed member stays so until its row changes. A member is given the interval that it announced, also by a reader whose list is shorter. Rows of members that are gone are removed by the first instance, a few at a time, on condition of their versions. Rows without a time are judged as before.

On, `go test -run 'RowsOf|Revives|StartDuring|LossOfMost|RowWasRemoved' ./roster`: RowsOfReplacedMachinesDelayNoFailureAfterARestart: gone0000 counts as alive, and 602 others OutageRevivesNoFailedMember: 62 members count as alive after the outage, 2 live LossOfMostTakesNoSurvivorOffTheList: 200 count as alive, 5 live RowsOfGoneMachinesAreRemoved: 102 rows minutes after the machines are gone, want 2 MemberWhoseRowWasRemovedComesBack: 2 rows, want that of the member that writes StartDuringAnOutageTakesNobodyOffTheList holds before and after; a draft that compared with the newest row of all broke it.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -10,7 +10,6 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -42,12 +41,20 @@
 	Leaving bool `json:"leaving"`
 	// Heartbeat grows with each write of the row.
 	Heartbeat uint64 `json:"beat"`
+	// IntervalMillis is the longest time until the next write of the row, and WrittenMillis
+	// the store's clock at this one, both in milliseconds. They are 0 where they are not
+	// known, and in rows of versions without them.
+	IntervalMillis int64 `json:"every,omitempty"`
+	WrittenMillis  int64 `json:"at,omitempty"`
 }
 
 // entry is a member and the time at which a change of its row was last read.
 type entry struct {
 	Member
 	readAt time.Time
+	// failed is set once the row has stayed unchanged for too long. Only a change of the
+	// row ends that.
+	failed bool
 	// firstVersion is the version of the row with which the process was first read.
 	// version is the present version of the row.
 	firstVersion uint64
@@ -99,6 +106,8 @@
 	follower *feed.Follower
 	wake     chan struct{}
 	self     atomic.Pointer[Member]
+	// startedAt is the time at which the Roster was built.
+	startedAt time.Time
 
 	mu      sync.Mutex
 	members map[string]entry
@@ -107,6 +116,10 @@
 	// at which that was last read.
 	followedSince time.Time
 	ownRowReadAt  time.Time
+	// storeClock is the last reading of the store's clock, 0 before the first one.
+	// storeClockReadAt is when it was received.
+	storeClock       time.Duration
+	storeClockReadAt time.Time
 	// suspicions holds the last suspicion of each member by name.
 	suspicions map[string]suspicionRecord
 	// lastCheckAt is the time of the last check for unresponsive members.
@@ -114,6 +127,8 @@
 	lastCheckAt  time.Time
 	checkedSince time.Time
 	view         atomic.Pointer[View]
+	// announced is the interval of the last heartbeat, in nanoseconds.
+	announced atomic.Int64
 }
 
 // View is a snapshot of the list.
@@ -150,7 +165,7 @@
 
 // New returns a Roster. Run starts it.
 func New(o Options) *Roster {
-	r := &Roster{options: o, wake: make(chan struct{}, 1), members: map[string]entry{}, suspicions: map[string]suspicionRecord{}}
+	r := &Roster{options: o, wake: make(chan struct{}, 1), startedAt: time.Now(), members: map[string]entry{}, suspicions: map[string]suspicionRecord{}}
 	if r.options.Changed == nil {
 		r.options.Changed = func() {}
 	}
@@ -225,6 +240,7 @@
 	wait.Go(func() { _ = r.follower.Run(ctx) })
 	wait.Go(func() { r.writeHeartbeats(ctx) })
 	wait.Go(func() { r.checkLiveness(ctx) })
+	wait.Go(func() { r.removeGone(ctx) })
 	wait.Wait()
 	return nil
 }
@@ -248,6 +264,8 @@
 		m := *r.self.Load()
 		m.Heartbeat = sequence
 		delay := r.interval()
+		m.IntervalMillis, m.WrittenMillis = delay.Milliseconds(), r.storeTime().Milliseconds()
+		r.announced.Store(int64(delay))
 		if delay > lastInterval {
 			// Instances that start at the same time would otherwise all write at
 			// the same moments, and the feed would have no changes to deliver for
@@ -284,9 +302,11 @@
 	}
 	r.mu.Lock()
 	now := time.Now()
-	if u.Recovered || u.FullRead && len(r.members) == 0 {
+	firstRead := u.FullRead && len(r.members) == 0
+	if u.Recovered || firstRead {
 		r.followedSince = now
 	}
+	r.storeClock, r.storeClockReadAt = u.Now, now
 	for _, row := range u.Rows {
 		if row.Part != "" || r.applySuspicion(row, now) {
 			continue
@@ -301,7 +321,8 @@
 			continue
 		}
 		if m.ID == r.self.Load().ID {
-			r.recordOwnRow(now)
+			prev := r.members[m.Name]
+			r.recordOwnRow(now, prev.writeInterval(r.interval()))
 		}
 		next := entry{Member: m, readAt: now, firstVersion: row.Version, version: row.Version}
 		if prev, ok := r.members[m.Name]; ok && prev.ID == m.ID {
@@ -309,15 +330,18 @@
 		}
 		r.members[m.Name] = next
 	}
+	if firstRead {
+		r.failOutdated(u.Now)
+	}
 	r.mu.Unlock()
 	r.rebuildView()
 }
 
-// recordOwnRow records that this instance's own row has been read at now. If it was
-// missing for too long, the feed did not deliver the rows of the others either, and
-// followedSince starts anew. r.mu must be held.
-func (r *Roster) recordOwnRow(now time.Time) {
-	if now.Sub(r.ownRowReadAt) > 2*r.interval()+r.minPollInterval() {
+// recordOwnRow records that this instance's own row has been read at now, one interval
+// after the previous one. If it was missing for too long, the feed did not deliver the
+// rows of the others either, and followedSince starts anew. r.mu must be held.
+func (r *Roster) recordOwnRow(now time.Time, interval time.Duration) {
+	if now.Sub(r.ownRowReadAt) > 2*interval+r.minPollInterval() {
 		r.followedSince = now
 	}
 	r.ownRowReadAt = now
@@ -332,71 +356,3 @@
 	}
 	return time.Now().Add(-age)
 }
-
-// checkInterval is the time between two checks for failed and unresponsive members.
-const checkInterval = 250 * time.Millisecond
-
-// checkLiveness rebuilds the view and writes suspicions at intervals until ctx is
-// done.
-func (r *Roster) checkLiveness(ctx context.Context) {
-	ticker := time.NewTicker(checkInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			r.rebuildView()
-			for _, e := range r.suspects(time.Now()) {
-				r.writeSuspicion(ctx, e)
-			}
-		}
-	}
-}
-
-// rebuildView builds the view and calls Changed if it differs from the previous
-// one.
-func (r *Roster) rebuildView() {
-	r.mu.Lock()
-	limit := time.Duration(aliveIntervals * float64(r.interval()))
-	// The age of a row is counted up to the last read of this instance's own row,
-	// which shows that the feed delivered changes until then. Until the store has
-	// been followed for the whole limit, no member fails for an old row.
-	settling := r.ownRowReadAt.Sub(r.followedSince) < limit
-	storeRead := r.storeReadAt()
-	v := &View{IDs: map[string]bool{}, Peers: map[string]netip.AddrPort{}}
-	self := r.self.Load()
-	v.incarnations = make(map[string]incarnation, len(r.members))
-	for _, e := range r.members {
-		v.incarnations[e.Name] = incarnation{e.ID, e.firstVersion}
-		if e.Name == self.Name {
-			continue
-		}
-		if !settling && r.ownRowReadAt.Sub(e.readAt) > limit || r.failedBySuspicion(&e, storeRead) {
-			continue
-		}
-		v.Alive = append(v.Alive, e.Member)
-		v.IDs[e.ID] = true
-		if peer, err := netip.ParseAddrPort(e.PeerAddress); err == nil {
-			v.Peers[e.Name] = peer
-		}
-	}
-	v.Alive = append(v.Alive, *self)
-	v.IDs[self.ID] = true
-	slices.SortFunc(v.Alive, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
-	prev := r.view.Swap(v)
-	r.mu.Unlock()
-	if !sameMembers(prev, v) {
-		r.options.Log.Info("instances", zap.Int("alive", len(v.Alive)), zap.Bool("followed", !settling))
-		r.options.Changed()
-	}
-}
-
-// sameMembers reports whether two views have the same members, regardless of
-// heartbeats.
-func sameMembers(a, b *View) bool {
-	return slices.EqualFunc(a.Alive, b.Alive, func(x, y Member) bool {
-		x.Heartbeat, y.Heartbeat = 0, 0
-		return x == y
-	})
-}
--- a/roster/suspicion.go
+++ b/roster/suspicion.go
@@ -66,10 +66,14 @@
 	readAt time.Time
 }
 
-// failureTimeout returns the least time without contact after which a member can
-// count as failed.
+// failureTimeout returns the least time without contact after which the others can count
+// this instance as failed. It depends on the interval that this instance announced.
 func (r *Roster) failureTimeout() time.Duration {
-	limit := time.Duration(aliveIntervals * float64(r.interval()))
+	interval := r.interval()
+	if announced := time.Duration(r.announced.Load()); announced > 0 {
+		interval = min(interval, announced)
+	}
+	limit := time.Duration(aliveIntervals * float64(interval))
 	if r.usesSuspicion() {
 		limit = min(limit, suspicionTimeout+refutationTimeout)
 	}
