Take a slot elsewhere before a silent upstream is left

A stream that has begun left its silent upstream when another one had a free slot, and looked for the slot afterwards. In between another request could take it: the stream then waited for a slot until its caller left, while its upstream, silent for a second as sound ones may be, would have gone on.

Now the timer takes the slot, and ends the silent run only then. A slot that is not needed any more, because the silent run has ended meanwhile, is released at the end of the call at the latest. Nothing is sent before the silent connection is closed, as before.

--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,7 +14,7 @@
 	"github.com/daisylb/daisylb/route"
 )
 
-// forwarding is the state of one Forward call. It is used by one goroutine.
+// forwarding is the state of one Forward call. Apart from next it is used by one goroutine.
 type forwarding struct {
 	call *contract.ForwardRequest
 	pool *pool
@@ -58,6 +59,9 @@
 	preemptions int
 	// lastEventAt is when the caller received its last event, or when the call began.
 	lastEventAt time.Time
+	// next is the slot of the next attempt, if it was taken before the upstream of the
+	// current one was left.
+	next atomic.Pointer[slot]
 	// cause is the cause of the last failed attempt, targetStatus the status of its
 	// upstream at that time.
 	cause        failureCause
@@ -106,6 +110,7 @@
 		deadline:       call.Deadline,
 	}}
 	err = d.forwardAttempts(ctx, f)
+	d.discardNext(f)
 	d.logForward(f, err)
 	return err
 }
@@ -122,7 +127,7 @@
 		}
 		f.upstreamID, f.load, f.queueTime = granted.target.id, granted.load, granted.startedAt.Sub(f.startedAt)
 		d.logSent(granted, f)
-		fail := d.forwardOnce(granted, f)
+		fail := d.forwardOnce(ctx, granted, f)
 		d.recordAttempt(granted, f, fail)
 		d.finishAttempt(granted, fail)
 		f.slotTime += time.Since(granted.startedAt)
@@ -252,8 +257,12 @@
 	return granted, nil
 }
 
-// acquireInTime waits for a slot until the request's deadline.
+// acquireInTime returns the slot that was taken for the attempt, or waits for one until
+// the request's deadline.
 func (d *Dispatcher) acquireInTime(ctx context.Context, f *forwarding) (*slot, error) {
+	if next := f.next.Swap(nil); next != nil {
+		return next, nil
+	}
 	granted := d.sched.tryAcquireInTurn(ctx, f.request)
 	if granted != nil {
 		return granted, nil
@@ -326,7 +335,7 @@
 const refusalRetryHint = 300 * time.Millisecond
 
 // forwardOnce makes one attempt. It returns nil if the answer is complete.
-func (d *Dispatcher) forwardOnce(granted *slot, f *forwarding) *failure {
+func (d *Dispatcher) forwardOnce(ctx context.Context, granted *slot, f *forwarding) *failure {
 	if fail := d.sched.withheld(granted); fail != nil {
 		return fail
 	}
@@ -338,7 +347,7 @@
 	if fail := d.sched.withheld(granted); fail != nil {
 		return fail
 	}
-	silence := d.newForwardSilenceTimer(granted, f, c)
+	silence := d.newForwardSilenceTimer(ctx, granted, f, c)
 	silence.start()
 	defer silence.stop()
 	wire := d.options.Wire
--- a/upstream/resume.go
+++ b/upstream/resume.go
@@ -52,3 +52,27 @@
 	}
 	return nil
 }
+
+// takeNext takes a slot of another upstream for the next attempt, before a silent one is
+// left. It reports false if there is none, or if the current attempt has ended.
+func (d *Dispatcher) takeNext(ctx context.Context, f *forwarding, silence *silenceTimer, silent *target, r request) bool {
+	next := d.sched.placeElsewhere(ctx, silent, r)
+	if next == nil {
+		return false
+	}
+	if old := f.next.Swap(next); old != nil {
+		d.sched.discard(old)
+	}
+	if silence.stopped.Load() {
+		d.discardNext(f)
+		return false
+	}
+	return true
+}
+
+// discardNext releases the slot that was taken for a next attempt, if there is one.
+func (d *Dispatcher) discardNext(f *forwarding) {
+	if next := f.next.Swap(nil); next != nil {
+		d.sched.discard(next)
+	}
+}
--- a/upstream/resume_test.go
+++ b/upstream/resume_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -220,3 +221,64 @@
 		})
 	}
 }
+
+// hookedConn calls a hook before it is closed for the first time.
+type hookedConn struct {
+	net.Conn
+	once    sync.Once
+	closing func()
+}
+
+func (c *hookedConn) Close() error {
+	c.once.Do(c.closing)
+	return c.Conn.Close()
+}
+
+// TestSilentUpstreamIsLeftOnlyForASlotThatIsTaken has other requests take the last free
+// slot at the moment at which a stream leaves its silent upstream.
+func TestSilentUpstreamIsLeftOnlyForASlotThatIsTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const pause = 1500 * time.Millisecond
+		pausing := func(t testing.TB, w *scriptedWorker, c net.Conn, r *http.Request) {
+			if r.Header.Get("After") != "" {
+				eventsScript(resumeLast, endOfChunks)(t, w, c, r)
+				return
+			}
+			_, err := c.Write([]byte(streamHead(r, "") + chunk(event(1))))
+			time.Sleep(pause)
+			for n := 2; n <= resumeLast && err == nil; n++ {
+				_, err = c.Write([]byte(chunk(event(n))))
+			}
+			_, _ = c.Write([]byte(endOfChunks))
+		}
+		var d *Dispatcher
+		var held []*slot
+		pipes, workers, wait := pipeWorkers(pausing, pausing)
+		dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := pipes(ctx, network, address)
+			return &hookedConn{Conn: c, closing: func() {
+				p, err := d.current().pool("s", contract.KindRouted)
+				if err != nil || held != nil {
+					return
+				}
+				other := request{pool: p, deadline: time.Now().Add(time.Minute)}
+				for g := d.sched.tryAcquire(t.Context(), other); g != nil; g = d.sched.tryAcquire(t.Context(), other) {
+					held = append(held, g)
+				}
+			}}, err
+		}
+		d, _ = newLoggedForwarder(t, dial, workers...)
+		call, sink := streamCall("a", true), &answerSink{}
+		call.MaxGap, call.Deadline = resumeMaxGap, time.Now().Add(resumeDeadline)
+		begin := time.Now()
+		err := d.Forward(t.Context(), call, sink)
+		wantWhole(t, sink, err)
+		if took := time.Since(begin); len(held) == 0 || took > resumeMaxGap {
+			t.Errorf("the stream took %v, longer than its caller bears; %d slots were held", took, len(held))
+		}
+		for _, g := range held {
+			d.sched.discard(g)
+		}
+		wait.Wait()
+	})
+}
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -258,17 +258,22 @@
 	return s.grant(ctx, r, t, now)
 }
 
-// hasRoomElsewhere reports whether a request would now get a slot of another target
-// than t.
-func (s *scheduler) hasRoomElsewhere(t *target, r request) bool {
+// placeElsewhere grants a request a free slot of another target than t, or returns nil if
+// there is none or others wait for one.
+func (s *scheduler) placeElsewhere(ctx context.Context, t *target, r request) *slot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.isQueueEmpty(&r) {
-		return false
+	if !s.isCurrent(r.pool) || !s.isQueueEmpty(&r) {
+		return nil
 	}
 	r.avoid = t.key
-	chosen := s.choose(&r, time.Now())
-	return chosen != nil && chosen != t
+	now := time.Now()
+	chosen := s.choose(&r, now)
+	if chosen == nil || chosen == t {
+		return nil
+	}
+	r.pool.placements++
+	return s.grant(ctx, &r, chosen, now)
 }
 
 // choose returns the target whose free slot a request should take, or nil if there is
--- a/upstream/silence.go
+++ b/upstream/silence.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"math"
 	"sync/atomic"
 	"time"
@@ -99,8 +100,9 @@
 	}
 }
 
-// newForwardSilenceTimer returns the timer of an attempt of an opaque request on c.
-func (d *Dispatcher) newForwardSilenceTimer(granted *slot, f *forwarding, c *connection) *silenceTimer {
+// newForwardSilenceTimer returns the timer of an attempt of an opaque request on c. ctx is
+// the context of the call.
+func (d *Dispatcher) newForwardSilenceTimer(ctx context.Context, granted *slot, f *forwarding, c *connection) *silenceTimer {
 	s := d.newSilenceTimer(granted)
 	s.backlog = &backlog{conn: c.countingConn}
 	call := f.call
@@ -127,9 +129,12 @@
 	}
 	begunBefore, r := f.begun, f.request
 	s.keep = func(begun bool) bool {
-		// A stream that has begun would be broken off if it could not be resumed before
-		// its caller leaves, while its upstream may go on.
-		return d.isOnlyUpstream(call.Service) || (begunBefore || begun) && !d.sched.hasRoomElsewhere(granted.target, r)
+		if d.isOnlyUpstream(call.Service) {
+			return true
+		}
+		// A stream that has begun might not go on before its caller leaves, while its
+		// upstream does.
+		return (begunBefore || begun) && !d.takeNext(ctx, f, s, granted.target, r)
 	}
 	return s
 }
