Let evidence against contested parts expire after a minute

Three crashes kept the evidence against a part for an hour, since that used to make a quarantine. Parts that upstreams crash as often without now have up to five without being quarantined, so that crashes of the last hour would have added up against sound parts, and their rows stayed. They expire as other evidence that does not suffice. The comparison is kept for the time of the last evidence, not for a number of crashes, which may come again after an answer.

TestEvidenceAgainstPartsThatAreNotTheCauseIsRemoved failed before: "12 rows are left after 2 min".

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -54,9 +54,9 @@
 	// returnedUntil is when a trial that no upstream ran can no longer be used.
 	returnedUntil time.Time
 	quarantined   bool
-	// contested is what isContested reported when contestedCrashes had been counted.
-	contested        bool
-	contestedCrashes int
+	// contested is what isContested reported when changedAt was contestedAt.
+	contested   bool
+	contestedAt time.Time
 }
 
 // crashCount returns the number of crashes that count separately.
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -275,7 +275,7 @@
 			continue
 		}
 		n, limit := p.crashCount(), minCrashes
-		if !p.quarantined && n >= minCrashes && (!l.answers.last(id, now).IsZero() || l.wasContested(p, n, now)) {
+		if !p.quarantined && n >= minCrashes && (!l.answers.last(id, now).IsZero() || l.wasContested(p, now)) {
 			limit = minCrashesProven
 		}
 		quarantined := n >= limit
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -433,6 +433,24 @@
 	})
 }
 
+func TestEvidenceAgainstPartsThatAreNotTheCauseIsRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, all := startFleet(t, 2)
+		defer stopAll(all)
+		for k := range 12 {
+			all[k%2].RecordCrash([]uint64{uint64(100 + k%3)}, fmt.Sprint("u", k), 1, fmt.Sprint("r", k))
+			time.Sleep(300 * time.Millisecond)
+		}
+		if all[0].Len() != 0 || rowCount(t, store) != 12 {
+			t.Fatalf("%d parts are quarantined, %d rows; want 0, 12", all[0].Len(), rowCount(t, store))
+		}
+		time.Sleep(2 * time.Minute)
+		if n := rowCount(t, store); n != 0 {
+			t.Errorf("%d rows are left after 2 min", n)
+		}
+	})
+}
+
 func TestOddRowsAreIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, all := startFleet(t, 1)
--- a/quarantine/run.go
+++ b/quarantine/run.go
@@ -160,7 +160,7 @@
 // holds the lock.
 func (l *List) isExpired(p *part, now time.Time) bool {
 	ttl := evidenceTTL
-	if p.crashCount() >= minCrashes {
+	if p.quarantined || p.crashCount() >= minCrashes && !p.contested {
 		ttl = quarantineTTL
 	}
 	return l.storeTime(now)-p.lastAt() > ttl
--- a/quarantine/unexplained.go
+++ b/quarantine/unexplained.go
@@ -67,11 +67,11 @@
 	return without >= needed
 }
 
-// wasContested is like isContested when the last of the part's crashes was counted, so that
-// a step costs little while much is suspected. The caller holds the lock.
-func (l *List) wasContested(p *part, crashes int, now time.Time) bool {
-	if p.contestedCrashes != crashes {
-		p.contested, p.contestedCrashes = l.isContested(p, now), crashes
+// wasContested is like isContested at the time of the last evidence against the part, so
+// that a step costs little while much is suspected. The caller holds the lock.
+func (l *List) wasContested(p *part, now time.Time) bool {
+	if p.contestedAt != p.changedAt {
+		p.contested, p.contestedAt = l.isContested(p, now), p.changedAt
 	}
 	return p.contested
 }
