Let machines of the random histories reach the store through others

In the histories of accepted jobs the store may now refuse single machines, which then make their calls through others (package relay). A peer may end, be cut off or lose its answer in the middle of a call, with or without effect.

The histories now also check that a job that was refused at each attempt with the promise not to run does not exist in the end.

--- a/job/history_machine_test.go
+++ b/job/history_machine_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"time"
 
@@ -12,6 +14,8 @@
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/job"
+	"github.com/daisylb/daisylb/relay"
+	"github.com/daisylb/daisylb/storage"
 )
 
 // machine runs one process after another. Its fields except cancel and done are guarded by
@@ -28,6 +32,8 @@
 	// frozen machine is also cut, and its calls of the store wait.
 	cut, frozen bool
 	cutAt       time.Time
+	// refused is set while the store refuses the machine, which can use that of others.
+	refused bool
 	// hidden has the machines that this one takes for ended.
 	hidden map[*machine]bool
 	// disturbed is set while the machine is ended or cut.
@@ -73,7 +79,7 @@
 	m.starts++
 	m.process, m.endedAt = fmt.Sprintf("%s/%d", m.name, m.starts), time.Time{}
 	m.service = job.New(job.Options{
-		Store: machineStore{h.store, m, m.process}, Process: m.process, Forwarder: m, Retention: time.Hour, Log: zap.NewNop(),
+		Store: m.relayedStore(), Process: m.process, Forwarder: m, Retention: time.Hour, Log: zap.NewNop(),
 		Fleet:      m.fleet,
 		Routing:    func() *contract.Routing { return routing },
 		RoutingAge: func() (time.Duration, bool) { return time.Since(startedAt), true },
@@ -84,6 +90,63 @@
 	go func(s *job.Service) { defer close(done); _ = s.Run(ctx) }(m.service)
 }
 
+// relayedStore returns the store as the present process reaches it, if need be through the
+// machines that run. The lock is held.
+func (m *machine) relayedStore() storage.RowStore {
+	h := m.history
+	return relay.New(relay.Options{
+		Direct: machineStore{h.store, m, m.process},
+		Peers: func() (names []string) {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			for _, other := range h.machines {
+				if other != m && other.endedAt.IsZero() && !m.cut {
+					names = append(names, other.name)
+				}
+			}
+			return names
+		},
+		Client: peerClient{h, m.name},
+	})
+}
+
+// peerClient makes calls to the machines of a history.
+type peerClient struct {
+	history *history
+	self    string
+}
+
+// Do implements connect.HTTPClient. The call fails, with or without effect, if one of the
+// machines ends or is cut off.
+func (c peerClient) Do(r *http.Request) (*http.Response, error) {
+	h := c.history
+	h.mu.Lock()
+	self, peer := h.machine(c.self), h.machine(r.URL.Host)
+	before := self.process + peer.process
+	path, handler := relay.NewHandler(machineStore{h.store, peer, peer.process}, nil)
+	reached := peer.endedAt.IsZero() && !peer.cut && !self.cut
+	h.mu.Unlock()
+	if !reached {
+		return nil, errors.New("the peer is not reached")
+	}
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	recorder := httptest.NewRecorder()
+	done := make(chan struct{})
+	go func() { defer close(done); mux.ServeHTTP(recorder, r) }()
+	select {
+	case <-done:
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+	if h.locked(func() bool {
+		return self.process+peer.process != before || !peer.endedAt.IsZero() || peer.cut || self.cut || h.random.Float64() < h.lossShare/4
+	}) {
+		return nil, errors.New("the peer's answer was lost")
+	}
+	return recorder.Result(), nil
+}
+
 // end ends the process, after a hand-over if that is planned.
 func (m *machine) end(planned bool) {
 	h := m.history
--- a/job/history_store_test.go
+++ b/job/history_store_test.go
@@ -36,7 +36,7 @@
 	for h.locked(func() bool { return s.m.frozen && s.process == s.m.process }) {
 		time.Sleep(frozenPoll)
 	}
-	if h.locked(func() bool { return h.storeDown || s.m.cut || s.process != s.m.process }) {
+	if h.locked(func() bool { return h.storeDown || s.m.cut || s.m.refused || s.process != s.m.process }) {
 		return code.New(code.StoreUnavailable, "the store is not reached")
 	}
 	return nil
--- a/job/history_test.go
+++ b/job/history_test.go
@@ -33,9 +33,10 @@
 	lossShare                float64
 	storeDown, upstreamsDown bool
 	// accepted has the items of the accepted jobs. ended has the jobs of which a caller
-	// has asked the end.
+	// has asked the end, refused those that each attempt was told not to run.
 	accepted map[string][]string
 	ended    map[string]bool
+	refused  []string
 }
 
 const (
@@ -52,6 +53,16 @@
 	return f()
 }
 
+// machine returns the machine with a name. The lock is held.
+func (h *history) machine(name string) *machine {
+	for _, m := range h.machines {
+		if m.name == name {
+			return m
+		}
+	}
+	return nil
+}
+
 // number returns a random number below n.
 func (h *history) number(n int) int {
 	h.mu.Lock()
@@ -92,7 +103,7 @@
 // disturb lets one machine, the store or the upstreams fail for a while.
 func (h *history) disturb() {
 	m := h.machines[h.number(len(h.machines))]
-	switch kind := h.number(9); kind {
+	switch kind := h.number(11); kind {
 	case 0, 1, 2, 3:
 		if h.locked(func() bool { before := m.disturbed; m.disturbed = true; return before }) {
 			return
@@ -110,6 +121,8 @@
 		h.during(4*time.Second, func(on bool) { h.storeDown = on })
 	case 7:
 		h.during(4*time.Second, func(on bool) { h.upstreamsDown = on })
+	case 9, 10:
+		h.during(6*time.Second, func(on bool) { m.refused = on })
 	case 8:
 		other := h.machines[h.number(len(h.machines))]
 		h.during(5*time.Second, func(on bool) { m.hidden[other] = on })
@@ -131,24 +144,36 @@
 // decodeItems decodes the body of a submission of the tests.
 func decodeItems(raw []byte) ([]job.Item, error) { return items(strings.Fields(string(raw))...), nil }
 
-// submit submits a job until it is accepted, as a caller does. Then it may end the job, and
-// uses it as other callers do.
+// submit submits a job until it is accepted, as a caller does.
 func (h *history) submit(id string, names []string) {
 	sub := job.Submission{ID: id, Route: &h.route, Host: "h", Items: items(names...), Raw: []byte(strings.Join(names, " "))}
 	const attempts = 6
+	refused := true
 	for range attempts {
-		if s := h.reachable(); s != nil && s.Submit(context.Background(), sub) == nil {
-			h.locked(func() bool { h.accepted[id] = names; return true })
-			if h.number(8) == 0 {
-				h.pause(0, 5*time.Second)
-				h.end(id)
+		if s := h.reachable(); s != nil {
+			err := s.Submit(context.Background(), sub)
+			if err == nil {
+				h.locked(func() bool { h.accepted[id] = names; return true })
+				h.useAccepted(sub)
+				return
 			}
-			h.pause(time.Second, 8*time.Second)
-			h.use(sub)
-			return
+			refused = refused && code.From(err).Outcome == code.NotRun
 		}
 		h.pause(100*time.Millisecond, time.Second)
 	}
+	if refused {
+		h.locked(func() bool { h.refused = append(h.refused, id); return true })
+	}
+}
+
+// useAccepted may end a job that was accepted, and then uses it as other callers do.
+func (h *history) useAccepted(sub job.Submission) {
+	if h.number(8) == 0 {
+		h.pause(0, 5*time.Second)
+		h.end(sub.ID)
+	}
+	h.pause(time.Second, 8*time.Second)
+	h.use(sub)
 }
 
 // end asks for the end of a job.
@@ -205,6 +230,11 @@
 
 // check reads all accepted jobs at all machines.
 func (h *history) check() {
+	for _, id := range h.refused {
+		if total, _, err := h.machines[0].service.Results(context.Background(), id, 0, 0); code.Of(err) != code.JobUnknown {
+			h.t.Errorf("refused job %s has %d items, %v", id, total, err)
+		}
+	}
 	for id, names := range h.accepted {
 		for _, m := range h.machines {
 			var all []job.Result
