--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -122,16 +122,17 @@
 // "7 20s/2x3" with two daemons and three workers.
 func parsePlan(seed, length string) (plan, error) {
 	var p plan
-	length, kind, _ := strings.Cut(length, "/")
+	kinds := strings.Split(length, "/")
 	var seedErr, durationErr, kindErr error
 	p.seed, seedErr = strconv.ParseUint(seed, 10, 64)
-	p.duration, durationErr = time.ParseDuration(length)
-	switch kind {
-	case "":
-	case "workers":
-		p.onlyWorkers = true
-	default:
-		_, kindErr = fmt.Sscanf(kind, "%dx%d", &p.instances, &p.upstreams)
+	p.duration, durationErr = time.ParseDuration(kinds[0])
+	for _, kind := range kinds[1:] {
+		if kind == "workers" {
+			p.onlyWorkers = true
+			continue
+		}
+		_, err := fmt.Sscanf(kind, "%dx%d", &p.instances, &p.upstreams)
+		kindErr = errors.Join(kindErr, err)
 	}
 	return p, errors.Join(seedErr, durationErr, kindErr)
 }
