Tell a dial that ended for its time from a caller that left

Only the log was wrong. TestDialOfAnUpstreamThatDoesNotAnswerEndsInTime now checks the error; it failed before with "operation was canceled looks like a caller that has left". Now the error names the timeout alone.

--- a/upstream/dial.go
+++ b/upstream/dial.go
@@ -27,7 +27,8 @@
 	dialer := net.Dialer{KeepAlive: -1, ControlContext: pending.start}
 	c, err := dialer.DialContext(ctx, network, address)
 	if err != nil && errors.Is(context.Cause(ctx), errDialTimeout) {
-		return nil, errors.Join(errDialTimeout, err)
+		// err is that of a cancelled context, as when the caller has left.
+		return nil, &net.OpError{Op: "dial", Net: network, Err: errDialTimeout}
 	}
 	return c, err
 }
--- a/upstream/dial_test.go
+++ b/upstream/dial_test.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"context"
+	"errors"
 	"net"
 	"runtime"
 	"sync"
@@ -99,4 +101,7 @@
 	if took := time.Since(begin); took < forwardDialTimeout || took > waitTimeout/2 {
 		t.Errorf("the dial ended after %v with %v, want %v", took, err, forwardDialTimeout)
 	}
+	if errors.Is(err, context.Canceled) {
+		t.Errorf("%v looks like a caller that has left", err)
+	}
 }
