Count unread data anew after each progress of an upstream

Since an upstream does not count as silent while the reader is behind, until maxBacklogBytes more have been processed. The end of that span was set when the reader was first behind, and cleared only by a check that found time left. After a progress the timer is set to the interval, which is the limit itself where that is under a second, so that no such check occurs. In an answer of more than 1 MB the second time at which the reader was behind therefore counted as a silence of the upstream, as before.

Each progress clears the span now. A stream whose data is no progress (comments, repeated events) clears nothing, so that the bound of TestDataWithoutProgressDoesNotHideSilence holds.

Before: "the attempt ended when its reader was behind for time 2"; after: ok (go test ./upstream -run TestReaderThatFallsBehindAgainIsNoSilence).

--- a/upstream/silence.go
+++ b/upstream/silence.go
@@ -57,6 +57,9 @@
 // progress records that the upstream has made progress.
 func (s *silenceTimer) progress(now time.Time) {
 	s.progressNanos.Store(int64(max(now.Sub(s.startedAt), 1)))
+	if s.backlog != nil {
+		s.backlog.reset()
+	}
 	if !s.stopped.Load() {
 		s.timer.Reset(s.interval)
 	}
--- a/upstream/unread_test.go
+++ b/upstream/unread_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -77,3 +78,29 @@
 		t.Error(err)
 	}
 }
+
+// TestReaderThatFallsBehindAgainIsNoSilence has a reader that falls behind twice, with
+// more than maxBacklogBytes read in between.
+func TestReaderThatFallsBehindAgainIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 200 * time.Millisecond
+		conn, ended := &countingConn{}, false
+		s := &silenceTimer{
+			limit:   func(time.Time, bool) time.Duration { return limit },
+			backlog: &backlog{conn: conn},
+			end:     func() { ended = true },
+		}
+		s.start()
+		defer s.stop()
+		for n := range int64(2) {
+			conn.done.Store(2 * n * maxBacklogBytes)
+			conn.read.Store(conn.done.Load() + 1)
+			s.progress(time.Now())
+			time.Sleep(2 * limit)
+			synctest.Wait()
+			if ended {
+				t.Fatalf("the attempt ended when its reader was behind for time %d", n+1)
+			}
+		}
+	})
+}
