Do not take an upstream for silent that sends a plain body slowly

A body that is no event stream is read up to 256 KB before any of it is passed on. Nothing of that counted as a sign of life, so that the limit for the first token applied to the whole body: an upstream that sent it steadily, but for longer than the limit, was left as silent, and the request ran once more elsewhere, max_attempts - 1 times in all before it was let go on. Callers saw a late answer.

Each part of such a body now restarts the silence. It does not count as the first progress, since the spacing of tokens says nothing about the pauses within a plain body.

Before: 3 runs for one request of a body that arrives in 4 s, a byte each 0.2 s, with a limit of 1 s ("forwarding again", cause silent, twice); after: 1 run (go test ./upstream -run TestUpstreamThatSendsABodySlowlyIsNotSilent).

--- a/upstream/forward_response.go
+++ b/upstream/forward_response.go
@@ -199,9 +199,24 @@
 // passed on, so that the request can be retried if the body is truncated.
 const bufferedBodyBytes = 256 << 10
 
+// heardBody reads a body and records that its upstream is not silent.
+type heardBody struct {
+	io.Reader
+	silence *silenceTimer
+}
+
+// Read implements io.Reader.
+func (b *heardBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if n > 0 {
+		b.silence.heard(time.Now())
+	}
+	return n, err
+}
+
 // copyBody copies a response that is not an event stream to the caller.
 func (d *Dispatcher) copyBody(a *forwardedAnswer) *failure {
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, bufferedBodyBytes))
+	body, err := io.ReadAll(io.LimitReader(&heardBody{a.response.Body, a.silence}, bufferedBodyBytes))
 	if err != nil {
 		return connectionFailure(a.slot, err)
 	}
--- a/upstream/silence.go
+++ b/upstream/silence.go
@@ -30,6 +30,9 @@
 	interval time.Duration
 	// progressNanos is the time of the last progress after startedAt, 0 before the first.
 	progressNanos atomic.Int64
+	// heardNanos is the time of the last data that is no progress but shows that the
+	// upstream is not silent.
+	heardNanos atomic.Int64
 	stopped       atomic.Bool
 }
 
@@ -65,6 +68,11 @@
 	}
 }
 
+// heard records that the upstream has sent a part of a body that is not passed on yet.
+func (s *silenceTimer) heard(now time.Time) {
+	s.heardNanos.Store(int64(now.Sub(s.startedAt)))
+}
+
 // stop lets the attempt go on without a limit of its silence.
 func (s *silenceTimer) stop() {
 	if !s.stopped.Swap(true) {
@@ -78,7 +86,7 @@
 		return
 	}
 	progress := time.Duration(s.progressNanos.Load())
-	last, begun := s.startedAt.Add(progress), progress > 0
+	last, begun := s.startedAt.Add(max(progress, time.Duration(s.heardNanos.Load()))), progress > 0
 	remaining := s.limit(last, begun) - time.Since(last)
 	switch {
 	case remaining > 0:
