--- a/upstream/silence.go
+++ b/upstream/silence.go
@@ -33,7 +33,7 @@
 	// heardNanos is the time of the last data that is no progress but shows that the
 	// upstream is not silent.
 	heardNanos atomic.Int64
-	stopped       atomic.Bool
+	stopped    atomic.Bool
 }
 
 const (
