Count the load at upstreams that left the own part of the fleet

Cause: a change of the workers moves others to another cell. An instance dropped the targets that were not in its part any more, with what still ran there: its digest did not have that load, so that the instances which use these upstreams placed as many requests again, and it counted from 0 itself when it got the upstream back. Evidence: TestLoadAtAnUpstreamThatLeftTheOwnPartStillCounts fails on ("want Online 1, got nil", twice). Change: a fleet keeps the targets at which requests still run, outside the pools, so that they get no new work. The maps of a fleet are complete before others can read it. Ruled out: that the workers were at fault; each ran other requests all the while.

--- /dev/null
+++ b/upstream/changes_test.go
@@ -0,0 +1,38 @@
+package upstream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"github.com/daisylb/daisylb/contract"
+)
+
+// TestLoadAtAnUpstreamThatLeftTheOwnPartStillCounts removes an upstream from the document
+// while a request runs there, and adds it again.
+func TestLoadAtAnUpstreamThatLeftTheOwnPartStillCounts(t *testing.T) {
+	f := newChangingForwarder(t, nil, &scriptedWorker{address: "10.0.0.1:1"})
+	g := f.sched.tryAcquire(t.Context(), request{pool: f.current().pools["s"]})
+	if g == nil {
+		t.Fatal("no free slot")
+	}
+	entry := f.document.Load().Upstreams["w0"]
+	f.change(func(upstreams map[string]contract.Upstream) { delete(upstreams, "w0") })
+	want := []PeerLoad{{Upstream: "w0", Online: 1}}
+	if d := cmp.Diff(want, f.Digest().Loads); d != "" {
+		t.Errorf("load that peers are told without the upstream (-want +got):\n%s", d)
+	}
+	if other := f.sched.tryAcquire(t.Context(), request{pool: f.current().pools["s"]}); other != nil {
+		t.Errorf("got a slot of %s, which the document does not have", other.target.id)
+	}
+	f.change(func(upstreams map[string]contract.Upstream) { upstreams["w0"] = entry })
+	if d := cmp.Diff(want, f.Digest().Loads); d != "" {
+		t.Errorf("load that peers are told after the upstream's return (-want +got):\n%s", d)
+	}
+	f.sched.release(g, time.Now())
+	if d := cmp.Diff([]PeerLoad(nil), f.Digest().Loads, cmpopts.EquateEmpty()); d != "" {
+		t.Errorf("load that peers are told after the end of the request (-want +got):\n%s", d)
+	}
+}
--- a/upstream/dispatcher.go
+++ b/upstream/dispatcher.go
@@ -173,7 +173,8 @@
 		return f
 	}
 	f = buildFleet(f, document, d.options)
-	d.fleet.Store(f)
+	// Readers of the fleet don't lock its maps, to which setFleet adds.
 	d.sched.setFleet(f)
+	d.fleet.Store(f)
 	return f
 }
--- a/upstream/fleet.go
+++ b/upstream/fleet.go
@@ -14,7 +14,9 @@
 	document *contract.Document
 	preset   contract.Preset
 	pools    map[string]*pool
-	targets  map[string]*target
+	// targets has the targets of the pools, and those of earlier documents at which
+	// requests still run.
+	targets map[string]*target
 	// idsByHash has the ids of the targets by hashUpstream.
 	idsByHash map[uint32]string
 }
@@ -66,6 +68,18 @@
 	return t
 }
 
+// keepUsedTargets adds the targets of old at which requests still run. They get no new
+// work, since no pool has them, but their load counts for the peers that use them, and
+// for this instance if it uses them again. The caller holds the scheduler's lock.
+func (f *fleet) keepUsedTargets(old *fleet) {
+	for id, t := range old.targets {
+		if _, ok := f.targets[id]; !ok && len(t.slots) > 0 {
+			f.targets[id] = t
+			f.idsByHash[hashUpstream(id)] = id
+		}
+	}
+}
+
 // servesModel reports whether one of the upstream's services is a model service.
 func servesModel(document *contract.Document, u contract.Upstream) bool {
 	return slices.ContainsFunc(u.Services, func(name string) bool {
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -116,6 +116,7 @@
 			p.rejectWaiters()
 		}
 	}
+	f.keepUsedTargets(s.fleet)
 	s.fleet = f
 	s.restoreLeaving()
 	now := time.Now()
