Tell peers the load of all upstreams, and keep what is not used yet

Cause: a digest was cut to the upstreams that its receiver used by the sender's knowledge, and the receiver dropped the loads of upstreams that it did not use. An instance that began to use an upstream therefore took it for idle until each peer had noticed the change and sent its next digest. Evidence: TestLoadOfPeersIsKnownOfAnUpstreamThatIsUsedFromNowOn fails on ("got a slot of w1, all of whose slots the peer uses"). Change: a digest has the load of all upstreams of its sender. When it is sent does not change: on changes of the upstreams that the receiver uses, and at each refresh. The receiver keeps the loads of unknown upstreams by their hash and counts them once it uses these. Broadcast's way of sending is a field, so that a test can play a fleet without a network. Ruled out: cutting digests by a later view of the sender; it leaves the time in which the receiver knows of the change and the sender does not.

--- a/upstream/broadcast.go
+++ b/upstream/broadcast.go
@@ -36,21 +36,25 @@
 	Log *zap.Logger
 }
 
-// Broadcast sends this instance's load to its peers on every change, one datagram to
-// each peer, limited to the upstreams that the peer uses. A lost datagram is replaced
-// by the next one, which follows within broadcastRefreshInterval. Broadcast is meant
+// Broadcast sends this instance's load to its peers, one datagram to each peer, on every
+// change at an upstream that the peer uses. The datagram has the load on all upstreams,
+// so that a peer which begins to use one knows its load. A lost datagram is replaced by
+// the next one, which follows within broadcastRefreshInterval. Broadcast is meant
 // for fleets in which an instance shares upstreams with a few dozen others; where there
 // are more, Exchange limits the traffic.
 type Broadcast struct {
 	options BroadcastOptions
 	wake    chan struct{}
+	// send sends a digest to peers without blocking.
+	send func(peers []netip.AddrPort, digest Digest)
 	// sent has what was last sent to each group, by the group's index.
 	sent []sentDigest
 }
 
 // sentDigest is what was last sent to a group of peers.
 type sentDigest struct {
-	sentAt    time.Time
+	sentAt time.Time
+	// digest is the part for the upstreams that the peers use.
 	digest    Digest
 	addresses []netip.AddrPort
 }
@@ -76,6 +80,13 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
+	b := newBroadcast(o)
+	b.send = b.sendDatagrams
+	return b, nil
+}
+
+// newBroadcast returns a Broadcast that lacks the function which sends digests.
+func newBroadcast(o BroadcastOptions) *Broadcast {
 	b := &Broadcast{options: o, wake: make(chan struct{}, 1)}
 	o.Dispatcher.sched.enableTurns(o.InstanceID)
 	o.Dispatcher.sched.setOnLoadChange(func() {
@@ -84,7 +95,7 @@
 		default:
 		}
 	})
-	return b, nil
+	return b
 }
 
 // Run sends and receives digests until ctx ends. It always returns nil.
@@ -132,7 +143,7 @@
 		last := &b.sent[i]
 		digest := full.filter(group.Uses)
 		if !slices.Equal(group.Addresses, last.addresses) || !digest.equal(last.digest) || now.Sub(last.sentAt) >= broadcastRefreshInterval {
-			b.sendTo(group.Addresses, digest)
+			b.send(group.Addresses, full)
 			*last = sentDigest{now, digest, group.Addresses}
 		}
 		next = min(next, broadcastRefreshInterval-now.Sub(last.sentAt))
@@ -140,7 +151,7 @@
 	return next
 }
 
-func (b *Broadcast) sendTo(peers []netip.AddrPort, digest Digest) {
+func (b *Broadcast) sendDatagrams(peers []netip.AddrPort, digest Digest) {
 	if len(peers) == 0 {
 		return
 	}
--- a/upstream/changes_test.go
+++ b/upstream/changes_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/upstream/upstreampb"
 )
 
 // TestLoadAtAnUpstreamThatLeftTheOwnPartStillCounts removes an upstream from the document
@@ -36,3 +37,23 @@
 		t.Errorf("load that peers are told after the end of the request (-want +got):\n%s", d)
 	}
 }
+
+// TestLoadOfPeersIsKnownOfAnUpstreamThatIsUsedFromNowOn has a peer report the load of an
+// upstream before the document has it.
+func TestLoadOfPeersIsKnownOfAnUpstreamThatIsUsedFromNowOn(t *testing.T) {
+	f := newChangingForwarder(t, nil, &scriptedWorker{address: "10.0.0.1:1"})
+	entry := f.current().document.Upstreams["w0"]
+	load := &upstreampb.Load{Upstream: hashUpstream("w1"), Online: uint32(entry.Slots)}
+	f.observeProto("peer", &upstreampb.Digest{Sequence: 1, Loads: []*upstreampb.Load{load}})
+	f.change(func(upstreams map[string]contract.Upstream) {
+		upstreams["w1"] = entry
+		delete(upstreams, "w0")
+	})
+	if g := f.sched.tryAcquire(t.Context(), request{pool: f.current().pools["s"]}); g != nil {
+		t.Fatalf("got a slot of %s, all of whose slots the peer uses", g.target.id)
+	}
+	f.observeProto("peer", &upstreampb.Digest{Sequence: 2})
+	if g := f.sched.tryAcquire(t.Context(), request{pool: f.current().pools["s"]}); g == nil {
+		t.Error("got no slot after the peer's requests have ended")
+	}
+}
--- a/upstream/digest.go
+++ b/upstream/digest.go
@@ -26,6 +26,28 @@
 	OnlineWaiting int
 	// OnlineLate counts those of them that can no longer be on time.
 	OnlineLate int
+
+	// unused has the loads of a peer on upstreams that this instance did not use when it
+	// received them. It may begin to use them.
+	unused []hashedLoad
+}
+
+// hashedLoad is a load whose upstream is known by its hashUpstream only.
+type hashedLoad struct {
+	hash uint32
+	load PeerLoad
+}
+
+// identify moves the loads of upstreams that f has from unused to Loads.
+func (d *Digest) identify(f *fleet) {
+	d.unused = slices.DeleteFunc(d.unused, func(u hashedLoad) bool {
+		id, ok := f.idsByHash[u.hash]
+		if ok {
+			u.load.Upstream = id
+			d.Loads = append(d.Loads, u.load)
+		}
+		return ok
+	})
 }
 
 // filter returns the part of a digest for the upstreams that uses accepts; nil accepts
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -172,8 +172,7 @@
 // maxPeerCount limits each count in a peer's digest.
 const maxPeerCount = 1 << 16
 
-// observeProto records a digest received from a peer. Upstreams that this instance does
-// not use are left out.
+// observeProto records a digest received from a peer.
 func (d *Dispatcher) observeProto(peer string, digest *upstreampb.Digest) {
 	f := d.fleet.Load()
 	observed := Digest{
@@ -184,13 +183,16 @@
 		OnlineLate:    int(min(digest.GetOnlineLate(), maxPeerCount)),
 	}
 	for _, l := range digest.GetLoads() {
-		if id, ok := f.idsByHash[l.GetUpstream()]; ok {
-			observed.Loads = append(observed.Loads, PeerLoad{
-				Upstream: id,
-				Online:   int(min(l.GetOnline(), maxPeerCount)),
-				Batch:    int(min(l.GetBatch(), maxPeerCount)),
-			})
+		load := PeerLoad{
+			Upstream: f.idsByHash[l.GetUpstream()],
+			Online:   int(min(l.GetOnline(), maxPeerCount)),
+			Batch:    int(min(l.GetBatch(), maxPeerCount)),
 		}
+		if load.Upstream == "" {
+			observed.unused = append(observed.unused, hashedLoad{l.GetUpstream(), load})
+			continue
+		}
+		observed.Loads = append(observed.Loads, load)
 	}
 	d.ObserveDigest(peer, observed)
 }
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -119,6 +119,9 @@
 	f.keepUsedTargets(s.fleet)
 	s.fleet = f
 	s.restoreLeaving()
+	for _, digest := range s.peerDigests {
+		digest.identify(f)
+	}
 	now := time.Now()
 	s.sumPeerLoads(now)
 	s.assess(now)
