Begin with one request at an upstream whose load is not known yet

Cause: an instance that begins to use an upstream, because it or the upstream has just started or the fleet is divided anew, may not know all load there: peers learn of the change later, digests are lost, and instances of cells that are no neighbours any more still run requests there. It filled all slots that seemed free at once. It gets one request, and one more in flight for each that it has answered. This is a decision of package route, held by TestNewUpstreamGetsOneMoreRequestThanItHasAnswered.

--- a/route/choose.go
+++ b/route/choose.go
@@ -132,7 +132,7 @@
 
 // Admits reports whether an upstream has a free slot that the request may use.
 func Admits(c *Candidate, q *Query) bool {
-	if c.Closed || q.Exclude != 0 && c.Key == q.Exclude {
+	if c.Closed || c.AwaitsAnswers() || q.Exclude != 0 && c.Key == q.Exclude {
 		return false
 	}
 	if q.Class == contract.Batch {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -341,3 +341,33 @@
 		t.Error("no hedge is allowed with a share of 0.05")
 	}
 }
+
+// TestNewUpstreamGetsOneMoreRequestThanItHasAnswered sends requests to an upstream without
+// known load, some of which it answers.
+func TestNewUpstreamGetsOneMoreRequestThanItHasAnswered(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 32).Draw(t, "slots")
+		c := Candidate{Slots: slots, Limit: slots, New: true}
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "is answered") && c.Online+c.Batch > c.Answers {
+				c.Answers++
+			}
+			class := contract.Class(rapid.IntRange(0, 1).Draw(t, "class"))
+			before := c.Online + c.Batch
+			if !Admits(&c, &Query{Class: class, Batch: BatchLimits{Share: 1}}) {
+				if before <= c.Answers && before < slots {
+					t.Fatalf("no request admitted with %d in flight, %d answers and %d slots", before, c.Answers, slots)
+				}
+				continue
+			}
+			if before > c.Answers {
+				t.Fatalf("a request admitted with %d in flight and %d answers", before, c.Answers)
+			}
+			if class == contract.Batch {
+				c.Batch++
+			} else {
+				c.Online++
+			}
+		}
+	})
+}
--- a/upstream/observe.go
+++ b/upstream/observe.go
@@ -24,6 +24,10 @@
 	defer s.mu.Unlock()
 	t, ps := g.target, g.pool.poolState
 	t.failures = 0
+	t.answers++
+	if t.isNew(now) {
+		s.serveQueues()
+	}
 	if g.class == contract.Batch {
 		return
 	}
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -117,12 +117,14 @@
 		}
 	}
 	f.keepUsedTargets(s.fleet)
+	old := s.fleet
 	s.fleet = f
 	s.restoreLeaving()
 	for _, digest := range s.peerDigests {
 		digest.identify(f)
 	}
 	now := time.Now()
+	s.markNewTargets(old, now)
 	s.sumPeerLoads(now)
 	s.assess(now)
 	s.serveQueues()
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -30,6 +30,10 @@
 
 	// guarded
 
+	// usedSince is when this instance began to use the upstream, or the zero time if it
+	// has no peers. answers counts the attempts that have got a first token since.
+	usedSince time.Time
+	answers   int
 	// slots has the slots in use. online, batch and longOnline count them; longOnline
 	// is part of online.
 	slots      []*slot
@@ -100,6 +104,8 @@
 		Key:        t.key,
 		Closed:     !t.takesWork(now),
 		Distance:   config.distance,
+		New:        t.isNew(now),
+		Answers:    t.answers,
 		Slots:      config.Slots,
 		Limit:      t.limit.Allowed(),
 		Online:     t.online,
--- a/upstream/turn.go
+++ b/upstream/turn.go
@@ -19,6 +19,26 @@
 	nextServeAt time.Time
 }
 
+// newTargetTime is how long a target counts as new. In this time every peer has learned of
+// the change of the fleet and has sent its load at least once.
+const newTargetTime = time.Second
+
+// markNewTargets records which targets this instance begins to use. The caller holds the
+// lock.
+func (s *scheduler) markNewTargets(old *fleet, now time.Time) {
+	if s.turns == nil {
+		return
+	}
+	for id, t := range s.fleet.targets {
+		if old.targets[id] != t {
+			t.usedSince, t.answers = now, 0
+		}
+	}
+}
+
+// isNew reports whether the load of peers at the target may not be known yet.
+func (t *target) isNew(now time.Time) bool { return now.Sub(t.usedSince) < newTargetTime }
+
 // enableTurns makes the scheduler take turns with its peers.
 func (s *scheduler) enableTurns(instance string) {
 	s.mu.Lock()
