Answer callers that have closed only their sending side

What callers saw: a caller that sends a whole request, shuts down its sending side and reads (nc -N, many HTTP/1.0 callers) got a closed connection without a byte, although the request had been read and perhaps been passed on.

Cause: net/http cancels a request when it reads the end of the connection. Forward then ends with CallerGone, and the handler aborted the connection for that number without trying to answer. A closed connection and a closed sending side can't be told apart before something is written.

An answer that has begun is still cut.

Ruled out: to let the request go on until its answer is written. A caller that has left looks the same, and its upstream would work on for nothing.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -301,13 +301,10 @@
 	return s.controller.Flush()
 }
 
-// reject logs a numbered error and writes it, or aborts the connection when the
-// caller has closed it.
+// reject logs a numbered error and writes it, also when the caller seems to be gone: it may
+// have closed only its sending side.
 func (h *Handler) reject(w http.ResponseWriter, r *http.Request, err error) {
 	h.options.Log.Info("refused", zap.String("request", platform.RequestID(r.Header)), zap.String("path", r.URL.Path),
 		zap.Int("number", int(code.Of(err))), zap.Error(err))
-	if code.Of(err) == code.CallerGone {
-		panic(http.ErrAbortHandler)
-	}
 	platform.WriteError(w, err)
 }
