Log callers' connections that are closed without an answer

Cause: net/http closes connections without a line: idle ones, those whose head is not whole in time, and those of aborted handlers. A try whose head was not parsed could not be found. Change: a line when a connection is closed before the request that it carries has got a byte of an answer, with the error that ended its reading, if any (the caller left, or the connection was reset), and when this side closes an idle connection, with its idle time. Connections that the caller ends while idle, and those closed with their answer, have none.

--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // connections holds the callers' open connections. It ends idle ones at the limit of
@@ -24,6 +26,7 @@
 	// idleLimit returns the longest idle time of the document in force; 0 means that
 	// it sets none.
 	idleLimit func() time.Duration
+	log       *zap.Logger
 	// closeAfterAnswer is set when answers tell callers to close their connections.
 	closeAfterAnswer atomic.Bool
 
@@ -52,7 +55,7 @@
 )
 
 func newConnections(idleLimit func() time.Duration) *connections {
-	c := &connections{idleLimit: idleLimit, open: map[*callerConn]struct{}{}, drained: make(chan struct{})}
+	c := &connections{idleLimit: idleLimit, log: zap.NewNop(), open: map[*callerConn]struct{}{}, drained: make(chan struct{})}
 	c.requests, c.cancelRequests = context.WithCancelCause(context.Background())
 	return c
 }
@@ -174,7 +177,7 @@
 	if err != nil {
 		return nil, err
 	}
-	accepted := &callerConn{Conn: conn, connections: l.connections, unread: true}
+	accepted := &callerConn{Conn: conn, connections: l.connections, unread: true, idleSince: time.Now()}
 	l.connections.mu.Lock()
 	defer l.connections.mu.Unlock()
 	l.connections.open[accepted] = struct{}{}
@@ -202,6 +205,12 @@
 	idleSince     time.Time
 	limitWhenIdle time.Duration
 	timer         *time.Timer
+	// requestAt is when the first byte of the last request was read, answered is set once
+	// its answer has begun. readErr is the error that ended reading.
+	requestAt time.Time
+	answered  atomic.Bool
+	readErr   error
+	closed    bool
 }
 
 // Read implements net.Conn.
@@ -213,6 +222,7 @@
 			n, err = readReceived(c.Conn, p, err)
 		}
 	}
+	c.recordReadError(err)
 	if n == 0 {
 		return n, err
 	}
@@ -257,6 +267,7 @@
 		return
 	}
 	c.unread = false
+	c.awaitAnswerLocked()
 	if c.timer != nil {
 		c.timer.Stop()
 	}
@@ -299,6 +310,7 @@
 	if c.timer != nil {
 		c.timer.Stop()
 	}
+	c.logCloseLocked()
 	c.mu.Unlock()
 	err := c.Conn.Close()
 	c.connections.remove(c)
@@ -311,6 +323,7 @@
 	defer c.mu.Unlock()
 	c.unread, c.readAhead = !c.readAhead, false
 	if !c.unread {
+		c.awaitAnswerLocked()
 		return
 	}
 	if c.connections.isDraining() {
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -287,6 +287,7 @@
 	// enforces.
 	i.callerServer.ReadTimeout = 0
 	i.connections = newConnections(i.callerIdleTimeout)
+	i.connections.log = i.log
 	i.connections.configure(i.callerServer)
 	i.directoryServer = newServer(http.HandlerFunc(i.serveDirectory))
 	i.readinessServer = newServer(http.HandlerFunc(i.serveReadiness))
