Count the header timeout from the first byte of a request

Cause: net/http counts ReadHeaderTimeout for the first request of a connection from the accept. Connections without a request had no idle timer, so that this deadline was their only limit. On later requests the timeout began with the fourth byte only. Change: a connection becomes idle when it is accepted, so that the idle limit of the document applies. A read deadline of net/http waits for the first byte, and the header timeout is counted from there.

--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -27,6 +27,9 @@
 	// it sets none.
 	idleLimit func() time.Duration
 	log       *zap.Logger
+	// headerTimeout limits the time from the first byte of a request to the end of its
+	// head; 0 means without limit.
+	headerTimeout time.Duration
 	// closeAfterAnswer is set when answers tell callers to close their connections.
 	closeAfterAnswer atomic.Bool
 
@@ -46,8 +49,7 @@
 	// defaultIdleLimit applies when the document sets no limit. It is much longer than
 	// callers usually reuse an idle connection.
 	defaultIdleLimit = 75 * time.Second
-	// maxIdleTime bounds the time that http.Server waits for the rest of the first
-	// bytes of a request.
+	// maxIdleTime is the idle timeout of http.Server, which the idle limit replaces.
 	maxIdleTime = time.Hour
 	// lastReadTime is how long a connection that is about to close is read once more,
 	// for a request that is already under way.
@@ -64,6 +66,7 @@
 // one that c.listener returned.
 func (c *connections) configure(server *http.Server) {
 	server.IdleTimeout = maxIdleTime
+	c.headerTimeout = server.ReadHeaderTimeout
 	server.ConnState = c.connState
 	server.BaseContext = func(net.Listener) context.Context { return c.requests }
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
@@ -149,6 +152,12 @@
 	return c.draining
 }
 
+func (c *connections) add(conn *callerConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[conn] = struct{}{}
+}
+
 func (c *connections) remove(conn *callerConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -177,10 +186,9 @@
 	if err != nil {
 		return nil, err
 	}
-	accepted := &callerConn{Conn: conn, connections: l.connections, unread: true, idleSince: time.Now()}
-	l.connections.mu.Lock()
-	defer l.connections.mu.Unlock()
-	l.connections.open[accepted] = struct{}{}
+	accepted := &callerConn{Conn: conn, connections: l.connections}
+	l.connections.add(accepted)
+	accepted.becomeIdle()
 	return accepted, nil
 }
 
@@ -271,13 +279,16 @@
 	if c.timer != nil {
 		c.timer.Stop()
 	}
-	if c.woken {
-		c.woken = false
-		_ = c.Conn.SetReadDeadline(c.readDeadline)
+	c.woken = false
+	if timeout := c.connections.headerTimeout; timeout > 0 && !c.readDeadline.IsZero() {
+		c.readDeadline = time.Now().Add(timeout)
 	}
+	_ = c.Conn.SetReadDeadline(c.readDeadline)
 }
 
-// SetReadDeadline implements net.Conn. A deadline that wakes the connection stays.
+// SetReadDeadline implements net.Conn. A deadline that wakes the connection stays. A later
+// one applies once a byte of the next request has been read: until then, the idle limit
+// does.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -285,6 +296,9 @@
 	if c.woken {
 		return nil
 	}
+	if c.unread && t.After(time.Now()) {
+		t = time.Time{}
+	}
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -317,7 +331,8 @@
 	return err
 }
 
-// becomeIdle records that a request has been answered.
+// becomeIdle records that the connection has been accepted or that a request has been
+// answered.
 func (c *callerConn) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
