Let streams leave a silent upstream after their service was gone

Cause: an attempt looked for the next upstream in the pool of its beginning. When all entries of a service expire and come back, as in an outage of the store, the service has another pool, and the old one grants no slot. The silent upstream was then never left. Evidence: TestStreamLeavesASilentUpstreamAfterItsServiceWasGone failed before ("the answer was broken off: stream_broken: the answer was not whole at the deadline", "the stream took 10s, longer than its caller bears"). Ruled out elsewhere: attempts after a failure use the present pool already (refreshPool), and so does the check for the only upstream, which this change merges with the lookup.

--- a/upstream/silence.go
+++ b/upstream/silence.go
@@ -140,22 +140,21 @@
 	}
 	begunBefore, r := f.begun, f.request
 	s.keep = func(begun bool) bool {
-		if d.isOnlyUpstream(call.Service) {
+		// The service may have been gone since the attempt began: its pool is another one
+		// then.
+		p, err := d.current().pool(call.Service, contract.KindRouted)
+		if err != nil || len(p.targets) < 2 {
 			return true
 		}
+		next := r
+		next.pool = p
 		// A stream that has begun might not go on before its caller leaves, while its
 		// upstream does.
-		return (begunBefore || begun) && !d.takeNext(ctx, f, s, granted.target, r)
+		return (begunBefore || begun) && !d.takeNext(ctx, f, s, granted.target, next)
 	}
 	return s
 }
 
-// isOnlyUpstream reports whether a routed service has fewer than two upstreams.
-func (d *Dispatcher) isOnlyUpstream(service string) bool {
-	p, err := d.current().pool(service, contract.KindRouted)
-	return err != nil || len(p.targets) < 2
-}
-
 // minBatchSilenceLimit is longer than a sound upstream pauses within an answer.
 const minBatchSilenceLimit = 2 * time.Second
 
--- a/upstream/vanished_test.go
+++ b/upstream/vanished_test.go
@@ -160,3 +160,37 @@
 		})
 	}
 }
+
+// TestStreamLeavesASilentUpstreamAfterItsServiceWasGone removes all workers of a service
+// and registers them again while a stream runs, whose worker then goes dark.
+func TestStreamLeavesASilentUpstreamAfterItsServiceWasGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const last = 6
+		dark := fallsSilent(1, last)
+		dial, workers, wait := pipeWorkers(dark, eventsScript(last, endOfChunks))
+		d, _ := newLoggedForwarder(t, dial, workers...)
+		all := d.options.Document()
+		first, away := *all, *all
+		first.Upstreams = map[string]contract.Upstream{"w0": all.Upstreams["w0"]}
+		away.Services, away.Upstreams = nil, nil
+		var document atomic.Pointer[contract.Document]
+		document.Store(&first)
+		d.options.Document = document.Load
+		call, sink := streamCall("a", true), &answerSink{}
+		call.Deadline, call.MaxGap = time.Now().Add(10*time.Second), resumeMaxGap
+		sink.wrote = func() {
+			for _, next := range []*contract.Document{&away, all} {
+				document.Store(next)
+				d.current()
+			}
+			sink.wrote = nil
+		}
+		begin := time.Now()
+		err := d.Forward(t.Context(), call, sink)
+		wantWhole(t, sink, err)
+		if took := time.Since(begin); took > resumeMaxGap {
+			t.Errorf("the stream took %v, longer than its caller bears", took)
+		}
+		wait.Wait()
+	})
+}
