Overlap changes with cuts, returns and pauses in the soak

The soak drew changes and faults apart, so that they met by chance only, and never right at the return of an instance.

Three kinds are drawn from a random stream of their own, one for each 6 s:

- change in pause: SIGHUP, documents, reloads, routes, or a stop with or without new jobs while a sound worker is silent for a second;
- change in cut: the same while an instance is killed, frozen, disturbed at its callers' link, or without rights on the store.
There each call gets 503, 429, a reset or no answer by chance, while others are served;
- change at return: the same up to 350 ms after the instance is back, or its new process runs.

Each part is recorded as a disturbance by itself.

A sound worker may be silent for a second, so a pause no longer hides violations from checks that leave out times of planned work. Only a run that may have been on its way to the silent worker isn't counted as late there. TestPausesHideNoViolation fails without this:

check_test.go:293: ended jobs is hidden by pauses, violations found: [] check_test.go:293: document in force is hidden by pauses, violations found: [] check_test.go:293: job known is hidden by pauses, violations found: [] check_test.go:293: left unfinished is hidden by pauses, violations found: []

--- a/soak/check.go
+++ b/soak/check.go
@@ -87,10 +87,11 @@
 // undisturbed reports whether no disturbance of an instance overlapped the time
 // between from and to or the recoveryTime before it. An empty instance means any
 // instance. Disturbances without an instance, such as those of the store and
-// the workers, apply to all. Planned ones count only with includePlanned.
+// the workers, apply to all. Planned ones count only with includePlanned, and pauses of
+// workers never.
 func (h *History) undisturbed(instance string, from, to time.Time, includePlanned bool) bool {
 	for _, d := range h.Disturbances {
-		if d.Planned && !includePlanned {
+		if d.Planned && !includePlanned || d.Kind == faultWorkerPauses {
 			continue
 		}
 		applies := instance == "" || d.Instance == "" || d.Instance == instance
@@ -101,6 +102,13 @@
 	return true
 }
 
+// heldUp reports whether a run may have been on its way to its worker during a pause.
+func (h *History) heldUp(r WorkerRun) bool {
+	return slices.ContainsFunc(h.Disturbances, func(d Disturbance) bool {
+		return d.Kind == faultWorkerPauses && d.Worker == r.Worker && d.From.Before(r.StartedAt) && d.To.After(r.StartedAt.Add(-recoveryTime))
+	})
+}
+
 // wholeAnswers finds answers with events of another request, and incomplete
 // answers that ended like complete ones.
 func wholeAnswers(h *History) (found []Violation) {
@@ -276,7 +284,7 @@
 		}
 		for _, item := range j.Items {
 			for _, r := range runs[item] {
-				if r.StartedAt.After(j.CancelledAt.Add(cancelBound)) && h.undisturbed("", j.CancelledAt, r.StartedAt, true) {
+				if r.StartedAt.After(j.CancelledAt.Add(cancelBound)) && h.undisturbed("", j.CancelledAt, r.StartedAt, true) && !h.heldUp(r) {
 					found = append(found, Violation{ID: item, Detail: fmt.Sprintf("runs %v after its job was ended", r.StartedAt.Sub(j.CancelledAt))})
 				}
 			}
@@ -290,7 +298,7 @@
 func draining(h *History) (found []Violation) {
 	for _, d := range h.Drains {
 		for _, r := range h.Runs {
-			if r.Worker == d.Worker && r.StartedAt.After(d.AcknowledgedAt.Add(drainBound)) && h.undisturbed("", d.AcknowledgedAt, r.StartedAt, true) {
+			if r.Worker == d.Worker && r.StartedAt.After(d.AcknowledgedAt.Add(drainBound)) && h.undisturbed("", d.AcknowledgedAt, r.StartedAt, true) && !h.heldUp(r) {
 				found = append(found, Violation{ID: r.Request, Detail: fmt.Sprintf("runs at %s %v after it began to drain", r.Worker, r.StartedAt.Sub(d.AcknowledgedAt))})
 			}
 		}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -90,6 +90,11 @@
 	h.Unfinished = []UnfinishedItem{{Job: "u", Item: "i5", At: after(time.Minute), Slots: 12}}
 }
 
+// pauseWorker adds a pause of worker w to a history.
+func pauseWorker(h *History, from time.Duration) {
+	h.Disturbances = append(h.Disturbances, Disturbance{Kind: faultWorkerPauses, Worker: "w", From: after(from), To: after(from + pauseTime), Planned: true})
+}
+
 // addBodyRead adds a job and a read of the body of one of its items to a history. The body
 // is not that of the item.
 func addBodyRead(h *History, item string, status int) {
@@ -133,6 +138,10 @@
 			r.Finished = true
 			h.Runs = append(h.Runs, r)
 		},
+		"held up by a pause": func(h *History) {
+			h.Runs[4].Worker, h.Runs[4].StartedAt = "w", after(6*time.Second)
+			pauseWorker(h, 5*time.Second)
+		},
 		"disturbed end": func(h *History) {
 			addUnfinished(h)
 			h.Disturbances = append(h.Disturbances, Disturbance{Kind: faultKill, Instance: "b", From: after(54 * time.Second), To: after(56 * time.Second)})
@@ -261,6 +270,31 @@
 	}
 }
 
+// TestPausesHideNoViolation adds pauses of a worker to histories with violations in which
+// another worker or none took part.
+func TestPausesHideNoViolation(t *testing.T) {
+	violations := map[string]func(*History){
+		"ended jobs": func(h *History) {
+			h.Runs = append(h.Runs, WorkerRun{Request: "i3", Worker: "v", StartedAt: after(6 * time.Second), Unchanged: true})
+		},
+		"document in force": func(h *History) { h.Probes[1].Service = "" },
+		"job known":         func(h *History) { h.Reads[0].Status = 404 },
+		"left unfinished":   addUnfinished,
+		"planned stop":      func(h *History) { h.Attempts = append(h.Attempts, cutInStop(h, time.Second, lastSixth-time.Second)) },
+		"kept connections":  func(h *History) { addAttempts(h, maxCut+1, cutAtSoundWorker(h)) },
+	}
+	for name, change := range violations {
+		h := validHistory()
+		change(h)
+		for n := range 60 {
+			pauseWorker(h, time.Duration(n)*time.Second)
+		}
+		if !slices.ContainsFunc(Check(h), func(v Violation) bool { return v.Check == name }) {
+			t.Errorf("%s is hidden by pauses, violations found: %v", name, Check(h))
+		}
+	}
+}
+
 // TestTimeBoundsAreIgnoredDuringDisturbance exceeds several time bounds while
 // the store is down for the whole history.
 func TestTimeBoundsAreIgnoredDuringDisturbance(t *testing.T) {
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -113,6 +114,8 @@
 // restartDelay is how long the platform waits before it restarts a process.
 const restartDelay = 200 * time.Millisecond
 
+const startPollInterval = time.Millisecond
+
 func (i *instance) restart() {
 	time.Sleep(restartDelay)
 	i.mu.Lock()
@@ -133,6 +136,20 @@
 	}
 }
 
+// awaitStart waits until the process that replaces one that was killed is running.
+func (i *instance) awaitStart(ctx context.Context, killed *exec.Cmd) {
+	for ctx.Err() == nil && i.current() == killed {
+		wait(ctx, startPollInterval)
+	}
+}
+
+// current returns the last process that was started.
+func (i *instance) current() *exec.Cmd {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.command
+}
+
 // process returns a function that sends a signal to the current process, and to none that
 // is started later.
 func (i *instance) process() func(syscall.Signal) {
--- a/soak/inject.go
+++ b/soak/inject.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -34,13 +35,17 @@
 
 // inject executes a fault and records its period as a disturbance.
 func (s *soak) inject(ctx context.Context, f Fault) {
+	if slices.Contains(allOverlaps, f.Kind) {
+		s.overlap(ctx, f)
+		return
+	}
 	d := Disturbance{Kind: f.Kind, From: time.Now(), Planned: isPlanned(f.Kind)}
 	// The fault is recorded before it starts, with an end in the future. The
 	// end is corrected when the fault is over.
 	d.To = d.From.Add(time.Hour)
 	k := f.Index % len(s.instances)
 	switch f.Kind {
-	case faultTerm, faultHup, faultKill, faultFreeze, faultStoreOneInstance, faultCallerLink, faultTermAgain, faultReloads, faultJobsTerm, faultJobsKill, faultKillSeries:
+	case faultTerm, faultHup, faultKill, faultFreeze, faultStoreOneInstance, faultStoreRights, faultCallerLink, faultTermAgain, faultReloads, faultJobsTerm, faultJobsKill, faultKillSeries:
 		d.Instance = s.instances[k].callerAddress()
 	}
 	w, link := s.pickWorker(f.Index)
@@ -238,10 +243,13 @@
 // disturbStore executes a fault of the store, in a mode selected by the index
 // of the fault.
 func (s *soak) disturbStore(ctx context.Context, f Fault, k int) {
-	modes := []storeMode{storeRefuses, storeThrottles, storeResets, storeHangs, storeSlow}
+	modes := append(slices.Clone(refusals), storeSlow)
 	mode := int32(modes[f.Index/7%len(modes)])
 	switch f.Kind {
-	case faultStoreOneInstance:
+	case faultStoreOneInstance, faultStoreRights:
+		if f.Kind == faultStoreRights {
+			mode = int32(storeRevoked)
+		}
 		s.storeModes[k].Store(mode)
 		wait(ctx, f.Duration)
 		s.storeModes[k].Store(int32(storeServes))
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -56,6 +56,10 @@
 	faultWorkerFlaps         = "worker flaps"
 	faultWorkerDark          = "worker dark"
 	faultWorkerFails         = "worker fails"
+	faultStoreRights         = "store rights"
+	faultPauseInChange       = "change in pause"
+	faultChangeAtReturn      = "change at return"
+	faultChangeInCut         = "change in cut"
 )
 
 // All kinds have the same weight. Plans of planned work only find violations
@@ -74,6 +78,9 @@
 	// Series are drawn apart again.
 	plannedSeries = []string{faultTermAgain, faultReloads, faultRoutes, faultWorkerPauses, faultJobsTerm}
 	allSeries     = append([]string{faultJobsKill, faultKillSeries, faultKillInStop, faultWorkerFlaps, faultWorkerFlaps, faultWorkerDark, faultWorkerFails}, plannedSeries...)
+	// Changes that overlap another fault are drawn apart again.
+	plannedOverlaps = []string{faultPauseInChange}
+	allOverlaps     = []string{faultPauseInChange, faultChangeAtReturn, faultChangeAtReturn, faultChangeInCut, faultChangeInCut}
 )
 
 const (
@@ -86,6 +93,8 @@
 	meanAdditionInterval = 6 * time.Second
 	// meanSeriesInterval is that between two series.
 	meanSeriesInterval = 4 * time.Second
+	// meanOverlapInterval is that between two changes that overlap another fault.
+	meanOverlapInterval = 6 * time.Second
 )
 
 // NewPlan draws the faults of a soak of the given length. One in three plans
@@ -93,29 +102,27 @@
 // same arguments give the same plan.
 func NewPlan(seed uint64, length time.Duration, onlyWorkers bool) []Fault {
 	random := rand.New(rand.NewPCG(seed, seed))
-	if onlyWorkers {
-		plan := drawFaults(random, workerKinds, length, meanFaultInterval)
-		sortFaults(plan)
-		return plan
-	}
-	kinds, more, series := allKinds, additions, allSeries
-	if random.IntN(3) == 0 {
-		kinds, more, series = plannedKinds, plannedAdditions, plannedSeries
+	kinds, more, series, overlaps := allKinds, additions, allSeries, allOverlaps
+	switch {
+	case onlyWorkers:
+		kinds, more, series, overlaps = workerKinds, nil, nil, plannedOverlaps
+	case random.IntN(3) == 0:
+		kinds, more, series, overlaps = plannedKinds, plannedAdditions, plannedSeries, plannedOverlaps
 	}
 	plan := drawFaults(random, kinds, length, meanFaultInterval)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(seed, ^seed)), more, length, meanAdditionInterval)...)
 	plan = append(plan, drawFaults(rand.New(rand.NewPCG(^seed, seed)), series, length, meanSeriesInterval)...)
-	sortFaults(plan)
+	plan = append(plan, drawFaults(rand.New(rand.NewPCG(^seed, ^seed)), overlaps, length, meanOverlapInterval)...)
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
-func sortFaults(faults []Fault) {
-	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
-}
-
 // drawFaults draws the faults of some kinds, one an interval.
 func drawFaults(random *rand.Rand, kinds []string, length, interval time.Duration) []Fault {
 	var faults []Fault
+	if len(kinds) == 0 {
+		return nil
+	}
 	for range max(int(length/interval), 1) {
 		faults = append(faults, Fault{
 			Kind:     kinds[random.IntN(len(kinds))],
@@ -129,5 +136,5 @@
 
 // isPlanned reports whether a kind of fault must not cut any request.
 func isPlanned(kind string) bool {
-	return slices.Contains(plannedKinds, kind) || slices.Contains(plannedSeries, kind) || kind == faultRoll
+	return slices.Contains(plannedKinds, kind) || slices.Contains(plannedSeries, kind) || slices.Contains(plannedOverlaps, kind) || kind == faultRoll
 }
--- a/soak/series.go
+++ b/soak/series.go
@@ -57,6 +57,39 @@
 	}
 }
 
+// overlap executes a change while another fault cuts an instance off or silences a worker,
+// or as soon as the instance is back. Each is recorded by itself.
+func (s *soak) overlap(ctx context.Context, f Fault) {
+	i := s.instances[f.Index%len(s.instances)]
+	changes := []string{faultHup, faultDocuments, faultReloads, faultRoutes}
+	if !s.options.OnlyWorkers {
+		changes = append(changes, faultJobsTerm, faultTermAgain)
+	}
+	cuts := []string{faultKill, faultFreeze, faultCallerLink, faultStoreRights}
+	cut, change := f, f
+	cut.Kind, change.Kind = cuts[f.Index/7%len(cuts)], changes[f.Index/13%len(changes)]
+	var changed sync.WaitGroup
+	switch f.Kind {
+	case faultChangeAtReturn:
+		killed := i.current()
+		s.inject(ctx, cut)
+		if cut.Kind == faultKill {
+			i.awaitStart(ctx, killed)
+		}
+		wait(ctx, stepTime(f, 0)-seriesStep)
+		s.inject(ctx, change)
+		return
+	case faultPauseInChange:
+		cut.Kind = faultWorkerPauses
+	}
+	changed.Go(func() {
+		wait(ctx, stepTime(f, 0))
+		s.inject(ctx, change)
+	})
+	s.inject(ctx, cut)
+	changed.Wait()
+}
+
 // stopAmid stops an instance, also if all others are being stopped, while its process gets
 // a signal again and again and SIGHUP, and while documents change. With SIGKILL the process
 // gets it once, together with another instance.
--- a/soak/store.go
+++ b/soak/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -23,8 +24,13 @@
 	storeResets
 	storeHangs
 	storeSlow
+	// storeRevoked is one of the refusals, drawn for each call.
+	storeRevoked
 )
 
+// refusals are the modes in which no call takes effect.
+var refusals = []storeMode{storeRefuses, storeThrottles, storeResets, storeHangs}
+
 const (
 	slowDelay = 300 * time.Millisecond
 	// hangTime exceeds every timeout of a daemon's call.
@@ -73,6 +79,9 @@
 // serve counts a call and handles it according to the mode.
 func (s *store) serve(w http.ResponseWriter, r *http.Request, mode storeMode) {
 	s.count(r.Method != http.MethodGet)
+	if mode == storeRevoked {
+		mode = refusals[rand.IntN(len(refusals))]
+	}
 	switch mode {
 	case storeRefuses:
 		w.WriteHeader(http.StatusServiceUnavailable)
