Judge reads of accepted jobs at each instance in touch in the soak

The check left out a read if anything had been disturbed since the job was accepted, be it long before, another instance or a worker; it accepted 410, and didn't know positions.

With the new mutants and the check as it was:

check_test.go:279: check "job known" does not detect its mutant 1, violations found: [] check_test.go:279: check "job known" does not detect its mutant 2, violations found: [] check_test.go:279: check "job known" does not detect its mutant 3, violations found: []

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -210,7 +210,7 @@
 // is sent to the given address. About one job in five is cancelled after its first
 // results.
 func (c *callerPool) runJob(ctx context.Context, n int, random *rand.Rand, first string) {
-	j := &Job{ID: fmt.Sprintf("j%d", n)}
+	j := &Job{ID: fmt.Sprintf("j%d", n), SubmittedAt: time.Now()}
 	type item struct {
 		ID      string            `json:"id"`
 		Path    string            `json:"path"`
@@ -296,6 +296,7 @@
 		}
 		_ = response.Body.Close()
 	}
+	r.DoneAt = time.Now()
 	c.history.update(func() { c.history.Reads = append(c.history.Reads, r) })
 	return r
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -242,17 +242,30 @@
 	return found
 }
 
-// jobKnown finds accepted jobs that an undisturbed instance did not know after
-// jobVisibleBound.
+// jobKnown finds accepted jobs that an instance in touch did not know after
+// jobVisibleBound, and positions of results at which it had nothing although they had been
+// read before.
 func jobKnown(h *History) (found []Violation) {
+	reads := map[string][]JobRead{}
+	for _, r := range h.Reads {
+		reads[r.Job] = append(reads[r.Job], r)
+	}
 	for _, r := range h.Reads {
 		j := h.Jobs[r.Job]
-		if j == nil || j.AcceptedAt.IsZero() || r.Status != 404 {
+		if j == nil || !h.inTouch(r.Instance, r.SentAt, r.SentAt) {
 			continue
 		}
-		if r.SentAt.After(j.AcceptedAt.Add(jobVisibleBound)) && h.undisturbed(r.Instance, j.AcceptedAt, r.SentAt, true) {
+		due := r.SentAt.Add(-jobVisibleBound)
+		unknown := r.Status == http.StatusNotFound || r.Status == http.StatusGone
+		if unknown && !j.AcceptedAt.IsZero() && due.After(j.AcceptedAt) {
 			found = append(found, Violation{ID: r.Job, Detail: "not known at " + r.Instance})
 		}
+		known := slices.ContainsFunc(reads[r.Job], func(before JobRead) bool {
+			return before.DoneAt.Before(due) && before.After+len(before.Results) > r.After
+		})
+		if known && (unknown || r.Status == http.StatusOK && len(r.Results) == 0) && r.DoneAt.Before(j.SubmittedAt.Add(statusTime)) {
+			found = append(found, Violation{ID: r.Job, Detail: fmt.Sprintf("nothing at position %d, which had been read, at %s", r.After, r.Instance)})
+		}
 	}
 	return found
 }
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -36,13 +36,13 @@
 		r := &h.Runs[i]
 		r.Status, r.EndedAt, r.Finished = 200, r.StartedAt.Add(time.Second), true
 	}
-	h.Jobs["j"] = &Job{ID: "j", Items: []string{"i1", "i2"}, Statuses: []int{503, 202}, AcceptedAt: after(time.Second)}
+	h.Jobs["j"] = &Job{ID: "j", Items: []string{"i1", "i2"}, Statuses: []int{503, 202}, SubmittedAt: after(0), AcceptedAt: after(time.Second)}
 	h.Jobs["e"] = &Job{ID: "e", Items: []string{"i3"}, Statuses: []int{202}, AcceptedAt: after(time.Second), CancelledAt: after(2 * time.Second)}
 	h.Jobs["n"] = &Job{ID: "n", Items: []string{"i4"}, Statuses: []int{429, 503}}
 	results := []Result{{"i2", true, answerText("i2")}, {"i1", true, answerText("i1")}}
 	h.Reads = []JobRead{
-		{Job: "j", Instance: "a", SentAt: after(3 * time.Second), Status: 200, Total: 2, Results: results[:1]},
-		{Job: "j", Instance: "b", SentAt: after(9 * time.Second), Status: 200, Total: 2, Results: results, Final: true},
+		{Job: "j", Instance: "a", SentAt: after(3 * time.Second), DoneAt: after(3 * time.Second), Status: 200, Total: 2, Results: results[:1]},
+		{Job: "j", Instance: "b", SentAt: after(9 * time.Second), DoneAt: after(9 * time.Second), Status: 200, Total: 2, Results: results, Final: true},
 	}
 	h.Drains = []Drain{{"w", after(3 * time.Second)}}
 	h.Changes = []Change{{"/change/", "s", after(5 * time.Second)}}
@@ -207,7 +207,19 @@
 			func(h *History) { h.Reads[0].Results = []Result{{"i1", true, answerText("i1")}} },
 			func(h *History) { h.Reads[0].Total = 3 },
 		},
-		"job known": {func(h *History) { h.Reads[0].Status = 404 }},
+		"job known": {
+			func(h *History) { h.Reads[0].Status = 404 },
+			func(h *History) { h.Reads[0].Status = 410 },
+			// Neither the store nor the instance was disturbed beside the read.
+			func(h *History) {
+				h.Reads[0].Status, h.Reads[0].SentAt = 404, after(8*time.Second)
+				h.Disturbances = append(h.Disturbances, Disturbance{Kind: faultWorkerFlaps, Worker: "w", From: after(0), To: after(time.Minute)},
+					Disturbance{Kind: faultStoreDown, From: after(time.Second), To: after(2 * time.Second)})
+			},
+			func(h *History) {
+				h.Reads = append(h.Reads, JobRead{Job: "j", Instance: "a", SentAt: after(11 * time.Second), DoneAt: after(11 * time.Second), Status: 200, Total: 2, After: 1})
+			},
+		},
 		"refused jobs": {func(h *History) {
 			h.Runs = append(h.Runs, WorkerRun{Request: "i4", Worker: "v", StartedAt: after(0), Unchanged: true})
 		}},
--- a/soak/history.go
+++ b/soak/history.go
@@ -61,10 +61,11 @@
 type Job struct {
 	ID    string
 	Items []string
-	// Statuses are those of all submissions. AcceptedAt is the time of the
-	// first 202.
-	Statuses   []int
-	AcceptedAt time.Time
+	// Statuses are those of all submissions, the first of which began at SubmittedAt.
+	// AcceptedAt is the time of the first 202.
+	Statuses    []int
+	SubmittedAt time.Time
+	AcceptedAt  time.Time
 	// Cancelling is set from before the first request to cancel it.
 	Cancelling bool
 	// CancelledAt is when the cancellation was acknowledged.
@@ -83,6 +84,7 @@
 	Job      string
 	Instance string
 	SentAt   time.Time
+	DoneAt   time.Time
 	Status   int
 	After    int
 	Total    int
