Submit accepted jobs again in the soak

No caller of the soak sent a job again after its 202. One read of an open job in four is now followed by a submission, to any instance; items that run or are listed twice for that are found by the other checks.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -25,6 +25,8 @@
 	failedAddressBackoff = 2 * time.Second
 	// One online request in longShare is long.
 	longShare = 12
+	// After one read in resubmitShare of an open job, the job is submitted again.
+	resubmitShare = 4
 )
 
 // callerPool simulates callers: they resolve the addresses of instances, use
@@ -244,6 +246,9 @@
 		if !willCancel && after < len(j.Items) {
 			c.readBody(j.ID, j.Items[random.IntN(len(j.Items))], c.anyAddress())
 		}
+		if rand.IntN(resubmitShare) == 0 {
+			c.submit(j, body, c.anyAddress())
+		}
 		if willCancel && after > 0 {
 			c.cancelJob(ctx, j, random)
 			return
@@ -260,7 +265,7 @@
 func (c *callerPool) submit(j *Job, body []byte, address string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	status := 0
+	status, sentAt := 0, time.Now()
 	response, err := c.client.Do(c.newRequest(ctx, http.MethodPost, address, batchPrefix+j.ID, j.ID, bytes.NewReader(body)))
 	if err == nil {
 		status = response.StatusCode
@@ -268,7 +273,9 @@
 	}
 	c.history.update(func() {
 		j.Statuses = append(j.Statuses, status)
-		if status == http.StatusAccepted {
+		if !j.AcceptedAt.IsZero() {
+			c.history.Again = append(c.history.Again, Resubmission{j.ID, address, sentAt, time.Now(), status})
+		} else if status == http.StatusAccepted {
 			j.AcceptedAt = time.Now()
 		}
 	})
--- a/soak/check.go
+++ b/soak/check.go
@@ -28,6 +28,7 @@
 	maxWritesPerSecond = 800
 	maxReadsPerSecond  = 2000
 	maxAttempts        = 3
+	maxTurnedAway      = 3
 	// A planned stop may cut a request that was sent until lateSend after it began, in the
 	// last sixth of the grace period.
 	lateSend  = 3 * time.Second
@@ -51,6 +52,7 @@
 	"store's rates":     storeRates,
 	"quota":             quota,
 	"turned away":       turnedAway,
+	"turned away again": turnedAwayAgain,
 	"stamps":            stamps,
 	"service":           serviceAllowed,
 	"denied":            denied,
@@ -401,6 +403,22 @@
 	return found
 }
 
+// turnedAwayAgain finds accepted jobs that undisturbed instances turned away
+// maxTurnedAway times when they came again.
+func turnedAwayAgain(h *History) (found []Violation) {
+	times := map[string]int{}
+	for _, r := range h.Again {
+		due := h.Jobs[r.Job].AcceptedAt.Add(jobVisibleBound)
+		if r.Status < 400 || r.Status >= 500 || !r.SentAt.After(due) || !h.undisturbed("", r.SentAt, r.DoneAt, true) {
+			continue
+		}
+		if times[r.Job]++; times[r.Job] == maxTurnedAway {
+			found = append(found, Violation{ID: r.Job, Detail: fmt.Sprintf("answered %d by %s, the last of %d refusals, though it was accepted", r.Status, r.Instance, maxTurnedAway)})
+		}
+	}
+	return found
+}
+
 // String returns the violation on one line.
 func (v Violation) String() string {
 	return strings.TrimSpace(fmt.Sprintf("%s: %s %s", v.Check, v.ID, v.Detail))
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -90,6 +90,13 @@
 	h.Unfinished = []UnfinishedItem{{Job: "u", Item: "i5", At: after(time.Minute), Slots: 12}}
 }
 
+// addRefusalsOfAcceptedJob adds refusals of a job that comes again to a history.
+func addRefusalsOfAcceptedJob(h *History, n int) {
+	for range n {
+		h.Again = append(h.Again, Resubmission{Job: "j", Instance: "a", SentAt: after(8 * time.Second), DoneAt: after(8 * time.Second), Status: 429})
+	}
+}
+
 // pauseWorker adds a pause of worker w to a history.
 func pauseWorker(h *History, from time.Duration) {
 	h.Disturbances = append(h.Disturbances, Disturbance{Kind: faultWorkerPauses, Worker: "w", From: after(from), To: after(from + pauseTime), Planned: true})
@@ -138,6 +145,7 @@
 			r.Finished = true
 			h.Runs = append(h.Runs, r)
 		},
+		"few refused again": func(h *History) { addRefusalsOfAcceptedJob(h, maxTurnedAway-1) },
 		"held up by a pause": func(h *History) {
 			h.Runs[4].Worker, h.Runs[4].StartedAt = "w", after(6*time.Second)
 			pauseWorker(h, 5*time.Second)
@@ -175,8 +183,9 @@
 		t.Fatalf("violations in a valid history: %v", found)
 	}
 	mutants := map[string][]func(*History){
-		"quota":       {func(h *History) { h.QueuedTokens[1].Tokens++ }},
-		"turned away": {func(h *History) { h.Jobs["j"].Statuses[0] = 409 }, func(h *History) { h.Jobs["n"].Statuses[0] = 404 }},
+		"quota":             {func(h *History) { h.QueuedTokens[1].Tokens++ }},
+		"turned away":       {func(h *History) { h.Jobs["j"].Statuses[0] = 409 }, func(h *History) { h.Jobs["n"].Statuses[0] = 404 }},
+		"turned away again": {func(h *History) { addRefusalsOfAcceptedJob(h, maxTurnedAway) }},
 		"whole answers": {
 			func(h *History) { h.Attempts[0].Events = Events("r2") },
 			func(h *History) { h.Attempts[0].Events = h.Attempts[0].Events[:2] },
--- a/soak/history.go
+++ b/soak/history.go
@@ -105,6 +105,15 @@
 	Unchanged bool
 }
 
+// Resubmission is one more submission of an accepted job.
+type Resubmission struct {
+	Job      string
+	Instance string
+	SentAt   time.Time
+	DoneAt   time.Time
+	Status   int
+}
+
 // Drain is the acknowledged change of a worker to draining.
 type Drain struct {
 	Worker         string
@@ -177,6 +186,7 @@
 	Jobs         map[string]*Job
 	Reads        []JobRead
 	BodyReads    []BodyRead
+	Again        []Resubmission
 	Drains       []Drain
 	Stops        []Stop
 	Probes       []Probe
