--- a/soak/check.go
+++ b/soak/check.go
@@ -28,6 +28,7 @@
 	maxWritesPerSecond = 800
 	maxReadsPerSecond  = 2000
 	maxAttempts        = 3
+	maxTurnedAway      = 3
 	// A planned stop may cut a request that was sent until lateSend after it began, in the
 	// last sixth of the grace period.
 	lateSend  = 3 * time.Second
@@ -51,6 +52,7 @@
 	"store's rates":     storeRates,
 	"quota":             quota,
 	"turned away":       turnedAway,
+	"turned away again": turnedAwayAgain,
 	"stamps":            stamps,
 	"service":           serviceAllowed,
 	"denied":            denied,
@@ -87,10 +89,11 @@
 // undisturbed reports whether no disturbance of an instance overlapped the time
 // between from and to or the recoveryTime before it. An empty instance means any
 // instance. Disturbances without an instance, such as those of the store and
-// the workers, apply to all. Planned ones count only with includePlanned.
+// the workers, apply to all. Planned ones count only with includePlanned, and pauses of
+// workers never.
 func (h *History) undisturbed(instance string, from, to time.Time, includePlanned bool) bool {
 	for _, d := range h.Disturbances {
-		if d.Planned && !includePlanned {
+		if d.Planned && !includePlanned || d.Kind == faultWorkerPauses {
 			continue
 		}
 		applies := instance == "" || d.Instance == "" || d.Instance == instance
@@ -101,6 +104,13 @@
 	return true
 }
 
+// heldUp reports whether a run may have been on its way to its worker during a pause.
+func (h *History) heldUp(r WorkerRun) bool {
+	return slices.ContainsFunc(h.Disturbances, func(d Disturbance) bool {
+		return d.Kind == faultWorkerPauses && d.Worker == r.Worker && d.From.Before(r.StartedAt) && d.To.After(r.StartedAt.Add(-recoveryTime))
+	})
+}
+
 // wholeAnswers finds answers with events of another request, and incomplete
 // answers that ended like complete ones.
 func wholeAnswers(h *History) (found []Violation) {
@@ -234,17 +244,30 @@
 	return found
 }
 
-// jobKnown finds accepted jobs that an undisturbed instance did not know after
-// jobVisibleBound.
+// jobKnown finds accepted jobs that an instance in touch did not know after
+// jobVisibleBound, and positions of results at which it had nothing although they had been
+// read before.
 func jobKnown(h *History) (found []Violation) {
+	reads := map[string][]JobRead{}
+	for _, r := range h.Reads {
+		reads[r.Job] = append(reads[r.Job], r)
+	}
 	for _, r := range h.Reads {
 		j := h.Jobs[r.Job]
-		if j == nil || j.AcceptedAt.IsZero() || r.Status != 404 {
+		if j == nil || !h.inTouch(r.Instance, r.SentAt, r.SentAt) {
 			continue
 		}
-		if r.SentAt.After(j.AcceptedAt.Add(jobVisibleBound)) && h.undisturbed(r.Instance, j.AcceptedAt, r.SentAt, true) {
+		due := r.SentAt.Add(-jobVisibleBound)
+		unknown := r.Status == http.StatusNotFound || r.Status == http.StatusGone
+		if unknown && !j.AcceptedAt.IsZero() && due.After(j.AcceptedAt) {
 			found = append(found, Violation{ID: r.Job, Detail: "not known at " + r.Instance})
 		}
+		known := slices.ContainsFunc(reads[r.Job], func(before JobRead) bool {
+			return before.DoneAt.Before(due) && before.After+len(before.Results) > r.After
+		})
+		if known && (unknown || r.Status == http.StatusOK && len(r.Results) == 0) && r.DoneAt.Before(j.SubmittedAt.Add(statusTime)) {
+			found = append(found, Violation{ID: r.Job, Detail: fmt.Sprintf("nothing at position %d, which had been read, at %s", r.After, r.Instance)})
+		}
 	}
 	return found
 }
@@ -276,7 +299,7 @@
 		}
 		for _, item := range j.Items {
 			for _, r := range runs[item] {
-				if r.StartedAt.After(j.CancelledAt.Add(cancelBound)) && h.undisturbed("", j.CancelledAt, r.StartedAt, true) {
+				if r.StartedAt.After(j.CancelledAt.Add(cancelBound)) && h.undisturbed("", j.CancelledAt, r.StartedAt, true) && !h.heldUp(r) {
 					found = append(found, Violation{ID: item, Detail: fmt.Sprintf("runs %v after its job was ended", r.StartedAt.Sub(j.CancelledAt))})
 				}
 			}
@@ -290,7 +313,7 @@
 func draining(h *History) (found []Violation) {
 	for _, d := range h.Drains {
 		for _, r := range h.Runs {
-			if r.Worker == d.Worker && r.StartedAt.After(d.AcknowledgedAt.Add(drainBound)) && h.undisturbed("", d.AcknowledgedAt, r.StartedAt, true) {
+			if r.Worker == d.Worker && r.StartedAt.After(d.AcknowledgedAt.Add(drainBound)) && h.undisturbed("", d.AcknowledgedAt, r.StartedAt, true) && !h.heldUp(r) {
 				found = append(found, Violation{ID: r.Request, Detail: fmt.Sprintf("runs at %s %v after it began to drain", r.Worker, r.StartedAt.Sub(d.AcknowledgedAt))})
 			}
 		}
@@ -380,6 +403,22 @@
 	return found
 }
 
+// turnedAwayAgain finds accepted jobs that undisturbed instances turned away
+// maxTurnedAway times when they came again.
+func turnedAwayAgain(h *History) (found []Violation) {
+	times := map[string]int{}
+	for _, r := range h.Again {
+		due := h.Jobs[r.Job].AcceptedAt.Add(jobVisibleBound)
+		if r.Status < 400 || r.Status >= 500 || !r.SentAt.After(due) || !h.undisturbed("", r.SentAt, r.DoneAt, true) {
+			continue
+		}
+		if times[r.Job]++; times[r.Job] == maxTurnedAway {
+			found = append(found, Violation{ID: r.Job, Detail: fmt.Sprintf("answered %d by %s, the last of %d refusals, though it was accepted", r.Status, r.Instance, maxTurnedAway)})
+		}
+	}
+	return found
+}
+
 // String returns the violation on one line.
 func (v Violation) String() string {
 	return strings.TrimSpace(fmt.Sprintf("%s: %s %s", v.Check, v.ID, v.Detail))
