Let the slot limit of an upstream recover without samples

What callers saw: items of batch jobs that kept to a part of the slots of an upstream, down to a quarter, for as long as no online request came, with the other slots free. No limit of time ended that.

Cause: route.Limit is decreased by slow first tokens of online requests and increased by fast ones only. When the online requests ended, the last value stayed. Neither a readmitted upstream nor batch answers raised it.

Evidence: with 3 upstreams of 4 slots, one of them slow while online requests ran, 20 s later 12 batch requests did not run together.

Ruled out: samples of batch requests. Their prompts differ from online ones, against whose median they would be compared, and where the headroom takes what the limit leaves there are none.

Change: without samples the limit rises by all slots in 10 s. The time is passed in. A sample starts from the risen value, so that an upstream that is slow all the time still keeps to at most half of its slots (TestLimitAllowsAllSlotsAfterTimeWithoutSamples).

--- a/route/limit.go
+++ b/route/limit.go
@@ -9,6 +9,8 @@
 	Value float64
 	// Slots is the upper bound of the limit.
 	Slots int
+	// UpdatedAt is the time of the last sample, from which the limit recovers.
+	UpdatedAt time.Time
 	// LastDecrease is the time of the last decrease.
 	LastDecrease time.Time
 }
@@ -23,6 +25,8 @@
 	minLimitShare = 0.25
 	// minDecreaseInterval is the least time between two decreases.
 	minDecreaseInterval = 250 * time.Millisecond
+	// limitRecoveryTime is the time in which a limit without samples rises by all slots.
+	limitRecoveryTime = 10 * time.Second
 )
 
 // NewLimit returns a limit that allows all slots.
@@ -37,8 +41,20 @@
 	return NewLimit(slots)
 }
 
-// Allowed returns the limit as a whole number of requests, at least 1.
-func (l Limit) Allowed() int { return max(int(l.Value), 1) }
+// Allowed returns the limit at now as a whole number of requests, at least 1.
+func (l Limit) Allowed(now time.Time) int { return max(int(l.recovered(now).Value), 1) }
+
+// recovered returns the limit at now. It rises with the time since the last sample: the
+// requests that caused a decrease may be the only ones that are sampled.
+func (l Limit) recovered(now time.Time) Limit {
+	elapsed := now.Sub(l.UpdatedAt)
+	if l.UpdatedAt.IsZero() || elapsed <= 0 {
+		return l
+	}
+	l.Value = min(l.Value+float64(l.Slots)*elapsed.Seconds()/limitRecoveryTime.Seconds(), float64(l.Slots))
+	l.UpdatedAt = now
+	return l
+}
 
 // Sample is one observation: a latency, the reference latency without load, and the
 // number of requests in flight.
@@ -52,6 +68,8 @@
 // decreases the limit when at least half of it is in use; a latency that is not far
 // above increases it slowly.
 func (l Limit) Observe(now time.Time, s Sample) Limit {
+	l = l.recovered(now)
+	l.UpdatedAt = now
 	slow := s.Reference > 0 && float64(s.Observed) > limitTolerance*float64(s.Reference)
 	used := float64(s.InFlight) >= l.Value/2
 	switch {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -222,13 +222,39 @@
 				Reference: time.Duration(rapid.IntRange(0, 1000).Draw(t, "reference")),
 				InFlight:  rapid.IntRange(0, 64).Draw(t, "in flight"),
 			})
-			if a := l.Allowed(); a < 1 || a > slots {
+			if a := l.Allowed(now); a < 1 || a > slots {
 				t.Fatalf("limit is %d, want 1 to %d", a, slots)
 			}
 		}
 	})
 }
 
+func TestLimitAllowsAllSlotsAfterTimeWithoutSamples(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(2, 64).Draw(t, "slots")
+		slow := Sample{Observed: time.Second, Reference: 100 * time.Millisecond, InFlight: slots}
+		l, now := NewLimit(slots), time.Unix(0, 0)
+		for range rapid.IntRange(100, 200).Draw(t, "samples") {
+			now = now.Add(100 * time.Millisecond)
+			l = l.Observe(now, slow)
+		}
+		if a := l.Allowed(now); a > slots/2 {
+			t.Fatalf("limit is %d while all requests are slow, want at most half of %d slots", a, slots)
+		}
+		before := 0
+		for elapsed := time.Duration(0); elapsed <= limitRecoveryTime; elapsed += time.Second {
+			a := l.Allowed(now.Add(elapsed))
+			if a < before {
+				t.Fatalf("limit falls from %d to %d without a sample", before, a)
+			}
+			before = a
+		}
+		if before != slots {
+			t.Fatalf("limit is %d after %v without a sample, want %d", before, limitRecoveryTime, slots)
+		}
+	})
+}
+
 func TestFairShareServesByWeightAndShedsLargestQueue(t *testing.T) {
 	tenants := []Tenant{{Weight: 1, Waiting: 1000}, {Weight: 3, Waiting: 1000}}
 	served := make([]int, 2)
--- a/upstream/state.go
+++ b/upstream/state.go
@@ -73,7 +73,7 @@
 		ID:               t.id,
 		Address:          t.address,
 		Slots:            t.config.Load().Slots,
-		Limit:            t.limit.Allowed(),
+		Limit:            t.limit.Allowed(now),
 		Online:           t.online,
 		Batch:            t.batch,
 		PeerOnline:       t.peers.online,
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -107,7 +107,7 @@
 		New:        t.isNew(now),
 		Answers:    t.answers,
 		Slots:      config.Slots,
-		Limit:      t.limit.Allowed(),
+		Limit:      t.limit.Allowed(now),
 		Online:     t.online,
 		Batch:      t.batch,
 		Long:       t.longOnline,
