Back off between the attempts of an acceptance

Cause: Submit made its attempts at a fixed interval of 40 ms.

Evidence: 40 submissions at a store whose writes fail.

service_test.go:201: 40 submissions made 2400 reads in 1s, want at most 2000

Ruled out: fewer reads an attempt. Heads and reservations have to be read again, since the quota is checked against them.

Change: an exponential backoff with full jitter from package retry, from 80 ms, which is 40 ms on average before the first retry, to 640 ms. The limit of the whole time stays 1.5 s.

--- a/job/service_test.go
+++ b/job/service_test.go
@@ -175,6 +175,35 @@
 	})
 }
 
+func TestSubmissionsToAFailingStoreStayUnderItsReadLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			submissions       = 40
+			maxReadsPerSecond = 2000 // The read limit of the platform.
+		)
+		f := newFleet(t, 1, func(r *contract.Route) { r.MaxWaitingTokens = 1e6 })
+		defer f.close()
+		time.Sleep(2 * time.Second) // The instance has read the store.
+		f.instances[0].store.failWrites.Store(true)
+		before, startedAt := f.store.Counts().Reads, time.Now()
+		var wait sync.WaitGroup
+		for i := range submissions {
+			wait.Go(func() {
+				id := strconv.Itoa(i)
+				err := f.instances[0].Submit(t.Context(), f.submission("j"+id, "a"+id))
+				if e := code.From(err); e == nil || e.Number != code.StoreUnavailable || e.Outcome != code.NotRun || e.RetryAfter == 0 {
+					t.Errorf("job %s: %v", id, err)
+				}
+			})
+		}
+		time.Sleep(time.Second)
+		if reads := f.store.Counts().Reads - before; reads > maxReadsPerSecond {
+			t.Errorf("%d submissions made %d reads in %v, want at most %d", submissions, reads, time.Since(startedAt), maxReadsPerSecond)
+		}
+		wait.Wait()
+	})
+}
+
 func TestEndedJobStopsEverywhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 2, nil)
--- a/job/submit.go
+++ b/job/submit.go
@@ -9,6 +9,7 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/retry"
 	"github.com/daisylb/daisylb/storage"
 )
 
@@ -35,14 +36,16 @@
 	// maxSubmitAttempts bounds the attempts of one Submit, which fail when they
 	// conflict with other transactions. submitTimeout bounds the time that a caller
 	// waits while the store fails.
-	maxSubmitAttempts   = 12
-	submitTimeout       = 1500 * time.Millisecond
-	submitRetryInterval = 40 * time.Millisecond
+	maxSubmitAttempts = 12
+	submitTimeout     = 1500 * time.Millisecond
 	// quotaRetryAfter is about the time in which a few items complete and free their
 	// tokens.
 	quotaRetryAfter = time.Second
 )
 
+// submitBackoff is the delay between the attempts of one Submit.
+var submitBackoff = retry.Backoff{Min: 80 * time.Millisecond, Max: 640 * time.Millisecond}
+
 // Submit accepts a job: its body is stored as an object and its head as a row before
 // Submit returns. A job that was accepted before is accepted again without a change.
 //
@@ -67,10 +70,8 @@
 		case code.QuotaExceeded, code.StoreTooLarge:
 			return a.rejection(err)
 		}
-		select {
-		case <-ctx.Done():
-			return a.rejection(err)
-		case <-time.After(submitRetryInterval):
+		if submitBackoff.Sleep(ctx, attempts) != nil {
+			break
 		}
 	}
 	return a.rejection(err)
