Take no job over from an owner that has just taken it over

What callers saw: items run once more than the fault explains, since their job was taken from an instance that was alive and had just begun to run it.

Cause: an instance lists the jobs that are due and takes them over one after another, each with two reads and a write. takeOver read the head again before its write, so that the condition of the write always held, but did not look whether the job still had no living owner. Beside a slow store the list takes seconds, in which instances of another rank had taken over its later jobs.

Ruled out: the condition of the write, which holds on the version that was read; preemption and silence, which do not change the owner.

Change: a job is taken over only as it was when it was found due. If its head has changed, the next check decides anew.

--- a/job/takeover.go
+++ b/job/takeover.go
@@ -34,15 +34,15 @@
 // takeOverOrphans takes over the jobs whose owner has handed them over or is not
 // alive.
 func (s *Service) takeOverOrphans(ctx context.Context) {
-	for _, id := range s.dueTakeovers(time.Now()) {
-		s.takeOver(ctx, id)
+	for id, v := range s.dueTakeovers(time.Now()) {
+		s.takeOver(ctx, id, v)
 	}
 }
 
-// dueTakeovers returns the ids of the jobs that this instance takes over now, and
-// updates the list of orphans. An instance without a document takes over none, since it
-// could not run them.
-func (s *Service) dueTakeovers(now time.Time) []string {
+// dueTakeovers returns the heads of the jobs that this instance takes over now, by id,
+// and updates the list of orphans. An instance without a document takes over none, since
+// it could not run them.
+func (s *Service) dueTakeovers(now time.Time) map[string]versionedHead {
 	fleet := s.options.Fleet()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -52,7 +52,7 @@
 	for process := range fleet.Alive {
 		s.seenAlive[process] = true
 	}
-	var ids []string
+	due := map[string]versionedHead{}
 	for id, v := range s.heads {
 		if !v.open() {
 			continue
@@ -67,10 +67,10 @@
 			since = now
 		}
 		if now.Sub(since) >= s.takeoverDelay(id, v, fleet) {
-			ids = append(ids, id)
+			due[id] = v
 		}
 	}
-	return ids
+	return due
 }
 
 // takeoverDelay returns how long a job is left alone after its owner was found to be
@@ -97,12 +97,10 @@
 }
 
 // takeOver makes this process the owner of a job and runs the items that are not
-// listed.
-func (s *Service) takeOver(ctx context.Context, id string) {
-	s.mu.Lock()
-	v, ok := s.heads[id]
-	s.mu.Unlock()
-	if !ok || !v.open() {
+// listed. It does nothing if the head has changed since v: another instance may have
+// taken the job over.
+func (s *Service) takeOver(ctx context.Context, id string, v versionedHead) {
+	if s.headVersion(id) != v.version {
 		return
 	}
 	items, err := s.loadItems(ctx, id)
