Answer unavailable for positions that a late follower may not know

What callers saw: a read of a position that had been read at another instance could get a page without results, as if nothing were there, from an instance that had not learned of changes for any time: one that the store refuses while no peer can help, or one that is cut off.

Cause: Results answers an empty page from the heads in memory, whatever the age of what the feed read last. Only jobs that are not known here were asked for at the store.

Evidence: an instance whose reads of changes fail, while the job is finished and read at another one.

service_test.go:325: wait 0s: 0 results, <nil>; want StoreUnavailable service_test.go:325: wait 1s: 0 results, <nil>; want StoreUnavailable

Ruled out: reading the head from the store for each such read. It would add reads to a store in trouble, at the rate of all readers; another instance can answer.

Change: where a page would be empty, the job is open and the last poll of the feed is older than a poll takes in ordinary operation, Results returns code.StoreUnavailable. Results that are listed are served as before.

--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -62,12 +62,15 @@
 	failBlobs                           atomic.Bool
 	reservationReadLatency, callLatency atomic.Int64
 	// afterResults, if set, is called after the first transaction with rows of results.
-	// failWrites lets transactions fail.
-	afterResults func()
-	failWrites   atomic.Bool
+	// failWrites lets transactions fail, failChanges the reads of changes.
+	afterResults            func()
+	failWrites, failChanges atomic.Bool
 }
 
 func (s *instanceStore) RowChanges(ctx context.Context, table string, after uint64, wait time.Duration) (storage.RowPage, error) {
+	if s.failChanges.Load() {
+		return storage.RowPage{}, code.New(code.StoreUnavailable, "no changes are read")
+	}
 	page, err := s.Rows.RowChanges(ctx, table, after, wait)
 	if !s.noChanges.Load() {
 		return page, err
--- a/job/read.go
+++ b/job/read.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/feed"
 	"github.com/daisylb/daisylb/storage"
 )
 
@@ -19,7 +20,8 @@
 // Results returns the number of items of a job and its results from a position on, at
 // least one if there is one. It waits up to wait for a result.
 //
-// Errors: code.JobUnknown, and code.StoreUnavailable when the store can't be read.
+// Errors: code.JobUnknown, and code.StoreUnavailable when the store can't be read or when
+// there may be a result of which this instance has not learned yet.
 func (s *Service) Results(ctx context.Context, id string, after int, wait time.Duration) (int, []Result, error) {
 	deadline := time.Now().Add(wait)
 	for {
@@ -31,16 +33,31 @@
 			results, err := s.readResults(ctx, v.part, id, after, v.Listed)
 			return v.Total, results, readError(err)
 		}
-		remaining := time.Until(deadline)
-		if remaining <= 0 || !v.open() {
+		if !v.open() {
 			return v.Total, nil, nil
 		}
-		if !s.waitForChange(ctx, id, v.version, remaining) {
-			return v.Total, nil, nil
+		remaining := time.Until(deadline)
+		if remaining > 0 && s.waitForChange(ctx, id, v.version, remaining) {
+			continue
 		}
+		if s.followsLate() {
+			err := code.New(code.StoreUnavailable, "changes of job %q may not be known here yet", id)
+			return 0, nil, err.WithRetryAfter(storeRetryAfter)
+		}
+		return v.Total, nil, nil
 	}
 }
 
+// maxFollowDelay is the time that one poll of the feed may take beyond its timeout.
+const maxFollowDelay = 500 * time.Millisecond
+
+// followsLate reports whether heads may have changed for longer than it takes to learn
+// that in ordinary operation.
+func (s *Service) followsLate() bool {
+	age, ok := s.follower.Age()
+	return !ok || age > feed.DefaultPollTimeout+s.feedInterval()+maxFollowDelay
+}
+
 // readError turns an error of the store into code.StoreUnavailable, so that the
 // reader retries. code.JobUnknown stays as it is.
 func readError(err error) error {
--- a/job/service_test.go
+++ b/job/service_test.go
@@ -305,6 +305,31 @@
 	})
 }
 
+func TestInstanceThatFollowsLateDoesNotSayThatAPositionIsEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, nil)
+		defer f.close()
+		late := f.instances[1]
+		if err := f.instances[0].Submit(t.Context(), f.submission("j", "a")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if _, results, err := late.Results(t.Context(), "j", 0, 0); len(results) > 0 || err != nil {
+			t.Fatalf("open job: %d results, %v", len(results), err)
+		}
+		late.store.failChanges.Store(true)
+		wantAll(t, f.read(f.instances[0], "j"), "a")
+		time.Sleep(time.Second)
+		for _, wait := range []time.Duration{0, time.Second} {
+			if _, results, err := late.Results(t.Context(), "j", 0, wait); code.Of(err) != code.StoreUnavailable {
+				t.Errorf("wait %v: %d results, %v; want StoreUnavailable", wait, len(results), err)
+			}
+		}
+		late.store.failChanges.Store(false)
+		wantAll(t, f.read(late, "j"), "a")
+	})
+}
+
 func TestOutageDelaysCommitsAndListedResultsAreServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, nil)
