Read positions again in the random histories of jobs

Callers that follow a job at changing machines must find what any of them has read: never an unknown job, never another result at a position, and, a second after a position was read, never an empty page from a machine that is calm. A machine that the store refuses counts as calm, since it can use the store through others.

--- a/job/history_machine_test.go
+++ b/job/history_machine_test.go
@@ -36,11 +36,12 @@
 	refused bool
 	// hidden has the machines that this one takes for ended.
 	hidden map[*machine]bool
-	// disturbed is set while the machine is ended or cut.
-	disturbed bool
-	service   *job.Service
-	cancel    context.CancelFunc
-	done      chan struct{}
+	// disturbed is set while the machine is ended or cut, until disturbedAt.
+	disturbed   bool
+	disturbedAt time.Time
+	service     *job.Service
+	cancel      context.CancelFunc
+	done        chan struct{}
 }
 
 const (
--- a/job/history_test.go
+++ b/job/history_test.go
@@ -37,6 +37,16 @@
 	accepted map[string][]string
 	ended    map[string]bool
 	refused  []string
+	// storeDisturbedAt is the last time at which the store failed or lost answers.
+	storeDisturbedAt time.Time
+	// listed has, by job, the results that callers have read, by position.
+	listed map[string]map[int]listing
+}
+
+// listing is a result that a caller has read first at a time.
+type listing struct {
+	result job.Result
+	readAt time.Time
 }
 
 const (
@@ -44,6 +54,10 @@
 	historyTime     = 30 * time.Second
 	// finishTime is the time without faults after which all jobs must be complete.
 	finishTime = 18 * time.Second
+	// calmTime is the time after a fault from which a machine must know of changes within
+	// settleTime.
+	calmTime   = 3 * time.Second
+	settleTime = time.Second
 )
 
 // locked returns the result of f, which it calls with the lock held.
@@ -109,16 +123,16 @@
 			return
 		}
 		h.disturbMachine(m, kind)
-		h.locked(func() bool { m.disturbed = false; return false })
+		h.locked(func() bool { m.disturbed, m.disturbedAt = false, time.Now(); return false })
 	case 4, 5:
 		h.during(4*time.Second, func(on bool) {
-			h.lossShare = 0
+			h.lossShare, h.storeDisturbedAt = 0, time.Now()
 			if on {
 				h.lossShare = 0.5
 			}
 		})
 	case 6:
-		h.during(4*time.Second, func(on bool) { h.storeDown = on })
+		h.during(4*time.Second, func(on bool) { h.storeDown, h.storeDisturbedAt = on, time.Now() })
 	case 7:
 		h.during(4*time.Second, func(on bool) { h.upstreamsDown = on })
 	case 9, 10:
@@ -174,6 +188,10 @@
 	}
 	h.pause(time.Second, 8*time.Second)
 	h.use(sub)
+	for range 8 {
+		h.pause(100*time.Millisecond, 1500*time.Millisecond)
+		h.readAgain(sub.ID)
+	}
 }
 
 // end asks for the end of a job.
@@ -204,6 +222,47 @@
 	}
 }
 
+// readAgain reads the results of an accepted job at a machine, from a position up to the
+// first that no caller has read. What callers have read must come again.
+func (h *history) readAgain(id string) {
+	h.mu.Lock()
+	m := h.machines[h.random.IntN(len(h.machines))]
+	service, process, known := m.service, m.process, len(h.listed[id])
+	position := h.random.IntN(known + 1)
+	before, wasRead := h.listed[id][position]
+	settled := wasRead && time.Since(before.readAt) > settleTime && h.isCalm(m)
+	reached := m.endedAt.IsZero() && !m.cut
+	h.mu.Unlock()
+	if !reached {
+		return
+	}
+	_, results, err := service.Results(context.Background(), id, position, 0)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if code.Of(err) == code.JobUnknown || err == nil && len(results) == 0 && settled && h.isCalm(m) {
+		h.t.Errorf("job %s at %s: nothing at position %d, which was read, %v", id, process, position, err)
+	}
+	if h.listed[id] == nil {
+		h.listed[id] = map[int]listing{}
+	}
+	for i, r := range results {
+		first, ok := h.listed[id][position+i]
+		if ok && first.result != r {
+			h.t.Errorf("job %s at %s: position %d holds item %s, had %s", id, process, position+i, r.Item, first.result.Item)
+		}
+		if !ok {
+			h.listed[id][position+i] = listing{r, time.Now()}
+		}
+	}
+}
+
+// isCalm reports whether neither a machine nor the store has failed for calmTime. A machine
+// that the store refuses counts as calm, since it can use others. The lock is held.
+func (h *history) isCalm(m *machine) bool {
+	machineCalm := !m.disturbed && time.Since(m.disturbedAt) > calmTime
+	return machineCalm && !h.storeDown && h.lossShare == 0 && time.Since(h.storeDisturbedAt) > calmTime
+}
+
 // run runs the history until all jobs should be complete.
 func (h *history) run() {
 	var wait sync.WaitGroup
@@ -265,7 +324,7 @@
 		quota := []int64{0, 4000, 100000}[seed%3]
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				h := &history{t: t, random: rand.New(rand.NewPCG(seed, seed)), store: memory.NewRows(), accepted: map[string][]string{}, ended: map[string]bool{}}
+				h := &history{t: t, random: rand.New(rand.NewPCG(seed, seed)), store: memory.NewRows(), accepted: map[string][]string{}, ended: map[string]bool{}, listed: map[string]map[int]listing{}}
 				h.route = contract.Route{Host: "h", Prefix: "/lot/", Kind: contract.RouteBatch, MaxAttempts: 3, MaxWaitingTokens: quota,
 					CompletionWindow: 18 * time.Second, GiveUpAfter: time.Minute, Split: []contract.WeightedService{{Service: "s", Weight: 1}}}
 				for i := range historyMachines {
