Don't set the store's clock back by a late response

What callers saw: nothing yet. A job accepted by an instance that had just handled a late response, as after a freeze with a poll in flight, was recorded as accepted earlier than it was sent, by up to the delay. Its items could be given up that much before their time.

Cause: updateClock took the clock of each response as the present one. Without a quota, Submit reads nothing between the response and the head.

Evidence: responses with changes take 4 s to the instance. Before, among others:

parts_test.go:327: job j19 sent at 25s was accepted at 21001 ms of the store, <nil>

Ruled out: the takeover, which computes the age of a job with the same clock and so gives its items up late, not early.

Change: a reading below the clock that is extrapolated from an earlier response is not used. The store's clock is steady and each reading is one of the past, so that the higher one is closer to the present.

--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -49,10 +49,11 @@
 // instanceStore is the store as one instance reaches it.
 type instanceStore struct {
 	*memory.Rows
-	// noChanges withholds all changes from the instance. blobLatency is the time that
-	// the write of an object takes, in nanoseconds.
-	noChanges   atomic.Bool
-	blobLatency atomic.Int64
+	// noChanges withholds all changes from the instance. changesLatency is the time that
+	// changes take to the instance, blobLatency that of the write of an object, in
+	// nanoseconds.
+	noChanges                   atomic.Bool
+	changesLatency, blobLatency atomic.Int64
 	// beforeCall, if set, is called before a reservation is written ("reserve") and
 	// before reservations are read ("gate").
 	beforeCall func(call string)
@@ -72,6 +73,7 @@
 		return storage.RowPage{}, code.New(code.StoreUnavailable, "no changes are read")
 	}
 	page, err := s.Rows.RowChanges(ctx, table, after, wait)
+	time.Sleep(time.Duration(s.changesLatency.Load()))
 	if !s.noChanges.Load() {
 		return page, err
 	}
--- a/job/parts_test.go
+++ b/job/parts_test.go
@@ -297,6 +297,41 @@
 	}
 }
 
+func TestJobAcceptedAfterALateFeedResponseIsNotGivenUpEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const latency = 4 * time.Second
+		startedAt := time.Now()
+		f := newFleet(t, 2, nil)
+		defer f.close()
+		time.Sleep(time.Second)
+		m := f.instances[0]
+		m.store.changesLatency.Store(int64(latency))
+		for i := range 4 {
+			if err := f.instances[1].Submit(t.Context(), f.submission("before"+strconv.Itoa(i), "short-"+strconv.Itoa(i))); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(latency)
+		}
+		for i := range 20 {
+			time.Sleep(latency / 10)
+			sentAt, id := time.Since(startedAt), "j"+strconv.Itoa(i)
+			if err := m.Submit(t.Context(), f.submission(id, "short-a")); err != nil {
+				t.Fatal(err)
+			}
+			for _, rows := range f.rowsOf("jobs") {
+				for _, row := range rows {
+					var head struct {
+						AcceptedMS int64 `json:"accepted_ms"`
+					}
+					if err := json.Unmarshal(row.Value, &head); row.Key == id && (err != nil || head.AcceptedMS < sentAt.Milliseconds()) {
+						t.Errorf("job %s sent at %v was accepted at %d ms of the store, %v", id, sentAt, head.AcceptedMS, err)
+					}
+				}
+			}
+		}
+	})
+}
+
 // TestAcceptanceMakesFewSequentialStoreCalls: a caller must get its response within
 // the callers' objective of 400 ms from a store that takes 100 ms a call.
 func TestAcceptanceMakesFewSequentialStoreCalls(t *testing.T) {
--- a/job/service.go
+++ b/job/service.go
@@ -223,10 +223,10 @@
 	return c
 }
 
-// updateClock keeps the store's clock, unless it is 0 and so not known. The lock is
-// held.
+// updateClock keeps the store's clock, unless it is 0 and so not known, or below the one
+// extrapolated from an earlier response: it is then a late response. The lock is held.
 func (s *Service) updateClock(now time.Duration) {
-	if now > 0 {
+	if now > 0 && (s.clockReadAt.IsZero() || now > s.clock+time.Since(s.clockReadAt)) {
 		s.clock, s.clockReadAt = now, time.Now()
 	}
 }
