Remove stale reservations until they fit into a page

What callers saw: with more reservations than a page of the store holds, most of them stale, a job was refused with 4004 although it fitted.

Cause: each attempt of an acceptance removed one batch of 32 and then failed, so that the number of attempts decided whether enough were removed.

Ruled out: more attempts, or a shorter backoff. Both make the number of stale reservations that a submission bears depend on constants.

Change: readReservations removes batches and reads again for as long as a page does not hold all and a batch can be removed. It gives up as before when too few of them are stale, or when another instance removes them at the same time.

--- a/job/quota.go
+++ b/job/quota.go
@@ -75,18 +75,32 @@
 	return key
 }
 
-// readReservations reads the reservations of a route as of one version of the store.
+// readReservations reads the reservations of a route as of one version of the store. Only
+// one page shows all of them so. Stale ones are removed until they fit into a page.
 //
 // Errors: code.StoreThrottled when there are too many for that, and those of the
 // store.
 func (s *Service) readReservations(ctx context.Context, route string) (reservationSet, error) {
 	prefix := generationKey(route).Key
-	page, err := s.options.Store.GetRows(ctx, reservationTable, reservationPart, prefix, strings.TrimSuffix(prefix, "/")+"0")
-	if err != nil {
-		return reservationSet{}, err
+	for {
+		page, err := s.options.Store.GetRows(ctx, reservationTable, reservationPart, prefix, strings.TrimSuffix(prefix, "/")+"0")
+		if err != nil {
+			return reservationSet{}, err
+		}
+		set := s.decodeReservations(prefix, page.Rows)
+		if !page.More {
+			return set, nil
+		}
+		if !s.dropStaleReservations(ctx, route, &quotaUsage{reservations: set}) {
+			return reservationSet{}, code.New(code.StoreThrottled, "%d jobs and more of route %q are being accepted", len(page.Rows), route)
+		}
 	}
+}
+
+// decodeReservations decodes the rows whose keys begin with the prefix of a route.
+func (s *Service) decodeReservations(prefix string, rows []storage.TableRow) reservationSet {
 	set := reservationSet{byJob: map[string]reservation{}}
-	for _, row := range page.Rows {
+	for _, row := range rows {
 		if row.Key == prefix {
 			set.generation = row.Version
 			continue
@@ -100,13 +114,7 @@
 		r.version = row.Version
 		set.byJob[row.Key[len(prefix):]] = r
 	}
-	if page.More {
-		// Only one page shows all reservations as of one version. Stale ones are removed so
-		// that they fit into a page again.
-		s.dropStaleReservations(ctx, route, &quotaUsage{reservations: set})
-		return reservationSet{}, code.New(code.StoreThrottled, "%d jobs and more of route %q are being accepted", len(page.Rows), route)
-	}
-	return set, nil
+	return set
 }
 
 // readHeads reads the heads of all jobs. oldest is the lowest version of the store at
@@ -291,8 +299,9 @@
 
 // dropStaleReservations removes a batch of stale reservations and writes the
 // generation row, when there are enough of them. The transaction fails if one of them
-// was removed or renewed since it was read; all are then left for the next call.
-func (s *Service) dropStaleReservations(ctx context.Context, route string, u *quotaUsage) {
+// was removed or renewed since it was read; all are then left for the next call. It
+// reports whether a batch was removed.
+func (s *Service) dropStaleReservations(ctx context.Context, route string, u *quotaUsage) bool {
 	t, now := storage.RowTransaction{}, s.now()
 	for id, r := range u.reservations.byJob {
 		if key := reservationKey(route, id); u.stale(id, now) && len(t.Removes) < staleReservationBatch {
@@ -301,8 +310,9 @@
 		}
 	}
 	if len(t.Removes) < staleReservationBatch {
-		return
+		return false
 	}
 	t.Puts = []storage.TableRow{{RowKey: generationKey(route), Value: []byte("{}")}}
-	_, _ = s.options.Store.ApplyRows(ctx, t)
+	_, err := s.options.Store.ApplyRows(ctx, t)
+	return err == nil
 }
