Test that a job is not turned away by its own tokens

A job that fills the quota of its route and whose first acceptance is not known is sent again to an instance that has not learned of it: it must be accepted and never be refused for the quota, whichever write lost its answer and whenever it took effect.

--- a/job/history_test.go
+++ b/job/history_test.go
@@ -165,7 +165,11 @@
 	refused := true
 	for range attempts {
 		if s := h.reachable(); s != nil {
+			stored := h.isStored(id)
 			err := s.Submit(context.Background(), sub)
+			if stored && code.Of(err) == code.QuotaExceeded {
+				h.t.Errorf("repeat of stored job %s whose acceptance was not known: %v", id, err)
+			}
 			if err == nil {
 				h.locked(func() bool { h.accepted[id] = names; return true })
 				h.useAccepted(sub)
@@ -180,6 +184,24 @@
 	}
 }
 
+// isStored reports whether the store has the head of a job.
+func (h *history) isStored(id string) bool {
+	parts, err := h.store.RowParts(context.Background(), "jobs")
+	if err != nil {
+		h.t.Error(err)
+	}
+	for _, part := range parts {
+		page, err := h.store.GetRows(context.Background(), "jobs", part, id, id+"\x00")
+		if err != nil {
+			h.t.Error(err)
+		}
+		if len(page.Rows) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // useAccepted may end a job that was accepted, and then uses it as other callers do.
 func (h *history) useAccepted(sub job.Submission) {
 	if h.number(8) == 0 {
--- a/job/service_test.go
+++ b/job/service_test.go
@@ -52,6 +52,34 @@
 	})
 }
 
+func TestJobThatFillsTheQuotaIsNotTurnedAwayWhenItComesAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, lost := range []int{1, 2, 3} {
+			for _, delay := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second} {
+				f := newFleet(t, 2, func(r *contract.Route) { r.MaxWaitingTokens = 200 })
+				time.Sleep(time.Second)
+				f.instances[1].store.noChanges.Store(true) // It learns of the job by its own reads only.
+				f.store.SetFaults(memory.RowFaults{LoseResponses: lost, EffectDelay: delay})
+				sub := f.submission("j", "a", "b")
+				_ = f.instances[0].Submit(t.Context(), sub)
+				if n := f.store.Counts().Lost; n != lost {
+					t.Fatalf("%d answers were lost, want %d", n, lost)
+				}
+				for again := range 3 {
+					if err := f.instances[1].Submit(t.Context(), sub); code.Of(err) == code.QuotaExceeded {
+						t.Errorf("%d lost, effect after %v: repeat %d is turned away: %v", lost, delay, again, err)
+					}
+					time.Sleep(time.Second)
+				}
+				if err := f.instances[1].Submit(t.Context(), sub); err != nil {
+					t.Errorf("%d lost, effect after %v: %v", lost, delay, err)
+				}
+				f.close()
+			}
+		}
+	})
+}
+
 func TestResultsSurviveLostCommits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 2, nil)
