--- a/job/service_test.go
+++ b/job/service_test.go
@@ -52,6 +52,34 @@
 	})
 }
 
+func TestJobThatFillsTheQuotaIsNotTurnedAwayWhenItComesAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, lost := range []int{1, 2, 3} {
+			for _, delay := range []time.Duration{0, 300 * time.Millisecond, 2 * time.Second} {
+				f := newFleet(t, 2, func(r *contract.Route) { r.MaxWaitingTokens = 200 })
+				time.Sleep(time.Second)
+				f.instances[1].store.noChanges.Store(true) // It learns of the job by its own reads only.
+				f.store.SetFaults(memory.RowFaults{LoseResponses: lost, EffectDelay: delay})
+				sub := f.submission("j", "a", "b")
+				_ = f.instances[0].Submit(t.Context(), sub)
+				if n := f.store.Counts().Lost; n != lost {
+					t.Fatalf("%d answers were lost, want %d", n, lost)
+				}
+				for again := range 3 {
+					if err := f.instances[1].Submit(t.Context(), sub); code.Of(err) == code.QuotaExceeded {
+						t.Errorf("%d lost, effect after %v: repeat %d is turned away: %v", lost, delay, again, err)
+					}
+					time.Sleep(time.Second)
+				}
+				if err := f.instances[1].Submit(t.Context(), sub); err != nil {
+					t.Errorf("%d lost, effect after %v: %v", lost, delay, err)
+				}
+				f.close()
+			}
+		}
+	})
+}
+
 func TestResultsSurviveLostCommits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 2, nil)
@@ -175,6 +203,35 @@
 	})
 }
 
+func TestSubmissionsToAFailingStoreStayUnderItsReadLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			submissions       = 40
+			maxReadsPerSecond = 2000 // The read limit of the platform.
+		)
+		f := newFleet(t, 1, func(r *contract.Route) { r.MaxWaitingTokens = 1e6 })
+		defer f.close()
+		time.Sleep(2 * time.Second) // The instance has read the store.
+		f.instances[0].store.failWrites.Store(true)
+		before, startedAt := f.store.Counts().Reads, time.Now()
+		var wait sync.WaitGroup
+		for i := range submissions {
+			wait.Go(func() {
+				id := strconv.Itoa(i)
+				err := f.instances[0].Submit(t.Context(), f.submission("j"+id, "a"+id))
+				if e := code.From(err); e == nil || e.Number != code.StoreUnavailable || e.Outcome != code.NotRun || e.RetryAfter == 0 {
+					t.Errorf("job %s: %v", id, err)
+				}
+			})
+		}
+		time.Sleep(time.Second)
+		if reads := f.store.Counts().Reads - before; reads > maxReadsPerSecond {
+			t.Errorf("%d submissions made %d reads in %v, want at most %d", submissions, reads, time.Since(startedAt), maxReadsPerSecond)
+		}
+		wait.Wait()
+	})
+}
+
 func TestEndedJobStopsEverywhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 2, nil)
@@ -276,6 +333,31 @@
 	})
 }
 
+func TestInstanceThatFollowsLateDoesNotSayThatAPositionIsEmpty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, nil)
+		defer f.close()
+		late := f.instances[1]
+		if err := f.instances[0].Submit(t.Context(), f.submission("j", "a")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if _, results, err := late.Results(t.Context(), "j", 0, 0); len(results) > 0 || err != nil {
+			t.Fatalf("open job: %d results, %v", len(results), err)
+		}
+		late.store.failChanges.Store(true)
+		wantAll(t, f.read(f.instances[0], "j"), "a")
+		time.Sleep(time.Second)
+		for _, wait := range []time.Duration{0, time.Second} {
+			if _, results, err := late.Results(t.Context(), "j", 0, wait); code.Of(err) != code.StoreUnavailable {
+				t.Errorf("wait %v: %d results, %v; want StoreUnavailable", wait, len(results), err)
+			}
+		}
+		late.store.failChanges.Store(false)
+		wantAll(t, f.read(late, "j"), "a")
+	})
+}
+
 func TestOutageDelaysCommitsAndListedResultsAreServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1, nil)
