Resolve a digest by the fleet that is in use when it is recorded

Cause: a digest is decoded by the fleet that readers see and recorded under the scheduler's lock. Evidence: TestDigestThatWasDecodedBeforeAChangeOfTheFleetCounts fails before ("got a slot of w1, all of whose slots the peer uses"). Change: ObserveDigest resolves the unknown loads under the lock. Unknown loads of zero are left out and their number is bounded, since a datagram may carry any. identify and unused are named resolve and unknownLoads.

--- a/upstream/changes_test.go
+++ b/upstream/changes_test.go
@@ -92,3 +92,19 @@
 		})
 	}
 }
+
+// TestDigestThatWasDecodedBeforeAChangeOfTheFleetCounts changes the fleet between the
+// decoding of a digest and its recording.
+func TestDigestThatWasDecodedBeforeAChangeOfTheFleetCounts(t *testing.T) {
+	f := newChangingForwarder(t, nil, &scriptedWorker{address: "10.0.0.1:1"})
+	entry := f.current().document.Upstreams["w0"]
+	digest := Digest{Sequence: 1, unknownLoads: []hashedLoad{{hashUpstream("w1"), PeerLoad{Online: entry.Slots}}}}
+	f.change(func(upstreams map[string]contract.Upstream) {
+		upstreams["w1"] = entry
+		delete(upstreams, "w0")
+	})
+	f.ObserveDigest("peer", digest)
+	if g := f.sched.tryAcquire(t.Context(), request{pool: f.current().pools["s"]}); g != nil {
+		t.Fatalf("got a slot of %s, all of whose slots the peer uses", g.target.id)
+	}
+}
--- a/upstream/digest.go
+++ b/upstream/digest.go
@@ -27,20 +27,23 @@
 	// OnlineLate counts those of them that can no longer be on time.
 	OnlineLate int
 
-	// unused has the loads of a peer on upstreams that this instance did not use when it
-	// received them. It may begin to use them.
-	unused []hashedLoad
+	// unknownLoads has the loads of a peer on upstreams that this instance does not use. It
+	// may begin to use them.
+	unknownLoads []hashedLoad
 }
 
+// maxUnknownLoads is several times the number of upstreams that one instance uses.
+const maxUnknownLoads = 256
+
 // hashedLoad is a load whose upstream is known by its hashUpstream only.
 type hashedLoad struct {
 	hash uint32
 	load PeerLoad
 }
 
-// identify moves the loads of upstreams that f has from unused to Loads.
-func (d *Digest) identify(f *fleet) {
-	d.unused = slices.DeleteFunc(d.unused, func(u hashedLoad) bool {
+// resolve moves the loads of upstreams that f has from unknownLoads to Loads.
+func (d *Digest) resolve(f *fleet) {
+	d.unknownLoads = slices.DeleteFunc(d.unknownLoads, func(u hashedLoad) bool {
 		id, ok := f.idsByHash[u.hash]
 		if ok {
 			u.load.Upstream = id
@@ -137,6 +140,8 @@
 	}
 	now := time.Now()
 	s.lastDigestAt = now
+	// The fleet may have changed since the digest was decoded.
+	digest.resolve(s.fleet)
 	freed := s.replaceDigest(peer, &peerDigest{digest, now}, now)
 	for _, load := range digest.Loads {
 		if t, ok := s.fleet.targets[load.Upstream]; ok && load.Online > 0 {
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -188,11 +188,12 @@
 			Online:   int(min(l.GetOnline(), maxPeerCount)),
 			Batch:    int(min(l.GetBatch(), maxPeerCount)),
 		}
-		if load.Upstream == "" {
-			observed.unused = append(observed.unused, hashedLoad{l.GetUpstream(), load})
-			continue
+		switch {
+		case load.Upstream != "":
+			observed.Loads = append(observed.Loads, load)
+		case load.Online+load.Batch > 0 && len(observed.unknownLoads) < maxUnknownLoads:
+			observed.unknownLoads = append(observed.unknownLoads, hashedLoad{l.GetUpstream(), load})
 		}
-		observed.Loads = append(observed.Loads, load)
 	}
 	d.ObserveDigest(peer, observed)
 }
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -121,7 +121,7 @@
 	s.fleet = f
 	s.restoreLeaving()
 	for _, digest := range s.peerDigests {
-		digest.identify(f)
+		digest.resolve(f)
 	}
 	now := time.Now()
 	s.markNewTargets(old, now)
