Treat an upstream that is used again as one of uncertain load, unless it is the only one

Cause: an upstream whose target was kept, since requests still ran there, counted as known when it came back into the own part, though peers need not have sent their load in between. On the other hand an only upstream got one request at first, although all requests have to wait for it. Evidence: TestUpstreamThatIsUsedFromNowOnGetsOneRequestUntilItAnswers fails before: "got 4 slots of two upstreams, one of which has a request, want one of w1", and "got 1 slots of the only upstream, want all 4". Change: what counts is when a target enters a pool. The limit does not apply where one upstream is open. New is named LoadUncertain. The test holds the wiring of the decision in the dispatcher.

--- a/route/candidate.go
+++ b/route/candidate.go
@@ -34,11 +34,11 @@
 	Held bool
 	// Distance is the one-way network latency to the upstream.
 	Distance time.Duration
-	// New is set while the instance has used the upstream for so short a time that it
-	// may not know the load of all peers there. Answers counts the requests of the
-	// instance that have got a first token since it began to use the upstream.
-	New     bool
-	Answers int
+	// LoadUncertain is set while the instance has used the upstream for so short a time
+	// that it may not know the load of all peers there. Answers counts its requests that
+	// have got a first token since then.
+	LoadUncertain bool
+	Answers       int
 	// Slots is the number of requests that the upstream runs concurrently. Limit is
 	// the adaptive concurrency limit, at most Slots.
 	Slots int
@@ -73,10 +73,10 @@
 func (c *Candidate) BatchTotal() int { return c.Batch + c.PeerBatch }
 
 // AwaitsAnswers reports whether the instance gives the upstream no further request until it
-// has answered. The instance begins with one request at a new upstream, and has one more
-// in flight for each answer.
+// has answered. The instance begins with one request at an upstream of uncertain load, and
+// has one more in flight for each answer.
 func (c *Candidate) AwaitsAnswers() bool {
-	return c.New && c.Online+c.Batch > c.Answers
+	return c.LoadUncertain && c.Online+c.Batch > c.Answers
 }
 
 // reportHalfLife is the age at which the weight of a report has halved.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -368,12 +368,12 @@
 	}
 }
 
-// TestNewUpstreamGetsOneMoreRequestThanItHasAnswered sends requests to an upstream without
+// TestUpstreamOfUncertainLoadGetsOneMoreRequestThanItHasAnswered sends requests to an upstream without
 // known load, some of which it answers.
-func TestNewUpstreamGetsOneMoreRequestThanItHasAnswered(t *testing.T) {
+func TestUpstreamOfUncertainLoadGetsOneMoreRequestThanItHasAnswered(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		slots := rapid.IntRange(1, 32).Draw(t, "slots")
-		c := Candidate{Slots: slots, Limit: slots, New: true}
+		c := Candidate{Slots: slots, Limit: slots, LoadUncertain: true}
 		for range rapid.IntRange(1, 100).Draw(t, "steps") {
 			if rapid.Bool().Draw(t, "is answered") && c.Online+c.Batch > c.Answers {
 				c.Answers++
--- a/upstream/cause.go
+++ b/upstream/cause.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"slices"
 	"syscall"
 	"time"
 
@@ -111,12 +110,6 @@
 	return f.cause
 }
 
-// isUsed reports whether the service has the target, so that it gets new work.
-func (s *scheduler) isUsed(service string, t *target) bool {
-	p, ok := s.fleet.pools[service]
-	return ok && slices.Contains(p.targets, t)
-}
-
 // targetStatus returns the status of the upstream of an attempt that has ended, as one
 // word for the logs.
 func (s *scheduler) targetStatus(g *slot) string {
@@ -124,7 +117,7 @@
 	defer s.mu.Unlock()
 	t, now := g.target, time.Now()
 	switch {
-	case !s.isUsed(g.pool.name, t):
+	case !s.fleet.hasInPool(g.pool.name, t):
 		return "gone"
 	case t.leaving():
 		return "leaving"
--- a/upstream/changes_test.go
+++ b/upstream/changes_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -108,3 +109,44 @@
 		t.Fatalf("got a slot of %s, all of whose slots the peer uses", g.target.id)
 	}
 }
+
+// TestUpstreamThatIsUsedFromNowOnGetsOneRequestUntilItAnswers adds upstreams to the document
+// of an instance with peers, one of which it has used before and has a request at.
+func TestUpstreamThatIsUsedFromNowOnGetsOneRequestUntilItAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newChangingForwarder(t, nil, &scriptedWorker{address: "10.0.0.1:1"})
+		f.sched.enableTurns("self")
+		take := func() (taken []*slot) {
+			for {
+				g := f.sched.tryAcquire(t.Context(), request{pool: f.current().pools["s"]})
+				if g == nil {
+					return taken
+				}
+				taken = append(taken, g)
+			}
+		}
+		entry := f.current().document.Upstreams["w0"]
+		only := take()
+		if len(only) != entry.Slots {
+			t.Fatalf("got %d slots of the only upstream, want all %d", len(only), entry.Slots)
+		}
+		for _, g := range only[1:] {
+			f.sched.release(g, time.Now())
+		}
+		f.change(func(upstreams map[string]contract.Upstream) { clear(upstreams) })
+		time.Sleep(2 * loadUncertainTime)
+		f.change(func(upstreams map[string]contract.Upstream) { upstreams["w0"], upstreams["w1"] = entry, entry })
+		first := take()
+		if len(first) != 1 || first[0].target.id != "w1" {
+			t.Fatalf("got %d slots of two upstreams, one of which has a request, want one of w1", len(first))
+		}
+		f.sched.observeFirst(first[0], time.Now())
+		if n := len(take()); n != 1 {
+			t.Errorf("got %d slots after an answer, want 1", n)
+		}
+		time.Sleep(loadUncertainTime)
+		if n := len(take()); n != 2*entry.Slots-3 {
+			t.Errorf("got %d slots after %v, want all %d that are left", n, loadUncertainTime, 2*entry.Slots-3)
+		}
+	})
+}
--- a/upstream/fleet.go
+++ b/upstream/fleet.go
@@ -68,6 +68,12 @@
 	return t
 }
 
+// hasInPool reports whether a service uses the target, so that it gets new work.
+func (f *fleet) hasInPool(service string, t *target) bool {
+	p, ok := f.pools[service]
+	return ok && slices.Contains(p.targets, t)
+}
+
 // keepUsedTargets adds the targets of old at which requests still run. They get no new
 // work, since no pool has them, but their load counts for the peers that use them, and
 // for this instance if it uses them again. The caller holds the scheduler's lock.
--- a/upstream/observe.go
+++ b/upstream/observe.go
@@ -25,7 +25,7 @@
 	t, ps := g.target, g.pool.poolState
 	t.failures = 0
 	t.answers++
-	if t.isNew(now) {
+	if t.isLoadUncertain(now) {
 		s.serveQueues()
 	}
 	if g.class == contract.Batch {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -79,6 +79,8 @@
 	targets          []*target
 	now              time.Time
 	medianFirstToken time.Duration
+	// isOnly is set if there is one target: requests then wait for it in any case.
+	isOnly bool
 	// held has the targets whose free slots are left to requests that wait at other
 	// instances.
 	held map[*target]bool
@@ -89,6 +91,7 @@
 func (v *targetView) Candidate(i int) route.Candidate {
 	c := v.targets[i].candidate(v.now, v.medianFirstToken)
 	c.Held = v.held[v.targets[i]]
+	c.LoadUncertain = c.LoadUncertain && !v.isOnly
 	return c
 }
 
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -124,7 +124,7 @@
 		digest.resolve(f)
 	}
 	now := time.Now()
-	s.markNewTargets(old, now)
+	s.recordFirstUse(old, now)
 	s.leaveUnusedTargets()
 	s.sumPeerLoads(now)
 	s.assess(now)
@@ -286,7 +286,7 @@
 // choose returns the target whose free slot a request should take, or nil if there is
 // none. The caller holds the lock.
 func (s *scheduler) choose(r *request, now time.Time) *target {
-	v := &targetView{targets: r.pool.open, now: now, medianFirstToken: r.pool.medianFirstToken}
+	v := &targetView{targets: r.pool.open, now: now, medianFirstToken: r.pool.medianFirstToken, isOnly: len(r.pool.open) == 1}
 	s.deferToPeers(v, r, now)
 	q := route.Query{
 		Class:    r.class,
@@ -301,7 +301,7 @@
 	if r.long {
 		q.ShortReserve = r.pool.shortPeak.ShortReserve(len(v.targets))
 	}
-	if len(v.targets) == 1 {
+	if v.isOnly {
 		q.Exclude = 0
 	}
 	i := route.Choose(v, &q, s.random)
@@ -398,7 +398,7 @@
 func (s *scheduler) leaveUnusedTargets() {
 	for _, t := range s.fleet.targets {
 		for _, g := range slices.Clone(t.slots) {
-			if g.mayYield() && !s.isUsed(g.pool.name, t) && s.hasUpstream(g.pool.name) {
+			if g.mayYield() && !s.fleet.hasInPool(g.pool.name, t) && s.hasUpstream(g.pool.name) {
 				s.preempt(g)
 			}
 		}
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -101,20 +101,20 @@
 	config := t.config.Load()
 	t.limit = t.limit.Resize(config.Slots)
 	c := route.Candidate{
-		Key:        t.key,
-		Closed:     !t.takesWork(now),
-		Distance:   config.distance,
-		New:        t.isNew(now),
-		Answers:    t.answers,
-		Slots:      config.Slots,
-		Limit:      t.limit.Allowed(now),
-		Online:     t.online,
-		Batch:      t.batch,
-		Long:       t.longOnline,
-		PeerOnline: t.peers.online,
-		PeerBatch:  t.peers.batch,
-		FirstToken: t.firstToken.Decayed(now, medianFirstToken),
-		Spacing:    t.spacing.Value,
+		Key:           t.key,
+		Closed:        !t.takesWork(now),
+		Distance:      config.distance,
+		LoadUncertain: t.isLoadUncertain(now),
+		Answers:       t.answers,
+		Slots:         config.Slots,
+		Limit:         t.limit.Allowed(now),
+		Online:        t.online,
+		Batch:         t.batch,
+		Long:          t.longOnline,
+		PeerOnline:    t.peers.online,
+		PeerBatch:     t.peers.batch,
+		FirstToken:    t.firstToken.Decayed(now, medianFirstToken),
+		Spacing:       t.spacing.Value,
 	}
 	c.Unanswered, c.OldestUnanswered, c.SinceToken = t.tokenDelays(now)
 	if r := t.report.Load(); r != nil {
--- a/upstream/turn.go
+++ b/upstream/turn.go
@@ -19,25 +19,30 @@
 	nextServeAt time.Time
 }
 
-// newTargetTime is how long a target counts as new. In this time every peer has learned of
-// the change of the fleet and has sent its load at least once.
-const newTargetTime = time.Second
+// loadUncertainTime is how long the load of peers at a target may not be known after this
+// instance has begun to use it: until then, peers learn of the change of the fleet and send
+// their load at least once.
+const loadUncertainTime = time.Second
 
-// markNewTargets records which targets this instance begins to use. The caller holds the
+// recordFirstUse records which targets this instance begins to use. The caller holds the
 // lock.
-func (s *scheduler) markNewTargets(old *fleet, now time.Time) {
+func (s *scheduler) recordFirstUse(old *fleet, now time.Time) {
 	if s.turns == nil {
 		return
 	}
-	for id, t := range s.fleet.targets {
-		if old.targets[id] != t {
-			t.usedSince, t.answers = now, 0
+	for name, p := range s.fleet.pools {
+		for _, t := range p.targets {
+			if !old.hasInPool(name, t) {
+				t.usedSince, t.answers = now, 0
+			}
 		}
 	}
 }
 
-// isNew reports whether the load of peers at the target may not be known yet.
-func (t *target) isNew(now time.Time) bool { return now.Sub(t.usedSince) < newTargetTime }
+// isLoadUncertain reports whether the load of peers at the target may not be known.
+func (t *target) isLoadUncertain(now time.Time) bool {
+	return now.Sub(t.usedSince) < loadUncertainTime
+}
 
 // enableTurns makes the scheduler take turns with its peers.
 func (s *scheduler) enableTurns(instance string) {
