--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -9,6 +9,10 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/platform"
 )
 
 // connections holds the callers' open connections. It ends idle ones at the limit of
@@ -24,6 +28,7 @@
 	// idleLimit returns the longest idle time of the document in force; 0 means that
 	// it sets none.
 	idleLimit func() time.Duration
+	log       *zap.Logger
 	// closeAfterAnswer is set when answers tell callers to close their connections.
 	closeAfterAnswer atomic.Bool
 
@@ -51,8 +56,8 @@
 	lastReadTime = 50 * time.Millisecond
 )
 
-func newConnections(idleLimit func() time.Duration) *connections {
-	c := &connections{idleLimit: idleLimit, open: map[*callerConn]struct{}{}, drained: make(chan struct{})}
+func newConnections(idleLimit func() time.Duration, log *zap.Logger) *connections {
+	c := &connections{idleLimit: idleLimit, log: log, open: map[*callerConn]struct{}{}, drained: make(chan struct{})}
 	c.requests, c.cancelRequests = context.WithCancelCause(context.Background())
 	return c
 }
@@ -83,8 +88,10 @@
 func (c *connections) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// The request may have been buffered behind an earlier one.
-		r.Context().Value(connKey{}).(*callerConn).begin()
+		conn := r.Context().Value(connKey{}).(*callerConn)
+		conn.beginRequest(platform.RequestID(r.Header))
 		h.ServeHTTP(&closingWriter{ResponseWriter: w, closeAfterAnswer: &c.closeAfterAnswer}, r)
+		conn.endRequest()
 	})
 }
 
@@ -202,6 +209,19 @@
 	idleSince     time.Time
 	limitWhenIdle time.Duration
 	timer         *time.Timer
+	// handled is set while a handler has the request with the id requestID, and answered
+	// after it has returned; neither is set while the connection is idle. answers counts
+	// the requests before.
+	handled   bool
+	answered  bool
+	requestID string
+	answers   int
+	// readErr is the error by which the caller ended the connection, writeErr that of a
+	// write.
+	readErr  error
+	writeErr error
+	// closing is set by the first Close.
+	closing bool
 }
 
 // Read implements net.Conn.
@@ -213,11 +233,14 @@
 			n, err = readReceived(c.Conn, p, err)
 		}
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil && !isTimeout(err) && c.readErr == nil {
+		c.readErr = err
+	}
 	if n == 0 {
 		return n, err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	// While a handler runs, net/http reads a single byte to notice when the caller
 	// closes the connection.
 	c.readAhead = c.readAhead || !c.unread && len(p) == 1
@@ -225,6 +248,17 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.writeErr = err
+	}
+	return n, err
+}
+
 // wasWoken reports whether a read that timed out was woken, and must be repeated. The
 // deadline of an unread connection is then moved by lastReadTime. A request that was
 // buffered may have begun since; its own deadline is in force again.
@@ -245,11 +279,19 @@
 	return c.woken
 }
 
-// begin records that a byte of the next request has been read.
-func (c *callerConn) begin() {
+// beginRequest records that the head of a request has been read.
+func (c *callerConn) beginRequest(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.beginLocked()
+	c.handled, c.requestID = true, id
+}
+
+// endRequest records that a handler has returned.
+func (c *callerConn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered = true
 }
 
 func (c *callerConn) beginLocked() {
@@ -293,23 +335,13 @@
 	return nil
 }
 
-// Close implements net.Conn.
-func (c *callerConn) Close() error {
-	c.mu.Lock()
-	if c.timer != nil {
-		c.timer.Stop()
-	}
-	c.mu.Unlock()
-	err := c.Conn.Close()
-	c.connections.remove(c)
-	return err
-}
-
 // becomeIdle records that a request has been answered.
 func (c *callerConn) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unread, c.readAhead = !c.readAhead, false
+	c.handled, c.answered, c.requestID = false, false, ""
+	c.answers++
 	if !c.unread {
 		return
 	}
--- a/hosted/connections_test.go
+++ b/hosted/connections_test.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/daisylb/daisylb/code"
+
+	"go.uber.org/zap"
 )
 
 // pipeListener accepts the server ends of pipes.
@@ -80,7 +82,7 @@
 func newCallerServer(t *testing.T) *callerServer {
 	s := &callerServer{t: t, listener: newPipeListener(), served: make(chan struct{})}
 	s.limit.Store(int64(testIdleLimit))
-	s.connections = newConnections(func() time.Duration { return time.Duration(s.limit.Load()) })
+	s.connections = newConnections(func() time.Duration { return time.Duration(s.limit.Load()) }, zap.NewNop())
 	s.server = newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		select {
@@ -399,7 +401,7 @@
 // TestCutAnswerOfAnHTTP10CallerIsResetBehindTheListener checks that a connection that
 // connections holds can be reset, not only closed.
 func TestCutAnswerOfAnHTTP10CallerIsResetBehindTheListener(t *testing.T) {
-	held := newConnections(func() time.Duration { return 0 })
+	held := newConnections(func() time.Duration { return 0 }, zap.NewNop())
 	server := newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = w.Write([]byte("part"))
 		_ = http.NewResponseController(w).Flush()
@@ -446,8 +448,8 @@
 
 func TestWakeOfABufferedRequestDoesNotEndItsRead(t *testing.T) {
 	conn := &interruptedConn{}
-	c := &callerConn{Conn: conn, connections: newConnections(func() time.Duration { return 0 }), unread: true}
-	conn.afterTimeout = c.begin
+	c := &callerConn{Conn: conn, connections: newConnections(func() time.Duration { return 0 }, zap.NewNop()), unread: true}
+	conn.afterTimeout = func() { c.beginRequest("") }
 	c.wake()
 	if n, err := c.Read(make([]byte, 1)); n != 1 || err != nil {
 		t.Errorf("got %d, %v; want the byte after the wake", n, err)
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -286,7 +286,8 @@
 	// The read timeout of a caller's request is its own deadline, which package entry
 	// enforces.
 	i.callerServer.ReadTimeout = 0
-	i.connections = newConnections(i.callerIdleTimeout)
+	i.callerServer.ErrorLog = zap.NewStdLog(i.log)
+	i.connections = newConnections(i.callerIdleTimeout, i.log)
 	i.connections.configure(i.callerServer)
 	i.directoryServer = newServer(http.HandlerFunc(i.serveDirectory))
 	i.readinessServer = newServer(http.HandlerFunc(i.serveReadiness))
--- a/hosted/last_read_test.go
+++ b/hosted/last_read_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"go.uber.org/zap"
 )
 
 // heldUpConn has a goroutine that gets no processor between the last read deadline of a
@@ -56,7 +58,7 @@
 			if idle {
 				limit = 50 * time.Millisecond
 			}
-			held := newConnections(func() time.Duration { return limit })
+			held := newConnections(func() time.Duration { return limit }, zap.NewNop())
 			server := newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				_, _ = io.Copy(io.Discard, r.Body)
 				_, _ = io.WriteString(w, "answer")
