Keep unread bytes from resetting the last answer of a connection

What callers saw: a connection reset instead of the end of an answer. With a length or chunks the part of the answer that was not sent yet is lost; an answer to an HTTP/1.0 caller that ends with its connection never looks whole.

Cause: a socket that is closed while it holds unread bytes is reset, and what is still in its send buffer is dropped. net/http closes a connection at once after an answer with "Connection: close" and reads at most one byte ahead. Any further bytes are unread: a pipelined request, which a planned stop meets on every kept connection that has one, or a line end after the body of a POST.

Change: after an answer, only the sending side is closed. The connection is read until the caller has closed its side, for at most 500 ms, and counts as open until then, so that a planned stop waits for it (RFC 9112, 9.6). Aborts and idle connections are closed as before.

Evidence: TestBytesBehindARequestDoNotResetItsAnswer failed before in both cases: 'got "HTTP/1.0 200 OK ... answer" with error ... connection reset by peer, want the end of the connection'.

Looked for elsewhere: net/http itself waits in this way after an answer that came before the end of the body and after a head that is too large, nowhere else. The other listeners get no pipelined requests.

--- a/hosted/closing.go
+++ b/hosted/closing.go
@@ -2,27 +2,57 @@
 
 import (
 	"errors"
+	"io"
 	"os"
+	"time"
 
 	"go.uber.org/zap"
 )
 
-// Close implements net.Conn.
+// lingerTime bounds the time for which a connection that was closed after an answer is
+// still read. net/http waits as long after an answer that came before the end of a body.
+const lingerTime = 500 * time.Millisecond
+
+// closeWriter is a connection whose sending side can be closed.
+type closeWriter interface{ CloseWrite() error }
+
+// Close implements net.Conn. After an answer the connection stays open for reading for up
+// to lingerTime, until the caller has closed its side: closing it while there are bytes to
+// be read, such as a pipelined request, would reset it before the caller has read the
+// answer.
 func (c *callerConn) Close() error {
 	c.mu.Lock()
 	if c.timer != nil {
 		c.timer.Stop()
 	}
-	if !c.closing {
-		c.closing = true
+	lingers := c.answered && c.readErr == nil && c.writeErr == nil && !c.closing
+	first := !c.closing
+	c.closing = true
+	if first {
 		c.logClose()
 	}
 	c.mu.Unlock()
+	if w, ok := c.Conn.(closeWriter); ok && lingers && w.CloseWrite() == nil {
+		go c.linger()
+		return nil
+	}
+	return c.closeNow()
+}
+
+func (c *callerConn) closeNow() error {
 	err := c.Conn.Close()
 	c.connections.remove(c)
 	return err
 }
 
+// linger reads until the caller has closed its side. The connection counts as open until
+// then, so that a planned stop waits for it.
+func (c *callerConn) linger() {
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, c.Conn)
+	_ = c.closeNow()
+}
+
 // logClose logs the end of a connection on which a request may not have been answered. It
 // tells whether the caller closed it first.
 func (c *callerConn) logClose() {
--- a/hosted/closing_test.go
+++ b/hosted/closing_test.go
@@ -60,6 +60,52 @@
 	}
 }
 
+// TestBytesBehindARequestDoNotResetItsAnswer has callers whose last bytes are not read when
+// the connection is closed.
+func TestBytesBehindARequestDoNotResetItsAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		request, behind string
+		stopping        bool
+	}{
+		"line end after a body":             {"POST / HTTP/1.0\r\nContent-Length: 1\r\n\r\nq", "\r\n", false},
+		"pipelined request in planned stop": {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nq", testRequest, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			begun, answer := make(chan struct{}), make(chan struct{})
+			s := startClosingServer(t, zap.NewNop(), time.Minute, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.Copy(io.Discard, r.Body)
+				close(begun)
+				<-answer
+				_, _ = io.WriteString(w, "answer")
+			})
+			s.connections.closeAfterAnswer.Store(c.stopping)
+			conn := s.send(c.request)
+			<-begun
+			if _, err := io.WriteString(conn, c.behind); err != nil {
+				t.Fatal(err)
+			}
+			close(answer)
+			if text, err := io.ReadAll(conn); err != nil {
+				t.Errorf("got %q with error %v, want the end of the connection", text, err)
+			}
+			_ = conn.Close()
+			s.waitUntilNoneIsOpen()
+		})
+	}
+}
+
+// TestAnsweredConnectionIsClosedThoughItsCallerStays bounds the time in which a connection
+// is read after its last answer.
+func TestAnsweredConnectionIsClosedThoughItsCallerStays(t *testing.T) {
+	s := startClosingServer(t, zap.NewNop(), time.Minute, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "answer")
+	})
+	if _, err := io.ReadAll(s.send("GET / HTTP/1.0\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	s.waitUntilNoneIsOpen()
+}
+
 func TestConnectionClosedBeforeAnAnswerIsLogged(t *testing.T) {
 	for name, c := range map[string]struct {
 		text     string
--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -321,7 +321,7 @@
 
 // CloseWrite lets net/http end an answer before it discards the rest of a request.
 func (c *callerConn) CloseWrite() error {
-	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+	if w, ok := c.Conn.(closeWriter); ok {
 		return w.CloseWrite()
 	}
 	return nil
