--- a/hosted/close_log_test.go
+++ b/hosted/close_log_test.go
@@ -10,7 +10,7 @@
 )
 
 func TestClosedConnectionsAreLogged(t *testing.T) {
-	const unanswered, idle = "connection closed without an answer", "idle connection closed"
+	const unanswered, idle = "connection closed before a request was answered", "idle connection closed"
 	tests := map[string]struct {
 		play func(*callerServer, *pipeCaller)
 		want string
--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/daisylb/daisylb/platform"
 )
 
 // connections holds the callers' open connections. It ends idle ones at the limit of
@@ -56,8 +58,8 @@
 	lastReadTime = 50 * time.Millisecond
 )
 
-func newConnections(idleLimit func() time.Duration) *connections {
-	c := &connections{idleLimit: idleLimit, log: zap.NewNop(), open: map[*callerConn]struct{}{}, drained: make(chan struct{})}
+func newConnections(idleLimit func() time.Duration, log *zap.Logger) *connections {
+	c := &connections{idleLimit: idleLimit, log: log, open: map[*callerConn]struct{}{}, drained: make(chan struct{})}
 	c.requests, c.cancelRequests = context.WithCancelCause(context.Background())
 	return c
 }
@@ -89,8 +91,10 @@
 func (c *connections) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// The request may have been buffered behind an earlier one.
-		r.Context().Value(connKey{}).(*callerConn).begin()
+		conn := r.Context().Value(connKey{}).(*callerConn)
+		conn.beginRequest(platform.RequestID(r.Header))
 		h.ServeHTTP(&closingWriter{ResponseWriter: w, closeAfterAnswer: &c.closeAfterAnswer}, r)
+		conn.endRequest()
 	})
 }
 
@@ -213,12 +217,18 @@
 	idleSince     time.Time
 	limitWhenIdle time.Duration
 	timer         *time.Timer
-	// requestAt is when the first byte of the last request was read, answered is set once
-	// its answer has begun. readErr is the error that ended reading.
+	// requestAt is when the first byte of the last request was read. handled is set while a
+	// handler has the request with the id requestID, and answered after it has returned.
 	requestAt time.Time
-	answered  atomic.Bool
-	readErr   error
-	closed    bool
+	handled   bool
+	requestID string
+	answered  bool
+	// readErr is the error by which the caller ended the connection, writeErr that of a
+	// write.
+	readErr  error
+	writeErr error
+	// closing is set by the first Close.
+	closing bool
 }
 
 // Read implements net.Conn.
@@ -230,12 +240,14 @@
 			n, err = readReceived(c.Conn, p, err)
 		}
 	}
-	c.recordReadError(err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil && !isTimeout(err) && c.readErr == nil {
+		c.readErr = err
+	}
 	if n == 0 {
 		return n, err
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	// While a handler runs, net/http reads a single byte to notice when the caller
 	// closes the connection.
 	c.readAhead = c.readAhead || !c.unread && len(p) == 1
@@ -243,6 +255,17 @@
 	return n, err
 }
 
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.writeErr = err
+	}
+	return n, err
+}
+
 // wasWoken reports whether a read that timed out was woken, and must be repeated. The
 // deadline of an unread connection is then moved by lastReadTime. A request that was
 // buffered may have begun since; its own deadline is in force again.
@@ -263,11 +286,19 @@
 	return c.woken
 }
 
-// begin records that a byte of the next request has been read.
-func (c *callerConn) begin() {
+// beginRequest records that the head of a request has been read.
+func (c *callerConn) beginRequest(id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.beginLocked()
+	c.handled, c.requestID = true, id
+}
+
+// endRequest records that a handler has returned.
+func (c *callerConn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered = true
 }
 
 func (c *callerConn) beginLocked() {
@@ -275,7 +306,7 @@
 		return
 	}
 	c.unread = false
-	c.awaitAnswerLocked()
+	c.requestAt = time.Now()
 	if c.timer != nil {
 		c.timer.Stop()
 	}
@@ -304,7 +335,7 @@
 
 // CloseWrite lets net/http end an answer before it discards the rest of a request.
 func (c *callerConn) CloseWrite() error {
-	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+	if w, ok := c.Conn.(closeWriter); ok {
 		return w.CloseWrite()
 	}
 	return nil
@@ -318,27 +349,15 @@
 	return nil
 }
 
-// Close implements net.Conn.
-func (c *callerConn) Close() error {
-	c.mu.Lock()
-	if c.timer != nil {
-		c.timer.Stop()
-	}
-	c.logCloseLocked()
-	c.mu.Unlock()
-	err := c.Conn.Close()
-	c.connections.remove(c)
-	return err
-}
-
 // becomeIdle records that the connection has been accepted or that a request has been
 // answered.
 func (c *callerConn) becomeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unread, c.readAhead = !c.readAhead, false
+	c.handled, c.answered, c.requestID = false, false, ""
 	if !c.unread {
-		c.awaitAnswerLocked()
+		c.requestAt = time.Now()
 		return
 	}
 	if c.connections.isDraining() {
