Keep a connection whose next request is buffered in part

What callers saw: a connection that was ended within the head of a pipelined request, at the idle limit or in a planned stop, after 50 ms.

Cause: a connection counts as idle after an answer unless a byte of the next request was read while the handler ran. The beginning of a request that was read together with the one before is in the buffer of net/http and shows in no read of the connection.

Change: net/http sets a read deadline for the wait for the next request and another one for its head once it has the first four bytes, buffered ones included. The second one now counts as the beginning of the request.

Evidence: TestRequestWhoseBeginningIsBufferedIsAnswered failed before in both cases: "the connection was ended within a head".

What remains: one to three buffered bytes of a head are still not seen.

--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -203,6 +203,9 @@
 	// the past. readDeadline is the one to restore.
 	woken        bool
 	readDeadline time.Time
+	// deadlineSet is set once net/http has set a read deadline for the bytes of the next
+	// request. It sets another one, for the head, when it has the first of them.
+	deadlineSet bool
 	// interrupted is set from a wake until a read has timed out because of it.
 	interrupted bool
 	// idleSince and limitWhenIdle belong to the current idle time.
@@ -308,11 +311,17 @@
 	}
 }
 
-// SetReadDeadline implements net.Conn. A deadline that wakes the connection stays.
+// SetReadDeadline implements net.Conn. A deadline that wakes the connection stays. The
+// beginning of a request that was read together with the request before shows only in the
+// deadlines.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
+	if c.deadlineSet {
+		c.beginLocked()
+	}
+	c.deadlineSet = true
 	if c.woken {
 		return nil
 	}
@@ -340,6 +349,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.unread, c.readAhead = !c.readAhead, false
+	c.deadlineSet = false
 	c.handled, c.answered, c.requestID = false, false, ""
 	c.answers++
 	if !c.unread {
--- a/hosted/connections_test.go
+++ b/hosted/connections_test.go
@@ -250,6 +250,38 @@
 	})
 }
 
+// TestRequestWhoseBeginningIsBufferedIsAnswered has callers that send the beginning of a
+// request together with the request before.
+func TestRequestWhoseBeginningIsBufferedIsAnswered(t *testing.T) {
+	for name, stops := range map[string]bool{"idle limit": false, "planned stop": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newCallerServer(t)
+				defer s.close()
+				const limit = time.Second
+				s.limit.Store(int64(limit))
+				c := s.connect()
+				defer func() { _ = c.conn.Close() }()
+				c.send(testRequest + testRequest[:12])
+				c.wantAnswer()
+				synctest.Wait()
+				if stops {
+					s.stopListening()
+					ctx, cancel := drainContext()
+					defer cancel()
+					go func() { _ = s.connections.drain(ctx) }()
+				}
+				time.Sleep(2 * limit)
+				if !c.isOpen() {
+					t.Fatal("the connection was ended within a head")
+				}
+				c.send(testRequest[12:])
+				c.wantAnswer()
+			})
+		})
+	}
+}
+
 // drainContext bounds a planned stop.
 func drainContext() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), time.Minute)
