Say in answers for how long their connection may be used again

What callers saw: a try that ended with a closed connection and no answer, at an instance that had no fault, and without a line in its logs. The next try was served. Cause: a request crossed the close of its idle connection. Most callers use a connection again within four fifths of the idle limit, but some after up to 19 s with a limit of 15 s, and answers did not say that the instance closes it then. All requests that were sent to an upstream have an end in the logs. Change: answers that leave the connection open have Keep-Alive with a timeout that ends a second or more before the idle limit. A limit that is lowered later does not shorten it.

--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,12 +86,14 @@
 	}
 }
 
-// handler returns h with answers that close their connections during a planned stop.
+// handler returns h with answers that close their connections during a planned stop, and
+// otherwise say for how long these may be used again.
 func (c *connections) handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// The request may have been buffered behind an earlier one.
-		r.Context().Value(connKey{}).(*callerConn).begin()
-		h.ServeHTTP(&closingWriter{ResponseWriter: w, closeAfterAnswer: &c.closeAfterAnswer}, r)
+		conn := r.Context().Value(connKey{}).(*callerConn)
+		conn.begin()
+		h.ServeHTTP(&closingWriter{ResponseWriter: w, conn: conn}, r)
 	})
 }
 
@@ -213,6 +216,9 @@
 	idleSince     time.Time
 	limitWhenIdle time.Duration
 	timer         *time.Timer
+	// announcedLimit is the idle limit by which the last answer said for how long the
+	// connection may be used again.
+	announcedLimit time.Duration
 	// requestAt is when the first byte of the last request was read, answered is set once
 	// its answer has begun. readErr is the error that ended reading.
 	requestAt time.Time
@@ -345,7 +351,7 @@
 		c.wakeLocked()
 		return
 	}
-	c.idleSince, c.limitWhenIdle = time.Now(), c.connections.limit()
+	c.idleSince, c.limitWhenIdle = time.Now(), max(c.connections.limit(), c.announcedLimit)
 	if c.timer == nil {
 		c.timer = time.AfterFunc(c.limitWhenIdle, c.checkIdle)
 		return
@@ -384,12 +390,27 @@
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
-// closingWriter writes an answer that closes its connection if closeAfterAnswer is set
-// when the answer begins. It must not be used concurrently.
+// keepAlive returns the Keep-Alive header of an answer, "" if the connection is not to be
+// used again. The announced time ends before the idle limit, since a request must arrive
+// before this side closes the connection.
+func (c *callerConn) keepAlive() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.announcedLimit = c.connections.limit()
+	seconds := int(c.announcedLimit/time.Second) - 1
+	if seconds <= 0 {
+		return ""
+	}
+	return "timeout=" + strconv.Itoa(seconds)
+}
+
+// closingWriter writes an answer that closes its connection if callers are to leave when
+// the answer begins, and says for how long the connection may be used again otherwise. It
+// must not be used concurrently.
 type closingWriter struct {
 	http.ResponseWriter
-	closeAfterAnswer *atomic.Bool
-	begun            bool
+	conn  *callerConn
+	begun bool
 }
 
 // Unwrap returns the writer below, for http.ResponseController.
@@ -408,8 +429,13 @@
 }
 
 func (w *closingWriter) begin() {
-	if !w.begun && w.closeAfterAnswer.Load() {
-		w.Header().Set("Connection", "close")
+	if w.begun {
+		return
 	}
 	w.begun = true
+	if w.conn.connections.closeAfterAnswer.Load() {
+		w.Header().Set("Connection", "close")
+	} else if value := w.conn.keepAlive(); value != "" {
+		w.Header().Set("Keep-Alive", value)
+	}
 }
--- a/hosted/connections_test.go
+++ b/hosted/connections_test.go
@@ -73,6 +73,8 @@
 	readPause atomic.Int64
 	// answerTime is how long the handler takes.
 	answerTime time.Duration
+	// onAnswer is called when the answer has begun, if set.
+	onAnswer func()
 }
 
 const testIdleLimit = 10 * time.Second
@@ -89,6 +91,9 @@
 			return
 		}
 		_, _ = io.WriteString(w, "answer")
+		if s.onAnswer != nil {
+			s.onAnswer()
+		}
 	}))
 	s.server.ReadTimeout = 0
 	s.connections.configure(s.server)
