Authenticate client accounts on the users' platform

Cause: the platform's document may hold client accounts with API keys, which the adapter did not decode. Requests ran without a valid key, the key was forwarded to the upstream, and jobs could be read by any caller.

Change: package account holds the index of keys that the product's own listener and the platform's entry share. A request without an accepted key is answered 401 before its body is read; the key is removed and the account's name set on the way to the upstream, for items of jobs too. Jobs are kept under an id that includes the account, so that another account finds nothing, and the quota of waiting tokens holds for each account by itself. Without accounts in the document nothing changes.

Ruled out: a check of the owner in each job call, since a job that is submitted with the id of another account's job would then have to be refused and so be told apart.

--- a/caller/account.go
+++ b/caller/account.go
@@ -1,14 +1,12 @@
 package caller
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 
+	"github.com/daisylb/daisylb/account"
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 )
@@ -17,8 +15,7 @@
 // immutable.
 type accountIndex struct {
 	document *contract.Document
-	// byHash maps the SHA-256 sum of a key, in hexadecimal, to an account id.
-	byHash map[string]string
+	keys     account.Index
 }
 
 // accounts authenticates callers and counts the requests in flight of each
@@ -43,13 +40,15 @@
 }
 
 func newAccountIndex(document *contract.Document) *accountIndex {
-	index := &accountIndex{document: document, byHash: map[string]string{}}
+	index := &accountIndex{document: document}
 	if document == nil {
 		return index
 	}
-	for id, account := range document.Accounts {
-		for _, hash := range account.KeyHashes {
-			index.byHash[hash] = id
+	for id, entry := range document.Accounts {
+		for _, text := range entry.KeyHashes {
+			if hash, ok := account.ParseKeyHash(text); ok {
+				index.keys.Add(id, hash)
+			}
 		}
 	}
 	return index
@@ -58,16 +57,7 @@
 // authenticate returns the id of the account that the request's bearer key
 // belongs to. Errors: code.Unauthenticated.
 func (x *accountIndex) authenticate(r *http.Request) (string, error) {
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok {
-		return "", code.New(code.Unauthenticated, "no bearer key in the Authorization header")
-	}
-	sum := sha256.Sum256([]byte(key))
-	id, ok := x.byHash[hex.EncodeToString(sum[:])]
-	if !ok {
-		return "", code.New(code.Unauthenticated, "the key is not accepted")
-	}
-	return id, nil
+	return x.keys.Authenticate(r.Header)
 }
 
 // service returns the named service. A service that the account may not use is
--- a/code/table.go
+++ b/code/table.go
@@ -36,6 +36,8 @@
 	DeadlineTooShort   Number = 2007
 	MaintenanceRefusal Number = 2008
 	PromptQuarantined  Number = 2009
+	QuotaUnavailable   Number = 2010
+	MemoryExhausted    Number = 2011
 )
 
 // Results that upstreams cause.
@@ -156,6 +158,8 @@
 	register(DeadlineTooShort, "deadline_too_short", http.StatusServiceUnavailable, NotRun, "The expected time of completion is past the deadline.", "Send a later deadline or retry after the hint.")
 	register(MaintenanceRefusal, "maintenance", http.StatusServiceUnavailable, NotRun, "The preset in force does not admit this work.", "Retry when another preset is in force.")
 	register(PromptQuarantined, "prompt_quarantined", http.StatusServiceUnavailable, NotRun, "A part of the prompt has crashed upstreams and is kept from them.", "Send the request without that part; the hint tells when the part is tried again.")
+	register(QuotaUnavailable, "quota_unavailable", http.StatusServiceUnavailable, NotRun, "No instance that accounts for the quota has answered in time.", "Retry after the hint.")
+	register(MemoryExhausted, "memory_exhausted", http.StatusServiceUnavailable, NotRun, "The instance holds as many bytes for callers as its memory allows.", "Retry after the hint at another instance.")
 }
 
 func registerUpstream() {
--- a/contract/forward.go
+++ b/contract/forward.go
@@ -12,7 +12,11 @@
 	RequestID string
 	Service   string
 	Class     Class
-	Method    string
+	// Account is the name of the client account, "" if the deployment has none.
+	Account string
+	// Priority is the priority of the account, or else of the route; 0 is the highest.
+	Priority int
+	Method   string
 	// Target is the path with the query, as the caller sent it.
 	Target string
 	Host   string
--- a/contract/routing.go
+++ b/contract/routing.go
@@ -5,6 +5,8 @@
 	"net"
 	"strings"
 	"time"
+
+	"github.com/daisylb/daisylb/account"
 )
 
 // RouteKind is the kind of a route: whether its requests may run more than once,
@@ -33,6 +35,27 @@
 	Routes   []Route
 	Services map[string]RoutedService
 	Limits   RequestLimits
+	// Accounts has the client accounts by name, and Keys finds them by their API keys. Both
+	// are nil if callers need no key.
+	Accounts map[string]RoutedAccount
+	Keys     *account.Index
+}
+
+// RoutedAccount is a client account of a deployment with routed services.
+type RoutedAccount struct {
+	Name string
+	// Priority replaces the priority of routes; nil means that the account has none of its
+	// own.
+	Priority *int
+	// Quota limits the online requests of the account at all instances together.
+	Quota RateLimit
+}
+
+// RateLimit limits the requests of an account: PerSecond on average, and Burst more at
+// once. A PerSecond of 0 means no limit.
+type RateLimit struct {
+	PerSecond float64
+	Burst     float64
 }
 
 // RoutedService is a group of upstreams that register themselves.
@@ -67,6 +90,8 @@
 	GapObjective time.Duration
 	// Priority is the priority of the route; 0 is the highest.
 	Priority int
+	// Public is set if requests on the route need no key.
+	Public bool
 	// MaxAttempts is the maximum number of upstreams on which a request runs.
 	MaxAttempts int
 	// Resumable is set if another upstream can resume a stream after its last event.
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -26,10 +26,23 @@
 	Forward(ctx context.Context, f *contract.ForwardRequest, sink contract.ForwardSink) error
 }
 
-// Options configures a Handler. All fields are required but Admit.
+// Quota limits the requests of client accounts. It must be safe for concurrent use.
+type Quota interface {
+	// Admit counts a request of an account towards its limit. release takes that back if
+	// the request is refused for another reason. Errors: code.AccountLimit and
+	// code.QuotaUnavailable.
+	Admit(ctx context.Context, account string, limit contract.RateLimit) (release func(), err error)
+}
+
+// Options configures a Handler. All fields are required but Admit, CheckKeys and Quota.
 type Options struct {
 	// Routing returns the document in force, or nil before the first.
-	Routing   func() *contract.Routing
+	Routing func() *contract.Routing
+	// CheckKeys returns an error if the accounts of the document in force may be out of
+	// date for too long to be trusted; nil trusts them always.
+	CheckKeys func() error
+	// Quota limits the requests of accounts; nil means that they are not limited.
+	Quota     Quota
 	Forwarder Forwarder
 	Jobs      Jobs
 	// Admit returns an error if an online request that may run until a deadline must not
@@ -112,26 +125,44 @@
 	if err != nil {
 		return err
 	}
-	switch call.Kind {
-	case platform.CallJobResults:
-		return h.results(w, r, call)
-	case platform.CallJobEnd:
-		return h.end(w, r, call)
-	case platform.CallItemBody:
-		return h.itemBody(w, r, call)
+	if call.Kind != platform.CallRouted {
+		return h.jobCall(w, r, document, call)
 	}
 	route := document.Match(r.Host, r.URL.Path)
 	if route == nil {
 		return code.New(code.NotFound, "no route for this host and path")
 	}
+	account, err := h.authenticate(document, r.Header, route.Public)
+	if err != nil {
+		return err
+	}
 	body, err := readBody(w, r, document.Limits.MaxBodyBytes, requestDeadline(route, r, receivedAt))
 	if err != nil {
 		return err
 	}
 	if route.Kind == contract.RouteBatch {
-		return h.submit(w, r, route, body)
+		return h.submit(w, r, route, account, body)
+	}
+	return h.forward(w, r, document, route, account, body, receivedAt)
+}
+
+// authenticate returns the client account of a request, "" if the deployment has no accounts
+// or a request of a public route has no valid key. Errors: code.Unauthenticated and
+// code.NoConfiguration.
+func (h *Handler) authenticate(document *contract.Routing, header http.Header, public bool) (string, error) {
+	if document.Keys == nil {
+		return "", nil
+	}
+	if h.options.CheckKeys != nil && !public {
+		if err := h.options.CheckKeys(); err != nil {
+			return "", err
+		}
+	}
+	account, err := document.Keys.Authenticate(header)
+	if public {
+		return account, nil
 	}
-	return h.forward(w, r, route, body, receivedAt)
+	return account, err
 }
 
 // headerBytes returns the approximate size of the request line and the headers as
@@ -195,7 +226,7 @@
 
 // forward runs an online request on an upstream. If the answer breaks off after
 // its start, it aborts the connection.
-func (h *Handler) forward(w http.ResponseWriter, r *http.Request, route *contract.Route, body []byte, receivedAt time.Time) error {
+func (h *Handler) forward(w http.ResponseWriter, r *http.Request, document *contract.Routing, route *contract.Route, account string, body []byte, receivedAt time.Time) error {
 	f := &contract.ForwardRequest{
 		Service:     route.Service(),
 		Class:       contract.Online,
@@ -209,8 +240,12 @@
 		Resumable:   route.Resumable,
 		Objective:   route.Objective,
 		MaxGap:      streamIdleTimeout(route),
+		Priority:    priority(document, route, account),
 	}
 	platform.FillForwarding(f, r.Header)
+	if document.Keys != nil {
+		platform.SetAccount(f, account)
+	}
 	if f.Service == "" {
 		return code.New(code.NoUpstream, "the route has no service").WithRetryAfter(noServiceRetryAfter)
 	}
@@ -220,9 +255,16 @@
 			return err
 		}
 	}
+	release, err := h.takeQuota(r.Context(), document, f)
+	if err != nil {
+		return err
+	}
 	s := &sink{w: w, controller: http.NewResponseController(w)}
 	_ = s.controller.SetWriteDeadline(f.Deadline.Add(writeGrace))
-	err := h.options.Forwarder.Forward(r.Context(), f, s)
+	err = h.options.Forwarder.Forward(r.Context(), f, s)
+	if err != nil && code.From(err).Outcome == code.NotRun {
+		release()
+	}
 	if err != nil && s.started {
 		// The abort keeps the caller from taking a partial answer for a complete one.
 		h.options.Log.Info("answer aborted", zap.String("request", f.RequestID), zap.Error(err))
@@ -231,6 +273,25 @@
 	return err
 }
 
+// priority returns the priority of a request: that of its account, or else of its route.
+func priority(document *contract.Routing, route *contract.Route, account string) int {
+	if a, ok := document.Accounts[account]; ok && a.Priority != nil {
+		return *a.Priority
+	}
+	return route.Priority
+}
+
+// takeQuota counts a request towards the quota of its account. release takes that back.
+func (h *Handler) takeQuota(ctx context.Context, document *contract.Routing, f *contract.ForwardRequest) (release func(), err error) {
+	limit := document.Accounts[f.Account].Quota
+	if h.options.Quota == nil || limit.PerSecond <= 0 {
+		return func() {}, nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, f.Deadline)
+	defer cancel()
+	return h.options.Quota.Admit(ctx, f.Account, limit)
+}
+
 const (
 	// noServiceRetryAfter is the time within which the document usually changes.
 	noServiceRetryAfter = time.Second
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -26,7 +26,7 @@
 }
 
 // submit accepts the job in a request's body; the request id is the job's id.
-func (h *Handler) submit(w http.ResponseWriter, r *http.Request, route *contract.Route, body []byte) error {
+func (h *Handler) submit(w http.ResponseWriter, r *http.Request, route *contract.Route, account string, body []byte) error {
 	if r.Method != http.MethodPost {
 		return code.New(code.MethodNotAllowed, "a job is submitted with POST")
 	}
@@ -38,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	s := job.Submission{ID: id, Route: route, Host: r.Host, Items: items, Raw: body}
+	s := job.Submission{ID: job.IDOf(account, id), Route: route, Account: account, Host: r.Host, Items: items, Raw: body}
 	if err := h.options.Jobs.Submit(r.Context(), s); err != nil {
 		return err
 	}
@@ -46,6 +46,23 @@
 	return nil
 }
 
+// jobCall serves a call about a job. A job of another account is answered like one that does
+// not exist.
+func (h *Handler) jobCall(w http.ResponseWriter, r *http.Request, document *contract.Routing, call platform.Call) error {
+	account, err := h.authenticate(document, r.Header, false)
+	if err != nil {
+		return err
+	}
+	call.Job = job.IDOf(account, call.Job)
+	switch call.Kind {
+	case platform.CallJobEnd:
+		return h.end(w, r, call)
+	case platform.CallItemBody:
+		return h.itemBody(w, r, call)
+	}
+	return h.results(w, r, call)
+}
+
 // results writes a page of a job's results.
 func (h *Handler) results(w http.ResponseWriter, r *http.Request, call platform.Call) error {
 	total, results, err := h.options.Jobs.Results(r.Context(), call.Job, call.After, call.Wait)
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/entry"
 	"github.com/daisylb/daisylb/feed"
@@ -268,7 +269,7 @@
 		Routing:    i.document.Current,
 		RoutingAge: i.documentFeed.Age,
 		Decode:     platform.DecodeItems,
-		Describe:   func(f *contract.ForwardRequest, it *job.Item) { platform.FillForwarding(f, it.Header) },
+		Describe:   i.describeItem,
 		Retention:  i.settings.Load().Bounds.ResultRetention,
 		Log:        i.log,
 		Fleet: func() job.Fleet {
@@ -279,9 +280,31 @@
 	return nil
 }
 
+// describeItem sets the fields of an item's request that its headers and the account of its
+// job define.
+func (i *Instance) describeItem(f *contract.ForwardRequest, it *job.Item, account string) {
+	platform.FillForwarding(f, it.Header)
+	if d := i.document.Current(); account != "" || d != nil && d.Keys != nil {
+		platform.SetAccount(f, account)
+	}
+}
+
+// checkKeys returns an error if the store has not been followed for so long that keys which
+// were removed may still be in force here.
+func (i *Instance) checkKeys() error {
+	limit := i.settings.Load().Bounds.MaxKeyAge
+	if limit <= 0 {
+		return nil
+	}
+	if age, ok := i.documentFeed.Age(); !ok || age > limit {
+		return code.New(code.NoConfiguration, "the list of accounts may be out of date").WithRetryAfter(staleKeysRetryAfter)
+	}
+	return nil
+}
+
 // buildServers builds the HTTP servers.
 func (i *Instance) buildServers() {
-	handler := entry.NewHandler(entry.Options{Routing: i.document.Current, Forwarder: i.dispatcher, Jobs: i.jobs, Admit: i.admit, Log: i.log})
+	handler := entry.NewHandler(entry.Options{Routing: i.document.Current, CheckKeys: i.checkKeys, Forwarder: i.dispatcher, Jobs: i.jobs, Admit: i.admit, Log: i.log})
 	i.callerServer = newServer(handler)
 	// The read timeout of a caller's request is its own deadline, which package entry
 	// enforces.
--- a/hosted/options.go
+++ b/hosted/options.go
@@ -41,6 +41,8 @@
 	lateRequestTime = 3 * time.Second
 	// drainingRetryAfter is short, since another instance can take the request at once.
 	drainingRetryAfter = 50 * time.Millisecond
+	// staleKeysRetryAfter is short, since another instance may follow the store.
+	staleKeysRetryAfter = 100 * time.Millisecond
 	// lastAnswerTime is the part of exitReserve in which requests that are still open
 	// are answered.
 	lastAnswerTime = 200 * time.Millisecond
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -34,6 +34,8 @@
 	// replaced has the processes whose machine runs another one now.
 	replaced map[string]bool
 	runs     map[string]int
+	// accounts has the account that each item last ran for.
+	accounts map[string]string
 	// slow is an item whose runs begin late.
 	slow string
 	// resumedAfter has, by item, the last event that each run was given to resume
@@ -157,7 +159,7 @@
 
 func newFleet(t *testing.T, n int, change func(*contract.Route)) *fleet {
 	f := &fleet{
-		t: t, store: memory.NewRows(), alive: map[string]bool{}, replaced: map[string]bool{}, runs: map[string]int{}, resumedAfter: map[string][]string{},
+		t: t, store: memory.NewRows(), alive: map[string]bool{}, replaced: map[string]bool{}, runs: map[string]int{}, accounts: map[string]string{}, resumedAfter: map[string][]string{},
 		route: contract.Route{
 			Host: "h", Prefix: "/lot/", Kind: contract.RouteBatch, MaxAttempts: 3,
 			CompletionWindow: 18 * time.Second, GiveUpAfter: time.Minute, Split: []contract.WeightedService{{Service: "s", Weight: 1}},
@@ -199,8 +201,10 @@
 			}
 			return time.Since(m.startedAt) - time.Duration(m.confirmedAt.Load()), m.document.Load() != nil
 		},
-		Decode:   func(raw []byte) ([]job.Item, error) { return items(strings.Fields(string(raw))...), nil },
-		Describe: func(c *contract.ForwardRequest, it *job.Item) { c.RequestID = it.ID },
+		Decode: func(raw []byte) ([]job.Item, error) { return items(strings.Fields(string(raw))...), nil },
+		Describe: func(c *contract.ForwardRequest, it *job.Item, account string) {
+			c.RequestID, c.Account = it.ID, account
+		},
 	})
 	go func() { defer close(m.done); _ = m.Run(ctx) }()
 	f.instances = append(f.instances, m)
@@ -255,6 +259,7 @@
 func (f *fleet) Forward(ctx context.Context, c *contract.ForwardRequest, sink contract.ForwardSink) error {
 	f.mu.Lock()
 	f.runs[c.RequestID]++
+	f.accounts[c.RequestID] = c.Account
 	f.resumedAfter[c.RequestID] = append(f.resumedAfter[c.RequestID], c.LastEventID)
 	slow := f.slow == c.RequestID
 	f.mu.Unlock()
--- a/job/history_machine_test.go
+++ b/job/history_machine_test.go
@@ -85,7 +85,7 @@
 		Routing:    func() *contract.Routing { return routing },
 		RoutingAge: func() (time.Duration, bool) { return time.Since(startedAt), true },
 		Decode:     decodeItems,
-		Describe:   func(c *contract.ForwardRequest, it *job.Item) { c.RequestID = it.ID },
+		Describe:   func(c *contract.ForwardRequest, it *job.Item, _ string) { c.RequestID = it.ID },
 	})
 	m.cancel, m.done = cancel, done
 	go func(s *job.Service) { defer close(done); _ = s.Run(ctx) }(m.service)
--- a/job/quota.go
+++ b/job/quota.go
@@ -15,7 +15,8 @@
 	"github.com/daisylb/daisylb/storage"
 )
 
-// The quota of a route bounds the tokens of its open jobs and of its reservations. Heads of
+// The quota of a route bounds the tokens of its open jobs and of its reservations, for each
+// client account by itself if the deployment has accounts. Heads of
 // jobs are spread over several parts of the store, so one transaction can't check the sum.
 // A job is accepted in these steps:
 //
@@ -45,6 +46,18 @@
 	staleReservationBatch = 32
 )
 
+// quotaOf returns the id of the quota that bounds the jobs of an account on a route.
+func quotaOf(route, account string) string {
+	if account == "" {
+		return route
+	}
+	// Routes contain no line breaks.
+	return route + "\n" + account
+}
+
+// quota returns the id of the job's quota.
+func (s *Submission) quota() string { return quotaOf(s.Route.ID(), s.Account) }
+
 // reservation holds the tokens of one job that is being accepted.
 type reservation struct {
 	Tokens int64 `json:"tokens"`
@@ -54,7 +67,7 @@
 	version uint64
 }
 
-// reservationSet has the reservations of a route by job, and the version of its
+// reservationSet has the reservations of a quota by job, and the version of its
 // generation row, 0 without one.
 type reservationSet struct {
 	byJob      map[string]reservation
@@ -62,26 +75,26 @@
 }
 
 // generationKey returns the key of the row that changes whenever stale reservations
-// of the route are removed. The key is the prefix of the reservations of this route
+// of the quota are removed. The key is the prefix of the reservations of this quota
 // and of no other.
-func generationKey(route string) storage.RowKey {
-	return storage.RowKey{Table: reservationTable, Part: reservationPart, Key: fmt.Sprintf("%016x/", xxhash.Sum64String(route))}
+func generationKey(quota string) storage.RowKey {
+	return storage.RowKey{Table: reservationTable, Part: reservationPart, Key: fmt.Sprintf("%016x/", xxhash.Sum64String(quota))}
 }
 
 // reservationKey returns the key of the reservation of a job.
-func reservationKey(route, job string) storage.RowKey {
-	key := generationKey(route)
+func reservationKey(quota, job string) storage.RowKey {
+	key := generationKey(quota)
 	key.Key += job
 	return key
 }
 
-// readReservations reads the reservations of a route as of one version of the store. Only
+// readReservations reads the reservations of a quota as of one version of the store. Only
 // one page shows all of them so. Stale ones are removed until they fit into a page.
 //
 // Errors: code.StoreThrottled when there are too many for that, and those of the
 // store.
-func (s *Service) readReservations(ctx context.Context, route string) (reservationSet, error) {
-	prefix := generationKey(route).Key
+func (s *Service) readReservations(ctx context.Context, quota string) (reservationSet, error) {
+	prefix := generationKey(quota).Key
 	for {
 		page, err := s.options.Store.GetRows(ctx, reservationTable, reservationPart, prefix, strings.TrimSuffix(prefix, "/")+"0")
 		if err != nil {
@@ -91,13 +104,13 @@
 		if !page.More {
 			return set, nil
 		}
-		if !s.dropStaleReservations(ctx, route, &quotaUsage{reservations: set}) {
-			return reservationSet{}, code.New(code.StoreThrottled, "%d jobs and more of route %q are being accepted", len(page.Rows), route)
+		if !s.dropStaleReservations(ctx, quota, &quotaUsage{reservations: set}) {
+			return reservationSet{}, code.New(code.StoreThrottled, "%d jobs and more of quota %q are being accepted", len(page.Rows), quota)
 		}
 	}
 }
 
-// decodeReservations decodes the rows whose keys begin with the prefix of a route.
+// decodeReservations decodes the rows whose keys begin with the prefix of a quota.
 func (s *Service) decodeReservations(prefix string, rows []storage.TableRow) reservationSet {
 	set := reservationSet{byJob: map[string]reservation{}}
 	for _, row := range rows {
@@ -152,18 +165,18 @@
 	return heads, oldest, nil
 }
 
-// quotaUsage is what one acceptance has read of the tokens of a route.
+// quotaUsage is what one acceptance has read of the tokens of a quota.
 type quotaUsage struct {
 	heads         map[string]versionedHead
 	oldestVersion uint64
 	reservations  reservationSet
 }
 
-// waitingTokens returns the tokens of a route's open jobs and of its reservations
+// waitingTokens returns the tokens of a quota's open jobs and of its reservations
 // before a version, except those of one job.
-func (u *quotaUsage) waitingTokens(route, job string, beforeVersion uint64, now time.Duration) (sum int64) {
+func (u *quotaUsage) waitingTokens(quota, job string, beforeVersion uint64, now time.Duration) (sum int64) {
 	for id, v := range u.heads {
-		if id != job && v.Route == route && v.open() {
+		if id != job && quotaOf(v.Route, v.Account) == quota && v.open() {
 			sum += v.Tokens
 		}
 	}
@@ -188,11 +201,11 @@
 // Errors: code.QuotaExceeded, and those of the store. After one of the store the
 // tokens may be reserved; the next attempt finds the reservation.
 func (a *acceptance) admit(ctx context.Context) (u quotaUsage, known bool, err error) {
-	s, route := a.service, a.submission.Route.ID()
+	s, quota := a.service, a.submission.quota()
 	var group errgroup.Group
 	group.Go(func() error { return a.reserveTokens(ctx) })
 	group.Go(func() (err error) {
-		u.reservations, err = s.readReservations(ctx, route)
+		u.reservations, err = s.readReservations(ctx, quota)
 		return err
 	})
 	group.Go(func() (err error) {
@@ -214,7 +227,7 @@
 		return u, false, err
 	}
 	group.Go(func() (err error) {
-		u.reservations, err = s.readReservations(ctx, route)
+		u.reservations, err = s.readReservations(ctx, quota)
 		return err
 	})
 	group.Go(func() error { return a.storeBody(ctx) })
@@ -236,7 +249,7 @@
 	if err != nil {
 		return code.Wrap(code.Internal, err, "writing the reservation of job %q", sub.ID)
 	}
-	condition := storage.RowCondition{RowKey: reservationKey(sub.Route.ID(), sub.ID)}
+	condition := storage.RowCondition{RowKey: reservationKey(sub.quota(), sub.ID)}
 	page, err := s.options.Store.ApplyRows(ctx, storage.RowTransaction{
 		Conditions: []storage.RowCondition{condition},
 		Puts:       []storage.TableRow{{RowKey: condition.RowKey, Value: value}},
@@ -274,7 +287,7 @@
 // job if this acceptance wrote it.
 func (a *acceptance) checkQuota(ctx context.Context, u *quotaUsage, beforeVersion uint64) error {
 	s, sub := a.service, a.submission
-	waiting := u.waitingTokens(sub.Route.ID(), sub.ID, beforeVersion, s.now())
+	waiting := u.waitingTokens(sub.quota(), sub.ID, beforeVersion, s.now())
 	if waiting+sub.tokens() <= sub.Route.MaxWaitingTokens {
 		return nil
 	}
@@ -290,7 +303,7 @@
 	if a.reservationVersion == 0 || a.maybeApplied {
 		return
 	}
-	key := reservationKey(a.submission.Route.ID(), a.submission.ID)
+	key := reservationKey(a.submission.quota(), a.submission.ID)
 	_, _ = a.service.options.Store.ApplyRows(ctx, storage.RowTransaction{
 		Conditions: []storage.RowCondition{{RowKey: key, Version: a.reservationVersion}},
 		Removes:    []storage.RowKey{key},
@@ -301,10 +314,10 @@
 // generation row, when there are enough of them. The transaction fails if one of them
 // was removed or renewed since it was read; all are then left for the next call. It
 // reports whether a batch was removed.
-func (s *Service) dropStaleReservations(ctx context.Context, route string, u *quotaUsage) bool {
+func (s *Service) dropStaleReservations(ctx context.Context, quota string, u *quotaUsage) bool {
 	t, now := storage.RowTransaction{}, s.now()
 	for id, r := range u.reservations.byJob {
-		if key := reservationKey(route, id); u.stale(id, now) && len(t.Removes) < staleReservationBatch {
+		if key := reservationKey(quota, id); u.stale(id, now) && len(t.Removes) < staleReservationBatch {
 			t.Conditions = append(t.Conditions, storage.RowCondition{RowKey: key, Version: r.version})
 			t.Removes = append(t.Removes, key)
 		}
@@ -312,7 +325,7 @@
 	if len(t.Removes) < staleReservationBatch {
 		return false
 	}
-	t.Puts = []storage.TableRow{{RowKey: generationKey(route), Value: []byte("{}")}}
+	t.Puts = []storage.TableRow{{RowKey: generationKey(quota), Value: []byte("{}")}}
 	_, err := s.options.Store.ApplyRows(ctx, t)
 	return err == nil
 }
--- a/job/rows.go
+++ b/job/rows.go
@@ -32,7 +32,9 @@
 	// Route is the id of the route, Host the host that the submission named.
 	Route string `json:"route"`
 	Host  string `json:"host"`
-	Total int    `json:"total"`
+	// Account is the client account that the job belongs to, "" if there was none.
+	Account string `json:"account,omitempty"`
+	Total   int    `json:"total"`
 	// Listed is the number of listed results. Done has the indexes of their items in
 	// the submission, in the order of the results.
 	Listed int   `json:"listed"`
--- a/job/run.go
+++ b/job/run.go
@@ -24,6 +24,8 @@
 	service *Service
 	id      string
 	host    string
+	// account is the client account that the job belongs to.
+	account string
 	items   []Item
 	cancel  context.CancelFunc
 	ctx     context.Context
@@ -87,6 +89,7 @@
 		service:         s,
 		id:              id,
 		host:            v.Host,
+		account:         v.Account,
 		items:           items,
 		ctx:             ctx,
 		cancel:          cancel,
@@ -212,7 +215,7 @@
 		Deadline:    r.expiresAt,
 		Due:         r.dueAt(route),
 	}
-	r.service.options.Describe(f, item)
+	r.service.options.Describe(f, item, r.account)
 	f.LastEventID, f.ReceivedEvents = c.lastEvent, c.events
 	c.status = 0
 	ctx, cancel := r.service.whileConnected(r.ctx)
--- a/job/service.go
+++ b/job/service.go
@@ -50,8 +50,9 @@
 	RoutingAge func() (time.Duration, bool)
 	// Decode reads the items of a submission.
 	Decode func(raw []byte) ([]Item, error)
-	// Describe sets the fields of a request that an item's headers define.
-	Describe func(f *contract.ForwardRequest, item *Item)
+	// Describe sets the fields of a request that an item's headers define, and the account
+	// that its job belongs to.
+	Describe func(f *contract.ForwardRequest, item *Item, account string)
 	// Retention is how long after its acceptance a job stays readable. Complete and
 	// ended jobs are removed after twice that; 0 keeps them.
 	Retention time.Duration
--- a/job/submit.go
+++ b/job/submit.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,14 +17,32 @@
 
 // Submission is a job as the caller sent it.
 type Submission struct {
+	// ID is the id of the job, unique among the jobs of all accounts; see IDOf.
 	ID    string
 	Route *contract.Route
-	Host  string
-	Items []Item
+	// Account is the client account that the job belongs to, "" if the deployment has none.
+	Account string
+	Host    string
+	Items   []Item
 	// Raw is the request body that Items were decoded from.
 	Raw []byte
 }
 
+// IDOf returns the id under which a job of an account is kept. Ids that callers choose are
+// unique within their account only, and a job must not be found by another account. Without
+// an account it is the caller's id.
+func IDOf(account, id string) string {
+	if account == "" {
+		return id
+	}
+	sum := sha256.Sum256([]byte(account))
+	return id + "@" + hex.EncodeToString(sum[:accountIDBytes])
+}
+
+// accountIDBytes is the number of bytes of an account's hash in the ids of its jobs: two of
+// some thousand accounts share it with a probability of less than one in 10^12.
+const accountIDBytes = 8
+
 // tokens returns the sum over the items.
 func (s *Submission) tokens() int64 {
 	var sum int64
@@ -143,7 +163,7 @@
 	var group errgroup.Group
 	group.Go(func() error { return a.putHead(ctx) })
 	group.Go(func() error {
-		a.service.dropStaleReservations(ctx, a.submission.Route.ID(), &u)
+		a.service.dropStaleReservations(ctx, a.submission.quota(), &u)
 		return nil
 	})
 	return group.Wait()
@@ -168,6 +188,7 @@
 	now, part := s.now(), partOfNewJob(sub.ID)
 	h := head{
 		Route:         sub.Route.ID(),
+		Account:       sub.Account,
 		Host:          sub.Host,
 		Total:         len(sub.Items),
 		Tokens:        sub.tokens(),
