Limit the requests of accounts across instances

Cause: the document gives each client account a rate and a burst over all instances together, and nothing enforced it.

Change: package quota. A limit is split into up to four shares with an owner each, by rendezvous hashing among members that have held a lease for 45 s. An instance without tokens of an account asks an owner over UDP and waits for some milliseconds; an instance with steady demand asks ahead. Tokens expire after 300 ms, which the rate and the burst of the shares allow for. Leases are fields of the rows that package roster writes; an owner stops 20 s after its last confirmed row, others take over after 45 s. Package boottime reads the clock that counts suspensions. Quotas are on if the settings have quota_window_s; otherwise rows and ports are as before.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/daisylb/daisylb/boottime"
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/storage"
 )
@@ -77,6 +78,8 @@
 	// started, 0 before the first one.
 	lastResponse atomic.Int64
 	started      time.Time
+	// lastResponseBoot is the same by package boottime.
+	lastResponseBoot atomic.Int64
 }
 
 // partialRead is the progress of a full read: the rows of all parts before part, and
@@ -111,6 +114,13 @@
 	return time.Since(f.started) - time.Duration(last), true
 }
 
+// RespondedAt returns the time of the last successful poll or full read by package boottime,
+// and false before the first one.
+func (f *Follower) RespondedAt() (time.Duration, bool) {
+	at := f.lastResponseBoot.Load()
+	return time.Duration(at), at != 0
+}
+
 // Run follows the table until ctx is done. It always returns nil. It must not be
 // called more than once at a time.
 func (f *Follower) Run(ctx context.Context) error {
@@ -260,7 +270,7 @@
 // deliver calls Update if there is anything to report, and then records the time of the
 // successful poll, so that Age never refers to rows that were not delivered yet.
 func (f *Follower) deliver(u Update) {
-	polledAt := time.Since(f.started)
+	polledAt, polledAtBoot := time.Since(f.started), boottime.Now()
 	if f.unreachable {
 		f.unreachable = false
 		u.Recovered = true
@@ -270,4 +280,5 @@
 		f.options.Update(u)
 	}
 	f.lastResponse.Store(int64(max(polledAt, 1)))
+	f.lastResponseBoot.Store(int64(polledAtBoot))
 }
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -24,6 +24,7 @@
 	"github.com/daisylb/daisylb/job"
 	"github.com/daisylb/daisylb/platform"
 	"github.com/daisylb/daisylb/quarantine"
+	"github.com/daisylb/daisylb/quota"
 	"github.com/daisylb/daisylb/relay"
 	"github.com/daisylb/daisylb/roster"
 	"github.com/daisylb/daisylb/routing"
@@ -53,6 +54,8 @@
 	dispatcher   *upstream.Dispatcher
 	broadcast    *upstream.Broadcast
 	jobs         *job.Service
+	// quota is nil if the settings have no request quotas.
+	quota *quota.Limiter
 	// peersMu serializes updates of peerGroups, peerIDs and instanceAddresses.
 	peersMu sync.Mutex
 	// peerGroups holds the instances that share workers with this one, one group
@@ -100,7 +103,7 @@
 	i.peerGroups.Store(&[]upstream.PeerGroup{})
 	i.instanceAddresses.Store(&[]string{})
 	i.log = i.log.With(zap.String("instance", i.id))
-	for _, step := range []func() error{i.buildStore, i.buildRouting, i.buildQuarantine, i.buildDispatcher, i.buildRoster, i.buildJobs} {
+	for _, step := range []func() error{i.buildStore, i.buildRouting, i.buildQuarantine, i.buildDispatcher, i.buildRoster, i.buildQuota, i.buildJobs} {
 		if err := step(); err != nil {
 			return nil, err
 		}
@@ -196,7 +199,7 @@
 			CallerAddress: settings.CallerAddress,
 			PeerAddress:   conn.LocalAddr().String(),
 			DataCentre:    settings.DataCentre,
-		}})
+		}, LeaseAddress: quotaAddress(settings), FirstStart: settings.FirstStart})
 	i.broadcast, err = upstream.NewBroadcast(upstream.BroadcastOptions{
 		Dispatcher: i.dispatcher,
 		InstanceID: i.id,
@@ -280,6 +283,53 @@
 	return nil
 }
 
+// quotaAddress returns the address for messages about quotas, "" if the settings have no
+// request quotas.
+func quotaAddress(s *platform.Settings) string {
+	if s.Bounds.QuotaWindow <= 0 {
+		return ""
+	}
+	return net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPort+quotaPortOffset))
+}
+
+// buildQuota builds the limiter of the accounts' requests over a UDP socket.
+func (i *Instance) buildQuota() error {
+	settings := i.settings.Load()
+	address := quotaAddress(settings)
+	if address == "" {
+		return nil
+	}
+	local, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return err
+	}
+	conn, err := net.ListenUDP("udp4", local)
+	if err != nil {
+		return err
+	}
+	i.quota, err = quota.New(quota.Options{
+		Self:       settings.Name,
+		Bounds:     quota.Bounds{Window: settings.Bounds.QuotaWindow, Overage: settings.Bounds.QuotaOverage, Slack: settings.Bounds.QuotaSlack},
+		Leases:     i.roster.Leases,
+		Limit:      i.quotaOf,
+		Conn:       conn,
+		Log:        i.log,
+		Registerer: i.registry,
+	})
+	return err
+}
+
+// quotaOf returns the request quota of an account by the document in force, and false if there
+// is no such account.
+func (i *Instance) quotaOf(account string) (contract.RateLimit, bool) {
+	d := i.document.Current()
+	if d == nil {
+		return contract.RateLimit{}, false
+	}
+	a, ok := d.Accounts[account]
+	return a.Quota, ok
+}
+
 // describeItem sets the fields of an item's request that its headers and the account of its
 // job define.
 func (i *Instance) describeItem(f *contract.ForwardRequest, it *job.Item, account string) {
@@ -304,7 +354,11 @@
 
 // buildServers builds the HTTP servers.
 func (i *Instance) buildServers() {
-	handler := entry.NewHandler(entry.Options{Routing: i.document.Current, CheckKeys: i.checkKeys, Forwarder: i.dispatcher, Jobs: i.jobs, Admit: i.admit, Log: i.log})
+	options := entry.Options{Routing: i.document.Current, CheckKeys: i.checkKeys, Forwarder: i.dispatcher, Jobs: i.jobs, Admit: i.admit, Log: i.log}
+	if i.quota != nil {
+		options.Quota = i.quota
+	}
+	handler := entry.NewHandler(options)
 	i.callerServer = newServer(handler)
 	// The read timeout of a caller's request is its own deadline, which package entry
 	// enforces.
@@ -391,7 +445,11 @@
 	for _, f := range []*feed.Follower{i.documentFeed, i.workerFeed} {
 		group.Go(func() error { return f.Run(runCtx) })
 	}
-	for _, run := range []func(context.Context) error{i.dispatcher.Run, i.broadcast.Run, i.roster.Run, i.quarantine.Run, i.jobs.Run, i.publishReady} {
+	parts := []func(context.Context) error{i.dispatcher.Run, i.broadcast.Run, i.roster.Run, i.quarantine.Run, i.jobs.Run, i.publishReady}
+	if i.quota != nil {
+		parts = append(parts, i.quota.Run)
+	}
+	for _, run := range parts {
 		group.Go(func() error { return run(runCtx) })
 	}
 	callers, err := net.Listen("tcp4", settings.CallerAddress)
--- a/hosted/options.go
+++ b/hosted/options.go
@@ -51,6 +51,9 @@
 	peerDialTimeout = 250 * time.Millisecond
 	peerIdleConns   = 4
 	peerIdleTimeout = 10 * time.Second
+	// quotaPortOffset is the offset of the UDP port for messages about quotas from the first
+	// port for traffic between instances.
+	quotaPortOffset = 1
 	// metricsPort must be the port of the metrics in deploy/system.toml.
 	metricsPort = 9464
 	// maxEndpoints is the largest number of addresses in an endpoint answer.
--- a/roster/liveness.go
+++ b/roster/liveness.go
@@ -140,6 +140,9 @@
 		x.Heartbeat, y.Heartbeat = 0, 0
 		x.IntervalMillis, y.IntervalMillis = 0, 0
 		x.WrittenMillis, y.WrittenMillis = 0, 0
+		x.JoinedMillis, y.JoinedMillis = 0, 0
+		x.LeasedMillis, y.LeasedMillis = 0, 0
+		x.LeaseStartMillis, y.LeaseStartMillis = 0, 0
 		return x == y
 	})
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -17,6 +17,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/daisylb/daisylb/boottime"
 	"github.com/daisylb/daisylb/feed"
 	"github.com/daisylb/daisylb/storage"
 )
@@ -46,6 +47,13 @@
 	// known, and in rows of versions without them.
 	IntervalMillis int64 `json:"every,omitempty"`
 	WrittenMillis  int64 `json:"at,omitempty"`
+	// JoinedMillis, LeasedMillis and LeaseAddress are the member's lease, 0 and "" where there
+	// are no leases; see Lease. LeaseStartMillis is the store's clock at the process's first
+	// extension.
+	JoinedMillis     int64  `json:"joined,omitempty"`
+	LeasedMillis     int64  `json:"leased,omitempty"`
+	LeaseStartMillis int64  `json:"lease_start,omitempty"`
+	LeaseAddress     string `json:"lease,omitempty"`
 }
 
 // entry is a member and the time at which a change of its row was last read.
@@ -98,6 +106,11 @@
 	// update of the table is passed to ExtraUpdate. Both may be empty.
 	ExtraPart   string
 	ExtraUpdate func(feed.Update)
+	// LeaseAddress makes the instance hold a lease, on which it can be reached at this address
+	// for what it owns; "" means none. FirstStart is set when the whole system starts for the
+	// first time.
+	LeaseAddress string
+	FirstStart   bool
 }
 
 // Roster maintains the list of instances. It is safe for concurrent use.
@@ -132,6 +145,7 @@
 	view         atomic.Pointer[View]
 	// announced is the interval of the last heartbeat, in nanoseconds.
 	announced atomic.Int64
+	lease     lease
 }
 
 // View is a snapshot of the list.
@@ -262,6 +276,7 @@
 func (r *Roster) writeHeartbeats(ctx context.Context) {
 	var sequence uint64
 	lastInterval := heartbeatInterval
+	r.awaitPredecessor(ctx)
 	for ctx.Err() == nil {
 		sequence++
 		m := *r.self.Load()
@@ -277,7 +292,10 @@
 			// most of the time in between.
 			lastInterval, delay = delay, rand.N(delay)
 		}
-		if err := r.writeRow(ctx, m); err != nil {
+		sentAt := r.extendLease(&m)
+		if err := r.writeRow(ctx, m); err == nil {
+			r.confirmLease(&m, sentAt)
+		} else {
 			r.options.Log.Debug("heartbeat write failed", zap.Error(err))
 			delay = writeRetryInterval + rand.N(writeRetryInterval)
 		}
@@ -312,6 +330,7 @@
 		r.followedSince = now
 	}
 	r.storeClock, r.storeClockReadAt = u.Now, now
+	r.lease.observeClock(u.Now, boottime.Now())
 	for _, row := range u.Rows {
 		if row.Part != "" || r.applySuspicion(row, now) {
 			continue
@@ -326,6 +345,9 @@
 			r.options.Log.Warn("invalid instance row ignored", zap.String("key", row.Key), zap.Error(err))
 			continue
 		}
+		if m.Name == r.options.Self.Name {
+			r.lease.observeOwnRow(&m, r.self.Load().ID)
+		}
 		if m.ID == r.self.Load().ID {
 			prev := r.members[m.Name]
 			r.recordOwnRow(now, prev.writeInterval(r.interval()))
