Use the slack of quotas for bursts and tell callers when tokens come

Callers were told to come back within a second, while the peak lasted 2.2 s.

Change: half of what the bounds leave is added to the bursts of the shares. Refused requests get hints as far apart as tokens have come of late. The log lines of refused and forwarded requests name the account.

Ruled out: a sliding-window count in place of the bucket. After a restart of an owner it would have to assume that all was granted just before, and grant nothing for 5 s.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -273,6 +273,19 @@
 	return err
 }
 
+// accountOf returns the account of a request for the log, "" if it has none.
+func (h *Handler) accountOf(header http.Header) string {
+	d := h.options.Routing()
+	if d == nil || d.Keys == nil {
+		return ""
+	}
+	account, err := d.Keys.Authenticate(header)
+	if err != nil {
+		return ""
+	}
+	return account
+}
+
 // priority returns the priority of a request: that of its account, or else of its route.
 func priority(document *contract.Routing, route *contract.Route, account string) int {
 	if a, ok := document.Accounts[account]; ok && a.Priority != nil {
@@ -365,7 +378,11 @@
 // reject logs a numbered error and writes it, also when the caller seems to be gone: it may
 // have closed only its sending side.
 func (h *Handler) reject(w http.ResponseWriter, r *http.Request, err error) {
-	h.options.Log.Info("refused", zap.String("request", platform.RequestID(r.Header)), zap.String("path", r.URL.Path),
-		zap.Int("number", int(code.Of(err))), zap.Error(err))
+	fields := []zap.Field{zap.String("request", platform.RequestID(r.Header)), zap.String("path", r.URL.Path),
+		zap.Int("number", int(code.Of(err))), zap.Error(err)}
+	if account := h.accountOf(r.Header); account != "" {
+		fields = append(fields, zap.String("account", account))
+	}
+	h.options.Log.Info("refused", fields...)
 	platform.WriteError(w, err)
 }
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -96,8 +96,7 @@
 	// notOwnerTime is how long a share is not asked after its owner said that it is none: views
 	// of the members differ for a moment.
 	notOwnerTime = 100 * time.Millisecond
-	// minRetryAfter and unavailableRetryAfter are the hints for callers.
-	minRetryAfter         = 50 * time.Millisecond
+	// unavailableRetryAfter is the hint for callers while no owner answers.
 	unavailableRetryAfter = 300 * time.Millisecond
 	// refreshInterval is the time between two updates of the ring.
 	refreshInterval = 100 * time.Millisecond
@@ -284,7 +283,8 @@
 			zap.Float64("requests_per_s_here", a.perSecond(now)), zap.Duration("wait", wait))
 	}
 	a.refusedAt = now
-	return code.New(code.AccountLimit, "the account is over %g requests a second", limit.PerSecond).WithRetryAfter(max(wait, minRetryAfter))
+	retryAfter := a.retryAfter(wait, limit.PerSecond/float64(max(len(l.owner.ring.owners), 1)), now)
+	return code.New(code.AccountLimit, "the account is over %g requests a second", limit.PerSecond).WithRetryAfter(retryAfter)
 }
 
 // shareToAsk returns the share of an account to ask for tokens; see stock.shareToAsk. Instances
@@ -362,7 +362,7 @@
 func (l *Limiter) apply(q *ask, g Grant, now time.Duration) {
 	switch g.Status {
 	case Granted:
-		q.account.add(g.Tokens, q.sentAt)
+		q.account.add(g.Tokens, q.sentAt, now)
 	case Denied:
 		q.account.deny(q.share, g.Wait, now)
 	default:
--- a/quota/shares.go
+++ b/quota/shares.go
@@ -47,7 +47,10 @@
 	for n := maxShares; n > 0; n /= 2 {
 		s := Shares{Count: n, PerSecond: limit.PerSecond / float64(n), Burst: max(limit.Burst/float64(n), 1)}
 		if surplus := allowed - float64(n)*(s.Burst+s.PerSecond*granting); surplus >= 0 {
-			s.Initial = min(surplus/float64(n), s.Burst)
+			// Half of what the bounds leave makes up for an uneven use of the shares, the other
+			// half for changes of the owners.
+			s.Burst += surplus / float64(2*n)
+			s.Initial = min(surplus/float64(2*n), s.Burst)
 			return s
 		}
 	}
--- a/quota/stock.go
+++ b/quota/stock.go
@@ -17,6 +17,11 @@
 	demandAt time.Duration
 	// usedAt is the time of the last request.
 	usedAt time.Duration
+	// received is the decayed number of tokens received, and receivedAt the time of the last.
+	received   float64
+	receivedAt time.Duration
+	// promisedAt is the time until which the last refused request was told to wait.
+	promisedAt time.Duration
 }
 
 // heldGrant is a number of tokens that expire together.
@@ -31,6 +36,11 @@
 	// aheadTime is the time for which tokens are requested ahead. It is below grantTTL, so that
 	// few of them expire.
 	aheadTime = 250 * time.Millisecond
+	// receivedTime is the time over which the received tokens are averaged.
+	receivedTime = 2 * time.Second
+	// minRetryAfter and maxRetryAfter limit the hints for refused requests.
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
 	// maxWant bounds the tokens of one request.
 	maxWant = 1 << 12
 )
@@ -47,10 +57,25 @@
 }
 
 // add adds granted tokens, which were requested at a time.
-func (s *stock) add(tokens int, requestedAt time.Duration) {
+func (s *stock) add(tokens int, requestedAt, now time.Duration) {
+	s.received = s.received*math.Exp(-float64(now-s.receivedAt)/float64(receivedTime)) + float64(tokens)
+	s.receivedAt = now
 	s.grants = append(s.grants, heldGrant{tokens, requestedAt + grantTTL})
 }
 
+// retryAfter returns when the caller of a refused request should come back; wait is the time
+// until the next token is expected. Requests that are refused one after another get times as
+// far apart as tokens have come of late, and at least leastPerSecond of them a second.
+func (s *stock) retryAfter(wait time.Duration, leastPerSecond float64, now time.Duration) time.Duration {
+	perSecond := max(s.received*math.Exp(-float64(now-s.receivedAt)/float64(receivedTime))/receivedTime.Seconds(), leastPerSecond)
+	next := now + wait
+	if perSecond > 0 {
+		next = max(next, s.promisedAt+seconds(1/perSecond))
+	}
+	s.promisedAt = min(next, now+maxRetryAfter)
+	return max(s.promisedAt-now, minRetryAfter)
+}
+
 // take uses one token and returns when it would have expired, or false if there is none.
 func (s *stock) take(now time.Duration) (expiresAt time.Duration, ok bool) {
 	s.expire(now)
--- a/upstream/forward_log.go
+++ b/upstream/forward_log.go
@@ -51,6 +51,9 @@
 		zap.Int("unreachable", f.unreachable),
 		zap.Int("yields", f.preemptions),
 	}
+	if f.call.Account != "" {
+		fields = append(fields, zap.String("account", f.call.Account))
+	}
 	d.metrics.forwarded.WithLabelValues(f.call.Class.String(), resultOf(err)).Inc()
 	if f.upstreamID != "" {
 		d.metrics.forwardQueued.WithLabelValues(f.call.Class.String()).Observe(f.queueTime.Seconds())
