Report a reset that a write received to the reader of the answer

Cause: the kernel reports a reset once. A large request body is written by a goroutine while the answer is read; its write received ECONNRESET, the error was dropped, and the next read returned io.EOF. An answer without a length and chunks ends with io.EOF, so the caller got the part before the reset as a whole answer. net/http writes bodies in the same way: calls of plain services and writes of objects to the users' store had the same fault.

Change: package tcpconn, whose connections return io.EOF only if no write has failed. Status lines with another major version than 1, or with a status outside 100 to 599, are a bad answer.

Ruled out: a close of the own side (net.ErrClosed), a reset without a write in progress (the read gets it), 000, 099, 1xx without end, other malformed status lines. An answer with a length or chunks that ends before the body is read is passed on as before.

--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -10,6 +10,7 @@
 	"sync"
 
 	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/tcpconn"
 )
 
 // connection carries one request and its response, and is then closed. A kept-alive
@@ -21,6 +22,8 @@
 	reader  *bufio.Reader
 	limiter *headLimiter
 	stop    func() bool
+	// sent is closed when the goroutine that writes a large body has ended; nil without one.
+	sent chan struct{}
 }
 
 const connectionBufferBytes = 4 << 10
@@ -37,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	counting := &countingConn{Conn: nc}
+	counting := &countingConn{Conn: tcpconn.New(nc)}
 	c := &connection{countingConn: counting, reader: readerPool.Get().(*bufio.Reader), limiter: newHeadLimiter(counting)}
 	c.reader.Reset(c.limiter)
 	c.stop = context.AfterFunc(ctx, func() { _ = nc.Close() })
@@ -48,6 +51,9 @@
 func (c *connection) close() {
 	c.stop()
 	_ = c.Conn.Close()
+	if c.sent != nil {
+		<-c.sent
+	}
 	c.reader.Reset(nil)
 	readerPool.Put(c.reader)
 }
@@ -71,7 +77,13 @@
 	if len(f.Body) <= maxInlineBodyBytes {
 		return request.Write(c.Conn)
 	}
-	go func() { _ = request.Write(c.Conn) }()
+	c.sent = make(chan struct{})
+	go func() {
+		defer close(c.sent)
+		// The reader gets the error at the end of the connection. An answer with a length
+		// or chunks that arrives before the error is complete without the rest of the body.
+		_ = request.Write(c.Conn)
+	}()
 	return nil
 }
 
--- a/upstream/forward_response.go
+++ b/upstream/forward_response.go
@@ -24,7 +24,7 @@
 		return &failure{err: code.Wrap(code.UpstreamSilent, errors.Join(errStalled, err), "upstream %q was silent", granted.target.id)}
 	case isHeadOverLimit(err):
 		return &failure{err: code.Wrap(code.UpstreamHeadTooLarge, err, "upstream %q: %v", granted.target.id, err)}
-	case errors.Is(err, errNotEvents):
+	case errors.Is(err, errNotEvents), errors.Is(err, errStatusLine):
 		return &failure{err: code.Wrap(code.UpstreamBadAnswer, err, "upstream %q: %v", granted.target.id, err)}
 	}
 	return &failure{err: code.Wrap(code.UpstreamFailed, err, "upstream %q broke off", granted.target.id)}
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -27,6 +27,7 @@
 	errInterimAnswers    = fmt.Errorf("over %d interim answers came before the answer", maxInterimAnswers)
 	errHeadAmbiguous     = errors.New("the end of the response head is ambiguous")
 	errSwitchedProtocols = errors.New("the upstream switched protocols")
+	errStatusLine        = errors.New("the status line has no version 1 of HTTP or no status from 100 to 599")
 )
 
 // isHeadOverLimit reports whether err means that a head exceeded a limit.
@@ -127,6 +128,8 @@
 			return nil, c.limiter.limitErr
 		case err != nil:
 			return nil, err
+		case !isValidStatusLine(response):
+			return nil, errStatusLine
 		case response.StatusCode >= http.StatusOK:
 			return response, nil
 		case response.StatusCode == http.StatusSwitchingProtocols:
@@ -140,3 +143,11 @@
 		}
 	}
 }
+
+// maxStatus is the largest status of HTTP. http.ReadResponse accepts any of three digits,
+// and any version of one digit each.
+const maxStatus = 599
+
+func isValidStatusLine(r *http.Response) bool {
+	return r.ProtoMajor == 1 && r.StatusCode >= http.StatusContinue && r.StatusCode <= maxStatus
+}
--- a/upstream/transports.go
+++ b/upstream/transports.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/tcpconn"
 )
 
 const (
@@ -43,6 +44,11 @@
 			MaxResponseHeaderBytes: maxResponseHeadBytes,
 		}
 	}
+	template = template.Clone()
+	if template.DialContext == nil {
+		template.DialContext = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	template.DialContext = tcpconn.Dialer(template.DialContext)
 	ts := transports{template.Clone(), template.Clone(), template.Clone(), template.Clone()}
 	ts.single.DisableKeepAlives = true
 	return ts
