Require a length or chunks of answers of peers and of stored objects

Cause: a body that only the end of its connection ends is taken for whole. A message of protobuf that is cut between two fields decodes as one with fewer rows, an empty one as a successful write, and an object that is cut between two lines has fewer lines. JSON answers need no change: a cut value does not decode.

--- a/link/transport.go
+++ b/link/transport.go
@@ -180,7 +180,8 @@
 	base   *http.Transport
 }
 
-// RoundTrip implements http.RoundTripper.
+// RoundTrip implements http.RoundTripper. It returns an error for a response whose body
+// only the end of its connection ends.
 func (k *keyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	if k.key != "" {
@@ -189,7 +190,11 @@
 	if k.secure {
 		r.URL.Scheme = "https"
 	}
-	return k.base.RoundTrip(r)
+	response, err := k.base.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	return checkFraming(response)
 }
 
 // CloseIdleConnections closes connections that carry no request.
--- a/relay/store.go
+++ b/relay/store.go
@@ -91,6 +91,7 @@
 	if o.Log == nil {
 		o.Log = zap.NewNop()
 	}
+	o.Client = link.FramedClient{Client: o.Client}
 	return &Store{options: o, peerRetryAt: map[string]time.Time{}, relayEnded: make(chan struct{})}
 }
 
--- a/storage/httpstore/operations.go
+++ b/storage/httpstore/operations.go
@@ -76,6 +76,12 @@
 		cancel()
 		return nil, err
 	}
+	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && response.ProtoMajor == 1 {
+		// A store that fails between two lines of an object would look the same.
+		_ = response.Body.Close()
+		cancel()
+		return nil, code.New(code.StoreUnavailable, "the object has neither a length nor chunks")
+	}
 	return &objectReader{ReadCloser: response.Body, cancel: cancel}, nil
 }
 
