Check the operator's document of the users' platform on the command line

daisylb config check FILE [-in-force FILE] prints errors, entries that no request can use, limits that contradict each other, and the differences from the version in force. A JSON file with routes or tenants is taken for such a document; -kind routing names it. Flags may also follow the file. Keys are named by their place or counted, never printed; a name that is also a key is replaced, and the name of an unknown field is printed only if it cannot be a key.

Ruled out: a key in the errors of DecodeRouting. encoding/json gives the kind of a value of the wrong type and not the value (TestDecodeErrorHasNoKey passes before and after).

--- a/cmd/daisylb/config.go
+++ b/cmd/daisylb/config.go
@@ -15,6 +15,7 @@
 	"github.com/daisylb/daisylb/config"
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/daemon"
+	"github.com/daisylb/daisylb/platform"
 	"github.com/daisylb/daisylb/settings"
 	"github.com/daisylb/daisylb/standin"
 )
@@ -33,8 +34,9 @@
 
 // configCheck checks files locally, without contacting an instance.
 type configCheck struct {
-	kind string
-	json bool
+	kind    string
+	inForce string
+	json    bool
 }
 
 // File kinds that configCheck accepts.
@@ -42,6 +44,8 @@
 	kindDocument = "document"
 	kindInstance = "instance"
 	kindStandIn  = "standin"
+	// kindRouting is the operator's document of the users' platform.
+	kindRouting = "routing"
 )
 
 // checkResult is the result of checking one file.
@@ -51,11 +55,22 @@
 	// Error is set when the file could not be read or the check failed without a
 	// list of faults.
 	Error string `json:"error,omitempty"`
+	// Routing is set for a routing document that could be read.
+	Routing *platform.RoutingCheck `json:"routing,omitempty"`
 }
 
-func check(kind, name string) checkResult {
+func (c *configCheck) check(name string) checkResult {
 	r := checkResult{File: name}
-	err := checkFile(kind, name)
+	kind := c.kind
+	if c.inForce != "" || kind == "" && isRoutingFile(name) {
+		kind = kindRouting
+	}
+	var err error
+	if kind == kindRouting {
+		r.Routing, err = checkRoutingFile(name, c.inForce)
+	} else {
+		err = checkFile(kind, name)
+	}
 	if err != nil && !errors.As(err, &r.Faults) {
 		r.Error = err.Error()
 	}
@@ -75,34 +90,48 @@
 	return err
 }
 
-func (r checkResult) valid() bool { return len(r.Faults) == 0 && r.Error == "" }
+func (r checkResult) valid() bool {
+	return len(r.Faults) == 0 && r.Error == "" && (r.Routing == nil || len(r.Routing.Errors) == 0)
+}
 
 func (*configCheck) Name() string { return "check" }
 func (*configCheck) Synopsis() string {
 	return "check documents and settings files and list every fault"
 }
 func (*configCheck) Usage() string {
-	return "config check [-kind document|instance|standin] [-json] FILE...\n  Exits with 2 when a file has faults.\n"
+	return `config check [-kind document|instance|standin|routing] [-json] FILE...
+config check FILE [-in-force FILE] [-json]
+  Without -kind, a file with routes is the operator's document of the users' platform.
+  Of that, it also lists entries that nothing can use, limits that contradict each
+  other, and the differences from the version in force. Exits with 2 when a file has
+  faults.
+`
 }
 
 // SetFlags implements subcommands.Command.
 func (c *configCheck) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.kind, "kind", kindDocument, "what the files are: document, instance or standin")
+	f.StringVar(&c.kind, "kind", "", "what the files are: document, instance, standin or routing; default by their fields")
+	f.StringVar(&c.inForce, "in-force", "", "routing document to compare with")
 	f.BoolVar(&c.json, "json", false, "print JSON")
 }
 
 // Execute implements subcommands.Command.
 func (c *configCheck) Execute(_ context.Context, f *flag.FlagSet, args ...any) subcommands.ExitStatus {
 	o := operatorOf(args)
-	known := []string{kindDocument, kindInstance, kindStandIn}
-	if f.NArg() == 0 || !slices.Contains(known, c.kind) {
+	known := []string{"", kindDocument, kindInstance, kindStandIn, kindRouting}
+	files, err := parseMixed(f)
+	if err != nil || len(files) == 0 || !slices.Contains(known, c.kind) {
+		fmt.Fprint(o.stderr(), c.Usage())
+		return subcommands.ExitUsageError
+	}
+	if c.inForce != "" && (len(files) != 1 || c.kind != "" && c.kind != kindRouting) {
 		fmt.Fprint(o.stderr(), c.Usage())
 		return subcommands.ExitUsageError
 	}
 	status := subcommands.ExitSuccess
-	results := make([]checkResult, 0, f.NArg())
-	for _, name := range f.Args() {
-		r := check(c.kind, name)
+	results := make([]checkResult, 0, len(files))
+	for _, name := range files {
+		r := c.check(name)
 		results = append(results, r)
 		if !r.valid() {
 			status = exitSettings
@@ -121,9 +150,12 @@
 			fmt.Fprintf(w, "%s: valid\n", r.File)
 		case r.Error != "":
 			fmt.Fprintln(w, r.Error)
-		default:
+		case r.Routing == nil:
 			fmt.Fprintln(w, r.Faults)
 		}
+		if r.Routing != nil {
+			printRouting(w, r.File, r.Routing)
+		}
 	}
 }
 
--- a/cmd/daisylb/config_test.go
+++ b/cmd/daisylb/config_test.go
@@ -137,3 +137,37 @@
 	t.Cleanup(server.Close)
 	return server.URL
 }
+
+// TestRoutingDocumentCheck checks documents of the users' platform: exit statuses, groups,
+// and that no key is printed.
+func TestRoutingDocumentCheck(t *testing.T) {
+	s := newCLI(t)
+	write := func(name, text string) string {
+		path := filepath.Join(t.TempDir(), name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	const route = `{"hostname":"h","path_prefix":"/a/","kind":"safe","service":"s"}`
+	old := write("old.json", `{"version":1,"routes":[`+route+`],"services":[{"name":"s"}],"tenants":[{"name":"ada","api_keys":["secret-1"]}]}`)
+	sound := write("new.json", `{"version":2,"routes":[`+route+`],"services":[{"name":"s"}],"tenants":[{"name":"ada","api_keys":["secret-2"]}]}`)
+	faulty := write("bad.json", `{"version":2,"routes":[`+route+`,`+route+`],"services":[],"tenants":[{"name":"ada","api_keys":["secret-3"],"burst":1}]}`)
+	s.expect(0, "new.json: valid", "config", "check", sound)
+	s.expect(0, `new.json: difference: tenant "ada": api_keys: 1 removed, 1 added, 1 now`, "config", "check", sound, "-in-force", old)
+	s.expect(0, `"entry": "tenant \"ada\""`, "config", "check", "-json", "-in-force", old, sound)
+	s.expect(exitSettings, "is not above 2, the version in force", "config", "check", "-in-force", sound, old)
+	s.expect(exitSettings, `bad.json: error: routes[0]: its service "s" is not in the document`, "config", "check", faulty)
+	s.expect(exitSettings, "bad.json: never used: routes[1]: routes[0] has the same host", "config", "check", sound, faulty)
+	s.expect(exitSettings, "bad.json: contradiction: tenants[0]: burst 1 has no effect", "config", "check", "-kind", "routing", faulty)
+	s.expect(exitSettings, "cannot be read", "config", "check", "-in-force", filepath.Join(t.TempDir(), "none"), sound)
+	s.expect(subcommands.ExitUsageError, "config check FILE", "config", "check", "-in-force", old, sound, faulty)
+	s.expect(subcommands.ExitUsageError, "config check FILE", "config", "check", "-kind", "instance", "-in-force", old, sound)
+	for _, file := range []string{sound, faulty} {
+		for _, format := range []string{"-json", "-json=false"} {
+			if output, _ := s.run("config", "check", "-in-force", old, format, file); strings.Contains(output, "secret") {
+				t.Errorf("a key is printed: %s", output)
+			}
+		}
+	}
+}
