Measure leases by the time at which the store was called

- The feed took the time of delivery for the time of the read.
A process that was frozen between the store's response and the delivery held an old view for a fresh one.
- The store's clock was paired with the time of delivery.
After such a freeze the next row said that the lease was extended a minute ago; others take over after 45 s.
- An instance judged its own lease by its row in the table, which may be the one of before a gap while the store has confirmed the new one.
- A write that is delayed on its way, as through a frozen peer, may replace a newer row.
Others then read an old lease until the next write (8 s at 550 instances).
- With bootstrap, an instance whose extension took effect without a confirmation went on with the lease of the first start after any time, and so did a second process of the machine.
- An extension that was confirmed 15 s after it was sent counted.
With the gap of 20 s and a view of 20 s that leaves less than nothing of the 45 s.

Change: feed.ReadAt is the time at which the call was sent; the clock is paired with the middle of the call and ignored after calls of over 4 s; Leases.Joined is that of the confirmed extension; readers keep the lease that was extended last, and the owner of an outdated row writes it again; extensions count if confirmed within 5 s (calls of the store time out after 2 s). HeldLease is exported for the simulation in package quota.

Ruled out: a condition on the row's version in each write, which would cost a second call after each lost response.

Evidence: go test -run 'Lease|Clock|Delayed|ReadAt' ./roster ./feed passes; with each change but those of the first write taken back by itself, TestReadAtIsBeforeTheCall, TestClockOfAStoppedProcess, TestLeaseOfAStartingProcess and TestLeaseBeginsAnewAfterAGap, TestDelayedWriteOfARow or TestOwnLeaseIsTheConfirmedOne fails.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -48,8 +48,10 @@
 	FullRead bool
 	// Recovered is set in the first update after calls of the store have failed.
 	Recovered bool
-	// Now is the reading of the store's clock.
-	Now time.Duration
+	// Now is the reading of the store's clock. It was taken after ReadAt, the time by package
+	// boottime at which the call was sent.
+	Now    time.Duration
+	ReadAt time.Duration
 }
 
 const (
@@ -78,8 +80,9 @@
 	// started, 0 before the first one.
 	lastResponse atomic.Int64
 	started      time.Time
-	// lastResponseBoot is the same by package boottime.
-	lastResponseBoot atomic.Int64
+	// readAt is the time by package boottime at which the last successful poll was sent, or
+	// the first call of the last full read.
+	readAt atomic.Int64
 }
 
 // partialRead is the progress of a full read: the rows of all parts before part, and
@@ -88,6 +91,8 @@
 	storage.RowPage
 	part    int
 	nextKey string
+	// readAt is the time by package boottime before the first page was read.
+	readAt time.Duration
 }
 
 // New returns a Follower. Run starts it.
@@ -114,10 +119,11 @@
 	return time.Since(f.started) - time.Duration(last), true
 }
 
-// RespondedAt returns the time of the last successful poll or full read by package boottime,
-// and false before the first one.
-func (f *Follower) RespondedAt() (time.Duration, bool) {
-	at := f.lastResponseBoot.Load()
+// ReadAt returns the time by package boottime as of which all changes have been delivered, and
+// false before the first read. It is the time at which the last successful call was sent: a
+// process may be stopped between the store's response and the delivery.
+func (f *Follower) ReadAt() (time.Duration, bool) {
+	at := f.readAt.Load()
 	return time.Duration(at), at != 0
 }
 
@@ -171,11 +177,12 @@
 	if !f.synced {
 		return f.readAll(ctx)
 	}
+	readAt := boottime.Now()
 	page, err := f.options.Rows.RowChanges(ctx, f.options.Table, f.version, f.options.PollTimeout)
 	if err != nil {
 		return false, err
 	}
-	u := Update{Now: page.Now}
+	u := Update{Now: page.Now, ReadAt: readAt}
 	for _, r := range page.Rows {
 		if slices.Contains(f.options.Parts, r.Part) && f.recordVersion(r) {
 			u.Rows = append(u.Rows, r)
@@ -202,7 +209,7 @@
 	}
 	page := f.partial
 	f.partial = nil
-	u := Update{FullRead: true, Now: page.Now}
+	u := Update{FullRead: true, Now: page.Now, ReadAt: page.readAt}
 	present := make(map[string]bool, len(page.Rows))
 	for _, r := range page.Rows {
 		present[r.Key] = true
@@ -229,7 +236,7 @@
 func (f *Follower) readPage(ctx context.Context) (bool, error) {
 	progress := f.partial
 	if progress == nil {
-		progress = &partialRead{RowPage: storage.RowPage{Version: f.version}}
+		progress = &partialRead{RowPage: storage.RowPage{Version: f.version}, readAt: boottime.Now()}
 	}
 	page, err := f.options.Rows.GetRows(ctx, f.options.Table, f.options.Parts[progress.part], progress.nextKey, "")
 	if err != nil {
@@ -270,7 +277,7 @@
 // deliver calls Update if there is anything to report, and then records the time of the
 // successful poll, so that Age never refers to rows that were not delivered yet.
 func (f *Follower) deliver(u Update) {
-	polledAt, polledAtBoot := time.Since(f.started), boottime.Now()
+	polledAt := time.Since(f.started)
 	if f.unreachable {
 		f.unreachable = false
 		u.Recovered = true
@@ -280,5 +287,5 @@
 		f.options.Update(u)
 	}
 	f.lastResponse.Store(int64(max(polledAt, 1)))
-	f.lastResponseBoot.Store(int64(polledAtBoot))
+	f.readAt.Store(int64(u.ReadAt))
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"github.com/daisylb/daisylb/boottime"
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/feed"
 	"github.com/daisylb/daisylb/storage"
@@ -300,3 +301,36 @@
 		}
 	})
 }
+
+// slowChanges is a store whose feed answers once, after a while.
+type slowChanges struct {
+	storage.Rows
+	// rowsReadAt is the time by package boottime at which that call had read the rows.
+	rowsReadAt time.Duration
+	// answered is closed at the beginning of the next call.
+	answered chan struct{}
+	calls    int
+}
+
+func (s *slowChanges) RowChanges(ctx context.Context, table string, after uint64, wait time.Duration) (storage.RowPage, error) {
+	if s.calls++; s.calls > 1 {
+		close(s.answered)
+		<-ctx.Done()
+		return storage.RowPage{}, ctx.Err()
+	}
+	page, err := s.Rows.RowChanges(ctx, table, after, 0)
+	s.rowsReadAt = boottime.Now()
+	time.Sleep(10 * time.Millisecond)
+	return page, err
+}
+
+// TestReadAtIsBeforeTheCall guards against rows that are taken for newer than they are, since
+// the response was delivered long after the store had read them.
+func TestReadAtIsBeforeTheCall(t *testing.T) {
+	store := &slowChanges{Rows: memory.NewRows(), answered: make(chan struct{})}
+	_, f := start(t, store)
+	<-store.answered
+	if readAt, ok := f.ReadAt(); !ok || readAt > store.rowsReadAt {
+		t.Errorf("rows count as read at %v (%v), though the store had read them at %v", readAt, ok, store.rowsReadAt)
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -145,7 +145,7 @@
 	view         atomic.Pointer[View]
 	// announced is the interval of the last heartbeat, in nanoseconds.
 	announced atomic.Int64
-	lease     lease
+	lease     HeldLease
 }
 
 // View is a snapshot of the list.
@@ -276,7 +276,7 @@
 func (r *Roster) writeHeartbeats(ctx context.Context) {
 	var sequence uint64
 	lastInterval := heartbeatInterval
-	r.awaitPredecessor(ctx)
+	r.awaitTable(ctx)
 	for ctx.Err() == nil {
 		sequence++
 		m := *r.self.Load()
@@ -294,7 +294,7 @@
 		}
 		sentAt := r.extendLease(&m)
 		if err := r.writeRow(ctx, m); err == nil {
-			r.confirmLease(&m, sentAt)
+			r.confirmLease(&m, sentAt, boottime.Now())
 		} else {
 			r.options.Log.Debug("heartbeat write failed", zap.Error(err))
 			delay = writeRetryInterval + rand.N(writeRetryInterval)
@@ -330,7 +330,7 @@
 		r.followedSince = now
 	}
 	r.storeClock, r.storeClockReadAt = u.Now, now
-	r.lease.observeClock(u.Now, boottime.Now())
+	r.lease.ObserveClock(u.Now, u.ReadAt, boottime.Now())
 	for _, row := range u.Rows {
 		if row.Part != "" || r.applySuspicion(row, now) {
 			continue
@@ -346,7 +346,7 @@
 			continue
 		}
 		if m.Name == r.options.Self.Name {
-			r.lease.observeOwnRow(&m, r.self.Load().ID)
+			r.observeOwnLease(&m)
 		}
 		if m.ID == r.self.Load().ID {
 			prev := r.members[m.Name]
@@ -356,6 +356,9 @@
 		if prev, ok := r.members[m.Name]; ok && prev.ID == m.ID {
 			next.firstVersion = prev.firstVersion
 		}
+		if prev, ok := r.members[m.Name]; ok {
+			next.KeepNewerLease(&prev.Member)
+		}
 		r.members[m.Name] = next
 	}
 	if firstRead {
