Keep quotas within their bound through changes of owners

- An answer that grants no tokens put an entry of 0 tokens into the stock, which then gave tokens without end for 300 ms.
- Ids of requests began at 1 in each process, so a late answer to the previous process of the machine could give tokens of one account to another.
- Each time that an owner lost its lease and held it again, or that a share left it and came back, its buckets were filled with the initial tokens.
Two such changes may lie 0.1 s apart.
- A process that must begin with empty buckets forgot that at the next change of the members.
- The initial tokens allowed for one change of the owner in a window, whatever its length.
- With little overage and slack the rate was lowered, though a smaller burst keeps the bound too.
An account at 0.97 of its limit was then refused: a window of 5 s, no overage, no slack, 10 requests a second and a burst of 8 gave 9.43 a second.
- A denial could be for no time at all (a bucket a rounding error short of a token).
An owner then asked its own share again without end, under the lock.
- Datagrams were sent under the lock.
- A request whose time was over was refused although tokens had come just then.
Tokens that expired between two refreshes were counted only if no request came in between.
An owner that did not answer was logged once an account.

Change: buckets stay when a share leaves and hold at most the initial tokens when it returns; Split reduces the burst before the rate and counts refills; messages go through a queue with a goroutine that Run waits for; tokens of a limit that was lowered are dropped; the rest as above.

The queue and the last attempt have no test of their own.

--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -43,8 +44,12 @@
 type Limiter struct {
 	options Options
 	metrics *metrics
-	// send sends a datagram without blocking.
-	send func(address netip.AddrPort, data []byte)
+	// send sends a datagram without blocking. It queues them in outgoing, so that no lock is
+	// held over I/O.
+	send     func(address netip.AddrPort, data []byte)
+	outgoing chan datagram
+	// after calls a function after a time.
+	after func(time.Duration, func())
 
 	mu       sync.Mutex
 	owner    owner
@@ -60,6 +65,8 @@
 type account struct {
 	stock
 	name string
+	// limit is the limit of the last request.
+	limit contract.RateLimit
 	// ask is the request for tokens that waits for its answer, nil if there is none.
 	ask *ask
 	// waiting is the number of requests that wait for it.
@@ -114,8 +121,11 @@
 	}
 	l := newLimiter(o)
 	l.send = func(address netip.AddrPort, data []byte) {
-		// A failed send is handled like a lost datagram.
-		_, _ = o.Conn.WriteToUDPAddrPort(data, address)
+		select {
+		case l.outgoing <- datagram{address, data}:
+		default:
+			l.metrics.unsent.Inc()
+		}
 	}
 	return l, nil
 }
@@ -129,12 +139,16 @@
 		o.Clock = boottime.Now
 	}
 	l := &Limiter{
+		after:        func(d time.Duration, f func()) { time.AfterFunc(d, f) },
 		options:      o,
 		metrics:      newMetrics(o.Registerer),
 		owner:        owner{bounds: o.Bounds, buckets: map[shareKey]*bucket{}},
 		accounts:     map[string]*account{},
 		pending:      map[uint64]*ask{},
 		skippedUntil: map[string]time.Duration{},
+		outgoing:     make(chan datagram, maxOutgoing),
+		// Late answers to a previous process of the machine must not match a request of this one.
+		nextID: rand.Uint64(),
 	}
 	l.owner.setRing(&Ring{self: o.Self}, o.Clock())
 	return l
@@ -142,18 +156,16 @@
 
 // Run grants and receives tokens until ctx ends. It always returns nil.
 func (l *Limiter) Run(ctx context.Context) error {
-	received := make(chan struct{})
-	go func() {
-		defer close(received)
-		l.receive()
-	}()
+	var wait sync.WaitGroup
+	wait.Go(l.receive)
+	wait.Go(func() { l.transmit(ctx) })
 	ticker := time.NewTicker(refreshInterval)
 	defer ticker.Stop()
 	for l.refresh(); ; l.refresh() {
 		select {
 		case <-ctx.Done():
 			_ = l.options.Conn.Close()
-			<-received
+			wait.Wait()
 			return nil
 		case <-ticker.C:
 		}
@@ -176,7 +188,9 @@
 	maps.DeleteFunc(l.pending, func(_ uint64, q *ask) bool { return now-q.sentAt > grantTTL })
 	maps.DeleteFunc(l.skippedUntil, func(_ string, until time.Duration) bool { return until <= now })
 	for name, a := range l.accounts {
-		l.metrics.expired.Add(float64(a.expire(now)))
+		a.expire(now)
+		l.metrics.expired.Add(float64(a.expired))
+		a.expired = 0
 		if a.refusedAt != 0 && now-a.refusedAt > servedTime {
 			a.refusedAt = 0
 			l.options.Log.Info("account no longer refused", zap.String("account", name), zap.Float64("requests_per_s", a.perSecond(now)))
@@ -193,41 +207,24 @@
 // Errors: code.AccountLimit when the account is over its limit, and code.QuotaUnavailable when
 // no owner answers before admitTimeout or the end of ctx.
 func (l *Limiter) Admit(ctx context.Context, name string, limit contract.RateLimit) (release func(), err error) {
-	shares := Split(limit, l.options.Bounds).Count
 	var timeout <-chan time.Time
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.options.Clock()
-	a := l.account(name)
-	a.observe(now)
-	for {
-		if expiresAt, ok := a.take(now); ok {
-			l.metrics.admitted.Inc()
-			l.askAhead(a, shares, now)
-			return func() { l.giveBack(a, expiresAt) }, nil
-		}
-		if a.ask == nil {
-			share, wait := l.shareToAsk(a, shares, now)
-			switch {
-			case share < 0 && wait > 0:
-				return nil, l.refusal(a, limit, wait, now)
-			case share < 0:
-				l.awaitOwner(a, now)
-			case !l.request(a, share, a.want(a.waiting+1, now), now):
-				continue
-			}
+	a := l.begin(name, limit, l.options.Clock())
+	for ended := false; ; {
+		release, answered, err := l.attempt(a, ended, l.options.Clock())
+		if answered == nil {
+			return release, err
 		}
 		if timeout == nil {
 			timer := time.NewTimer(admitTimeout)
 			defer timer.Stop()
 			timeout = timer.C
 		}
-		ended := false
-		done := a.ask.done
 		a.waiting++
 		l.mu.Unlock()
 		select {
-		case <-done:
+		case <-answered:
 		case <-timeout:
 			ended = true
 		case <-ctx.Done():
@@ -235,9 +232,50 @@
 		}
 		l.mu.Lock()
 		a.waiting--
-		now = l.options.Clock()
-		if ended {
-			return nil, l.refusal(a, limit, 0, now)
+	}
+}
+
+// begin counts a request of an account and returns the account. l.mu must be held.
+func (l *Limiter) begin(name string, limit contract.RateLimit, now time.Duration) *account {
+	a := l.accounts[name]
+	if a == nil {
+		a = &account{name: name}
+		l.accounts[name] = a
+	}
+	if limit.PerSecond < a.limit.PerSecond {
+		// The tokens held are of the higher limit.
+		a.drop()
+	}
+	a.limit = limit
+	a.observe(now)
+	return a
+}
+
+// attempt takes a token of an account. If there is none, it sees to it that an owner is asked,
+// and returns a channel that is closed when a further attempt may succeed. If last is set, it
+// asks nobody and refuses instead. l.mu must be held.
+func (l *Limiter) attempt(a *account, last bool, now time.Duration) (release func(), answered <-chan struct{}, err error) {
+	shares := Split(a.limit, l.options.Bounds).Count
+	for {
+		if expiresAt, ok := a.take(now); ok {
+			l.metrics.admitted.Inc()
+			l.askAhead(a, shares, now)
+			return func() { l.giveBack(a, expiresAt) }, nil, nil
+		}
+		if last {
+			return nil, nil, l.refusal(a, 0, now)
+		}
+		if a.ask != nil {
+			return nil, a.ask.done, nil
+		}
+		share, wait := l.shareToAsk(a, shares, now)
+		switch {
+		case share >= 0:
+			l.request(a, share, a.want(a.waiting+1, now), now)
+		case wait > 0:
+			return nil, nil, l.refusal(a, wait, now)
+		default:
+			l.awaitOwner(a, now)
 		}
 	}
 }
@@ -247,23 +285,13 @@
 func (l *Limiter) awaitOwner(a *account, now time.Duration) {
 	q := &ask{account: a, sentAt: now, done: make(chan struct{})}
 	a.ask = q
-	time.AfterFunc(answerTimeout, func() {
+	l.after(answerTimeout, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.finish(q)
 	})
 }
 
-// account returns the state of an account. l.mu must be held.
-func (l *Limiter) account(name string) *account {
-	a := l.accounts[name]
-	if a == nil {
-		a = &account{name: name}
-		l.accounts[name] = a
-	}
-	return a
-}
-
 // giveBack returns the token of a request that was refused.
 func (l *Limiter) giveBack(a *account, expiresAt time.Duration) {
 	l.mu.Lock()
@@ -273,18 +301,18 @@
 
 // refusal returns the error for a request without a token; wait is the time until the account
 // is expected to have one, 0 if no owner could tell.
-func (l *Limiter) refusal(a *account, limit contract.RateLimit, wait, now time.Duration) error {
+func (l *Limiter) refusal(a *account, wait, now time.Duration) error {
 	if wait <= 0 {
 		l.metrics.unavailable.Inc()
 		return code.New(code.QuotaUnavailable, "no owner of the account's quota has answered").WithRetryAfter(unavailableRetryAfter)
 	}
 	l.metrics.refused.Inc()
 	if a.refusedAt == 0 {
-		l.options.Log.Info("account over its quota", zap.String("account", a.name), zap.Float64("limit_per_s", limit.PerSecond), zap.Float64("burst", limit.Burst),
+		l.options.Log.Info("account over its quota", zap.String("account", a.name), zap.Float64("limit_per_s", a.limit.PerSecond), zap.Float64("burst", a.limit.Burst),
 			zap.Float64("requests_per_s_here", a.perSecond(now)), zap.Duration("wait", wait))
 	}
 	a.refusedAt = now
-	return code.New(code.AccountLimit, "the account is over %g requests a second", limit.PerSecond).WithRetryAfter(max(wait, minRetryAfter))
+	return code.New(code.AccountLimit, "the account is over %g requests a second", a.limit.PerSecond).WithRetryAfter(max(wait, minRetryAfter))
 }
 
 // shareToAsk returns the share of an account to ask for tokens; see stock.shareToAsk. Instances
@@ -311,28 +339,27 @@
 	}
 }
 
-// request requests tokens of a share. It reports false if the request is done already, since
-// this instance owns the share or its owner has no usable address. l.mu must be held.
-func (l *Limiter) request(a *account, share, want int, now time.Duration) bool {
+// request requests tokens of a share. The request is done at once if this instance owns the
+// share or its owner has no usable address. l.mu must be held.
+func (l *Limiter) request(a *account, share, want int, now time.Duration) {
 	name, text, _ := l.owner.ring.Owner(a.name, share)
 	q := &ask{account: a, share: share, owner: name, sentAt: now, done: make(chan struct{})}
 	if name == l.options.Self {
 		l.apply(q, l.grant(a.name, share, want, now), now)
-		return false
+		return
 	}
 	address, err := netip.ParseAddrPort(text)
 	if err != nil {
 		l.options.Log.Warn("quota owner without a usable address", zap.String("owner", name), zap.String("address", text))
 		l.skippedUntil[name] = now + skipTime
-		return false
+		return
 	}
 	l.nextID++
 	q.id, q.address = l.nextID, address
 	a.ask, l.pending[q.id] = q, q
 	m := message{id: q.id, account: a.name, share: share, tokens: want}
 	l.send(address, m.append(nil))
-	time.AfterFunc(answerTimeout, func() { l.expire(q) })
-	return true
+	l.after(answerTimeout, func() { l.expire(q) })
 }
 
 // expire ends the wait for an answer. The answer is still accepted if it comes later.
@@ -343,8 +370,10 @@
 		return
 	}
 	now := l.options.Clock()
-	l.options.Log.Info("quota owner did not answer", zap.String("owner", q.owner), zap.String("account", q.account.name), zap.Int("share", q.share),
-		zap.Duration("waited", now-q.sentAt))
+	if l.skippedUntil[q.owner] <= now {
+		l.options.Log.Info("quota owner did not answer", zap.String("owner", q.owner), zap.String("account", q.account.name), zap.Int("share", q.share),
+			zap.Duration("waited", now-q.sentAt))
+	}
 	l.metrics.unanswered.Inc()
 	l.skippedUntil[q.owner] = now + skipTime
 	l.finish(q)
@@ -370,64 +399,3 @@
 	}
 	l.finish(q)
 }
-
-// grant grants tokens of a share that this instance owns. An account without a limit by the
-// document in force here gets what it asks for. l.mu must be held.
-func (l *Limiter) grant(name string, share, want int, now time.Duration) Grant {
-	limit, ok := l.options.Limit(name)
-	switch {
-	case !ok:
-		return Grant{Status: NotOwner}
-	case limit.PerSecond <= 0:
-		return Grant{Status: Granted, Tokens: want}
-	}
-	g := l.owner.grant(name, share, want, limit, now)
-	l.metrics.granted.Add(float64(g.Tokens))
-	if g.Status == Denied {
-		l.metrics.denied.Inc()
-	}
-	return g
-}
-
-// receive handles messages until the connection is closed.
-func (l *Limiter) receive() {
-	buffer := make([]byte, maxMessageBytes)
-	for {
-		n, from, err := l.options.Conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			l.options.Log.Warn("quota message not received", zap.Error(err))
-			time.Sleep(answerTimeout)
-			continue
-		}
-		l.handle(buffer[:n], from)
-	}
-}
-
-// handle handles a datagram.
-func (l *Limiter) handle(data []byte, from netip.AddrPort) {
-	m, err := decodeMessage(data)
-	if err != nil {
-		return
-	}
-	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.options.Clock()
-	if !m.isAnswer {
-		g := l.grant(m.account, m.share, m.tokens, now)
-		answer := message{id: m.id, share: m.share, tokens: g.Tokens, isAnswer: true, status: g.Status, wait: g.Wait}
-		l.send(from, answer.append(nil))
-		return
-	}
-	q := l.pending[m.id]
-	if q == nil || q.address != from || q.share != m.share {
-		return
-	}
-	delete(l.pending, m.id)
-	delete(l.skippedUntil, q.owner)
-	l.metrics.answerTime.Observe((now - q.sentAt).Seconds())
-	l.apply(q, Grant{m.status, m.tokens, m.wait}, now)
-}
--- a/quota/metrics.go
+++ b/quota/metrics.go
@@ -14,6 +14,7 @@
 	denied      prometheus.Counter
 	expired     prometheus.Counter
 	unanswered  prometheus.Counter
+	unsent      prometheus.Counter
 	answerTime  prometheus.Histogram
 }
 
@@ -34,6 +35,7 @@
 		denied:      counter("daisylb_quota_denials_total", "Requests for tokens that this instance has denied as an owner."),
 		expired:     counter("daisylb_quota_expired_tokens_total", "Tokens that this instance held and did not use."),
 		unanswered:  counter("daisylb_quota_unanswered_total", "Requests for tokens that were not answered in time."),
+		unsent:      counter("daisylb_quota_unsent_total", "Messages that were dropped since too many waited to be sent."),
 		answerTime: f.NewHistogram(prometheus.HistogramOpts{
 			Name:    "daisylb_quota_answer_seconds",
 			Help:    "Time from a request for tokens to its answer.",
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -43,26 +43,36 @@
 	// the initial tokens of a share then, or none if startsEmpty is set.
 	since       time.Duration
 	startsEmpty bool
-	// granting is set while the ring allows this instance to grant tokens.
-	granting bool
+	// granting is set while the ring allows this instance to grant tokens. emptyUntil is 0
+	// before that is set for the first time, and then the time until which startsEmpty holds.
+	granting   bool
+	emptyUntil time.Duration
 }
 
-// idleBucketTime is the time after which a bucket that was not used is dropped.
+// idleBucketTime is the time after which a bucket that was not used is dropped. It is longer
+// than common windows; see setRing.
 const idleBucketTime = 10 * time.Minute
 
-// setRing replaces the ring. Shares that this instance begins to own begin empty.
+// setRing replaces the ring. A share that this instance begins to own again keeps its bucket
+// with at most the initial tokens, so that changes in quick succession add none.
 func (o *owner) setRing(next *Ring, now time.Duration) {
 	granting := next.grantsUntil > now
-	switch {
-	case granting && !o.granting:
-		clear(o.buckets)
-		o.since, o.startsEmpty = now, next.startsEmpty
-	case o.ring == nil || !next.sameOwners(o.ring):
-		o.since, o.startsEmpty = now, false
-		maps.DeleteFunc(o.buckets, func(key shareKey, _ *bucket) bool { return !next.Grants(key.account, key.share, now) })
+	begins := granting && !o.granting
+	if begins && o.emptyUntil == 0 {
+		o.emptyUntil = now
+		if next.startsEmpty {
+			o.emptyUntil += o.bounds.granting() + clockMargin
+		}
+	}
+	if begins || o.ring == nil || !next.sameOwners(o.ring) {
+		o.since, o.startsEmpty = now, now < o.emptyUntil
+		for key, b := range o.buckets {
+			b.refilled = b.refilled || begins || !next.owns(key.account, key.share)
+		}
 	}
 	o.ring, o.granting = next, granting
-	maps.DeleteFunc(o.buckets, func(_ shareKey, b *bucket) bool { return now-b.updatedAt > idleBucketTime && b.updatedAt > o.since })
+	idle := max(idleBucketTime, 2*o.bounds.granting())
+	maps.DeleteFunc(o.buckets, func(_ shareKey, b *bucket) bool { return now-b.updatedAt > idle })
 }
 
 // grant grants up to want tokens of a share of a limit.
@@ -80,6 +90,10 @@
 		}
 		o.buckets[key] = b
 	}
+	if b.refilled {
+		b.advance(s, now)
+		b.tokens, b.refilled = min(b.tokens, s.Initial), false
+	}
 	tokens, wait := b.take(s, want, now)
 	if tokens == 0 {
 		return Grant{Status: Denied, Wait: wait}
--- a/quota/ring.go
+++ b/quota/ring.go
@@ -18,6 +18,9 @@
 	// and reads of the store that are some seconds out of date. For as long before and after a
 	// change of the owner, nobody grants.
 	clockMargin = 5 * time.Second
+	// minSilence is the least time in which nobody grants tokens of a share when its owner
+	// changes: twice clockMargin less the errors of two readings of the clock, 2 s each.
+	minSilence = 6 * time.Second
 	// ringTTL is how long a ring may be used after it was built. It is rebuilt more often; only
 	// a process that was stopped in between has an older one.
 	ringTTL = 2 * time.Second
@@ -52,11 +55,18 @@
 	if leases.StoreNow == 0 {
 		return r
 	}
-	for _, l := range leases.Members {
-		heldFor, idleFor := leases.StoreNow-l.Joined, leases.StoreNow-l.Leased
-		if l.Joined == 0 {
-			heldFor = ownerAge + clockMargin
+	heldSince := func(joined time.Duration) time.Duration {
+		if joined == 0 {
+			return ownerAge + clockMargin
 		}
+		return leases.StoreNow - joined
+	}
+	// The own row may be older than the lease that the store has confirmed.
+	if heldSince(leases.Joined) >= ownerAge+clockMargin && leases.ExtendedAt != 0 && leases.ReadAt != 0 {
+		r.grantsUntil = min(min(leases.ExtendedAt, leases.ReadAt)+roster.LeaseGap, now+ringTTL)
+	}
+	for _, l := range leases.Members {
+		heldFor, idleFor := heldSince(l.Joined), leases.StoreNow-l.Leased
 		m := ringMember{l.Name, xxhash.Sum64String(l.Name), l.Address}
 		if heldFor >= ownerAge-clockMargin && idleFor <= ownerAge+clockMargin {
 			r.possible = append(r.possible, m)
@@ -64,9 +74,6 @@
 		if heldFor >= ownerAge && idleFor <= ownerAge {
 			r.owners = append(r.owners, m)
 		}
-		if l.Name == self && heldFor >= ownerAge+clockMargin && leases.ExtendedAt != 0 && leases.ReadAt != 0 {
-			r.grantsUntil = min(min(leases.ExtendedAt, leases.ReadAt)+roster.LeaseGap, now+ringTTL)
-		}
 	}
 	return r
 }
@@ -82,9 +89,11 @@
 
 // Grants reports whether this instance may grant tokens of a share at now.
 func (r *Ring) Grants(account string, share int, now time.Duration) bool {
-	if now > r.grantsUntil {
-		return false
-	}
+	return now <= r.grantsUntil && r.owns(account, share)
+}
+
+// owns reports whether this instance is the first of the possible owners of a share.
+func (r *Ring) owns(account string, share int) bool {
 	m := first(r.possible, account, share)
 	return m != nil && m.name == r.self
 }
--- a/quota/shares.go
+++ b/quota/shares.go
@@ -36,44 +36,60 @@
 	Initial float64
 }
 
-// Split returns the shares of a limit. A token may be used grantTTL after its owner has granted
-// it. The tokens that are used in a window were therefore granted within grantTTL more than the
-// window. In that time all buckets together grant at most what is allowed, with one change of
-// the owner of each.
+// granting returns the length of the time in which the tokens that are used in a window were
+// granted: a token may be used until grantTTL after its owner has granted it.
+func (b Bounds) granting() time.Duration { return b.Window + grantTTL }
+
+// refills returns how often a bucket may begin anew with the initial tokens within granting.
+// Each machine that owns the share may start a process within that time, after which processes
+// of the machine begin with empty buckets, and machines follow each other after minSilence.
+func (b Bounds) refills() float64 {
+	return float64(1 + 2*(b.granting()/minSilence))
+}
+
+// Split returns the shares of a limit. All buckets together grant at most what a window allows
+// within Bounds.granting, including the refills. Where the bounds leave no room for the delay,
+// the burst is reduced first, since accounts with a steady rate need the rate.
 func Split(limit contract.RateLimit, b Bounds) Shares {
-	window := b.Window.Seconds()
-	granting := window + grantTTL.Seconds()
-	allowed := (limit.PerSecond*window+limit.Burst)*(1+b.Overage) + b.Slack
-	for n := maxShares; n > 0; n /= 2 {
-		s := Shares{Count: n, PerSecond: limit.PerSecond / float64(n), Burst: max(limit.Burst/float64(n), 1)}
-		if surplus := allowed - float64(n)*(s.Burst+s.PerSecond*granting); surplus >= 0 {
-			s.Initial = min(surplus/float64(n), s.Burst)
-			return s
+	granting := b.granting().Seconds()
+	allowed := (limit.PerSecond*b.Window.Seconds()+limit.Burst)*(1+b.Overage) + b.Slack
+	room := allowed - limit.PerSecond*granting
+	for count := maxShares; count > 0; count /= 2 {
+		n := float64(count)
+		if room < n {
+			continue
+		}
+		burst := min(max(limit.Burst/n, 1), room/n)
+		return Shares{
+			Count: count, PerSecond: limit.PerSecond / n, Burst: burst,
+			Initial: min((room/n-burst)/b.refills(), burst),
 		}
 	}
-	// The bounds leave no room for the delay: the rate is lowered by as much.
-	s := Shares{Count: 1, Burst: max(limit.Burst, 1)}
-	if s.Burst > allowed {
-		s.Burst = 0
-	}
-	s.PerSecond = max(min(limit.PerSecond, (allowed-s.Burst)/granting), 0)
-	if s.Burst == 0 {
-		s.PerSecond = 0
+	if allowed < 1 {
+		return Shares{Count: 1}
 	}
-	return s
+	return Shares{Count: 1, Burst: 1, PerSecond: (allowed - 1) / granting}
 }
 
 // bucket is the token bucket of a share at its owner.
 type bucket struct {
 	tokens    float64
 	updatedAt time.Duration
+	// refilled is set when the share has had another owner since the last call, so that the
+	// bucket holds at most the initial tokens.
+	refilled bool
 	// promisedAt is the time that the last denial gave for the next token.
 	promisedAt time.Duration
 }
 
-// maxDenial limits how long an instance that was denied tokens does not ask again, since the
-// demand of others may have ended.
-const maxDenial = time.Second
+const (
+	// maxDenial limits how long an instance that was denied tokens does not ask again, since
+	// the demand of others may have ended.
+	maxDenial = time.Second
+	// minDenial is about the time of a round trip. Without it, an instance could ask a share
+	// again at once whose bucket is a rounding error short of a token.
+	minDenial = time.Millisecond
+)
 
 // take takes up to want tokens and returns their number. If there is none, it returns when the
 // instance should ask again: denials within the same time get moments as far apart as tokens
@@ -96,7 +112,7 @@
 		return 0, maxDenial
 	}
 	b.promisedAt = next
-	return 0, next - now
+	return 0, max(next-now, minDenial)
 }
 
 // advance adds the tokens since the last call.
--- a/quota/stock.go
+++ b/quota/stock.go
@@ -15,6 +15,8 @@
 	// demand is the decayed number of requests, and demandAt the time of the last one.
 	demand   float64
 	demandAt time.Duration
+	// expired is the number of tokens that were not used in time and not reported yet.
+	expired int
 	// usedAt is the time of the last request.
 	usedAt time.Duration
 }
@@ -48,6 +50,9 @@
 
 // add adds granted tokens, which were requested at a time.
 func (s *stock) add(tokens int, requestedAt time.Duration) {
+	if tokens <= 0 {
+		return
+	}
 	s.grants = append(s.grants, heldGrant{tokens, requestedAt + grantTTL})
 }
 
@@ -72,18 +77,23 @@
 	}
 }
 
-// expire drops expired tokens and returns their number.
-func (s *stock) expire(now time.Duration) (n int) {
+// expire drops and counts expired tokens.
+func (s *stock) expire(now time.Duration) {
 	kept := s.grants[:0]
 	for _, g := range s.grants {
 		if g.expiresAt <= now {
-			n += g.tokens
+			s.expired += g.tokens
 			continue
 		}
 		kept = append(kept, g)
 	}
 	s.grants = kept
-	return n
+}
+
+// drop drops all tokens.
+func (s *stock) drop() {
+	s.expired += s.held()
+	s.grants = nil
 }
 
 // held returns the number of tokens held.
