--- a/hosted/instance_test.go
+++ b/hosted/instance_test.go
@@ -141,6 +141,12 @@
 // startWithTTL is like start, with the time for which callers may keep an endpoint
 // answer.
 func (s *testPlatform) startWithTTL(ip string, ttl time.Duration) *runningInstance {
+	s.t.Helper()
+	return s.startWith(ip, ttl, nil)
+}
+
+// startWith is like startWithTTL. change changes the settings unless it is nil.
+func (s *testPlatform) startWith(ip string, ttl time.Duration, change func(*platform.Settings)) *runningInstance {
 	s.t.Helper()
 	address := func() string { return fmt.Sprintf("%s:%d", ip, freePort(s.t, ip)) }
 	port := freePort(s.t, ip)
@@ -150,6 +156,9 @@
 		Bounds: platform.Bounds{GracePeriod: 20 * time.Second, MaxTTL: 5 * time.Second, ResultRetention: time.Minute},
 		Store:  platform.StoreSettings{Address: strings.TrimPrefix(s.storeServer.URL, "http://")},
 	}}
+	if change != nil {
+		change(&r.settings)
+	}
 	i, err := hosted.New(hosted.Options{Settings: r.settings, EndpointTTL: ttl})
 	if err != nil {
 		s.t.Fatal(err)
