--- a/roster/lease_test.go
+++ b/roster/lease_test.go
@@ -1,12 +1,17 @@
 package roster
 
 import (
+	"context"
 	"encoding/json"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/feed"
 	"github.com/daisylb/daisylb/storage"
 	"github.com/daisylb/daisylb/storage/memory"
@@ -135,3 +140,47 @@
 		t.Errorf("leases %+v, want %+v", got, want)
 	}
 }
+
+// unreadableStore is a store whose reads fail until readable is set. It counts writes.
+type unreadableStore struct {
+	*memory.Rows
+	readable atomic.Bool
+	writes   atomic.Int64
+}
+
+func (s *unreadableStore) GetRows(ctx context.Context, table, part, from, to string) (storage.RowPage, error) {
+	if !s.readable.Load() {
+		return storage.RowPage{}, code.New(code.StoreUnavailable, "no answer")
+	}
+	return s.Rows.GetRows(ctx, table, part, from, to)
+}
+
+func (s *unreadableStore) ApplyRows(ctx context.Context, t storage.RowTransaction) (storage.RowPage, error) {
+	s.writes.Add(1)
+	return s.Rows.ApplyRows(ctx, t)
+}
+
+// TestFirstWriteWaitsForTheTable guards against a process that replaces the row of its
+// predecessor before it has read it, and so loses the lease, or takes that of the first start.
+func TestFirstWriteWaitsForTheTable(t *testing.T) {
+	for _, firstStart := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &unreadableStore{Rows: memory.NewRows()}
+			r := New(Options{Rows: s, Log: zap.NewNop(), Self: Member{Name: "a", ID: "a/1"}, LeaseAddress: "10.0.0.1:1", FirstStart: firstStart})
+			ctx, cancel := context.WithCancel(context.Background())
+			var wait sync.WaitGroup
+			wait.Go(func() { _ = r.Run(ctx) })
+			time.Sleep(time.Minute)
+			if n := s.writes.Load(); n != 0 {
+				t.Errorf("first start %v: %d writes before the table was read", firstStart, n)
+			}
+			s.readable.Store(true)
+			time.Sleep(5 * time.Second)
+			if s.writes.Load() == 0 {
+				t.Errorf("first start %v: no write after the table was read", firstStart)
+			}
+			cancel()
+			wait.Wait()
+		})
+	}
+}
