Refuse waiting requests that can't begin in time

Cause: a waiting request stayed until its deadline also when it could no longer begin, and its Retry-After was one second whatever waited.

Retry-After is the expected time in which the requests that wait before a new one are served, also for those that wait until the deadline. Requests without an account, and those whose answer has begun, are left as they are.

Ruled out: refusal by the expected wait, which refuses requests that could still begin; refusal while all upstreams are suspended, since a new one may register before.

Evidence: go test ./upstream -run Hopeless. TestOnlyHopelessWaitersAreRefusedEarly compares drawn queues with the bound and checks that nothing else is refused.

--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -256,7 +256,7 @@
 	}
 	if err != nil {
 		d.returnTrial(f)
-		return nil, f.endError(err)
+		return nil, f.endError(d.sched.withRetryHint(f, err))
 	}
 	if err := d.admit(ctx, f); err != nil {
 		d.sched.discard(granted)
--- a/upstream/health.go
+++ b/upstream/health.go
@@ -89,6 +89,7 @@
 	s.expireDigests(now)
 	s.assess(now)
 	s.serveQueues()
+	s.refuseHopeless(now)
 	s.observeOverShare()
 }
 
--- a/upstream/metrics.go
+++ b/upstream/metrics.go
@@ -11,6 +11,7 @@
 	ejections         prometheus.Counter
 	migrations        prometheus.Counter
 	exchangesSkipped  prometheus.Counter
+	refusedEarly      prometheus.Counter
 	overShare         prometheus.Gauge
 	firstToken        prometheus.Histogram
 	forwarded         *prometheus.CounterVec
@@ -35,6 +36,7 @@
 		ejections:        counter("ejections", "Upstreams taken out of ordinary use for being slow or failing."),
 		exchangesSkipped: counter("exchanges_skipped", "Exchanges of load with peers left out because the budget of bytes was used up."),
 		migrations:       counter("moves", "Streams taken off an ejected upstream and resumed elsewhere."),
+		refusedEarly:     counter("refused_early", "Waiting requests of accounts refused because they could not begin before their deadline."),
 		overShare: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "daisylb_upstream_accounts_over_share",
 			Help: "Accounts with waiting requests that use more than their share of the slots.",
@@ -62,7 +64,7 @@
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.attempts, m.preemptions, m.retries, m.hedges, m.ejections, m.migrations, m.exchangesSkipped, m.overShare, m.firstToken, m.forwarded, m.forwardFirstEvent, m.forwardQueued} {
+	for _, c := range []prometheus.Collector{m.attempts, m.preemptions, m.retries, m.hedges, m.ejections, m.migrations, m.exchangesSkipped, m.refusedEarly, m.overShare, m.firstToken, m.forwarded, m.forwardFirstEvent, m.forwardQueued} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/upstream/observe.go
+++ b/upstream/observe.go
@@ -56,6 +56,7 @@
 	if g.class == contract.Online {
 		ps := g.pool.poolState
 		ps.slotTime = ps.slotTime.Observe(now, now.Sub(g.startedAt))
+		ps.shortestRun = ps.shortestRun.Observe(now.Sub(g.startedAt))
 	}
 	if n := g.tokens.Load(); n >= minSpacingTokens {
 		mean := time.Duration((g.lastTokenNanos.Load() - g.firstTokenNanos.Load()) / (n - 1))
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -59,7 +59,9 @@
 	// expected output tokens.
 	timePerToken route.Average
 	// slotTime is the average time for which an online request holds a slot.
-	slotTime    route.Average
+	slotTime route.Average
+	// shortestRun is about the least time for which one holds a slot.
+	shortestRun route.ShortestRun
 	hedgeBudget route.HedgeBudget
 	// placements counts the placed requests; it is the position of round robin.
 	placements uint64
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -63,6 +64,9 @@
 	ctx context.Context
 	// granted receives the slot. It is closed if no upstream of the service takes work.
 	granted chan *slot
+	// refusal is why the request is refused while it waits. It is set before granted is
+	// closed.
+	refusal error
 }
 
 // scheduler decides which attempt runs on which upstream. Its lock is held for
@@ -174,7 +178,7 @@
 	select {
 	case granted, ok := <-w.granted:
 		if !ok {
-			return nil, serviceGoneError(r.pool)
+			return nil, cmp.Or(w.refusal, serviceGoneError(r.pool))
 		}
 		return granted, nil
 	case <-ctx.Done():
