--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -107,6 +107,11 @@
 	f := &forwarding{call: call, pool: p, promptParts: partKeys(call.Service, call.PromptParts), sink: sink, answered: call.ReceivedEvents >= answeredEvents, lastEventID: call.LastEventID, startedAt: now, lastEventAt: now, request: request{
 		pool:           p,
 		class:          call.Class,
+		account:        call.Account,
+		weight:         weightOf(call.Share),
+		priority:       call.Priority,
+		share:          call.Share,
+		accountHash:    accountHash(call),
 		dispatchOnce:   !call.Repeatable,
 		affinity:       call.Affinity,
 		expectedTokens: call.ExpectedTokens,
@@ -251,7 +256,7 @@
 	}
 	if err != nil {
 		d.returnTrial(f)
-		return nil, f.endError(err)
+		return nil, f.endError(d.sched.withRetryHint(f, err))
 	}
 	if err := d.admit(ctx, f); err != nil {
 		d.sched.discard(granted)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -59,10 +59,15 @@
 	// expected output tokens.
 	timePerToken route.Average
 	// slotTime is the average time for which an online request holds a slot.
-	slotTime    route.Average
+	slotTime route.Average
+	// shortestRun is about the least time for which one holds a slot.
+	shortestRun route.ShortestRun
 	hedgeBudget route.HedgeBudget
 	// placements counts the placed requests; it is the position of round robin.
 	placements uint64
+	// running counts the slots that each account with a share holds, by its hash, apart
+	// from accounts that hold none.
+	running map[uint32]int
 }
 
 func newPoolState(retryShare float64) *poolState {
@@ -71,6 +76,7 @@
 		hedgeBudget:    route.NewHedgeBudget(),
 		ejected:        map[*target]time.Time{},
 		accountLengths: map[string]route.Length{},
+		running:        map[uint32]int{},
 	}
 }
 
