Reject statuses outside 100 to 599 and HTTP/1.0 chunks at all upstreams

Cause: net/http accepts any status of three digits, and drops Transfer-Encoding from answers of HTTP/1.0, so that their chunks were passed on as they are up to the end of the connection. Calls of plain services passed on 000 and 099.

Ruled out: forwarded requests passed on neither 000 nor 099 before.

--- a/entry/truncated_answer_test.go
+++ b/entry/truncated_answer_test.go
@@ -194,9 +194,9 @@
 	}
 }
 
-// TestInvalidStatusLineIsNotPassedOn guards against an answer without a valid status that
-// the caller takes for one.
-func TestInvalidStatusLineIsNotPassedOn(t *testing.T) {
+// TestInvalidHeadIsNotPassedOn guards against an answer without a valid status, or without a
+// known end, that the caller takes for one.
+func TestInvalidHeadIsNotPassedOn(t *testing.T) {
 	const rest = "Content-Length: 2\r\n" + signedLines + "\r\nok"
 	for name, text := range map[string]string{
 		"000":                       "HTTP/1.1 000 None\r\n" + rest,
@@ -221,6 +221,8 @@
 		"interim, then 000":         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 None\r\n" + rest,
 		"two spaces before interim": "HTTP/1.1  100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
 		"switched protocols":        "HTTP/1.1 101 Switching Protocols\r\n" + signedLines + "\r\nok",
+		"chunks in HTTP/1.0":        "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n" + signedLines + "\r\n2\r\nok\r\n",
+		"chunks and a length":       "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n" + rest,
 		"empty":                     "",
 		"empty lines":               "\r\n\r\nHTTP/1.1 200 OK\r\n" + rest,
 	} {
--- a/upstream/head.go
+++ b/upstream/head.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 )
 
 // Limits of the head of a response: its status line and headers. Interim responses
@@ -54,6 +55,9 @@
 	interim      bool
 	done         bool
 	interimHeads int
+	// hasTransferEncoding is set after a header line with the transfer coding, which
+	// http.ReadResponse drops from responses of HTTP/1.0.
+	hasTransferEncoding bool
 	// limitErr is the error of the exceeded limit. It is kept because a parser may
 	// return an error about the truncated head instead.
 	limitErr error
@@ -109,6 +113,8 @@
 	case l.inStatusLine:
 		l.interim = l.lineBytes > statusDigit && l.lineStart[statusDigit] == '1'
 		l.inStatusLine = false
+	case isTransferEncoding(l.lineStart[:min(l.lineBytes, len(l.lineStart))]):
+		l.hasTransferEncoding = true
 	case empty:
 		l.done = !l.interim
 		l.inStatusLine = true
@@ -119,6 +125,12 @@
 	l.lineBytes = 0
 }
 
+// isTransferEncoding reports whether a header line is that of the transfer coding, of whose
+// name the beginning is kept.
+func isTransferEncoding(lineStart []byte) bool {
+	return len(lineStart) > statusDigit && strings.EqualFold(string(lineStart), "Transfer-Encoding"[:statusDigit+1])
+}
+
 // receive reads the head of the response and skips interim responses.
 func (c *connection) receive(method string) (*http.Response, error) {
 	for interim := 0; ; interim++ {
@@ -130,6 +142,8 @@
 			return nil, err
 		case !isValidStatusLine(response):
 			return nil, errStatusLine
+		case c.limiter.hasTransferEncoding && !response.ProtoAtLeast(1, 1):
+			return nil, errHeadAmbiguous
 		case response.StatusCode >= http.StatusOK:
 			return response, nil
 		case response.StatusCode == http.StatusSwitchingProtocols:
--- a/upstream/plain.go
+++ b/upstream/plain.go
@@ -111,6 +111,9 @@
 		return nil, &failure{err: code.Wrap(code.UpstreamFailed, err, "upstream %q failed", granted.target.id)}
 	}
 	defer func() { _ = response.Body.Close() }()
+	if !isValidStatusLine(response) {
+		return nil, &failure{err: code.Wrap(code.UpstreamBadAnswer, errStatusLine, "upstream %q: %v", granted.target.id, errStatusLine)}
+	}
 	d.sched.observeFirst(granted, time.Now())
 	return readPlain(response, c.maxAnswerBytes)
 }
--- a/upstream/reset_upload_test.go
+++ b/upstream/reset_upload_test.go
@@ -48,7 +48,30 @@
 // TestPlainCallResetDuringTheUploadIsNotComplete is the same for the calls of plain services,
 // whose transport is that of net/http.
 func TestPlainCallResetDuringTheUploadIsNotComplete(t *testing.T) {
-	w := startWorker(t, resetUnread("HTTP/1.1 200 OK\r\n\r\nthe first part of the answer"))
+	d := newPlainDispatcher(t, startWorker(t, resetUnread("HTTP/1.1 200 OK\r\n\r\nthe first part of the answer")))
+	for range 10 {
+		answer, err := d.Call(t.Context(), &contract.PlainCall{Service: "s", Method: http.MethodPost, Path: "/", RequestID: "r", Body: make([]byte, uploadBytes)})
+		if code.Of(err) != code.OutcomeUnknown {
+			t.Errorf("got %+v and %v, want OutcomeUnknown", answer, err)
+		}
+	}
+}
+
+// TestPlainCallWithoutAStatusFails guards against an answer without a valid status that the
+// caller of a plain service gets.
+func TestPlainCallWithoutAStatusFails(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 000 None", "HTTP/1.1 099 None", "HTTP/1.1 600 None", "HTTP/2.0 200 OK"} {
+		d := newPlainDispatcher(t, startWorker(t, rawScript(line+"\r\nContent-Length: 2\r\n\r\nok")))
+		answer, err := d.Call(t.Context(), &contract.PlainCall{Service: "s", Method: http.MethodPost, Path: "/", RequestID: "r"})
+		if code.Of(err) != code.OutcomeUnknown {
+			t.Errorf("%s: got %+v and %v, want OutcomeUnknown", line, answer, err)
+		}
+	}
+}
+
+// newPlainDispatcher returns a Dispatcher of a plain service at w.
+func newPlainDispatcher(t *testing.T, w *scriptedWorker) *Dispatcher {
+	t.Helper()
 	document := testDocument()
 	document.Services = map[string]contract.Service{"s": {Kind: contract.KindPlain}}
 	document.Upstreams["w"] = contract.Upstream{Address: w.address, DataCentre: "a", Services: []string{"s"}, Slots: 4}
@@ -56,10 +79,5 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for range 10 {
-		answer, err := d.Call(t.Context(), &contract.PlainCall{Service: "s", Method: http.MethodPost, Path: "/", RequestID: "r", Body: make([]byte, uploadBytes)})
-		if code.Of(err) != code.OutcomeUnknown {
-			t.Errorf("got %+v and %v, want OutcomeUnknown", answer, err)
-		}
-	}
+	return d
 }
