Bound the memory and the connections that are held for callers

Cause: nothing limited what an instance holds for its callers, and no memory limit was set for Go's collector. Heads of many short lines, bodies that stop short of their end, slow readers and idle connections took memory and descriptors without end.

Change: package budget accounts for connections, heads (384 bytes a line beside the bytes, charged before net/http parses them), bodies and long answers (in doubling steps, both copies counted), and for the copies of submissions and results of jobs. Its size is 3/8 of memory_mb, its number of connections half of max_fds without 264. When it is used up, the callers with the least progress for the bytes that they hold are given up: senders whose request is not whole (503 with Retry-After after the head, else a close), readers that have read nothing for 100 ms, and for want of connections the idle ones, by the read deadline that ends idle connections already. A connection whose request is whole is ended only as a slow reader. A head over the limit of the document by 4 KB is answered 431 and ended. Socket buffers of callers are 64 KB. daisylbd sets Go's memory limit to 5/8 of memory_mb unless GOMEMLIMIT is set. Without memory_mb there is no budget.

Empty lines before a request needed no change: net/http answers the first one with 400.

Ruled out: a lower limit of net/http for heads (the document's limit changes while it runs); a charge of the declared length (a sender would reserve memory without sending); a random or the largest victim (the largest body of an ordinary caller in the middle of its upload).

--- a/cmd/daisylbd/hosted.go
+++ b/cmd/daisylbd/hosted.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/daisylb/daisylb/budget"
 	"github.com/daisylb/daisylb/hosted"
 	"github.com/daisylb/daisylb/logging"
 	"github.com/daisylb/daisylb/platform"
@@ -19,6 +21,14 @@
 // logFlushTimeout bounds the wait for buffered log lines to be written at exit.
 const logFlushTimeout = 200 * time.Millisecond
 
+// limitCollector makes Go's collector work against growth beyond its part of the memory, unless
+// the environment sets a limit or the memory is not known.
+func limitCollector(memoryBytes int64) {
+	if memoryBytes > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(budget.CollectorLimit(memoryBytes))
+	}
+}
+
 // runHosted runs an instance on the users' platform with the settings file at path
 // and returns the exit code.
 func runHosted(path string) int {
@@ -38,6 +48,7 @@
 		case <-time.After(logFlushTimeout):
 		}
 	}()
+	limitCollector(settings.MemoryBytes)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	i, err := hosted.New(hosted.Options{Settings: settings, Log: log, DroppedLines: sink.Dropped})
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -5,10 +5,7 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
-	"os"
 	"runtime/debug"
 	"time"
 
@@ -183,45 +180,6 @@
 // document.
 const noDocumentRetryAfter = 200 * time.Millisecond
 
-// defaultMaxBodyBytes is the limit of a body when the document sets none.
-const defaultMaxBodyBytes = 4 << 20
-
-// readBody reads the body of at most limit bytes; 0 means defaultMaxBodyBytes. A
-// body that is incomplete at the deadline of the request is abandoned, since the
-// request could no longer run. Errors: code.BodyTooLarge, code.SlowSender,
-// code.MalformedBody and code.CallerGone.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
-	if r.Body == http.NoBody {
-		// net/http is already reading ahead, and would take the deadline for the end of
-		// the connection.
-		return nil, nil
-	}
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	control := http.NewResponseController(w)
-	// The error is ignored: recorders in unit tests do not support deadlines.
-	_ = control.SetReadDeadline(deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
-		_ = control.SetReadDeadline(time.Time{})
-		return body, nil
-	// The deadline is not cleared on an error, so that net/http does not wait for
-	// the rest of the body beyond it.
-	case errors.As(err, &tooLarge):
-		return nil, code.New(code.BodyTooLarge, "the body is over %d bytes", limit)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, code.Wrap(code.SlowSender, err, "the body did not arrive within the request's time")
-	}
-	// net/http cancels the request when reading from the connection fails.
-	if r.Context().Err() == nil {
-		return nil, code.Wrap(code.MalformedBody, err, "the transfer coding of the body is malformed")
-	}
-	return nil, code.Wrap(code.CallerGone, err, "the body did not arrive").WithOutcome(code.NotRun)
-}
-
 // defaultTimeout applies when neither the route nor the caller sets a timeout.
 const defaultTimeout = 30 * time.Second
 
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/daisylb/daisylb/budget"
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/job"
@@ -25,6 +26,10 @@
 	End(ctx context.Context, id string) error
 }
 
+// jobCopies is the number of copies of a submission or of results that exist beside the
+// original: the decoded or encoded text and a buffer of the JSON package.
+const jobCopies = 2
+
 // submit accepts the job in a request's body; the request id is the job's id.
 func (h *Handler) submit(w http.ResponseWriter, r *http.Request, route *contract.Route, account string, body []byte) error {
 	if r.Method != http.MethodPost {
@@ -34,6 +39,9 @@
 	if id == "" {
 		return code.New(code.InvalidField, "the job has no request id")
 	}
+	if err := budget.FromContext(r.Context()).Take(jobCopies * int64(len(body))); err != nil {
+		return err
+	}
 	items, err := platform.DecodeItems(body)
 	if err != nil {
 		return err
@@ -69,6 +77,13 @@
 	if err != nil {
 		return err
 	}
+	size := 0
+	for _, result := range results {
+		size += len(result.Text)
+	}
+	if err := budget.FromContext(r.Context()).TakeAnswer(jobCopies * int64(size)); err != nil {
+		return err
+	}
 	platform.WriteResults(w, total, call.After, results)
 	return nil
 }
--- a/hosted/closing.go
+++ b/hosted/closing.go
@@ -28,6 +28,7 @@
 		c.logCloseLocked()
 	}
 	c.mu.Unlock()
+	c.holder.End()
 	if w, ok := c.Conn.(closeWriter); ok && lingers && w.CloseWrite() == nil {
 		go c.linger()
 		return nil
@@ -37,6 +38,7 @@
 
 func (c *callerConn) closeNow() error {
 	err := c.Conn.Close()
+	c.holder.Close()
 	c.connections.remove(c)
 	return err
 }
--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/daisylb/daisylb/budget"
 	"github.com/daisylb/daisylb/platform"
 )
 
@@ -45,6 +46,11 @@
 	// requests is the context of all requests.
 	requests       context.Context
 	cancelRequests context.CancelCauseFunc
+
+	// budget bounds what is held for callers; nil does not. headLimit returns the largest
+	// head of the document in force, 0 if it sets none.
+	budget    *budget.Budget
+	headLimit func() int
 }
 
 const (
@@ -72,7 +78,11 @@
 	server.ConnState = c.connState
 	server.BaseContext = func(net.Listener) context.Context { return c.requests }
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, conn)
+		ctx = context.WithValue(ctx, connKey{}, conn)
+		if holder := conn.(*callerConn).holder; holder != nil {
+			ctx = budget.WithHolder(ctx, holder)
+		}
+		return ctx
 	}
 	server.Handler = c.handler(server.Handler)
 }
@@ -187,11 +197,12 @@
 
 // Accept implements net.Listener.
 func (l *callerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.acceptWithRoom()
 	if err != nil {
 		return nil, err
 	}
 	accepted := &callerConn{Conn: conn, connections: l.connections}
+	accepted.openHolder()
 	l.connections.add(accepted)
 	accepted.becomeIdle()
 	return accepted, nil
@@ -236,10 +247,30 @@
 	writeErr error
 	// closing is set by the first Close.
 	closing bool
+
+	// holder accounts for what is held for the connection; nil if there is no budget.
+	holder *budget.Holder
+	// head measures the head that is being read. Only the reading goroutine uses it.
+	head budget.Head
+	// reading is set while the rest of a request is waited for, writing while a part of an
+	// answer is. givenUp and readerGivenUp are set once these have been ended for want of
+	// memory.
+	reading       bool
+	writing       bool
+	givenUp       bool
+	readerGivenUp bool
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if c.holder == nil {
+		return c.read(p)
+	}
+	return c.readCharged(p)
+}
+
+// read reads, and records the beginning of a request and the end of the connection.
+func (c *callerConn) read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.wasWoken() {
 		n, err = c.Conn.Read(p)
@@ -264,7 +295,7 @@
 
 // Write implements net.Conn.
 func (c *callerConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
+	n, err := c.writeCharged(p)
 	if err != nil {
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -306,6 +337,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.answered = true
+	c.holder.End()
 }
 
 func (c *callerConn) beginLocked() {
@@ -314,6 +346,7 @@
 	}
 	c.unread = false
 	c.requestAt = time.Now()
+	c.holder.Begin(c.requestAt)
 	if c.timer != nil {
 		c.timer.Stop()
 	}
@@ -336,7 +369,7 @@
 		c.beginLocked()
 	}
 	c.deadlineSet = true
-	if c.woken {
+	if c.woken || c.givenUp {
 		return nil
 	}
 	if c.unread && t.After(time.Now()) {
@@ -360,58 +393,3 @@
 	}
 	return nil
 }
-
-// becomeIdle records that the connection has been accepted or that a request has been
-// answered.
-func (c *callerConn) becomeIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.unread, c.readAhead = !c.readAhead, false
-	c.deadlineSet = false
-	c.handled, c.answered, c.requestID = false, false, ""
-	if !c.unread {
-		c.requestAt = time.Now()
-		return
-	}
-	if c.connections.isDraining() {
-		c.wakeLocked()
-		return
-	}
-	c.idleSince, c.limitWhenIdle = time.Now(), max(c.connections.limit(), c.announcedLimit)
-	if c.timer == nil {
-		c.timer = time.AfterFunc(c.limitWhenIdle, c.checkIdle)
-		return
-	}
-	c.timer.Reset(c.limitWhenIdle)
-}
-
-// checkIdle wakes the connection if it has been idle for the limit. Callers reuse an
-// idle connection by the limit of any document since it became idle, so the larger of
-// the limits then and now applies. It may run late, in a later idle time.
-func (c *callerConn) checkIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.unread {
-		return
-	}
-	if remaining := time.Until(c.idleSince.Add(max(c.limitWhenIdle, c.connections.limit()))); remaining > 0 {
-		c.timer.Reset(remaining)
-		return
-	}
-	c.wakeLocked()
-}
-
-// wake ends the reading of the connection unless a byte of a request has been read.
-func (c *callerConn) wake() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.wakeLocked()
-}
-
-func (c *callerConn) wakeLocked() {
-	if !c.unread || c.woken {
-		return
-	}
-	c.woken, c.interrupted = true, true
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
-}
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/daisylb/daisylb/budget"
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/entry"
@@ -54,6 +55,8 @@
 	dispatcher   *upstream.Dispatcher
 	broadcast    *upstream.Broadcast
 	jobs         *job.Service
+	// budget is nil if the settings have no memory limit.
+	budget *budget.Budget
 	// quota is nil if the settings have no request quotas.
 	quota *quota.Limiter
 	// peersMu serializes updates of peerGroups, peerIDs and instanceAddresses.
@@ -108,7 +111,11 @@
 			return nil, err
 		}
 	}
+	if memory := o.Settings.MemoryBytes; memory > 0 {
+		i.budget = budget.New(budget.LimitsFor(memory, o.Settings.MaxDescriptors))
+	}
 	i.registerMetrics(o.DroppedLines)
+	i.registerBudgetMetrics()
 	i.buildServers()
 	return i, nil
 }
@@ -365,6 +372,7 @@
 	i.callerServer.ReadTimeout = 0
 	i.callerServer.ErrorLog = zap.NewStdLog(i.log)
 	i.connections = newConnections(i.callerIdleTimeout, i.log)
+	i.connections.budget, i.connections.headLimit = i.budget, i.callerHeadLimit
 	i.connections.configure(i.callerServer)
 	i.directoryServer = newServer(http.HandlerFunc(i.serveDirectory))
 	i.readinessServer = newServer(http.HandlerFunc(i.serveReadiness))
@@ -383,6 +391,15 @@
 	return 0
 }
 
+// callerHeadLimit returns the largest head of a request by the document in force, in bytes; 0
+// means that it sets none.
+func (i *Instance) callerHeadLimit() int {
+	if d := i.document.Current(); d != nil {
+		return d.Limits.MaxHeaderBytes
+	}
+	return 0
+}
+
 // newServer returns a server with the timeouts for requests of peers and the
 // platform.
 func newServer(h http.Handler) *http.Server {
--- a/hosted/instance_test.go
+++ b/hosted/instance_test.go
@@ -28,6 +28,8 @@
 	store       *memory.Rows
 	storeServer *httptest.Server
 	worker      *fakeWorker
+	// memoryBytes is the memory limit of the instances; 0 means none.
+	memoryBytes int64
 }
 
 // fakeWorker answers every request with a stream of eventsPerStream events.
@@ -146,7 +148,7 @@
 	port := freePort(s.t, ip)
 	r := &runningInstance{done: make(chan error, 1), settings: platform.Settings{
 		Name: "m-" + ip, IP: ip, DataCentre: "z", CallerAddress: address(), ReadinessAddress: address(), DirectoryAddress: address(),
-		FirstPort: port, LastPort: port,
+		FirstPort: port, LastPort: port, MemoryBytes: s.memoryBytes,
 		Bounds: platform.Bounds{GracePeriod: 20 * time.Second, MaxTTL: 5 * time.Second, ResultRetention: time.Minute},
 		Store:  platform.StoreSettings{Address: strings.TrimPrefix(s.storeServer.URL, "http://")},
 	}}
--- a/hosted/metrics.go
+++ b/hosted/metrics.go
@@ -65,3 +65,25 @@
 		return age.Seconds()
 	}
 }
+
+// registerBudgetMetrics registers what is held for callers, if there is a budget.
+func (i *Instance) registerBudgetMetrics() {
+	b := i.budget
+	if b == nil {
+		return
+	}
+	gauge := func(name, help string, value func() int64) {
+		i.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "daisylb_budget_" + name, Help: help},
+			func() float64 { return float64(value()) }))
+	}
+	counter := func(name, help string, value func() int64) {
+		i.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "daisylb_budget_" + name, Help: help},
+			func() float64 { return float64(value()) }))
+	}
+	gauge("held_bytes", "Estimated memory that is held for callers.", b.Used)
+	gauge("limit_bytes", "Largest estimated memory that may be held for callers.", func() int64 { return b.Limits().Bytes })
+	gauge("connections", "Open connections of callers.", func() int64 { return int64(b.Connections()) })
+	gauge("limit_connections", "Largest number of callers' connections; 0 if there is no limit.", func() int64 { return int64(b.Limits().Connections) })
+	counter("refused_total", "Charges of requests and answers that were refused.", b.Refused)
+	counter("given_up_total", "Slow or idle callers whose connections were ended.", b.GivenUp)
+}
--- a/upstream/events.go
+++ b/upstream/events.go
@@ -30,12 +30,37 @@
 type rawEventReader struct {
 	reader *bufio.Reader
 	buffer []byte
+	// take charges the memory of long events, and may refuse it; nil does neither.
+	take func(n int64) error
 }
 
 func newRawEventReader(r io.Reader) *rawEventReader {
 	return &rawEventReader{reader: bufio.NewReaderSize(r, connectionBufferBytes)}
 }
 
+// unchargedEventBytes is the size of the buffers of usual events, which are not charged.
+const unchargedEventBytes = 16 << 10
+
+// extend appends a part of an event to the buffer. Both buffers are charged while a larger one
+// replaces the buffer.
+func (r *rawEventReader) extend(part []byte) error {
+	size := len(r.buffer) + len(part)
+	if r.take == nil || size <= max(cap(r.buffer), unchargedEventBytes) {
+		r.buffer = append(r.buffer, part...)
+		return nil
+	}
+	next := max(2*cap(r.buffer), size)
+	if err := r.take(int64(next)); err != nil {
+		return err
+	}
+	before := cap(r.buffer)
+	r.buffer = append(append(make([]byte, 0, next), r.buffer...), part...)
+	if before > unchargedEventBytes {
+		return r.take(-int64(before))
+	}
+	return nil
+}
+
 var idField = []byte("id:")
 
 // next returns the next event, which is valid until the next call. Empty lines belong
@@ -53,7 +78,9 @@
 		start := len(r.buffer)
 		for {
 			part, err := r.reader.ReadSlice('\n')
-			r.buffer = append(r.buffer, part...)
+			if err := r.extend(part); err != nil {
+				return e, err
+			}
 			if len(r.buffer) > maxEventBytes {
 				return e, errEventTooLong
 			}
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/daisylb/daisylb/budget"
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/route"
@@ -378,7 +379,7 @@
 		}
 		return fail
 	}
-	a := &forwardedAnswer{slot: granted, response: response, silence: silence, forwarding: f, header: wire.EndToEnd(response.Header)}
+	a := &forwardedAnswer{slot: granted, response: response, silence: silence, forwarding: f, header: wire.EndToEnd(response.Header), holder: budget.FromContext(ctx)}
 	if response.StatusCode == http.StatusOK && isEventStream(response.Header) {
 		return d.copyEvents(a)
 	}
--- a/upstream/forward_response.go
+++ b/upstream/forward_response.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/daisylb/daisylb/budget"
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 )
@@ -20,6 +21,9 @@
 // connectionFailure returns the failure of an attempt whose connection returned err.
 func connectionFailure(granted *slot, err error) *failure {
 	switch {
+	case code.Of(err) == code.MemoryExhausted:
+		// The upstream has not failed.
+		return &failure{err: code.From(err).WithOutcome(code.Unknown), final: true}
 	case errors.Is(context.Cause(granted.ctx), errStalled):
 		return &failure{err: code.Wrap(code.UpstreamSilent, errors.Join(errStalled, err), "upstream %q was silent", granted.target.id)}
 	case isHeadOverLimit(err):
@@ -87,6 +91,8 @@
 	response *http.Response
 	header   http.Header
 	silence  *silenceTimer
+	// holder accounts for what is held for the caller; nil does not.
+	holder *budget.Holder
 	*forwarding
 }
 
@@ -107,6 +113,9 @@
 // copyEvents copies complete events to the caller as they arrive.
 func (d *Dispatcher) copyEvents(a *forwardedAnswer) *failure {
 	events := newRawEventReader(a.response.Body)
+	if a.holder != nil {
+		events.take = a.holder.TakeAnswer
+	}
 	// continues is set until the first new event of an attempt whose events are appended
 	// to those of an earlier one.
 	continues := a.lastEventID != "" && (a.begun || a.call.Class == contract.Batch)
@@ -216,7 +225,7 @@
 
 // copyBody copies a response that is not an event stream to the caller.
 func (d *Dispatcher) copyBody(a *forwardedAnswer) *failure {
-	body, err := io.ReadAll(io.LimitReader(&heardBody{a.response.Body, a.silence}, bufferedBodyBytes))
+	body, err := budget.ReadAll(a.holder, io.LimitReader(&heardBody{a.response.Body, a.silence}, bufferedBodyBytes), min(a.response.ContentLength, bufferedBodyBytes))
 	if err != nil {
 		return connectionFailure(a.slot, err)
 	}
