Let answers wait for slow readers, and charge what the kernel holds

Cause: a caller that does not read left its upstream unread until the request's deadline, which the upstream ends by itself then; and the bytes in the sockets' buffers were not part of the budget.

Change: with a budget, what the socket of a caller does not take at once waits in a queue of its connection, up to 1 MiB, charged to the budget, written by a goroutine that lasts as long as the queue. A write that finds it full waits for a second; then the caller is given up, and its connection is reset. A connection that is closed is first written out, within 5 s. Every 250 ms the bytes in the socket buffers of connections with a running request are charged. A Holder has a mutex now, so that charges after its end leave nothing behind. Answers that ended for want of memory are logged with the cause "memory".

Ruled out: larger socket buffers alone (the kernel grows them to 6 MB, and the sum is not bounded); a goroutine for each answer (a cost for ordinary requests).

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -156,6 +156,14 @@
 	}
 }
 
+// Reclaim gives up the slowest callers if more is held than the budget allows, and does not
+// wait.
+func (b *Budget) Reclaim(now time.Time) {
+	if b.used.Load() > b.limits.Bytes {
+		b.giveUpSlowest(nil, now)
+	}
+}
+
 // giveUpSlowest gives up the slowest callers until the bytes of all others fit. It reports
 // false if these don't fit without giving up h.
 func (b *Budget) giveUpSlowest(h *Holder, now time.Time) bool {
@@ -164,7 +172,7 @@
 	remaining := b.used.Load()
 	for other := range b.holders {
 		if other.leaving.Load() {
-			remaining -= other.held.Load()
+			remaining -= other.heldBytes()
 		}
 	}
 	if remaining <= b.limits.Bytes {
@@ -175,7 +183,7 @@
 		if victim == h {
 			return false
 		}
-		remaining -= victim.held.Load()
+		remaining -= victim.heldBytes()
 		return remaining > target
 	}, h)
 	return remaining <= b.limits.Bytes
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -26,7 +26,7 @@
 		return false
 	}
 	c.givenUp = true
-	go c.holder.End()
+	go c.holder.End(0)
 	return true
 }
 
@@ -68,12 +68,12 @@
 	if err := quick.holder.Take(1 << 20); err != nil {
 		t.Fatal(err)
 	}
-	held := slow.holder.held.Load()
+	held := slow.holder.heldBytes()
 	if err := slow.holder.Take(1 << 20); code.Of(err) != code.MemoryExhausted {
 		t.Errorf("got error %v, want %d", err, code.MemoryExhausted)
 	}
-	if quick.givenUp || slow.holder.held.Load() != held {
-		t.Errorf("quick given up: %v; slow holds %d bytes, want %d", quick.givenUp, slow.holder.held.Load(), held)
+	if quick.givenUp || slow.holder.heldBytes() != held {
+		t.Errorf("quick given up: %v; slow holds %d bytes, want %d", quick.givenUp, slow.holder.heldBytes(), held)
 	}
 }
 
@@ -141,11 +141,11 @@
 			if code.Of(err) != code.MemoryExhausted && (err != nil || len(got) != len(body)) {
 				t.Fatalf("read %d bytes, %v, want %d", len(got), err, len(body))
 			}
-			if held := c.holder.held.Load(); err == nil && held < ConnectionBytes+int64(cap(got)) && !c.givenUp {
+			if held := c.holder.heldBytes(); err == nil && held < ConnectionBytes+int64(cap(got)) && !c.givenUp {
 				t.Fatalf("%d bytes are held for a buffer of %d", held, cap(got))
 			}
 			if rapid.Bool().Draw(t, "end") {
-				c.holder.End()
+				c.holder.End(0)
 			}
 			if !c.givenUp {
 				c.holder.Close()
@@ -192,11 +192,28 @@
 	b := New(Limits{Bytes: 64 << 20})
 	h := open(b, 0, 0).holder
 	_, err := ReadAll(h, io.MultiReader(strings.NewReader("x"), iotest.ErrReader(io.ErrUnexpectedEOF)), 32<<20)
-	if held := h.held.Load() - ConnectionBytes; err == nil || held > firstBodyBytes {
+	if held := h.heldBytes() - ConnectionBytes; err == nil || held > firstBodyBytes {
 		t.Errorf("%d bytes are held for a byte, %v, want at most %d", held, err, firstBodyBytes)
 	}
 }
 
+// TestKernelBytesCount guards against bytes in the buffers of sockets that no one counts.
+func TestKernelBytesCount(t *testing.T) {
+	b := New(Limits{Bytes: 1 << 20})
+	c := open(b, time.Second, 10)
+	c.holder.SetKernel(900 << 10)
+	c.holder.SetKernel(2 << 20)
+	if want := int64(2<<20 + ConnectionBytes); b.Used() != want {
+		t.Errorf("%d bytes are held, want %d", b.Used(), want)
+	}
+	if b.Reclaim(time.Now()); !c.givenUp {
+		t.Error("the caller is not given up")
+	}
+	for b.Used() != ConnectionBytes {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // BenchmarkSmallRequest measures the charges of an ordinary small request.
 func BenchmarkSmallRequest(b *testing.B) {
 	h := open(New(LimitsFor(144<<20, 3075)), 0, 0).holder
@@ -209,6 +226,6 @@
 		_ = h.Take(m.Add(head))
 		_ = h.Take(4)
 		h.Moved(100, now)
-		h.End()
+		h.End(0)
 	}
 }
--- a/budget/holder.go
+++ b/budget/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -31,7 +32,6 @@
 type Holder struct {
 	budget *Budget
 	caller Caller
-	held   atomic.Int64
 	moved  atomic.Int64
 	// startedAt and activeAt are times in nanoseconds: when the request began, and when bytes
 	// were last transferred.
@@ -39,6 +39,14 @@
 	activeAt  atomic.Int64
 	// leaving is set while the caller is being given up.
 	leaving atomic.Bool
+
+	// mu may be acquired while the budget's lock is held, never the reverse.
+	mu   sync.Mutex
+	held int64
+	// kernel is the part of held that the kernel holds.
+	kernel int64
+	// closed is set when nothing is charged any more.
+	closed bool
 }
 
 // Take charges n bytes before they are allocated. If they don't fit, the slowest callers are
@@ -54,6 +62,13 @@
 	return h.budget.exhausted()
 }
 
+// Add charges n bytes that are few, without a refusal.
+func (h *Holder) Add(n int64) {
+	if h != nil {
+		h.add(n)
+	}
+}
+
 // Release gives back n bytes.
 func (h *Holder) Release(n int64) {
 	if h != nil {
@@ -61,11 +76,28 @@
 	}
 }
 
+// add charges n bytes and returns what is held for all callers.
 func (h *Holder) add(n int64) (used int64) {
-	h.held.Add(n)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.addLocked(n)
+}
+
+func (h *Holder) addLocked(n int64) (used int64) {
+	if h.closed {
+		n = 0
+	}
+	h.held += n
 	return h.budget.used.Add(n)
 }
 
+// heldBytes returns what is held.
+func (h *Holder) heldBytes() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.held
+}
+
 // TakeAnswer charges n bytes of an answer that has been received from an upstream; errors as
 // Take.
 func (h *Holder) TakeAnswer(n int64) error {
@@ -95,30 +127,47 @@
 	}
 }
 
-// End releases what is held for the request, but not for the connection.
-func (h *Holder) End() {
-	if h != nil {
-		h.add(ConnectionBytes - h.held.Load())
+// SetKernel charges the n bytes that the kernel holds for the connection, instead of those
+// before. They exist already, so that they are not refused.
+func (h *Holder) SetKernel(n int64) {
+	if h == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.addLocked(n - h.kernel)
+	h.kernel = n
+}
+
+// End releases what is held for the request, but neither for the connection nor the kept bytes,
+// which wait for the caller.
+func (h *Holder) End(kept int64) {
+	if h == nil {
+		return
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.kernel = 0
+	h.addLocked(ConnectionBytes + kept - h.held)
 }
 
-// Close releases all. It must be called once, after the last use.
+// Close releases all. Nothing is charged afterwards.
 func (h *Holder) Close() {
 	if h == nil {
 		return
 	}
 	h.budget.mu.Lock()
 	defer h.budget.mu.Unlock()
-	if _, ok := h.budget.holders[h]; !ok {
-		return
-	}
 	delete(h.budget.holders, h)
-	h.add(-h.held.Load())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.addLocked(-h.held)
+	h.closed = true
 }
 
 func (h *Holder) state(now time.Time) state {
 	return state{
-		held:     h.held.Load(),
+		held:     h.heldBytes(),
 		moved:    h.moved.Load(),
 		elapsed:  time.Duration(now.UnixNano() - h.startedAt.Load()),
 		inactive: time.Duration(now.UnixNano() - h.activeAt.Load()),
--- a/hosted/charges.go
+++ b/hosted/charges.go
@@ -66,6 +66,12 @@
 	defer c.mu.Unlock()
 	reason := ""
 	switch {
+	case c.readerGivenUp:
+		return false
+	case c.writing && f.Inactive >= slowReaderTime:
+		reason = "slow reader"
+		c.readerGivenUp = true
+		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
 	case c.closing || c.givenUp || c.woken:
 		return false
 	case c.unread:
@@ -74,10 +80,6 @@
 	case c.reading:
 		reason = "slow sender"
 		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
-	case c.writing && f.Inactive >= slowReaderTime:
-		reason = "slow reader"
-		c.readerGivenUp = true
-		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
 	default:
 		return false
 	}
@@ -152,27 +154,3 @@
 	defer c.mu.Unlock()
 	c.answered = true
 }
-
-// writeCharged writes a part of an answer in steps, and records the progress of its reader.
-func (c *callerConn) writeCharged(p []byte) (int, error) {
-	if c.holder == nil {
-		return c.Conn.Write(p)
-	}
-	c.setWriting(true)
-	defer c.setWriting(false)
-	written := 0
-	for {
-		n, err := c.Conn.Write(p[written:min(written+writeStepBytes, len(p))])
-		written += n
-		c.holder.Moved(n, time.Now())
-		if err != nil || written == len(p) {
-			return written, err
-		}
-	}
-}
-
-func (c *callerConn) setWriting(writing bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.writing = writing
-}
--- a/hosted/closing.go
+++ b/hosted/closing.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"time"
 )
 
@@ -25,10 +26,20 @@
 	lingers := first && c.answered && c.readErr == nil && c.writeErr == nil
 	c.closing = true
 	if first {
+		c.holder.End(c.queue.charged)
 		c.logCloseLocked()
 	}
+	waits, done := first && c.queue.running && !c.resets, c.queue.done
 	c.mu.Unlock()
-	c.holder.End()
+	if waits {
+		go c.closeAfterQueue(done, func() error { return c.closeWritten(lingers) })
+		return nil
+	}
+	return c.closeWritten(lingers)
+}
+
+// closeWritten closes the connection, whose answers have been written.
+func (c *callerConn) closeWritten(lingers bool) error {
 	if w, ok := c.Conn.(closeWriter); ok && lingers && w.CloseWrite() == nil {
 		go c.linger()
 		return nil
@@ -36,6 +47,21 @@
 	return c.closeNow()
 }
 
+// SetLinger lets code.AbortHTTP reset the connection.
+func (c *callerConn) SetLinger(seconds int) error {
+	c.mu.Lock()
+	c.resets = seconds == 0
+	c.mu.Unlock()
+	return setLinger(c.Conn, seconds)
+}
+
+func setLinger(conn net.Conn, seconds int) error {
+	if l, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		return l.SetLinger(seconds)
+	}
+	return nil
+}
+
 func (c *callerConn) closeNow() error {
 	err := c.Conn.Close()
 	c.holder.Close()
--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -259,6 +259,10 @@
 	writing       bool
 	givenUp       bool
 	readerGivenUp bool
+	// queue is the part of an answer that the caller has not taken.
+	queue answerQueue
+	// resets is set when the next Close is to reset the connection.
+	resets bool
 }
 
 // Read implements net.Conn.
@@ -337,7 +341,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.answered = true
-	c.holder.End()
+	c.holder.End(c.queue.charged)
 }
 
 func (c *callerConn) beginLocked() {
@@ -380,16 +384,15 @@
 
 // CloseWrite lets net/http end an answer before it discards the rest of a request.
 func (c *callerConn) CloseWrite() error {
+	c.mu.Lock()
+	waits := c.queue.running
+	c.mu.Unlock()
+	if waits {
+		// Close follows, and waits for the queue.
+		return nil
+	}
 	if w, ok := c.Conn.(closeWriter); ok {
 		return w.CloseWrite()
 	}
 	return nil
 }
-
-// SetLinger lets code.AbortHTTP reset the connection.
-func (c *callerConn) SetLinger(seconds int) error {
-	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		return l.SetLinger(seconds)
-	}
-	return nil
-}
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -466,6 +466,9 @@
 	if i.quota != nil {
 		parts = append(parts, i.quota.Run)
 	}
+	if i.budget != nil {
+		parts = append(parts, i.connections.chargeKernelBytes)
+	}
 	for _, run := range parts {
 		group.Go(func() error { return run(runCtx) })
 	}
--- a/upstream/cause.go
+++ b/upstream/cause.go
@@ -36,6 +36,7 @@
 	causeMalformed    failureCause = "malformed"       // the response is not valid
 	// Causes at the caller or at this instance.
 	causeCallerGone failureCause = "caller_gone"
+	causeMemory     failureCause = "memory"
 	causeDeadline   failureCause = "deadline"
 	causePreempted  failureCause = "preempted"
 	causeNoSlot     failureCause = "no_slot"
@@ -81,8 +82,11 @@
 }
 
 func causeOfError(err error) failureCause {
-	if code.Of(err) == code.CallerGone {
+	switch code.Of(err) {
+	case code.CallerGone:
 		return causeCallerGone
+	case code.MemoryExhausted:
+		return causeMemory
 	}
 	for _, c := range causesOfErrors {
 		if errors.Is(err, c.err) {
