Answer whole requests that memory is refused for

Cause: a head that did not fit into the budget ended its connection also when it was whole, and a sender that was given up lost bytes that arrived at the same moment. Either could close a kept connection without an answer although all of a request had been read.

A sender whose bytes arrive while it is given up stays. The limit of Go's collector is 6/8 of memory_mb in place of 5/8: with 3/8 held for callers, 2/8 were left for everything else, so that the collector would run without end in a large deployment.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -25,9 +25,8 @@
 	// rest is for the program (about 30 MB), for garbage, and for errors of the estimates.
 	budgetShare = 3
 	// collectorShare is the part of the memory at which Go's collector works against further
-	// growth, in eighths. The program's text and the stacks outside of its count need the
-	// rest.
-	collectorShare = 5
+	// growth, in eighths. The program's text (about 10 MB) and the sockets need the rest.
+	collectorShare = 6
 	eighths        = 8
 	// reservedDescriptors are for files, by the platform's rules.
 	reservedDescriptors = 200
--- a/budget/head.go
+++ b/budget/head.go
@@ -12,8 +12,8 @@
 	// Bytes and Lines are those of the head so far.
 	Bytes int
 	Lines int
-	// done is set after the empty line at the end.
-	done bool
+	// Done is set after the empty line at the end.
+	Done bool
 	// begun is set after the first line that is not empty, inLine within a line that is not
 	// empty.
 	begun  bool
@@ -25,7 +25,7 @@
 func (h *Head) Add(p []byte) int64 {
 	before := h.Lines
 	length := 0
-	for !h.done && length < len(p) {
+	for !h.Done && length < len(p) {
 		rest := p[length:]
 		end := bytes.IndexByte(rest, '\n')
 		if end < 0 {
@@ -36,7 +36,7 @@
 		if h.inLine || len(bytes.Trim(rest[:end], "\r")) > 0 {
 			h.begun = true
 		} else {
-			h.done = h.begun
+			h.Done = h.begun
 		}
 		h.inLine = false
 		h.Lines++
--- a/budget/holder.go
+++ b/budget/holder.go
@@ -62,6 +62,13 @@
 	return h.budget.exhausted()
 }
 
+// Stay records that the caller is not given up after all, since bytes have arrived.
+func (h *Holder) Stay() {
+	if h != nil {
+		h.leaving.Store(false)
+	}
+}
+
 // Add charges n bytes that are few, without a refusal.
 func (h *Holder) Add(n int64) {
 	if h != nil {
--- a/hosted/charges.go
+++ b/hosted/charges.go
@@ -3,11 +3,14 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/budget"
+	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/platform"
 )
 
 const (
@@ -27,6 +30,8 @@
 	// roomTime is how long a new connection waits in the kernel for another to end.
 	roomTime     = 250 * time.Millisecond
 	roomInterval = 5 * time.Millisecond
+	// exhaustedRetryAfter is short, since another instance can take the request at once.
+	exhaustedRetryAfter = 100 * time.Millisecond
 )
 
 // acceptWithRoom returns the next connection. One for which there is no room within roomTime is
@@ -114,11 +119,7 @@
 	inHead := !c.handled
 	c.mu.Unlock()
 	n, err := c.read(p)
-	c.mu.Lock()
-	c.reading = false
-	givenUp := c.givenUp
-	c.mu.Unlock()
-	if givenUp {
+	if c.endReading(n) {
 		return 0, budget.ErrGivenUp
 	}
 	c.holder.Moved(n, time.Now())
@@ -130,13 +131,44 @@
 		c.refuseHead(limit)
 		return 0, io.EOF
 	}
-	if c.holder.Take(cost) != nil {
-		c.connections.log.Info("head refused, the memory for callers is used up", zap.Stringer("caller", c.RemoteAddr()), zap.Int("lines", c.head.Lines))
+	if c.holder.Take(cost) == nil {
+		return n, err
+	}
+	c.connections.log.Info("head refused, the memory for callers is used up", zap.Stringer("caller", c.RemoteAddr()), zap.Int("lines", c.head.Lines), zap.Bool("whole", c.head.Done))
+	if !c.head.Done {
 		return 0, io.EOF
 	}
+	// A request whose head is whole gets an answer.
+	c.holder.Add(cost)
+	c.refused = true
 	return n, err
 }
 
+// endReading records that a read has returned n bytes, and reports whether the caller has been
+// given up. One whose bytes have arrived at the same time is not: its request may be whole.
+func (c *callerConn) endReading(n int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	if !c.givenUp || n == 0 {
+		return c.givenUp
+	}
+	c.givenUp = false
+	c.holder.Stay()
+	_ = c.Conn.SetReadDeadline(c.readDeadline)
+	return false
+}
+
+// refuseRequest answers a request whose head did not fit into the budget.
+func refuseRequest(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Connection", "close")
+	if r.Body != http.NoBody {
+		// net/http would wait for the rest of the body.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+	}
+	platform.WriteError(w, code.New(code.MemoryExhausted, "the memory for callers is used up").WithRetryAfter(exhaustedRetryAfter))
+}
+
 // headTooLarge is the answer to a head that is over the limit.
 const headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
--- a/hosted/charges_test.go
+++ b/hosted/charges_test.go
@@ -102,3 +102,15 @@
 		t.Errorf("got %v, %v, want status 431", response, err)
 	}
 }
+
+// TestWholeHeadWithoutMemoryIsAnswered guards against a request that is closed without an answer
+// although all of it has been read.
+func TestWholeHeadWithoutMemoryIsAnswered(t *testing.T) {
+	s := newTestPlatform(t)
+	// The part for callers, 24 KiB, holds a connection and hardly more.
+	s.memoryBytes = 64 << 10
+	r := s.start("127.0.0.65")
+	lines := strings.Repeat("A: b\r\n", 20)
+	wantRefusal(t, s.dialAndSend(r, "GET /a/x HTTP/1.1\r\nHost: h\r\n"+lines+"\r\n"))
+	wantRefusal(t, s.dialAndSend(r, "POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n"+lines+"\r\nbody"))
+}
--- a/hosted/closing.go
+++ b/hosted/closing.go
@@ -76,3 +76,18 @@
 	_, _ = io.Copy(io.Discard, c.Conn)
 	_ = c.closeNow()
 }
+
+// CloseWrite lets net/http end an answer before it discards the rest of a request.
+func (c *callerConn) CloseWrite() error {
+	c.mu.Lock()
+	waits := c.queue.running
+	c.mu.Unlock()
+	if waits {
+		// Close follows, and waits for the queue.
+		return nil
+	}
+	if w, ok := c.Conn.(closeWriter); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -104,7 +104,11 @@
 		// The request may have been buffered behind an earlier one.
 		conn := r.Context().Value(connKey{}).(*callerConn)
 		conn.beginRequest(platform.RequestID(r.Header))
-		h.ServeHTTP(&closingWriter{ResponseWriter: w, conn: conn}, r)
+		if conn.refused {
+			refuseRequest(w, r)
+		} else {
+			h.ServeHTTP(&closingWriter{ResponseWriter: w, conn: conn}, r)
+		}
 		conn.endRequest()
 	})
 }
@@ -251,7 +255,9 @@
 	// holder accounts for what is held for the connection; nil if there is no budget.
 	holder *budget.Holder
 	// head measures the head that is being read. Only the reading goroutine uses it.
-	head budget.Head
+	// refused is set if the head did not fit into the budget; used by the same goroutine.
+	head    budget.Head
+	refused bool
 	// reading is set while the rest of a request is waited for, writing while a part of an
 	// answer is. givenUp and readerGivenUp are set once these have been ended for want of
 	// memory.
@@ -381,18 +387,3 @@
 	}
 	return c.Conn.SetReadDeadline(t)
 }
-
-// CloseWrite lets net/http end an answer before it discards the rest of a request.
-func (c *callerConn) CloseWrite() error {
-	c.mu.Lock()
-	waits := c.queue.running
-	c.mu.Unlock()
-	if waits {
-		// Close follows, and waits for the queue.
-		return nil
-	}
-	if w, ok := c.Conn.(closeWriter); ok {
-		return w.CloseWrite()
-	}
-	return nil
-}
--- a/hosted/idle.go
+++ b/hosted/idle.go
@@ -14,7 +14,7 @@
 	c.unread, c.readAhead = !c.readAhead, false
 	c.deadlineSet = false
 	c.handled, c.answered, c.requestID = false, false, ""
-	c.head = budget.Head{}
+	c.head, c.refused = budget.Head{}, false
 	if !c.unread {
 		c.requestAt = time.Now()
 		return
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -112,7 +112,9 @@
 		}
 	}
 	if memory := o.Settings.MemoryBytes; memory > 0 {
-		i.budget = budget.New(budget.LimitsFor(memory, o.Settings.MaxDescriptors))
+		limits := budget.LimitsFor(memory, o.Settings.MaxDescriptors)
+		i.budget = budget.New(limits)
+		i.log.Info("budget for callers", zap.Int64("bytes", limits.Bytes), zap.Int("connections", limits.Connections))
 	}
 	i.registerMetrics(o.DroppedLines)
 	i.registerBudgetMetrics()
