Size the queue of a slow reader by the budget

Cause: a fixed queue of 1 MiB gave up a steady reader of a long answer also while memory was free. Before the queue, such a reader held up its upstream, but got its answer.

For want of memory the slowest readers are given up all the same. Ruled out: no bound for one caller (it would take all that is free from the ones that come later, until these charge).

--- a/hosted/answer_queue.go
+++ b/hosted/answer_queue.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// maxQueuedBytes bounds the part of an answer that waits for a slow reader beside the
-	// buffers of its socket. It holds a whole answer of usual size.
-	maxQueuedBytes = 1 << 20
+	// queueShare is the part of the budget, as a divisor, that may wait for one slow reader
+	// beside the buffers of its socket. It holds a whole answer of usual size.
+	queueShare = 8
 	// fullQueueTime is how long a write waits for room. Upstreams end answers that are not
 	// read for seconds.
 	fullQueueTime = time.Second
@@ -125,6 +125,11 @@
 	return nil
 }
 
+// maxQueuedBytes returns the largest size of the queue.
+func (c *callerConn) maxQueuedBytes() int {
+	return int(c.connections.budget.Limits().Bytes / queueShare)
+}
+
 // waitForRoom waits until n more bytes may be queued, and gives up the reader after
 // fullQueueTime.
 func (c *callerConn) waitForRoom(n int) error {
@@ -135,7 +140,7 @@
 		if c.queue.room == nil {
 			c.queue.room = make(chan struct{}, 1)
 		}
-		full, room, err := c.queue.bytes > 0 && c.queue.bytes+n > maxQueuedBytes, c.queue.room, c.queue.err
+		full, room, err := c.queue.bytes > 0 && c.queue.bytes+n > c.maxQueuedBytes(), c.queue.room, c.queue.err
 		c.mu.Unlock()
 		if !full || err != nil {
 			return err
