Put senders that have stopped before slow and due callers

Cause: the progress of a caller was the mean over its request. A sender that had stopped a second ago came after an upload that goes on for four seconds, and a caller whose upstream needed seconds for a plain answer came before both: its answer was refused although its upstream had run the request.

Change: time without any bytes counts eleven times, and the progress is counted anew from the first bytes of an answer. ReadAll takes the function that charges, Take for bodies and TakeAnswer for answers. Ruled out: callers that hold little last in all cases (clients with small parts could then use up the budget before an ordinary upload of legal size).

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -60,6 +60,38 @@
 	}
 }
 
+// TestOrderOfCallers guards against ordinary callers that are given up before those that have
+// stopped.
+func TestOrderOfCallers(t *testing.T) {
+	stopped := state{held: 1 << 20, moved: 1 << 20, elapsed: time.Second, inactive: time.Second}
+	for name, ordinary := range map[string]state{
+		"slow upload":      {held: 2 << 20, moved: 2 << 20, elapsed: 4 * time.Second, inactive: 50 * time.Millisecond},
+		"small request":    {held: 24 << 10, moved: 300, elapsed: 2 * time.Millisecond},
+		"idle":             {held: ConnectionBytes, elapsed: time.Minute, inactive: time.Minute},
+		"answer that came": {held: 100 << 10, moved: 80 << 10, elapsed: 10 * time.Millisecond, inactive: 10 * time.Millisecond},
+	} {
+		if slowestFirst(stopped, ordinary) >= 0 || slowestFirst(ordinary, stopped) <= 0 {
+			t.Errorf("%s comes before a sender that has stopped", name)
+		}
+	}
+}
+
+// TestTimeOfUpstreamIsNotTheCallers guards against the refusal of an answer because its upstream
+// needed long for it.
+func TestTimeOfUpstreamIsNotTheCallers(t *testing.T) {
+	b := New(Limits{Bytes: 1 << 20})
+	stopped := open(b, 3*time.Second, 900<<10)
+	if err := stopped.holder.Take(900 << 10); err != nil {
+		t.Fatal(err)
+	}
+	stopped.holder.activeAt.Store(time.Now().Add(-time.Second).UnixNano())
+	due := open(b, 5*time.Second, 300)
+	due.due = true
+	if err := due.holder.TakeAnswer(200 << 10); err != nil || !stopped.givenUp {
+		t.Errorf("got %v for the answer, stopped sender given up: %v", err, stopped.givenUp)
+	}
+}
+
 // TestSlowestIsRefusedItself guards against a slow caller for which others are given up.
 func TestSlowestIsRefusedItself(t *testing.T) {
 	b := New(Limits{Bytes: 2 << 20})
@@ -137,7 +169,7 @@
 			c := open(b, time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms"))*time.Millisecond, rapid.IntRange(0, 1<<20).Draw(t, "moved"))
 			body := make([]byte, rapid.IntRange(0, 100<<10).Draw(t, "bytes"))
 			size := int64(rapid.SampledFrom([]int{-1, 0, len(body), len(body) + 1, 4 << 20}).Draw(t, "size"))
-			got, err := ReadAll(c.holder, iotest.DataErrReader(iotest.HalfReader(bytes.NewReader(body))), size)
+			got, err := ReadAll(c.holder.Take, iotest.DataErrReader(iotest.HalfReader(bytes.NewReader(body))), size)
 			if code.Of(err) != code.MemoryExhausted && (err != nil || len(got) != len(body)) {
 				t.Fatalf("read %d bytes, %v, want %d", len(got), err, len(body))
 			}
@@ -191,7 +223,7 @@
 func TestBufferGrowsWithWhatArrives(t *testing.T) {
 	b := New(Limits{Bytes: 64 << 20})
 	h := open(b, 0, 0).holder
-	_, err := ReadAll(h, io.MultiReader(strings.NewReader("x"), iotest.ErrReader(io.ErrUnexpectedEOF)), 32<<20)
+	_, err := ReadAll(h.Take, io.MultiReader(strings.NewReader("x"), iotest.ErrReader(io.ErrUnexpectedEOF)), 32<<20)
 	if held := h.heldBytes() - ConnectionBytes; err == nil || held > firstBodyBytes {
 		t.Errorf("%d bytes are held for a byte, %v, want at most %d", held, err, firstBodyBytes)
 	}
--- a/budget/holder.go
+++ b/budget/holder.go
@@ -37,6 +37,8 @@
 	// were last transferred.
 	startedAt atomic.Int64
 	activeAt  atomic.Int64
+	// answering is set once a part of the answer has been charged.
+	answering atomic.Bool
 	// leaving is set while the caller is being given up.
 	leaving atomic.Bool
 
@@ -106,15 +108,26 @@
 }
 
 // TakeAnswer charges n bytes of an answer that has been received from an upstream; errors as
-// Take.
+// Take. The progress of the caller is counted anew from the first of them: the time that the
+// upstream needed is not the caller's.
 func (h *Holder) TakeAnswer(n int64) error {
 	if h == nil {
 		return nil
 	}
+	if !h.answering.Swap(true) {
+		h.restart(time.Now())
+	}
 	h.moved.Add(n)
 	return h.Take(n)
 }
 
+// restart counts the progress from now on.
+func (h *Holder) restart(now time.Time) {
+	h.moved.Store(0)
+	h.startedAt.Store(now.UnixNano())
+	h.activeAt.Store(now.UnixNano())
+}
+
 // Moved records that n bytes were received from the caller or sent to it.
 func (h *Holder) Moved(n int, now time.Time) {
 	if h == nil || n == 0 {
@@ -129,8 +142,8 @@
 func (h *Holder) Begin(now time.Time) {
 	if h != nil {
 		h.leaving.Store(false)
-		h.moved.Store(0)
-		h.startedAt.Store(now.UnixNano())
+		h.answering.Store(false)
+		h.restart(now)
 	}
 }
 
--- a/budget/order.go
+++ b/budget/order.go
@@ -18,11 +18,17 @@
 	inactive time.Duration
 }
 
-// progress returns the bytes transferred per second and byte held.
+// progress returns the bytes transferred per second and byte held. Time without any bytes counts
+// more than once, so that a sender that has stopped comes before one that goes on slowly.
 func (s state) progress() float64 {
-	return float64(s.moved) / max(s.elapsed.Seconds(), minElapsed.Seconds()) / float64(max(s.held, 1))
+	weighted := s.elapsed + inactivityWeight*s.inactive
+	return float64(s.moved) / max(weighted.Seconds(), minElapsed.Seconds()) / float64(max(s.held, 1))
 }
 
+// inactivityWeight puts a sender that stopped half a second ago before one that needs the whole
+// deadline of a usual request, 5 s, for its body.
+const inactivityWeight = 10
+
 func (s state) facts() Facts {
 	return Facts{Held: s.held, Moved: s.moved, Elapsed: s.elapsed, Inactive: s.inactive}
 }
--- a/entry/body.go
+++ b/entry/body.go
@@ -29,7 +29,7 @@
 	control := http.NewResponseController(w)
 	// The error is ignored: recorders in unit tests do not support deadlines.
 	_ = control.SetReadDeadline(deadline)
-	body, err := budget.ReadAll(budget.FromContext(r.Context()), http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	body, err := budget.ReadAll(budget.FromContext(r.Context()).Take, http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
--- a/upstream/forward_response.go
+++ b/upstream/forward_response.go
@@ -225,7 +225,7 @@
 
 // copyBody copies a response that is not an event stream to the caller.
 func (d *Dispatcher) copyBody(a *forwardedAnswer) *failure {
-	body, err := budget.ReadAll(a.holder, io.LimitReader(&heardBody{a.response.Body, a.silence}, bufferedBodyBytes), min(a.response.ContentLength, bufferedBodyBytes))
+	body, err := budget.ReadAll(a.holder.TakeAnswer, io.LimitReader(&heardBody{a.response.Body, a.silence}, bufferedBodyBytes), min(a.response.ContentLength, bufferedBodyBytes))
 	if err != nil {
 		return connectionFailure(a.slot, err)
 	}
