--- a/quota/datagrams.go
+++ b/quota/datagrams.go
@@ -93,3 +93,24 @@
 	l.metrics.answerTime.Observe((now - q.sentAt).Seconds())
 	l.apply(q, Grant{m.status, m.tokens, m.wait}, now)
 }
+
+// finish wakes the requests that wait for an answer. l.mu must be held.
+func (l *Limiter) finish(q *ask) {
+	if q.account.ask == q {
+		q.account.ask = nil
+		close(q.done)
+	}
+}
+
+// apply applies the answer to a request for tokens. l.mu must be held.
+func (l *Limiter) apply(q *ask, g Grant, now time.Duration) {
+	switch g.Status {
+	case Granted:
+		q.account.add(g.Tokens, q.sentAt)
+	case Denied:
+		q.account.deny(q.share, g.Wait, now)
+	default:
+		q.account.unavailableUntil[q.share] = now + notOwnerTime
+	}
+	l.finish(q)
+}
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -67,7 +67,7 @@
 	name string
 	// limit is the limit of the last request.
 	limit contract.RateLimit
-	// ask is the request for tokens that waits for its answer, nil if there is none.
+	// ask is the request for tokens that waits for its answer, nil if none.
 	ask *ask
 	// waiting is the number of requests that wait for it.
 	waiting int
@@ -378,24 +378,3 @@
 	l.skippedUntil[q.owner] = now + skipTime
 	l.finish(q)
 }
-
-// finish wakes the requests that wait for an answer. l.mu must be held.
-func (l *Limiter) finish(q *ask) {
-	if q.account.ask == q {
-		q.account.ask = nil
-		close(q.done)
-	}
-}
-
-// apply applies the answer to a request for tokens. l.mu must be held.
-func (l *Limiter) apply(q *ask, g Grant, now time.Duration) {
-	switch g.Status {
-	case Granted:
-		q.account.add(g.Tokens, q.sentAt)
-	case Denied:
-		q.account.deny(q.share, g.Wait, now)
-	default:
-		q.account.unavailableUntil[q.share] = now + notOwnerTime
-	}
-	l.finish(q)
-}
