Refuse answers with a status below the first

Cause: dropped the check for a status of 0 on the wire, which decodes to -1.

Change: the check is back.

--- a/quota/message.go
+++ b/quota/message.go
@@ -84,7 +84,7 @@
 			b = b[n:]
 		}
 	}
-	if m.isAnswer && (m.status > Denied || (m.status == Granted) != (m.tokens > 0)) || !m.isAnswer && (m.account == "" || m.tokens == 0) || m.share >= maxShares {
+	if m.isAnswer && (m.status < NotOwner || m.status > Denied || (m.status == Granted) != (m.tokens > 0)) || !m.isAnswer && (m.account == "" || m.tokens == 0) || m.share >= maxShares {
 		return m, errMessage
 	}
 	return m, nil
