--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -17,8 +17,8 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/daisylb/daisylb/budget"
 	"github.com/daisylb/daisylb/boottime"
+	"github.com/daisylb/daisylb/budget"
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/entry"
