Share which upstreams do not respond among instances

Cause: most online requests run once and on one upstream. When upstreams stop responding while their health check is good, each instance of the fleet loses a request of its own there before it ejects them, and again after each ejection.

Change: with upstream.Options.LearnCapacity, digests name the upstreams at which a streamed request has had no event for clearly longer than the median, and those ejected for failures. The others send them nothing until an event, of any instance, refutes the report; a lone report is probed by another instance after 1.5 s. An instance that is stalled, or that hears from fewer upstreams than it names, reports nothing; at most a quarter of the upstreams are left out. hosted.Options.LearnCapacity is set by DAISYLB_LEARN_CAPACITY=1.

--- a/cmd/daisylbd/hosted.go
+++ b/cmd/daisylbd/hosted.go
@@ -19,6 +19,10 @@
 // logFlushTimeout bounds the wait for buffered log lines to be written at exit.
 const logFlushTimeout = 200 * time.Millisecond
 
+// learnCapacityVariable is the environment variable that is "1" if the instance is to
+// learn the capacity of upstreams.
+const learnCapacityVariable = "DAISYLB_LEARN_CAPACITY"
+
 // runHosted runs an instance on the users' platform with the settings file at path
 // and returns the exit code.
 func runHosted(path string) int {
@@ -40,7 +44,7 @@
 	}()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	i, err := hosted.New(hosted.Options{Settings: settings, Log: log, DroppedLines: sink.Dropped})
+	i, err := hosted.New(hosted.Options{Settings: settings, Log: log, DroppedLines: sink.Dropped, LearnCapacity: os.Getenv(learnCapacityVariable) == "1"})
 	if err == nil {
 		watcher.apply, watcher.log = i.Reload, log
 		go watcher.run(ctx)
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -41,6 +41,8 @@
 	// runs of the same instance.
 	id          string
 	endpointTTL time.Duration
+	// learnCapacity is Options.LearnCapacity.
+	learnCapacity bool
 
 	storeClient *platform.Client
 	store       *relay.Store
@@ -95,6 +97,8 @@
 		id:          o.Settings.Name + "/" + uuid.NewString()[:8],
 		storeClient: platform.NewClient(o.Settings.Store.Address),
 		endpointTTL: cmp.Or(o.EndpointTTL, DefaultEndpointTTL),
+
+		learnCapacity: o.LearnCapacity,
 	}
 	i.settings.Store(&o.Settings)
 	if i.log == nil {
@@ -162,14 +166,15 @@
 func (i *Instance) buildDispatcher() error {
 	var err error
 	i.dispatcher, err = upstream.New(upstream.Options{
-		Document:   i.workers.Current,
-		DataCentre: i.settings.Load().DataCentre,
-		InstanceID: i.id,
-		Wire:       platform.WorkerWire{},
-		Quarantine: i.quarantine,
-		Logger:     i.log,
-		Registerer: i.registry,
-		SubsetSize: subsetSize,
+		Document:      i.workers.Current,
+		DataCentre:    i.settings.Load().DataCentre,
+		InstanceID:    i.id,
+		Wire:          platform.WorkerWire{},
+		Quarantine:    i.quarantine,
+		Logger:        i.log,
+		Registerer:    i.registry,
+		SubsetSize:    subsetSize,
+		LearnCapacity: i.learnCapacity,
 		// Load digests and answers advance the queues when they arrive, so the sweep
 		// only has to detect stalls.
 		SweepInterval: sweepInterval,
--- a/hosted/options.go
+++ b/hosted/options.go
@@ -23,6 +23,9 @@
 	// EndpointTTL is how long callers may keep an endpoint answer; 0 means
 	// DefaultEndpointTTL.
 	EndpointTTL time.Duration
+	// LearnCapacity makes the instance learn the capacity of each upstream
+	// (upstream.Options.LearnCapacity).
+	LearnCapacity bool
 }
 
 const (
--- a/upstream/digest.go
+++ b/upstream/digest.go
@@ -26,6 +26,10 @@
 	OnlineWaiting int
 	// OnlineLate counts those of them that can no longer be on time.
 	OnlineLate int
+	// Observations has the upstreams that this instance sees as not responding, and those
+	// that respond to it although a peer sees them so. Empty unless
+	// Options.LearnCapacity is set.
+	Observations []Observation
 
 	// unknownLoads has the loads of a peer on upstreams that this instance does not use. It
 	// may begin to use them.
@@ -60,7 +64,12 @@
 		return d
 	}
 	part := d
-	part.Loads = nil
+	part.Loads, part.Observations = nil, nil
+	for _, o := range d.Observations {
+		if uses(o.Upstream) {
+			part.Observations = append(part.Observations, o)
+		}
+	}
 	for _, l := range d.Loads {
 		if uses(l.Upstream) {
 			part.Loads = append(part.Loads, l)
@@ -72,7 +81,8 @@
 // equal reports whether two digests have the same content apart from Sequence.
 func (d Digest) equal(other Digest) bool {
 	return d.BatchWaiting == other.BatchWaiting && d.BatchLate == other.BatchLate &&
-		d.OnlineWaiting == other.OnlineWaiting && d.OnlineLate == other.OnlineLate && slices.Equal(d.Loads, other.Loads)
+		d.OnlineWaiting == other.OnlineWaiting && d.OnlineLate == other.OnlineLate &&
+		slices.Equal(d.Loads, other.Loads) && slices.Equal(d.Observations, other.Observations)
 }
 
 // peerLoad is the sum of what the other instances have in flight at one upstream.
@@ -123,6 +133,9 @@
 			digest.Loads = append(digest.Loads, PeerLoad{id, t.online, t.batch})
 		}
 	}
+	if s.watch != nil {
+		digest.Observations = s.watch.own
+	}
 	slices.SortFunc(digest.Loads, func(a, b PeerLoad) int { return strings.Compare(a.Upstream, b.Upstream) })
 	return digest
 }
@@ -143,6 +156,9 @@
 	// The fleet may have changed since the digest was decoded.
 	digest.resolve(s.fleet)
 	freed := s.replaceDigest(peer, &peerDigest{digest, now}, now)
+	if s.watch != nil && (len(digest.Observations) > 0 || before != nil && len(before.Observations) > 0) {
+		s.assessDoubts(now)
+	}
 	for _, load := range digest.Loads {
 		if t, ok := s.fleet.targets[load.Upstream]; ok && load.Online > 0 {
 			s.yield(t, now)
--- a/upstream/dispatcher.go
+++ b/upstream/dispatcher.go
@@ -54,6 +54,9 @@
 	// SweepInterval is the time between two health assessments of all upstreams; 0
 	// means DefaultSweepInterval.
 	SweepInterval time.Duration
+	// LearnCapacity makes this instance learn the capacity of each upstream, and exchange
+	// with its peers which upstreams do not respond.
+	LearnCapacity bool
 	// Policy is the policy by which an upstream is chosen. Policies other than
 	// route.Adaptive neither eject nor hedge; they exist for comparison.
 	Policy route.Policy
@@ -116,6 +119,9 @@
 	}
 	d := &Dispatcher{options: o, log: o.Logger, transports: newTransports(o.Transport), metrics: metrics}
 	d.sched = newScheduler(o.Seed, o.Policy, metrics, o.Logger)
+	if o.LearnCapacity {
+		d.sched.watch = &watch{}
+	}
 	d.fleet.Store(&fleet{})
 	return d, nil
 }
@@ -136,6 +142,11 @@
 			d.sched.sweep(time.Now())
 		})
 	})
+	if d.options.LearnCapacity {
+		wait.Go(func() {
+			runEvery(ctx, watchInterval, func(context.Context) { d.sched.watchSilence(time.Now()) })
+		})
+	}
 	wait.Wait()
 	return nil
 }
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -166,9 +166,20 @@
 			Batch:    uint32(l.Batch),
 		})
 	}
+	now := time.Now()
+	for _, o := range d.Observations {
+		digest.Observations = append(digest.Observations, &upstreampb.Observation{
+			Upstream: hashUpstream(o.Upstream),
+			AgeMs:    uint32(min(max(now.Sub(o.At), 0), maxObservationAge).Milliseconds()),
+			Heard:    o.Heard,
+		})
+	}
 	return digest
 }
 
+// maxObservationAge is the age with which older observations are sent.
+const maxObservationAge = time.Minute
+
 // maxPeerCount limits each count in a peer's digest.
 const maxPeerCount = 1 << 16
 
@@ -195,6 +206,13 @@
 			observed.unknownLoads = append(observed.unknownLoads, hashedLoad{l.GetUpstream(), load})
 		}
 	}
+	now := time.Now()
+	for _, o := range digest.GetObservations()[:min(len(digest.GetObservations()), maxObservations)] {
+		if id, ok := f.idsByHash[o.GetUpstream()]; ok {
+			age := time.Duration(o.GetAgeMs()) * time.Millisecond
+			observed.Observations = append(observed.Observations, Observation{id, now.Add(-age), o.GetHeard()})
+		}
+	}
 	d.ObserveDigest(peer, observed)
 }
 
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -363,6 +363,9 @@
 	if err := c.send(f.call, header); err != nil {
 		return connectionFailure(granted, err)
 	}
+	if f.call.Stream {
+		granted.sentNanos.Store(int64(max(time.Since(granted.startedAt), 1)))
+	}
 	response, err := c.receive(f.call.Method)
 	if err != nil {
 		return connectionFailure(granted, err)
--- a/upstream/forward_response.go
+++ b/upstream/forward_response.go
@@ -135,10 +135,7 @@
 		if e.hasContent {
 			d.recordEvent(a)
 		}
-		if err := a.begin(); err != nil {
-			return callerGone(err)
-		}
-		if err := a.sink.Write(e.bytes); err != nil {
+		if err := a.passEvent(e.bytes); err != nil {
 			return callerGone(err)
 		}
 		a.events++
@@ -151,6 +148,20 @@
 	}
 }
 
+// passEvent passes an event to the caller. It marks the slot meanwhile: a caller that
+// reads slowly must not make its upstream seem silent.
+func (a *forwardedAnswer) passEvent(event []byte) error {
+	a.slot.passing.Store(true)
+	defer func() {
+		a.slot.passedNanos.Store(int64(time.Since(a.slot.startedAt)))
+		a.slot.passing.Store(false)
+	}()
+	if err := a.begin(); err != nil {
+		return err
+	}
+	return a.sink.Write(event)
+}
+
 // recordData records that the caller has received data, and whether it follows no event
 // id. A silent upstream is waited for if nobody else can finish the answer.
 func (a *forwardedAnswer) recordData(unnumbered bool) {
--- a/upstream/metrics.go
+++ b/upstream/metrics.go
@@ -10,6 +10,7 @@
 	hedges            prometheus.Counter
 	ejections         prometheus.Counter
 	migrations        prometheus.Counter
+	leftOut           prometheus.Counter
 	exchangesSkipped  prometheus.Counter
 	firstToken        prometheus.Histogram
 	forwarded         *prometheus.CounterVec
@@ -33,6 +34,7 @@
 		hedges:           counter("hedges", "Second attempts beside a first one without a token."),
 		ejections:        counter("ejections", "Upstreams taken out of ordinary use for being slow or failing."),
 		exchangesSkipped: counter("exchanges_skipped", "Exchanges of load with peers left out because the budget of bytes was used up."),
+		leftOut:          counter("left_out", "Upstreams left out because instances reported that they do not respond."),
 		migrations:       counter("moves", "Streams taken off an ejected upstream and resumed elsewhere."),
 		firstToken: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "daisylb_upstream_first_token_seconds",
@@ -57,7 +59,7 @@
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.attempts, m.preemptions, m.retries, m.hedges, m.ejections, m.migrations, m.exchangesSkipped, m.firstToken, m.forwarded, m.forwardFirstEvent, m.forwardQueued} {
+	for _, c := range []prometheus.Collector{m.attempts, m.preemptions, m.retries, m.hedges, m.ejections, m.migrations, m.leftOut, m.exchangesSkipped, m.firstToken, m.forwarded, m.forwardFirstEvent, m.forwardQueued} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/upstream/observe.go
+++ b/upstream/observe.go
@@ -53,6 +53,9 @@
 // observeEnd records how long an attempt held its slot, and its token spacing. The
 // caller holds the lock.
 func (s *scheduler) observeEnd(g *slot, now time.Time) {
+	if last := g.lastEventAt(); last.After(g.target.lastEventAt) {
+		g.target.lastEventAt = last
+	}
 	if g.class == contract.Online {
 		ps := g.pool.poolState
 		ps.slotTime = ps.slotTime.Observe(now, now.Sub(g.startedAt))
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -31,6 +31,8 @@
 	open []*target
 	// ejected has the ejected targets with the time of their ejection.
 	ejected map[*target]time.Time
+	// doubts has the targets that are reported as not responding.
+	doubts map[*target]route.Doubt
 	// health and ejectScratch are reused by every assessment.
 	health       []route.Health
 	ejectScratch []int
@@ -70,6 +72,7 @@
 		retryBudget:    retry.NewBudget(retryShare, retryReserve),
 		hedgeBudget:    route.NewHedgeBudget(),
 		ejected:        map[*target]time.Time{},
+		doubts:         map[*target]route.Doubt{},
 		accountLengths: map[string]route.Length{},
 	}
 }
@@ -84,6 +87,8 @@
 	// held has the targets whose free slots are left to requests that wait at other
 	// instances.
 	held map[*target]bool
+	// leftOut has the targets that are reported as not responding.
+	leftOut map[*target]bool
 }
 
 func (v *targetView) Len() int         { return len(v.targets) }
@@ -91,6 +96,7 @@
 func (v *targetView) Candidate(i int) route.Candidate {
 	c := v.targets[i].candidate(v.now, v.medianFirstToken)
 	c.Held = v.held[v.targets[i]]
+	c.Closed = c.Closed || v.leftOut[v.targets[i]]
 	c.LoadUncertain = c.LoadUncertain && !v.isOnly
 	return c
 }
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -78,6 +78,8 @@
 	leaving     leavingUpstreams
 	// turns is nil if peers exchange their load only at intervals.
 	turns *turns
+	// watch is nil unless the capacity of upstreams is learned.
+	watch *watch
 	// peerLoadsSummedAt is when the peer loads of the targets were last computed.
 	peerLoadsSummedAt time.Time
 	// sequence is that of the last digest. It starts at the current time, so that it is
@@ -287,6 +289,7 @@
 // none. The caller holds the lock.
 func (s *scheduler) choose(r *request, now time.Time) *target {
 	v := &targetView{targets: r.pool.open, now: now, medianFirstToken: r.pool.medianFirstToken, isOnly: len(r.pool.open) == 1}
+	v.leftOut = s.leftOut(r.pool, now)
 	s.deferToPeers(v, r, now)
 	q := route.Query{
 		Class:    r.class,
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -67,6 +67,17 @@
 	// a request last got a first token.
 	lastProbeAt      time.Time
 	lastFirstTokenAt time.Time
+
+	// lastEventAt is when the last event of an attempt that has ended arrived.
+	lastEventAt time.Time
+	// seen is this instance's evidence that the target does not respond, conclusion the
+	// doubt from all instances' reports.
+	seen       evidence
+	conclusion route.Doubt
+	// reportedAt is when any instance last reported the target, reportedOnset the time of
+	// the latest silence then reported. toldHeardAt is the time of the event of which
+	// peers were told.
+	reportedAt, reportedOnset, toldHeardAt time.Time
 }
 
 // upstreamConfig is the document's entry for an upstream, with values derived from the
@@ -211,6 +222,12 @@
 	lastTokenNanos  atomic.Int64
 	gapNanos        atomic.Int64
 	tokens          atomic.Int64
+	// sentNanos is when the request for a stream was sent, 0 before. passing is set while
+	// an event is passed to the caller, passedNanos is when the last one was. All are
+	// set for attempts of routed services only.
+	sentNanos   atomic.Int64
+	passedNanos atomic.Int64
+	passing     atomic.Bool
 }
 
 // gapShift gives a new gap a weight of 1/4 in the moving average.
--- a/upstream/turn.go
+++ b/upstream/turn.go
@@ -13,7 +13,8 @@
 // load. They can then agree on which instance takes a free slot and which one yields a
 // slot.
 type turns struct {
-	// selfKey is a hash of this instance's id.
+	// self is this instance's id, selfKey its hash.
+	self    string
 	selfKey uint64
 	// nextServeAt is when the queues are next served because a turn is due.
 	nextServeAt time.Time
@@ -48,7 +49,7 @@
 func (s *scheduler) enableTurns(instance string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.turns = &turns{selfKey: xxhash.Sum64String(instance)}
+	s.turns = &turns{self: instance, selfKey: xxhash.Sum64String(instance)}
 }
 
 // onlineReserve returns the number of slots of an upstream that are kept free for online
