Learn the speed and the knee of each upstream

Cause: upstreams of one service run at 0.55 to 1.2 times the usual speed, and some gain nothing from more requests long before their slots are full. The adaptive limit reacts at three times the median and sees neither. A failed attempt at an upstream was told to peers only once the upstream was ejected, which takes each instance two failures.

Change: with LearnCapacity, route.LoadCurve and route.Capacity learn from the times between events, against the number of requests running there, the speed of each upstream relative to its service, and the number beyond which its total rate does not grow. Instances share the times between events in the digests' load entries, at most each 300 ms for an upstream. Placement multiplies the cost by the expected slowdown and the error rate; online work goes above a knee only if all are at theirs, batch work never. Failed attempts are reported at once; events of other requests refute the report at an upstream that works.

Ruled out: the decay of the speed itself in 5 s (0.74 after 5 s for 0.55; now only for placement), a time constant of 1 s (0.70 four seconds after a slowdown to 0.5). The time to the first event does not enter the speed (docs/design/learned-capacity.md, Open).

--- a/route/batch.go
+++ b/route/batch.go
@@ -29,7 +29,11 @@
 // batchLimit returns the number of batch requests of all instances that an upstream
 // may run.
 func batchLimit(c *Candidate, limits BatchLimits) int {
-	idle := min(c.Slots, c.Limit) - limits.Headroom - c.OnlineTotal()
+	slots := min(c.Slots, c.Limit)
+	if c.Knee > 0 {
+		slots = min(slots, c.Knee)
+	}
+	idle := slots - limits.Headroom - c.OnlineTotal()
 	return int(limits.Share * float64(max(idle, 0)))
 }
 
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -64,6 +64,14 @@
 	// streams.
 	SinceToken time.Duration
 	Report     Report
+	// Knee is the learned number of requests beyond which the upstream's total rate does
+	// not grow, 0 when unknown. Slowdown is the expected time between events with one
+	// more request, relative to that of a lone request at an upstream of usual speed, 0
+	// when unknown. ErrorRate is the fraction of attempts that failed, if the others are
+	// known.
+	Knee      int
+	Slowdown  float64
+	ErrorRate float64
 }
 
 // OnlineTotal returns the number of online requests of all instances.
@@ -111,14 +119,37 @@
 func (c *Candidate) Cost(prior time.Duration) time.Duration {
 	base := c.baseFirstToken(prior)
 	slots := float64(max(c.Slots, 1))
+	if c.Knee > 0 {
+		slots = float64(c.Knee)
+	}
 	load := c.Occupancy() / slots
 	cost := time.Duration(float64(base) * (1 + load + prefillDelayShare*float64(c.Unanswered)))
 	if load > 1 {
 		cost += time.Duration((load - 1) * slots * float64(base))
 	}
+	if c.Slowdown > 0 {
+		cost = c.learnedCost(cost, load)
+	}
 	return cost + c.expectedStall(base)
 }
 
+const (
+	// crowding is the share by which a fully used upstream costs more beyond the linear
+	// effect of its load. Without it, all instances fill fast upstreams to the last slot,
+	// and requests that are sent at the same time wait there.
+	crowding = 1.0
+	// maxCostErrorRate bounds the error rate in the cost.
+	maxCostErrorRate = 0.9
+)
+
+// learnedCost returns the cost of an upstream of known speed. The time to the first event
+// and that to the end of the answer both grow with the slowdown; an attempt that fails
+// costs a further one.
+func (c *Candidate) learnedCost(cost time.Duration, load float64) time.Duration {
+	crowded := 1 + crowding*math.Pow(min(load, 1), 4)
+	return time.Duration(float64(cost) * c.Slowdown * crowded / (1 - min(c.ErrorRate, maxCostErrorRate)))
+}
+
 const (
 	// prefillDelayShare is the fraction of the time to the first token by which
 	// each request in prefill delays the next one.
--- a/route/choose.go
+++ b/route/choose.go
@@ -48,6 +48,8 @@
 	Prior time.Duration
 	// Batch limits the capacity that batch work may use.
 	Batch BatchLimits
+	// WithinKnee excludes upstreams that have as many requests as their knee.
+	WithinKnee bool
 	// Choices is the number of random candidates to compare; 0 means
 	// defaultChoices.
 	Choices int
@@ -141,6 +143,9 @@
 	if c.Held || c.OnlineTotal() >= c.Limit {
 		return false
 	}
+	if q.WithinKnee && c.Knee > 0 && c.OnlineTotal()+c.BatchTotal() >= c.Knee {
+		return false
+	}
 	return !q.Long || q.Policy != Adaptive || c.Long < LongLimit(c.Limit, q.ShortReserve)
 }
 
--- a/upstream/digest.go
+++ b/upstream/digest.go
@@ -11,6 +11,15 @@
 	Upstream string
 	Online   int
 	Batch    int
+	// Spacing is the mean time between events of the running answers, 0 if unknown or
+	// unless Options.LearnCapacity is set.
+	Spacing time.Duration
+}
+
+// equal reports whether two loads are the same apart from Spacing, which changes with
+// each event.
+func (l PeerLoad) equal(other PeerLoad) bool {
+	return l.Upstream == other.Upstream && l.Online == other.Online && l.Batch == other.Batch
 }
 
 // Digest is the current load of one instance on the upstreams that it uses. Upstreams
@@ -82,7 +91,7 @@
 func (d Digest) equal(other Digest) bool {
 	return d.BatchWaiting == other.BatchWaiting && d.BatchLate == other.BatchLate &&
 		d.OnlineWaiting == other.OnlineWaiting && d.OnlineLate == other.OnlineLate &&
-		slices.Equal(d.Loads, other.Loads) && slices.Equal(d.Observations, other.Observations)
+		slices.EqualFunc(d.Loads, other.Loads, PeerLoad.equal) && slices.Equal(d.Observations, other.Observations)
 }
 
 // peerLoad is the sum of what the other instances have in flight at one upstream.
@@ -130,7 +139,7 @@
 	}
 	for id, t := range s.fleet.targets {
 		if t.online+t.batch > 0 {
-			digest.Loads = append(digest.Loads, PeerLoad{id, t.online, t.batch})
+			digest.Loads = append(digest.Loads, PeerLoad{Upstream: id, Online: t.online, Batch: t.batch, Spacing: t.spacingForPeers(now)})
 		}
 	}
 	if s.watch != nil {
@@ -156,6 +165,9 @@
 	// The fleet may have changed since the digest was decoded.
 	digest.resolve(s.fleet)
 	freed := s.replaceDigest(peer, &peerDigest{digest, now}, now)
+	if s.watch != nil {
+		s.learnFrom(digest, now)
+	}
 	if s.watch != nil && (len(digest.Observations) > 0 || before != nil && len(before.Observations) > 0) {
 		s.assessDoubts(now)
 	}
--- a/upstream/dispatcher.go
+++ b/upstream/dispatcher.go
@@ -144,7 +144,7 @@
 	})
 	if d.options.LearnCapacity {
 		wait.Go(func() {
-			runEvery(ctx, watchInterval, func(context.Context) { d.sched.watchSilence(time.Now()) })
+			runEvery(ctx, watchInterval, func(context.Context) { d.sched.watchTargets(time.Now()) })
 		})
 	}
 	wait.Wait()
--- a/upstream/doubt.go
+++ b/upstream/doubt.go
@@ -33,7 +33,7 @@
 	// until then, it has read what the upstreams have sent in the meantime.
 	faultRecovery = time.Second
 	// evidenceTTL is how long an instance upholds a report after its last request at the
-	// upstream has ended, or after it has ejected the upstream.
+	// upstream has ended or failed.
 	evidenceTTL = time.Second
 	// heardTTL is how long after a report an instance lists the upstreams from which it
 	// has received an event. It exceeds broadcastRefreshInterval.
@@ -61,9 +61,9 @@
 	since, seenAt time.Time
 }
 
-// watchSilence determines which upstreams do not respond to this instance, and which it
-// leaves out. It is called at watchInterval.
-func (s *scheduler) watchSilence(now time.Time) {
+// watchTargets determines which upstreams do not respond to this instance, which it
+// leaves out, and what capacity the upstreams have. It is called at watchInterval.
+func (s *scheduler) watchTargets(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w := s.watch
@@ -83,6 +83,7 @@
 		s.onLoadChange()
 	}
 	s.assessDoubts(now)
+	s.learn(now)
 }
 
 // evidenceOf returns this instance's evidence that a target does not respond.
@@ -95,14 +96,13 @@
 	if heard.After(e.since) {
 		e = evidence{}
 	}
-	ejectedAt, ejected := p.ejected[t]
 	switch {
 	case t.isSilent(now, route.SilenceLimit(p.medianFirstToken), route.SilenceLimit(p.medianSpacing)):
 		e.seenAt = now
-	case ejected && t.errorRate > route.RestoredErrorRate && ejectedAt.After(heard) && ejectedAt.After(e.seenAt):
+	case t.failedAt.After(heard) && t.failedAt.After(e.seenAt):
 		// An ejection for slow answers is not reported: the averages may come from a
 		// fault of this instance that is over.
-		e.seenAt = ejectedAt
+		e.seenAt = t.failedAt
 	}
 	switch {
 	case e.seenAt.IsZero() || now.Sub(e.seenAt) > evidenceTTL:
@@ -217,6 +217,9 @@
 func (s *scheduler) assessDoubts(now time.Time) {
 	onsets, heard := s.collectObservations(now)
 	for _, t := range s.fleet.targets {
+		if len(onsets[t]) == 0 && !t.conclusion.Exists() {
+			continue
+		}
 		t.conclusion = t.conclusion.Observe(now, onsets[t], heard[t])
 		t.conclusion.Own = t.conclusion.Exists() && (t.conclusion.Own || !t.seen.since.IsZero())
 		if len(onsets[t]) > 0 {
@@ -233,7 +236,8 @@
 }
 
 // collectObservations returns, for each target with reports, when the silences were
-// noticed, and for each target when any instance last received an event of it.
+// noticed and, for each that is reported or doubted, when any instance last received an
+// event of it.
 func (s *scheduler) collectObservations(now time.Time) (onsets map[*target][]time.Time, heard map[*target]time.Time) {
 	onsets, heard = map[*target][]time.Time{}, map[*target]time.Time{}
 	for _, digest := range s.peerDigests {
@@ -257,6 +261,9 @@
 		}
 	}
 	for _, t := range s.fleet.targets {
+		if len(onsets[t]) == 0 && !t.conclusion.Exists() {
+			continue
+		}
 		if own := t.heardAt(); own.After(heard[t]) {
 			heard[t] = own
 		}
@@ -267,6 +274,9 @@
 // limitDoubts sets which targets of a pool are left out, and reports whether one of them
 // no longer is.
 func (s *scheduler) limitDoubts(p *pool, now time.Time) (cleared bool) {
+	if len(p.doubts) == 0 && !slices.ContainsFunc(p.targets, func(t *target) bool { return t.conclusion.Exists() }) {
+		return false
+	}
 	doubts := make([]route.Doubt, len(p.targets))
 	for i, t := range p.targets {
 		doubts[i] = t.conclusion
--- a/upstream/doubt_test.go
+++ b/upstream/doubt_test.go
@@ -178,11 +178,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		f, slots := silentTarget(t)
 		now := time.Now()
-		f.sched.watchSilence(now)
+		f.sched.watchTargets(now)
 		if got := f.Digest().Observations; len(got) != 1 || got[0].Heard {
 			t.Fatalf("observations %+v, want one silent upstream", got)
 		}
-		f.sched.watchSilence(now.Add(time.Second))
+		f.sched.watchTargets(now.Add(time.Second))
 		if got := f.Digest().Observations; len(got) != 0 {
 			t.Errorf("observations after a stall %+v, want none", got)
 		}
@@ -197,7 +197,7 @@
 func TestDigestsWithoutReportsHaveTheBytesOfOlderVersions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, slots := silentTarget(t)
-		f.sched.watchSilence(time.Now())
+		f.sched.watchTargets(time.Now())
 		digest := f.Digest()
 		data, err := proto.Marshal(digest.toProto())
 		if err != nil {
@@ -298,3 +298,49 @@
 		t.Errorf("%d requests failed with reports and %d without, want at most half", failures[30], failures[0])
 	}
 }
+
+// TestRequestsThatFailEverywhereDoNotMakeOthersLate guards against requests at fault
+// themselves, a tenth of all, that make the fleet leave out one upstream after another.
+func TestRequestsThatFailEverywhereDoNotMakeOthersLate(t *testing.T) {
+	late := map[int]int64{}
+	for _, learning := range []int{0, 30} {
+		synctest.Test(t, func(t *testing.T) {
+			var workers []script
+			var failing atomic.Int64
+			for range 28 {
+				workers = append(workers, func(_ testing.TB, _ *scriptedWorker, c net.Conn, q *http.Request) {
+					if instanceOf(q, 10) == 0 {
+						failing.Add(1)
+						return
+					}
+					time.Sleep(workerFirstEvent)
+					_, err := c.Write([]byte(streamHead(q, "") + chunk(event(1))))
+					for n := 2; n <= workerEvents && err == nil; n++ {
+						time.Sleep(workerSpacing)
+						_, err = c.Write([]byte(chunk(event(n))))
+					}
+					_, _ = c.Write([]byte(endOfChunks))
+				})
+			}
+			dial, all, wait := pipeWorkers(workers...)
+			ctx, stop := context.WithCancel(t.Context())
+			f := newLearningFleet(ctx, t, learningOptions{instances: 30, learning: learning, slots: 8}, dial, all)
+			var slow, failed atomic.Int64
+			streams{rate: 150, until: 8 * time.Second, instance: func(n int) int { return n * 7 % 30 }, done: func(_ int, _ time.Time, err error, first time.Duration) {
+				if err != nil {
+					failed.Add(1)
+				} else if first > 300*time.Millisecond {
+					slow.Add(1)
+				}
+			}}.run(t, f)
+			stop()
+			f.wait.Wait()
+			wait.Wait()
+			t.Logf("%d instances learn: %d requests fail, %d failed, %d late", learning, failing.Load(), failed.Load(), slow.Load())
+			late[learning] = slow.Load() + failed.Load() - failing.Load()
+		})
+	}
+	if late[30] > late[0] {
+		t.Errorf("%d other requests failed or were late with reports and %d without", late[30], late[0])
+	}
+}
--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -161,9 +161,10 @@
 	}
 	for _, l := range d.Loads {
 		digest.Loads = append(digest.Loads, &upstreampb.Load{
-			Upstream: hashUpstream(l.Upstream),
-			Online:   uint32(l.Online),
-			Batch:    uint32(l.Batch),
+			Upstream:  hashUpstream(l.Upstream),
+			Online:    uint32(l.Online),
+			Batch:     uint32(l.Batch),
+			SpacingUs: uint32(min(l.Spacing, maxPeerSpacing).Microseconds()),
 		})
 	}
 	now := time.Now()
@@ -198,6 +199,7 @@
 			Upstream: f.idsByHash[l.GetUpstream()],
 			Online:   int(min(l.GetOnline(), maxPeerCount)),
 			Batch:    int(min(l.GetBatch(), maxPeerCount)),
+			Spacing:  min(time.Duration(l.GetSpacingUs())*time.Microsecond, maxPeerSpacing),
 		}
 		switch {
 		case load.Upstream != "":
--- a/upstream/health.go
+++ b/upstream/health.go
@@ -25,6 +25,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	t.errorRate += errorWeight * (1 - t.errorRate)
+	t.failedAt = now
 	if f.unreachable || f.refused {
 		s.suspend(t, now)
 		t.unreachable = f.unreachable && t.config.Load().isEngine
--- a/upstream/learning_fleet_test.go
+++ b/upstream/learning_fleet_test.go
@@ -65,7 +65,7 @@
 		})
 		if i < o.learning {
 			f.wait.Go(func() {
-				runEvery(ctx, watchInterval, func(context.Context) { d.sched.watchSilence(time.Now()) })
+				runEvery(ctx, watchInterval, func(context.Context) { d.sched.watchTargets(time.Now()) })
 			})
 		}
 	}
--- a/upstream/metrics.go
+++ b/upstream/metrics.go
@@ -11,6 +11,7 @@
 	ejections         prometheus.Counter
 	migrations        prometheus.Counter
 	leftOut           prometheus.Counter
+	slowUpstreams     prometheus.Gauge
 	exchangesSkipped  prometheus.Counter
 	firstToken        prometheus.Histogram
 	forwarded         *prometheus.CounterVec
@@ -42,6 +43,10 @@
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 		}),
 	}
+	m.slowUpstreams = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "daisylb_upstream_slow_upstreams",
+		Help: "Upstreams that are learned to be slower than usual for their service.",
+	})
 	m.forwarded = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "daisylb_upstream_forwarded_total",
 		Help: "Requests to routed services by class and result.",
@@ -59,7 +64,7 @@
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.attempts, m.preemptions, m.retries, m.hedges, m.ejections, m.migrations, m.leftOut, m.exchangesSkipped, m.firstToken, m.forwarded, m.forwardFirstEvent, m.forwardQueued} {
+	for _, c := range []prometheus.Collector{m.attempts, m.preemptions, m.retries, m.hedges, m.ejections, m.migrations, m.leftOut, m.slowUpstreams, m.exchangesSkipped, m.firstToken, m.forwarded, m.forwardFirstEvent, m.forwardQueued} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -33,6 +33,10 @@
 	ejected map[*target]time.Time
 	// doubts has the targets that are reported as not responding.
 	doubts map[*target]route.Doubt
+	// curve is the learned effect of load on the times between events, capacities is
+	// reused by every update.
+	curve      route.LoadCurve
+	capacities []*route.Capacity
 	// health and ejectScratch are reused by every assessment.
 	health       []route.Health
 	ejectScratch []int
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -127,6 +127,9 @@
 	}
 	now := time.Now()
 	s.recordFirstUse(old, now)
+	if s.watch != nil {
+		s.setCurves(f)
+	}
 	s.leaveUnusedTargets()
 	s.sumPeerLoads(now)
 	s.assess(now)
@@ -307,7 +310,7 @@
 	if v.isOnly {
 		q.Exclude = 0
 	}
-	i := route.Choose(v, &q, s.random)
+	i := s.chooseWithinKnee(v, &q)
 	if i < 0 {
 		return nil
 	}
@@ -340,6 +343,7 @@
 func (s *scheduler) grant(ctx context.Context, r *request, t *target, now time.Time) *slot {
 	granted := &slot{target: t, pool: r.pool, class: r.class, long: r.long, dispatchOnce: r.dispatchOnce, expectedTokens: r.expectedTokens, batchWork: r.batchWork, startedAt: now}
 	granted.load = t.knownLoad(now)
+	granted.steady.limit = s.learnLimit(r.pool)
 	granted.ctx, granted.cancel = context.WithCancelCause(ctx)
 	t.add(granted)
 	s.onLoadChange()
--- a/upstream/state.go
+++ b/upstream/state.go
@@ -35,6 +35,10 @@
 	// FirstTokenMillis and SpacingMillis are observed averages.
 	FirstTokenMillis float64 `json:"first_token_ms"`
 	SpacingMillis    float64 `json:"spacing_ms"`
+	// Speed is relative to the usual one of the service, and Knee is the number of requests
+	// beyond which the rate does not grow. Both are 0 unless they are learned.
+	Speed float64 `json:"speed,omitempty"`
+	Knee  int     `json:"knee,omitempty"`
 	// Leaving, Suspended and Ejected upstreams get no new work, apart from probes.
 	Leaving   bool `json:"leaving"`
 	Suspended bool `json:"suspended"`
@@ -80,6 +84,8 @@
 		PeerBatch:        t.peers.batch,
 		FirstTokenMillis: float64(t.firstToken.Value) / float64(time.Millisecond),
 		SpacingMillis:    float64(t.spacing.Value) / float64(time.Millisecond),
+		Speed:            t.learned.speed,
+		Knee:             t.learned.knee,
 		Leaving:          t.leaving(),
 		Suspended:        now.Before(t.suspendedUntil),
 	}
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -68,7 +68,8 @@
 	lastProbeAt      time.Time
 	lastFirstTokenAt time.Time
 
-	// lastEventAt is when the last event of an attempt that has ended arrived.
+	// failedAt is when an attempt last failed. lastEventAt is when the last event of an attempt that has ended arrived.
+	failedAt    time.Time
 	lastEventAt time.Time
 	// seen is this instance's evidence that the target does not respond, conclusion the
 	// doubt from all instances' reports.
@@ -78,6 +79,7 @@
 	// the latest silence then reported. toldHeardAt is the time of the event of which
 	// peers were told.
 	reportedAt, reportedOnset, toldHeardAt time.Time
+	learned                                learned
 }
 
 // upstreamConfig is the document's entry for an upstream, with values derived from the
@@ -131,6 +133,7 @@
 	if r := t.report.Load(); r != nil {
 		c.Report = route.Report{Running: r.Running, Waiting: r.Waiting, Age: max(now.Sub(r.TakenAt), 0), Known: true}
 	}
+	t.learned.addTo(&c, t)
 	return c
 }
 
@@ -228,6 +231,7 @@
 	sentNanos   atomic.Int64
 	passedNanos atomic.Int64
 	passing     atomic.Bool
+	steady      steadyGap
 }
 
 // gapShift gives a new gap a weight of 1/4 in the moving average.
@@ -237,6 +241,9 @@
 func (g *slot) recordToken(now time.Time) {
 	since := int64(max(now.Sub(g.startedAt), 1))
 	last := g.lastTokenNanos.Load()
+	if last > 0 {
+		g.steady.record(time.Duration(since - last))
+	}
 	switch gap := g.gapNanos.Load(); {
 	case last == 0:
 		g.firstTokenNanos.Store(since)
