Share the code of the learned-capacity plays in tests

Cause: four tests had the same worker script and the same steps to run a fleet. Change: writeAnswer and learningOptions.play; no test or check changes.

--- a/upstream/doubt_test.go
+++ b/upstream/doubt_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -33,8 +32,6 @@
 // that were there when the silence began, and others that failed or were late.
 type silentResult struct{ sent, running, late, all int64 }
 
-const workerFirstEvent, workerSpacing, workerEvents = 45 * time.Millisecond, 40 * time.Millisecond, 18
-
 // play returns the result of a run.
 func (r silentRun) play(t *testing.T) (result silentResult) {
 	var sent, running, late, all atomic.Int64
@@ -56,28 +53,16 @@
 			case since < r.from && r.from-since < workerFirstEvent+workerEvents*workerSpacing:
 				running.Add(1)
 			}
-			pause(workerFirstEvent)
-			_, err := c.Write([]byte(streamHead(q, "") + chunk(event(1))))
-			for n := 2; n <= workerEvents && err == nil; n++ {
-				pause(workerSpacing)
-				_, err = c.Write([]byte(chunk(event(n))))
-			}
-			_, _ = c.Write([]byte(endOfChunks))
+			writeAnswer(c, q, pause)
 		}
 	}
-	dial, all2, wait := pipeWorkers(scripts...)
-	ctx, stop := context.WithCancel(t.Context())
 	o := learningOptions{instances: r.instances, learning: r.learning, slots: 8, log: r.log}
-	f := newLearningFleet(ctx, t, o, dial, all2)
-	streams{rate: r.rate, until: r.end, leaveAfter: r.leaveAfter, done: func(_ int, _ time.Time, err error, first time.Duration) {
+	o.play(t, streams{rate: r.rate, until: r.end, leaveAfter: r.leaveAfter, done: func(_ int, _ time.Duration, err error, first time.Duration) {
 		all.Add(1)
 		if err != nil || first > 300*time.Millisecond {
 			late.Add(1)
 		}
-	}}.run(t, f)
-	stop()
-	f.wait.Wait()
-	wait.Wait()
+	}}, scripts, nil)
 	return silentResult{sent.Load(), running.Load(), late.Load(), all.Load()}
 }
 
@@ -142,27 +127,15 @@
 						time.Sleep(7*time.Second - time.Since(start))
 					}
 				}
-				pause(workerFirstEvent)
-				_, err := c.Write([]byte(streamHead(q, "") + chunk(event(1))))
-				for n := 2; n <= workerEvents && err == nil; n++ {
-					pause(workerSpacing)
-					_, err = c.Write([]byte(chunk(event(n))))
-				}
-				_, _ = c.Write([]byte(endOfChunks))
+				writeAnswer(c, q, pause)
 			})
 		}
-		dial, all, wait := pipeWorkers(workers...)
-		ctx, stop := context.WithCancel(t.Context())
-		f := newLearningFleet(ctx, t, learningOptions{instances: 10, learning: 10, slots: 8, log: zap.New(core)}, dial, all)
 		var failed atomic.Int64
-		streams{rate: 40, until: 10 * time.Second, done: func(i int, _ time.Time, err error, first time.Duration) {
+		learningOptions{instances: 10, learning: 10, slots: 8, log: zap.New(core)}.play(t, streams{rate: 40, until: 10 * time.Second, done: func(i int, _ time.Duration, err error, first time.Duration) {
 			if i != 0 && (err != nil || first > 300*time.Millisecond) {
 				failed.Add(1)
 			}
-		}}.run(t, f)
-		stop()
-		f.wait.Wait()
-		wait.Wait()
+		}}, workers, nil)
 		if n := logs.FilterMessage("many upstreams silent, not reporting them").Len(); n == 0 {
 			t.Error("the fault was not seen")
 		}
@@ -274,22 +247,10 @@
 						_, _ = c.Write([]byte("HTTP/1.1 503 Service Unavailable\r\nSigned: yes\r\nId: " + q.Header.Get("Id") + "\r\nContent-Length: 0\r\n\r\n"))
 						return
 					}
-					time.Sleep(workerFirstEvent)
-					_, err := c.Write([]byte(streamHead(q, "") + chunk(event(1))))
-					for n := 2; n <= workerEvents && err == nil; n++ {
-						time.Sleep(workerSpacing)
-						_, err = c.Write([]byte(chunk(event(n))))
-					}
-					_, _ = c.Write([]byte(endOfChunks))
+					writeAnswer(c, q, nil)
 				})
 			}
-			dial, all, wait := pipeWorkers(workers...)
-			ctx, stop := context.WithCancel(t.Context())
-			f := newLearningFleet(ctx, t, learningOptions{instances: 30, learning: learning, slots: 8}, dial, all)
-			streams{rate: 100, until: 10 * time.Second}.run(t, f)
-			stop()
-			f.wait.Wait()
-			wait.Wait()
+			learningOptions{instances: 30, learning: learning, slots: 8}.play(t, streams{rate: 100, until: 10 * time.Second}, workers, nil)
 			failures[learning] = failed.Load()
 		})
 	}
@@ -313,29 +274,18 @@
 						failing.Add(1)
 						return
 					}
-					time.Sleep(workerFirstEvent)
-					_, err := c.Write([]byte(streamHead(q, "") + chunk(event(1))))
-					for n := 2; n <= workerEvents && err == nil; n++ {
-						time.Sleep(workerSpacing)
-						_, err = c.Write([]byte(chunk(event(n))))
-					}
-					_, _ = c.Write([]byte(endOfChunks))
+					writeAnswer(c, q, nil)
 				})
 			}
-			dial, all, wait := pipeWorkers(workers...)
-			ctx, stop := context.WithCancel(t.Context())
-			f := newLearningFleet(ctx, t, learningOptions{instances: 30, learning: learning, slots: 8}, dial, all)
 			var slow, failed atomic.Int64
-			streams{rate: 150, until: 8 * time.Second, instance: func(n int) int { return n * 7 % 30 }, done: func(_ int, _ time.Time, err error, first time.Duration) {
+			load := streams{rate: 150, until: 8 * time.Second, instance: func(n int) int { return n * 7 % 30 }, done: func(_ int, _ time.Duration, err error, first time.Duration) {
 				if err != nil {
 					failed.Add(1)
 				} else if first > 300*time.Millisecond {
 					slow.Add(1)
 				}
-			}}.run(t, f)
-			stop()
-			f.wait.Wait()
-			wait.Wait()
+			}}
+			learningOptions{instances: 30, learning: learning, slots: 8}.play(t, load, workers, nil)
 			t.Logf("%d instances learn: %d requests fail, %d failed, %d late", learning, failing.Load(), failed.Load(), slow.Load())
 			late[learning] = slow.Load() + failed.Load() - failing.Load()
 		})
--- a/upstream/learn_test.go
+++ b/upstream/learn_test.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"context"
 	"fmt"
 	"math"
 	"net"
@@ -63,33 +62,15 @@
 					time.Sleep(r.silentUntil(i, time.Since(start)) - time.Since(start))
 				}
 			}
-			pause(workerFirstEvent)
-			_, err := c.Write([]byte(streamHead(q, "") + chunk(event(1))))
-			for n := 2; n <= workerEvents && err == nil; n++ {
-				pause(workerSpacing)
-				_, err = c.Write([]byte(chunk(event(n))))
-			}
-			_, _ = c.Write([]byte(endOfChunks))
+			writeAnswer(c, q, pause)
 		}
 	}
-	dial, workers, wait := pipeWorkers(scripts...)
-	ctx, stop := context.WithCancel(t.Context())
-	f := newLearningFleet(ctx, t, learningOptions{instances: r.instances, learning: r.learning, slots: 8}, dial, workers)
-	if r.observe != nil {
-		f.wait.Go(func() {
-			for ctx.Err() == nil {
-				time.Sleep(time.Second)
-				r.observe(f, time.Since(start))
-			}
-		})
-	}
 	var mu sync.Mutex
 	var sum time.Duration
-	streams{rate: r.rate, until: r.end, done: func(_ int, sentAt time.Time, err error, first time.Duration) {
+	load := streams{rate: r.rate, until: r.end, done: func(_ int, took time.Duration, err error, first time.Duration) {
 		mu.Lock()
 		defer mu.Unlock()
 		result.all++
-		took := time.Since(sentAt)
 		sum += took
 		switch {
 		case err != nil:
@@ -100,10 +81,12 @@
 		if took > slowAnswer {
 			result.slowest++
 		}
-	}}.run(t, f)
-	stop()
-	f.wait.Wait()
-	wait.Wait()
+	}}
+	learningOptions{instances: r.instances, learning: r.learning, slots: 8}.play(t, load, scripts, func(f *learningFleet) {
+		if r.observe != nil {
+			r.observe(f, time.Since(start))
+		}
+	})
 	result.meanTime = sum / time.Duration(result.all)
 	return result
 }
--- a/upstream/learning_fleet_test.go
+++ b/upstream/learning_fleet_test.go
@@ -21,9 +21,7 @@
 // learningFleet is a fleet of instances that share all workers and exchange digests.
 type learningFleet struct {
 	dispatchers []*Dispatcher
-	// cutOff returns whether an instance's traffic is lost at present.
-	cutOff func(instance int) bool
-	wait   sync.WaitGroup
+	wait        sync.WaitGroup
 }
 
 // learningOptions are the options of a learningFleet. Instances up to learning learn the
@@ -31,12 +29,11 @@
 type learningOptions struct {
 	instances, learning, slots int
 	log                        *zap.Logger
-	cutOff                     func(instance int) bool
 }
 
 // newLearningFleet starts instances that run until ctx ends.
 func newLearningFleet(ctx context.Context, t *testing.T, o learningOptions, dial func(context.Context, string, string) (net.Conn, error), workers []*scriptedWorker) *learningFleet {
-	f := &learningFleet{cutOff: o.cutOff}
+	f := &learningFleet{}
 	document := newForwarder(t, workers...).options.Document()
 	document.Preset, document.Presets = "ordinary", map[string]contract.Preset{"ordinary": {BatchShare: 1, AdmitOnline: true}}
 	for id, u := range document.Upstreams {
@@ -78,7 +75,7 @@
 	time.AfterFunc(digestDelay, func() {
 		for _, p := range peers {
 			j := int(p.Port())
-			if j != i && (f.cutOff == nil || !f.cutOff(i) && !f.cutOff(j)) {
+			if j != i {
 				f.dispatchers[j].observeProto(instanceName(i), message)
 			}
 		}
@@ -94,7 +91,7 @@
 	// leaveAfter is how long a caller waits for an event; 0 means until its deadline.
 	leaveAfter time.Duration
 	// done is called with the result of each request.
-	done func(instance int, sentAt time.Time, err error, firstEvent time.Duration)
+	done func(instance int, took time.Duration, err error, firstEvent time.Duration)
 }
 
 // run sends the requests and waits for them.
@@ -122,9 +119,47 @@
 			}}
 			err := f.dispatchers[i].Forward(ctx, call, sink)
 			if s.done != nil {
-				s.done(i, sentAt, err, time.Duration(first.Load()))
+				s.done(i, time.Since(sentAt), err, time.Duration(first.Load()))
 			}
 		})
 	}
 	callers.Wait()
 }
+
+// workerFirstEvent, workerSpacing and workerEvents are those of the deployments' upstreams.
+const workerFirstEvent, workerSpacing, workerEvents = 45 * time.Millisecond, 40 * time.Millisecond, 18
+
+// writeAnswer writes a whole answer. pause waits for the time until the next event, or
+// longer; nil means time.Sleep.
+func writeAnswer(c net.Conn, q *http.Request, pause func(time.Duration)) {
+	if pause == nil {
+		pause = time.Sleep
+	}
+	pause(workerFirstEvent)
+	_, err := c.Write([]byte(streamHead(q, "") + chunk(event(1))))
+	for n := 2; n <= workerEvents && err == nil; n++ {
+		pause(workerSpacing)
+		_, err = c.Write([]byte(chunk(event(n))))
+	}
+	_, _ = c.Write([]byte(endOfChunks))
+}
+
+// play sends the requests of s through a fleet that shares workers with the scripts. each
+// is called at each second, unless it is nil.
+func (o learningOptions) play(t *testing.T, s streams, scripts []script, each func(*learningFleet)) {
+	dial, workers, wait := pipeWorkers(scripts...)
+	ctx, stop := context.WithCancel(t.Context())
+	f := newLearningFleet(ctx, t, o, dial, workers)
+	if each != nil {
+		f.wait.Go(func() {
+			for ctx.Err() == nil {
+				time.Sleep(time.Second)
+				each(f)
+			}
+		})
+	}
+	s.run(t, f)
+	stop()
+	f.wait.Wait()
+	wait.Wait()
+}
