--- a/upstream/digest.go
+++ b/upstream/digest.go
@@ -11,6 +11,15 @@
 	Upstream string
 	Online   int
 	Batch    int
+	// Spacing is the mean time between events of the running answers, 0 if unknown or
+	// unless Options.LearnCapacity is set.
+	Spacing time.Duration
+}
+
+// equal reports whether two loads are the same apart from Spacing, which changes with
+// each event.
+func (l PeerLoad) equal(other PeerLoad) bool {
+	return l.Upstream == other.Upstream && l.Online == other.Online && l.Batch == other.Batch
 }
 
 // Digest is the current load of one instance on the upstreams that it uses. Upstreams
@@ -26,9 +35,16 @@
 	OnlineWaiting int
 	// OnlineLate counts those of them that can no longer be on time.
 	OnlineLate int
+<<<<<<< HEAD
 	// Accounts has the accounts with the most online requests in flight. It is empty
 	// unless online requests wait at any instance.
 	Accounts []AccountLoad
+=======
+	// Observations has the upstreams that this instance sees as not responding, and those
+	// that respond to it although a peer sees them so. Empty unless
+	// Options.LearnCapacity is set.
+	Observations []Observation
+>>>>>>> part-e
 
 	// unknownLoads has the loads of a peer on upstreams that this instance does not use. It
 	// may begin to use them.
@@ -63,7 +79,12 @@
 		return d
 	}
 	part := d
-	part.Loads = nil
+	part.Loads, part.Observations = nil, nil
+	for _, o := range d.Observations {
+		if uses(o.Upstream) {
+			part.Observations = append(part.Observations, o)
+		}
+	}
 	for _, l := range d.Loads {
 		if uses(l.Upstream) {
 			part.Loads = append(part.Loads, l)
@@ -75,7 +96,12 @@
 // equal reports whether two digests have the same content apart from Sequence.
 func (d Digest) equal(other Digest) bool {
 	return d.BatchWaiting == other.BatchWaiting && d.BatchLate == other.BatchLate &&
+<<<<<<< HEAD
 		d.OnlineWaiting == other.OnlineWaiting && d.OnlineLate == other.OnlineLate && slices.Equal(d.Loads, other.Loads) && slices.Equal(d.Accounts, other.Accounts)
+=======
+		d.OnlineWaiting == other.OnlineWaiting && d.OnlineLate == other.OnlineLate &&
+		slices.EqualFunc(d.Loads, other.Loads, PeerLoad.equal) && slices.Equal(d.Observations, other.Observations)
+>>>>>>> part-e
 }
 
 // peerLoad is the sum of what the other instances have in flight at one upstream.
@@ -128,9 +154,12 @@
 	}
 	for id, t := range s.fleet.targets {
 		if t.online+t.batch > 0 {
-			digest.Loads = append(digest.Loads, PeerLoad{id, t.online, t.batch})
+			digest.Loads = append(digest.Loads, PeerLoad{Upstream: id, Online: t.online, Batch: t.batch, Spacing: t.spacingForPeers(now)})
 		}
 	}
+	if s.watch != nil {
+		digest.Observations = s.watch.own
+	}
 	slices.SortFunc(digest.Loads, func(a, b PeerLoad) int { return strings.Compare(a.Upstream, b.Upstream) })
 	return digest
 }
@@ -151,6 +180,12 @@
 	// The fleet may have changed since the digest was decoded.
 	digest.resolve(s.fleet)
 	freed := s.replaceDigest(peer, &peerDigest{digest, now}, now)
+	if s.watch != nil {
+		s.learnFrom(digest, now)
+	}
+	if s.watch != nil && (len(digest.Observations) > 0 || before != nil && len(before.Observations) > 0) {
+		s.assessDoubts(now)
+	}
 	for _, load := range digest.Loads {
 		if t, ok := s.fleet.targets[load.Upstream]; ok && load.Online > 0 {
 			s.yield(t, now)
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -67,6 +67,19 @@
 	// a request last got a first token.
 	lastProbeAt      time.Time
 	lastFirstTokenAt time.Time
+
+	// failedAt is when an attempt last failed. lastEventAt is when the last event of an attempt that has ended arrived.
+	failedAt    time.Time
+	lastEventAt time.Time
+	// seen is this instance's evidence that the target does not respond, conclusion the
+	// doubt from all instances' reports.
+	seen       evidence
+	conclusion route.Doubt
+	// reportedAt is when any instance last reported the target, reportedOnset the time of
+	// the latest silence then reported. toldHeardAt is the time of the event of which
+	// peers were told.
+	reportedAt, reportedOnset, toldHeardAt time.Time
+	learned                                learned
 }
 
 // upstreamConfig is the document's entry for an upstream, with values derived from the
@@ -120,6 +133,7 @@
 	if r := t.report.Load(); r != nil {
 		c.Report = route.Report{Running: r.Running, Waiting: r.Waiting, Age: max(now.Sub(r.TakenAt), 0), Known: true}
 	}
+	t.learned.addTo(&c, t)
 	return c
 }
 
@@ -214,6 +228,13 @@
 	lastTokenNanos  atomic.Int64
 	gapNanos        atomic.Int64
 	tokens          atomic.Int64
+	// sentNanos is when the request for a stream was sent, 0 before. passing is set while
+	// an event is passed to the caller, passedNanos is when the last one was. All are
+	// set for attempts of routed services only.
+	sentNanos   atomic.Int64
+	passedNanos atomic.Int64
+	passing     atomic.Bool
+	steady      steadyGap
 }
 
 // gapShift gives a new gap a weight of 1/4 in the moving average.
@@ -223,6 +244,9 @@
 func (g *slot) recordToken(now time.Time) {
 	since := int64(max(now.Sub(g.startedAt), 1))
 	last := g.lastTokenNanos.Load()
+	if last > 0 {
+		g.steady.record(time.Duration(since - last))
+	}
 	switch gap := g.gapNanos.Load(); {
 	case last == 0:
 		g.firstTokenNanos.Store(since)
