--- a/cmd/daisylbd/hosted.go
+++ b/cmd/daisylbd/hosted.go
@@ -21,7 +21,6 @@
 // logFlushTimeout bounds the wait for buffered log lines to be written at exit.
 const logFlushTimeout = 200 * time.Millisecond
 
-<<<<<<< HEAD
 // limitCollector makes Go's collector work against growth beyond its part of the memory, unless
 // the environment sets a limit or the memory is not known.
 func limitCollector(memoryBytes int64) {
@@ -29,11 +28,10 @@
 		debug.SetMemoryLimit(budget.CollectorLimit(memoryBytes))
 	}
 }
-=======
+
 // learnCapacityVariable is the environment variable that is "1" if the instance is to
 // learn the capacity of upstreams.
 const learnCapacityVariable = "DAISYLB_LEARN_CAPACITY"
->>>>>>> part-e
 
 // runHosted runs an instance on the users' platform with the settings file at path
 // and returns the exit code.
--- a/upstream/digest.go
+++ b/upstream/digest.go
@@ -35,16 +35,13 @@
 	OnlineWaiting int
 	// OnlineLate counts those of them that can no longer be on time.
 	OnlineLate int
-<<<<<<< HEAD
 	// Accounts has the accounts with the most online requests in flight. It is empty
 	// unless online requests wait at any instance.
 	Accounts []AccountLoad
-=======
 	// Observations has the upstreams that this instance sees as not responding, and those
 	// that respond to it although a peer sees them so. Empty unless
 	// Options.LearnCapacity is set.
 	Observations []Observation
->>>>>>> part-e
 
 	// unknownLoads has the loads of a peer on upstreams that this instance does not use. It
 	// may begin to use them.
@@ -96,12 +93,8 @@
 // equal reports whether two digests have the same content apart from Sequence.
 func (d Digest) equal(other Digest) bool {
 	return d.BatchWaiting == other.BatchWaiting && d.BatchLate == other.BatchLate &&
-<<<<<<< HEAD
-		d.OnlineWaiting == other.OnlineWaiting && d.OnlineLate == other.OnlineLate && slices.Equal(d.Loads, other.Loads) && slices.Equal(d.Accounts, other.Accounts)
-=======
 		d.OnlineWaiting == other.OnlineWaiting && d.OnlineLate == other.OnlineLate &&
-		slices.EqualFunc(d.Loads, other.Loads, PeerLoad.equal) && slices.Equal(d.Observations, other.Observations)
->>>>>>> part-e
+		slices.EqualFunc(d.Loads, other.Loads, PeerLoad.equal) && slices.Equal(d.Observations, other.Observations) && slices.Equal(d.Accounts, other.Accounts)
 }
 
 // peerLoad is the sum of what the other instances have in flight at one upstream.
--- a/upstream/metrics.go
+++ b/upstream/metrics.go
@@ -71,11 +71,7 @@
 	if r == nil {
 		return m, nil
 	}
-<<<<<<< HEAD
-	for _, c := range []prometheus.Collector{m.attempts, m.preemptions, m.retries, m.hedges, m.ejections, m.migrations, m.exchangesSkipped, m.refusedEarly, m.overShare, m.firstToken, m.forwarded, m.forwardFirstEvent, m.forwardQueued} {
-=======
-	for _, c := range []prometheus.Collector{m.attempts, m.preemptions, m.retries, m.hedges, m.ejections, m.migrations, m.leftOut, m.slowUpstreams, m.exchangesSkipped, m.firstToken, m.forwarded, m.forwardFirstEvent, m.forwardQueued} {
->>>>>>> part-e
+	for _, c := range []prometheus.Collector{m.attempts, m.preemptions, m.retries, m.hedges, m.ejections, m.migrations, m.leftOut, m.slowUpstreams, m.exchangesSkipped, m.refusedEarly, m.overShare, m.firstToken, m.forwarded, m.forwardFirstEvent, m.forwardQueued} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -309,13 +309,10 @@
 // none. The caller holds the lock.
 func (s *scheduler) choose(r *request, now time.Time) *target {
 	v := &targetView{targets: r.pool.open, now: now, medianFirstToken: r.pool.medianFirstToken, isOnly: len(r.pool.open) == 1}
-<<<<<<< HEAD
 	if s.isOverShare(r) && !r.pool.hasHeadroom(now) {
 		return nil
 	}
-=======
 	v.leftOut = s.leftOut(r.pool, now)
->>>>>>> part-e
 	s.deferToPeers(v, r, now)
 	q := route.Query{
 		Class:    r.class,
