--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/daisylb/daisylb/budget"
+	"github.com/daisylb/daisylb/boottime"
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/entry"
@@ -360,7 +361,8 @@
 	if limit <= 0 {
 		return nil
 	}
-	if age, ok := i.documentFeed.Age(); !ok || age > limit {
+	// The clock also counts the time for which the machine was suspended.
+	if readAt, ok := i.documentFeed.ReadAt(); !ok || boottime.Now()-readAt > limit {
 		return code.New(code.NoConfiguration, "the list of accounts may be out of date").WithRetryAfter(staleKeysRetryAfter)
 	}
 	return nil
