--- a/upstream/exchange.go
+++ b/upstream/exchange.go
@@ -161,9 +161,18 @@
 	}
 	for _, l := range d.Loads {
 		digest.Loads = append(digest.Loads, &upstreampb.Load{
-			Upstream: hashUpstream(l.Upstream),
-			Online:   uint32(l.Online),
-			Batch:    uint32(l.Batch),
+			Upstream:  hashUpstream(l.Upstream),
+			Online:    uint32(l.Online),
+			Batch:     uint32(l.Batch),
+			SpacingUs: uint32(min(l.Spacing, maxPeerSpacing).Microseconds()),
+		})
+	}
+	now := time.Now()
+	for _, o := range d.Observations {
+		digest.Observations = append(digest.Observations, &upstreampb.Observation{
+			Upstream: hashUpstream(o.Upstream),
+			AgeMs:    uint32(min(max(now.Sub(o.At), 0), maxObservationAge).Milliseconds()),
+			Heard:    o.Heard,
 		})
 	}
 	for _, a := range d.Accounts {
@@ -172,6 +181,9 @@
 	return digest
 }
 
+// maxObservationAge is the age with which older observations are sent.
+const maxObservationAge = time.Minute
+
 // maxPeerCount limits each count in a peer's digest.
 const maxPeerCount = 1 << 16
 
@@ -195,6 +207,7 @@
 			Upstream: f.idsByHash[l.GetUpstream()],
 			Online:   int(min(l.GetOnline(), maxPeerCount)),
 			Batch:    int(min(l.GetBatch(), maxPeerCount)),
+			Spacing:  min(time.Duration(l.GetSpacingUs())*time.Microsecond, maxPeerSpacing),
 		}
 		switch {
 		case load.Upstream != "":
@@ -203,6 +216,13 @@
 			observed.unknownLoads = append(observed.unknownLoads, hashedLoad{l.GetUpstream(), load})
 		}
 	}
+	now := time.Now()
+	for _, o := range digest.GetObservations()[:min(len(digest.GetObservations()), maxObservations)] {
+		if id, ok := f.idsByHash[o.GetUpstream()]; ok {
+			age := time.Duration(o.GetAgeMs()) * time.Millisecond
+			observed.Observations = append(observed.Observations, Observation{id, now.Add(-age), o.GetHeard()})
+		}
+	}
 	d.ObserveDigest(peer, observed)
 }
 
--- a/upstream/metrics.go
+++ b/upstream/metrics.go
@@ -10,6 +10,8 @@
 	hedges            prometheus.Counter
 	ejections         prometheus.Counter
 	migrations        prometheus.Counter
+	leftOut           prometheus.Counter
+	slowUpstreams     prometheus.Gauge
 	exchangesSkipped  prometheus.Counter
 	refusedEarly      prometheus.Counter
 	overShare         prometheus.Gauge
@@ -35,6 +37,7 @@
 		hedges:           counter("hedges", "Second attempts beside a first one without a token."),
 		ejections:        counter("ejections", "Upstreams taken out of ordinary use for being slow or failing."),
 		exchangesSkipped: counter("exchanges_skipped", "Exchanges of load with peers left out because the budget of bytes was used up."),
+		leftOut:          counter("left_out", "Upstreams left out because instances reported that they do not respond."),
 		migrations:       counter("moves", "Streams taken off an ejected upstream and resumed elsewhere."),
 		refusedEarly:     counter("refused_early", "Waiting requests of accounts refused because they could not begin before their deadline."),
 		overShare: prometheus.NewGauge(prometheus.GaugeOpts{
@@ -47,6 +50,10 @@
 			Buckets: prometheus.ExponentialBuckets(0.001, 2, 14),
 		}),
 	}
+	m.slowUpstreams = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "daisylb_upstream_slow_upstreams",
+		Help: "Upstreams that are learned to be slower than usual for their service.",
+	})
 	m.forwarded = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "daisylb_upstream_forwarded_total",
 		Help: "Requests to routed services by class and result.",
@@ -64,7 +71,7 @@
 	if r == nil {
 		return m, nil
 	}
-	for _, c := range []prometheus.Collector{m.attempts, m.preemptions, m.retries, m.hedges, m.ejections, m.migrations, m.exchangesSkipped, m.refusedEarly, m.overShare, m.firstToken, m.forwarded, m.forwardFirstEvent, m.forwardQueued} {
+	for _, c := range []prometheus.Collector{m.attempts, m.preemptions, m.retries, m.hedges, m.ejections, m.migrations, m.leftOut, m.slowUpstreams, m.exchangesSkipped, m.refusedEarly, m.overShare, m.firstToken, m.forwarded, m.forwardFirstEvent, m.forwardQueued} {
 		if err := r.Register(c); err != nil {
 			return nil, err
 		}
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -94,6 +94,8 @@
 	leaving   leavingUpstreams
 	// turns is nil if peers exchange their load only at intervals.
 	turns *turns
+	// watch is nil unless the capacity of upstreams is learned.
+	watch *watch
 	// peerLoadsSummedAt is when the peer loads of the targets were last computed.
 	peerLoadsSummedAt time.Time
 	// sequence is that of the last digest. It starts at the current time, so that it is
@@ -142,6 +144,9 @@
 	}
 	now := time.Now()
 	s.recordFirstUse(old, now)
+	if s.watch != nil {
+		s.setCurves(f)
+	}
 	s.leaveUnusedTargets()
 	s.sumPeerLoads(now)
 	s.assess(now)
@@ -307,6 +312,7 @@
 	if s.isOverShare(r) && !r.pool.hasHeadroom(now) {
 		return nil
 	}
+	v.leftOut = s.leftOut(r.pool, now)
 	s.deferToPeers(v, r, now)
 	q := route.Query{
 		Class:    r.class,
@@ -324,7 +330,7 @@
 	if v.isOnly {
 		q.Exclude = 0
 	}
-	i := route.Choose(v, &q, s.random)
+	i := s.chooseWithinKnee(v, &q)
 	if i < 0 {
 		return nil
 	}
@@ -358,6 +364,7 @@
 	granted := &slot{target: t, pool: r.pool, class: r.class, long: r.long, dispatchOnce: r.dispatchOnce, expectedTokens: r.expectedTokens, batchWork: r.batchWork, startedAt: now}
 	granted.accountHash = r.accountHash
 	granted.load = t.knownLoad(now)
+	granted.steady.limit = s.learnLimit(r.pool)
 	granted.ctx, granted.cancel = context.WithCancelCause(ctx)
 	t.add(granted)
 	s.onLoadChange()
