Call the conclusion that an upstream does not respond a suspicion

It is the usual term for an unconfirmed failure, and package roster uses it. Names and comments only; go test ./route and the tests of the shared observations pass.

--- a/route/capacity_test.go
+++ b/route/capacity_test.go
@@ -18,7 +18,7 @@
 }
 
 func newSimulatedService(speed ...float64) *simulatedService {
-	s := &simulatedService{random: rand.New(rand.NewPCG(1, 2)), now: doubtStart, speed: speed}
+	s := &simulatedService{random: rand.New(rand.NewPCG(1, 2)), now: suspicionStart, speed: speed}
 	for range speed {
 		s.learned = append(s.learned, &Capacity{})
 		s.knee = append(s.knee, 100)
--- a/route/doubt.go
+++ b/route/suspicion.go
@@ -25,11 +25,11 @@
 	// probeStep is the time for which instances wait for the probe of the one before
 	// them in rendezvous order; digests arrive within a fraction of it.
 	probeStep = 50 * time.Millisecond
-	// doubtedShare is the inverse of the share of a service's upstreams that may be
-	// doubted. Faults of a tenth of the upstreams at once have been seen.
-	doubtedShare = 4
-	// minDoubtable is the number of upstreams from which one may be doubted.
-	minDoubtable = 3
+	// suspectedShare is the inverse of the share of a service's upstreams that may be
+	// suspected. Faults of a tenth of the upstreams at once have been seen.
+	suspectedShare = 4
+	// minSuspectable is the number of upstreams from which one may be suspected.
+	minSuspectable = 3
 )
 
 // SilenceLimit returns for how long an upstream may send nothing before an instance
@@ -42,25 +42,25 @@
 	return max(silenceFactor*median, minReportedSilence)
 }
 
-// MaxDoubted returns how many of n upstreams may be left out on reports at a time.
-func MaxDoubted(n int) int {
-	if n < minDoubtable {
+// MaxSuspected returns how many of n upstreams may be left out on reports at a time.
+func MaxSuspected(n int) int {
+	if n < minSuspectable {
 		return 0
 	}
-	return max(n/doubtedShare, 1)
+	return max(n/suspectedShare, 1)
 }
 
 // MayReport reports whether an instance may report upstreams as silent: named is the
 // number of silent ones among n, and heard that of others which have sent an event
 // since. An instance that is cut off or starved of processor time hears from few or none.
 func MayReport(named, heard, n int) bool {
-	return named <= heard && named <= MaxDoubted(n)
+	return named <= heard && named <= MaxSuspected(n)
 }
 
-// Doubt is an instance's conclusion from the reports that one upstream does not respond.
-// It is a value that the user of the package stores. The zero value is no doubt.
-type Doubt struct {
-	// Since is when the doubt began, UpheldAt when a report was last in force.
+// Suspicion is an instance's conclusion from the reports that one upstream does not respond.
+// It is a value that the user of the package stores. The zero value is no suspicion.
+type Suspicion struct {
+	// Since is when the suspicion began, UpheldAt when a report was last in force.
 	Since    time.Time
 	UpheldAt time.Time
 	// Onset is when the latest reported silence was noticed.
@@ -76,83 +76,83 @@
 	Own bool
 }
 
-// Observe returns the doubt at now. onsets has the time of each instance's report, and
+// Observe returns the suspicion at now. onsets has the time of each instance's report, and
 // heard is when any instance last received an event of the upstream. An event refutes
 // all reports before it.
-func (d Doubt) Observe(now time.Time, onsets []time.Time, heard time.Time) Doubt {
-	before := d.Reports
-	d.Reports = 0
+func (s Suspicion) Observe(now time.Time, onsets []time.Time, heard time.Time) Suspicion {
+	before := s.Reports
+	s.Reports = 0
 	for _, onset := range onsets {
 		if !onset.After(heard) {
 			continue
 		}
-		d.Reports++
-		if onset.After(d.Onset) {
-			d.Onset = onset
+		s.Reports++
+		if onset.After(s.Onset) {
+			s.Onset = onset
 		}
 	}
 	switch {
-	case d.Reports > 0:
-		if d.Since.IsZero() {
-			d.Since = now
+	case s.Reports > 0:
+		if s.Since.IsZero() {
+			s.Since = now
 		} else if before == 0 {
-			d.Renewals++
+			s.Renewals++
 		}
-		d.Confirmed = d.Confirmed || d.Reports > 1 || d.Renewals > 0
-		d.UpheldAt = now
-	case d.Since.IsZero() || heard.After(d.Onset) || now.Sub(d.UpheldAt) > d.hold()+probationTime:
-		return Doubt{}
+		s.Confirmed = s.Confirmed || s.Reports > 1 || s.Renewals > 0
+		s.UpheldAt = now
+	case s.Since.IsZero() || heard.After(s.Onset) || now.Sub(s.UpheldAt) > s.hold()+probationTime:
+		return Suspicion{}
 	}
-	return d
+	return s
 }
 
 // hold returns how long the upstream gets no request after the last report.
-func (d Doubt) hold() time.Duration { return time.Duration(min(d.Renewals, maxHolds)) * holdTime }
+func (s Suspicion) hold() time.Duration { return time.Duration(min(s.Renewals, maxHolds)) * holdTime }
 
-// Exists reports whether the upstream is doubted.
-func (d Doubt) Exists() bool { return !d.Since.IsZero() }
+// Exists reports whether the upstream is suspected.
+func (s Suspicion) Exists() bool { return !s.Since.IsZero() }
 
 // ProbedSince returns the time since which the upstream gets probes, or false while it
 // gets no request at all: while a confirmed report is in force, for a limited time on an
 // unconfirmed one, and during the hold time after the last report.
-func (d Doubt) ProbedSince(now time.Time) (time.Time, bool) {
+func (s Suspicion) ProbedSince(now time.Time) (time.Time, bool) {
 	switch {
-	case d.Reports == 0:
-		since := d.UpheldAt.Add(d.hold())
+	case s.Reports == 0:
+		since := s.UpheldAt.Add(s.hold())
 		return since, !now.Before(since)
-	case !d.Confirmed && now.Sub(d.Since) >= loneReportTime:
-		return d.Since.Add(loneReportTime), true
+	case !s.Confirmed && now.Sub(s.Since) >= loneReportTime:
+		return s.Since.Add(loneReportTime), true
 	}
 	return time.Time{}, false
 }
 
-// AdmitsProbe reports whether an instance may send a doubted upstream a request. rank is
+// AdmitsProbe reports whether an instance may send a suspected upstream a request. rank is
 // the instance's position in the rendezvous order of the upstream. inFlight is set while
 // an instance that has not reported the upstream has a request there, which is a probe.
-func (d Doubt) AdmitsProbe(now time.Time, rank int, inFlight bool) bool {
-	since, ok := d.ProbedSince(now)
+func (s Suspicion) AdmitsProbe(now time.Time, rank int, inFlight bool) bool {
+	since, ok := s.ProbedSince(now)
 	return ok && !inFlight && now.Sub(since) >= time.Duration(rank)*probeStep
 }
 
-// LimitDoubts sets all but the strongest MaxDoubted of the doubts about n upstreams to
-// the zero value. A doubt is the stronger the more reports it has, and then the older.
-func LimitDoubts(doubts []Doubt, n int) {
-	order := make([]int, 0, len(doubts))
-	for i := range doubts {
-		if doubts[i].Exists() {
+// LimitSuspicions sets all but the strongest MaxSuspected of the suspicions about n upstreams to
+// the zero value. A suspicion is the stronger the more reports it has, and then the older.
+func LimitSuspicions(suspicions []Suspicion, n int) {
+	order := make([]int, 0, len(suspicions))
+	for i := range suspicions {
+		if suspicions[i].Exists() {
 			order = append(order, i)
 		}
 	}
-	if len(order) <= MaxDoubted(n) {
+	if len(order) <= MaxSuspected(n) {
 		return
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
-		if x, y := doubts[a].Reports, doubts[b].Reports; x != y {
+		if x, y := suspicions[a].Reports, suspicions[b].Reports; x != y {
 			return y - x
 		}
-		return doubts[a].Since.Compare(doubts[b].Since)
+		return suspicions[a].Since.Compare(suspicions[b].Since)
 	})
-	for _, i := range order[MaxDoubted(n):] {
-		doubts[i] = Doubt{}
+	for _, i := range order[MaxSuspected(n):] {
+		suspicions[i] = Suspicion{}
 	}
 }
--- a/route/doubt_test.go
+++ b/route/suspicion_test.go
@@ -7,14 +7,14 @@
 	"pgregory.net/rapid"
 )
 
-var doubtStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+var suspicionStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func at(d time.Duration) time.Time { return doubtStart.Add(d) }
+func at(d time.Duration) time.Time { return suspicionStart.Add(d) }
 
 // TestLoneReportIsProbedByAnotherInstance guards against an upstream that one instance's
 // fault keeps from all others for as long as that instance reports it.
 func TestLoneReportIsProbedByAnotherInstance(t *testing.T) {
-	d := Doubt{}.Observe(at(0), []time.Time{at(0)}, time.Time{})
+	d := Suspicion{}.Observe(at(0), []time.Time{at(0)}, time.Time{})
 	if d.AdmitsProbe(at(time.Second), 0, false) {
 		t.Error("a fresh report is not followed")
 	}
@@ -24,7 +24,7 @@
 		t.Error("want one probe, of the first instance in the order")
 	}
 	if d = d.Observe(now, []time.Time{at(0)}, at(loneReportTime)); d.Exists() {
-		t.Errorf("%+v after an event, want no doubt", d)
+		t.Errorf("%+v after an event, want no suspicion", d)
 	}
 }
 
@@ -32,26 +32,26 @@
 // instances say that it is silent.
 func TestTwoReportsHoldUntilAnEvent(t *testing.T) {
 	reports := []time.Time{at(0), at(100 * time.Millisecond)}
-	d := Doubt{}
+	d := Suspicion{}
 	for i := range 100 {
 		now := at(time.Duration(i) * 100 * time.Millisecond)
 		d = d.Observe(now, reports, at(-time.Second))
 		if !d.Exists() || d.AdmitsProbe(now, 0, false) {
-			t.Fatalf("%v: %+v admits a request", now.Sub(doubtStart), d)
+			t.Fatalf("%v: %+v admits a request", now.Sub(suspicionStart), d)
 		}
 	}
 	if d = d.Observe(at(10*time.Second), reports, at(50*time.Millisecond)); d.Reports != 1 {
 		t.Errorf("%d reports after an event between them, want 1", d.Reports)
 	}
 	if d = d.Observe(at(10*time.Second), nil, at(9*time.Second)); d.Exists() {
-		t.Errorf("%+v after a later event, want no doubt", d)
+		t.Errorf("%+v after a later event, want no suspicion", d)
 	}
 }
 
-// TestDoubtWithoutReportsEnds guards against upstreams that stay left out, and against
+// TestSuspicionWithoutReportsEnds guards against upstreams that stay left out, and against
 // probes in quick succession at one that is still silent.
-func TestDoubtWithoutReportsEnds(t *testing.T) {
-	d := Doubt{}.Observe(at(0), []time.Time{at(0)}, time.Time{}).Observe(at(time.Second), nil, time.Time{})
+func TestSuspicionWithoutReportsEnds(t *testing.T) {
+	d := Suspicion{}.Observe(at(0), []time.Time{at(0)}, time.Time{}).Observe(at(time.Second), nil, time.Time{})
 	if !d.AdmitsProbe(at(time.Second), 0, false) {
 		t.Errorf("%+v admits no probe after the last report", d)
 	}
@@ -60,36 +60,36 @@
 		t.Errorf("%+v: want a probe %v after a failed one", again, holdTime)
 	}
 	if d = d.Observe(at(probationTime+time.Millisecond), nil, time.Time{}); d.Exists() {
-		t.Errorf("%+v, want no doubt %v after the last report", d, probationTime)
+		t.Errorf("%+v, want no suspicion %v after the last report", d, probationTime)
 	}
 }
 
-// TestFewUpstreamsAreDoubted guards against reports that take most upstreams out of use.
-func TestFewUpstreamsAreDoubted(t *testing.T) {
+// TestFewUpstreamsAreSuspected guards against reports that take most upstreams out of use.
+func TestFewUpstreamsAreSuspected(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(0, 80).Draw(t, "upstreams")
-		doubts := make([]Doubt, n)
+		suspicions := make([]Suspicion, n)
 		most := 0
-		for i := range doubts {
-			doubts[i].Reports = rapid.IntRange(0, 5).Draw(t, "reports")
-			if doubts[i].Reports > 0 {
-				doubts[i].Since = at(time.Duration(i))
-				most = max(most, doubts[i].Reports)
+		for i := range suspicions {
+			suspicions[i].Reports = rapid.IntRange(0, 5).Draw(t, "reports")
+			if suspicions[i].Reports > 0 {
+				suspicions[i].Since = at(time.Duration(i))
+				most = max(most, suspicions[i].Reports)
 			}
 		}
-		LimitDoubts(doubts, n)
+		LimitSuspicions(suspicions, n)
 		kept, strongest := 0, 0
-		for _, d := range doubts {
+		for _, d := range suspicions {
 			if d.Exists() {
 				kept++
 				strongest = max(strongest, d.Reports)
 			}
 		}
 		if kept > 0 && 3*kept > n {
-			t.Fatalf("%d of %d upstreams are doubted, want at most a third", kept, n)
+			t.Fatalf("%d of %d upstreams are suspected, want at most a third", kept, n)
 		}
 		if kept > 0 && strongest != most {
-			t.Fatalf("the strongest doubt has %d reports, want %d", strongest, most)
+			t.Fatalf("the strongest suspicion has %d reports, want %d", strongest, most)
 		}
 	})
 }
--- a/upstream/digest.go
+++ b/upstream/digest.go
@@ -177,7 +177,7 @@
 		s.learnFrom(digest, now)
 	}
 	if s.watch != nil && (len(digest.Observations) > 0 || before != nil && len(before.Observations) > 0) {
-		s.assessDoubts(now)
+		s.assessSuspicions(now)
 	}
 	for _, load := range digest.Loads {
 		if t, ok := s.fleet.targets[load.Upstream]; ok && load.Online > 0 {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -31,8 +31,8 @@
 	open []*target
 	// ejected has the ejected targets with the time of their ejection.
 	ejected map[*target]time.Time
-	// doubts has the targets that are reported as not responding.
-	doubts map[*target]route.Doubt
+	// suspicions has the targets that are reported as not responding.
+	suspicions map[*target]route.Suspicion
 	// curve is the learned effect of load on the times between events, capacities is
 	// reused by every update.
 	curve      route.LoadCurve
@@ -81,7 +81,7 @@
 		retryBudget:    retry.NewBudget(retryShare, retryReserve),
 		hedgeBudget:    route.NewHedgeBudget(),
 		ejected:        map[*target]time.Time{},
-		doubts:         map[*target]route.Doubt{},
+		suspicions:     map[*target]route.Suspicion{},
 		accountLengths: map[string]route.Length{},
 		running:        map[uint32]int{},
 	}
--- a/upstream/doubt.go
+++ b/upstream/suspicion.go
@@ -82,7 +82,7 @@
 		w.own = own
 		s.onLoadChange()
 	}
-	s.assessDoubts(now)
+	s.assessSuspicions(now)
 	s.learn(now)
 }
 
@@ -212,9 +212,9 @@
 	return heard
 }
 
-// assessDoubts determines, from the observations of this instance and of its peers, which
+// assessSuspicions determines, from the observations of this instance and of its peers, which
 // targets are left out. The caller holds the lock.
-func (s *scheduler) assessDoubts(now time.Time) {
+func (s *scheduler) assessSuspicions(now time.Time) {
 	onsets, heard := s.collectObservations(now)
 	for _, t := range s.fleet.targets {
 		if len(onsets[t]) == 0 && !t.conclusion.Exists() {
@@ -228,7 +228,7 @@
 	}
 	cleared := false
 	for _, p := range s.fleet.pools {
-		cleared = s.limitDoubts(p, now) || cleared
+		cleared = s.limitSuspicions(p, now) || cleared
 	}
 	if cleared {
 		s.serveQueues()
@@ -236,7 +236,7 @@
 }
 
 // collectObservations returns, for each target with reports, when the silences were
-// noticed and, for each that is reported or doubted, when any instance last received an
+// noticed and, for each that is reported or suspected, when any instance last received an
 // event of it.
 func (s *scheduler) collectObservations(now time.Time) (onsets map[*target][]time.Time, heard map[*target]time.Time) {
 	onsets, heard = map[*target][]time.Time{}, map[*target]time.Time{}
@@ -271,20 +271,20 @@
 	return onsets, heard
 }
 
-// limitDoubts sets which targets of a pool are left out, and reports whether one of them
+// limitSuspicions sets which targets of a pool are left out, and reports whether one of them
 // no longer is.
-func (s *scheduler) limitDoubts(p *pool, now time.Time) (cleared bool) {
-	if len(p.doubts) == 0 && !slices.ContainsFunc(p.targets, func(t *target) bool { return t.conclusion.Exists() }) {
+func (s *scheduler) limitSuspicions(p *pool, now time.Time) (cleared bool) {
+	if len(p.suspicions) == 0 && !slices.ContainsFunc(p.targets, func(t *target) bool { return t.conclusion.Exists() }) {
 		return false
 	}
-	doubts := make([]route.Doubt, len(p.targets))
+	suspicions := make([]route.Suspicion, len(p.targets))
 	for i, t := range p.targets {
-		doubts[i] = t.conclusion
+		suspicions[i] = t.conclusion
 	}
-	route.LimitDoubts(doubts, len(p.targets))
-	next := map[*target]route.Doubt{}
+	route.LimitSuspicions(suspicions, len(p.targets))
+	next := map[*target]route.Suspicion{}
 	for i, t := range p.targets {
-		d, before := doubts[i], p.doubts[t]
+		d, before := suspicions[i], p.suspicions[t]
 		if d.Exists() {
 			next[t] = d
 		}
@@ -298,14 +298,14 @@
 			cleared = true
 		}
 	}
-	p.doubts = next
+	p.suspicions = next
 	return cleared
 }
 
 // leavesOut reports whether a target gets no request because it is reported as not
 // responding.
 func (s *scheduler) leavesOut(p *pool, t *target, now time.Time) bool {
-	d, ok := p.doubts[t]
+	d, ok := p.suspicions[t]
 	if !ok {
 		return false
 	}
@@ -340,7 +340,7 @@
 // leftOut returns the targets of a pool's open ones that get no request now, or nil if
 // that would leave none.
 func (s *scheduler) leftOut(p *pool, now time.Time) map[*target]bool {
-	if len(p.doubts) == 0 {
+	if len(p.suspicions) == 0 {
 		return nil
 	}
 	out := map[*target]bool{}
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -72,9 +72,9 @@
 	failedAt    time.Time
 	lastEventAt time.Time
 	// seen is this instance's evidence that the target does not respond, conclusion the
-	// doubt from all instances' reports.
+	// suspicion from all instances' reports.
 	seen       evidence
-	conclusion route.Doubt
+	conclusion route.Suspicion
 	// reportedAt is when any instance last reported the target, reportedOnset the time of
 	// the latest silence then reported. toldHeardAt is the time of the event of which
 	// peers were told.
