Give one soak in three client accounts with request quotas

Cause: the soak did not know accounts and quotas, so no drawn fault of real processes met them.

Workers check the account's name and that no key arrives; the check "request quota" counts each sliding window, with a mutant. The settings of all daemons have a second port.

--- a/soak/caller.go
+++ b/soak/caller.go
@@ -170,6 +170,9 @@
 	}
 	request.Host = hostName
 	request.Header.Set("X-Request-Id", id)
+	if c.history.Accounts {
+		request.Header.Set("Authorization", authorization(id))
+	}
 	return request
 }
 
--- a/soak/check.go
+++ b/soak/check.go
@@ -51,6 +51,7 @@
 	"planned stop":      plannedStop,
 	"store's rates":     storeRates,
 	"quota":             quota,
+	"request quota":     requestQuota,
 	"turned away":       turnedAway,
 	"turned away again": turnedAwayAgain,
 	"stamps":            stamps,
@@ -383,7 +384,8 @@
 // quota finds times at which more tokens were queued than the route allows.
 func quota(h *History) (found []Violation) {
 	for _, w := range h.QueuedTokens {
-		if w.Tokens > quotaTokens {
+		// The quota of a route is that of each account.
+		if limit := int64(quotaTokens); w.Tokens > limit && !h.Accounts || w.Tokens > limit*accountCount {
 			found = append(found, Violation{Detail: fmt.Sprintf("%d tokens wait at %s", w.Tokens, w.RecordedAt.Format(time.TimeOnly))})
 		}
 	}
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -184,6 +185,7 @@
 	}
 	mutants := map[string][]func(*History){
 		"quota":             {func(h *History) { h.QueuedTokens[1].Tokens++ }},
+		"request quota":     {func(h *History) { addRunsOfAccount(h, 54) }},
 		"turned away":       {func(h *History) { h.Jobs["j"].Statuses[0] = 409 }, func(h *History) { h.Jobs["n"].Statuses[0] = 404 }},
 		"turned away again": {func(h *History) { addRefusalsOfAcceptedJob(h, maxTurnedAway) }},
 		"whole answers": {
@@ -349,3 +351,19 @@
 		t.Errorf("%d of 60 plans have planned work only, want 10 to 40", plannedOnly)
 	}
 }
+
+// addRunsOfAccount adds n requests of one account that are sent and run in one window of its
+// quota, which allows 53.
+func addRunsOfAccount(h *History, n int) {
+	h.Accounts = true
+	for id := 0; n > 0; id++ {
+		request := fmt.Sprintf("r10%d", id)
+		if accountOf(request) != "account-0" {
+			continue
+		}
+		n--
+		sentAt := after(time.Duration(n) * time.Millisecond)
+		h.Attempts = append(h.Attempts, Attempt{Request: request, SentAt: sentAt})
+		h.Runs = append(h.Runs, WorkerRun{Request: request, Worker: "w", Service: serviceName, StartedAt: sentAt.Add(time.Second)})
+	}
+}
--- a/soak/daemon.go
+++ b/soak/daemon.go
@@ -27,6 +27,8 @@
 	dir          string
 	storeAddress string
 	ports        ports
+	// accounts is set if client accounts have request quotas.
+	accounts bool
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -66,10 +68,14 @@
 		"readiness": fmt.Sprintf("%s:%d", i.ip, i.ports.readiness),
 		"directory": i.directoryAddress(),
 	}
+	bounds := map[string]any{"grace_s": gracePeriod.Seconds(), "drain_ms": drainBound.Milliseconds(), "ttl_max_s": 5, "status_s": status.Seconds()}
+	if i.accounts {
+		bounds["quota_window_s"], bounds["quota_overage"], bounds["quota_slack"] = quotaWindow.Seconds(), quotaOverage, quotaSlack
+	}
 	data, err := json.Marshal(map[string]any{
 		"node_name": i.name, "ip": i.ip, "zone": "z", "zones": map[string]string{"z": "r"}, "listen": listen,
-		"port_range": []int{i.ports.rangeStart, i.ports.rangeStart}, "heartbeat_ms": 1200, "limits": map[string]any{"memory_mb": 300},
-		"bounds": map[string]any{"grace_s": gracePeriod.Seconds(), "drain_ms": drainBound.Milliseconds(), "ttl_max_s": 5, "status_s": status.Seconds()},
+		"port_range": []int{i.ports.rangeStart, i.ports.rangeStart + 1}, "bootstrap": i.accounts, "heartbeat_ms": 1200, "limits": map[string]any{"memory_mb": 300},
+		"bounds": bounds,
 		"provider": map[string]any{"address": i.storeAddress, "writes_per_s": maxWritesPerSecond, "reads_per_s": maxReadsPerSecond,
 			"row_bytes": 65536, "blob_bytes": 8 << 20},
 	})
--- a/soak/document.go
+++ b/soak/document.go
@@ -112,6 +112,7 @@
 
 	mu            sync.Mutex
 	version       int
+	accounts      bool
 	changeService string
 	writes        int
 	idleLimit     time.Duration
@@ -177,9 +178,13 @@
 	o.version += 3
 	idleLimit := idleLimits[o.writes%len(idleLimits)]
 	o.writes++
-	value, err := json.Marshal(map[string]any{"version": o.version, "routes": shape.routes(),
+	document := map[string]any{"version": o.version, "routes": shape.routes(),
 		"services": []map[string]any{{"name": serviceName, "max_connections": 500}, {"name": otherServiceName, "max_connections": 500}},
-		"limits":   map[string]int64{"max_header_bytes": maxHeaderBytes, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": idleLimit.Milliseconds()}})
+		"limits":   map[string]int64{"max_header_bytes": maxHeaderBytes, "max_body_bytes": maxBodyBytes, "header_timeout_ms": 3000, "idle_timeout_ms": idleLimit.Milliseconds()}}
+	if o.accounts {
+		document["tenants"] = documentAccounts()
+	}
+	value, err := json.Marshal(document)
 	if err != nil {
 		return err
 	}
--- a/soak/history.go
+++ b/soak/history.go
@@ -180,7 +180,9 @@
 // History is what callers, workers and the store observed. Changes through
 // update are safe for concurrent use.
 type History struct {
-	mu           sync.Mutex
+	mu sync.Mutex
+	// Accounts is set if the deployment has client accounts.
+	Accounts     bool
 	Attempts     []Attempt
 	Runs         []WorkerRun
 	Jobs         map[string]*Job
--- a/soak/persistent.go
+++ b/soak/persistent.go
@@ -163,7 +163,7 @@
 // send writes a request, at times with a pause in its headers. It reports whether the
 // whole request was written and the connection was open until then.
 func (c *persistentCaller) send(a *Attempt) bool {
-	head, body := persistentHead(a), requestBody(a.Request)
+	head, body := persistentHead(a, c.history.Accounts), requestBody(a.Request)
 	if rand.IntN(3) == 0 {
 		first := minFirstPart + rand.IntN(len(head)-minFirstPart)
 		_, err := io.WriteString(c.conn, head[:first])
@@ -179,8 +179,8 @@
 }
 
 // persistentHead returns the request line and the headers. In one request of four they
-// are near the limit of the document.
-func persistentHead(a *Attempt) string {
+// are near the limit of the document. accounts adds the key of the request's account.
+func persistentHead(a *Attempt, accounts bool) string {
 	prefix, padding := retryPrefix, ""
 	if a.Once {
 		prefix = oncePrefix
@@ -192,6 +192,9 @@
 	for name, value := range promptHeaders(a.Request) {
 		_, _ = fmt.Fprintf(&prompt, "%s: %s\r\n", name, value)
 	}
+	if accounts {
+		_, _ = fmt.Fprintf(&prompt, "Authorization: %s\r\n", authorization(a.Request))
+	}
 	return fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n%sX-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n",
 		prefix, a.Request, hostName, a.Request, prompt.String(), callTimeout.Milliseconds(), padding, len(requestBody(a.Request)))
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -134,7 +134,8 @@
 		return fmt.Sprintf("127.%d.%d.%d", 10+pid%200, pid/200%250, s.options.Slot*slotAddresses+k+1)
 	}
 	s.store = newStore(s.history)
-	s.operator = &operator{rows: s.store.rows, history: s.history}
+	s.history.Accounts = hasAccounts(s.options.Seed)
+	s.operator = &operator{rows: s.store.rows, history: s.history, accounts: s.history.Accounts}
 	if err := s.operator.write(ctx, documentShape{}); err != nil {
 		return err
 	}
@@ -153,7 +154,7 @@
 		if err != nil {
 			return err
 		}
-		i := &instance{name: fmt.Sprintf("i%d", k), ip: ip(k), program: s.options.Program, dir: s.options.Dir, storeAddress: address, ports: free}
+		i := &instance{name: fmt.Sprintf("i%d", k), ip: ip(k), program: s.options.Program, dir: s.options.Dir, storeAddress: address, ports: free, accounts: s.history.Accounts}
 		link, err := newProxy(ip(linkIP), i.callerAddress())
 		if err != nil {
 			return err
--- a/soak/worker.go
+++ b/soak/worker.go
@@ -111,7 +111,7 @@
 	defer func() { <-w.slots }()
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	unchanged := r.Method == http.MethodPost && string(body) == requestBody(request) && hasPromptHeaders(r.Header, request) &&
-		strings.HasSuffix(r.URL.Path, "/"+request) && r.Host == hostName
+		strings.HasSuffix(r.URL.Path, "/"+request) && r.Host == hostName && (!w.history.Accounts || hasAccount(r.Header, request))
 	index := 0
 	w.history.update(func() {
 		index = len(w.history.Runs)
