Use one function for ranks by rendezvous hashing

Package quota had a copy of the finalizer of package route, which is exported now. No change of the results; go test ./route ./quota passes.

--- a/quota/ring.go
+++ b/quota/ring.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/daisylb/daisylb/roster"
+	"github.com/daisylb/daisylb/route"
 )
 
 const (
@@ -103,7 +104,7 @@
 	key := xxhash.Sum64String(account) + uint64(share)*shareStep
 	best, bestRank := -1, uint64(0)
 	for i := range members {
-		if rank := mix64(members[i].hash ^ key); best < 0 || rank > bestRank || rank == bestRank && members[i].name < members[best].name {
+		if rank := route.Mix64(members[i].hash ^ key); best < 0 || rank > bestRank || rank == bestRank && members[i].name < members[best].name {
 			best, bestRank = i, rank
 		}
 	}
@@ -116,15 +117,6 @@
 // shareStep separates the keys of an account's shares.
 const shareStep = 0x9e3779b97f4a7c15
 
-// mix64 is the finalizer of SplitMix64.
-func mix64(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
 // sameOwners reports whether two rings have the same possible owners.
 func (r *Ring) sameOwners(other *Ring) bool {
 	if len(r.possible) != len(other.possible) {
--- a/route/choose.go
+++ b/route/choose.go
@@ -159,7 +159,7 @@
 func preferAffinity(v View, q *Query, best int, cost time.Duration) int {
 	preferred, preferredRank := -1, uint64(0)
 	for i := range v.Len() {
-		if rank := mix64(v.Key(i) ^ q.Affinity); preferred < 0 || rank > preferredRank {
+		if rank := Mix64(v.Key(i) ^ q.Affinity); preferred < 0 || rank > preferredRank {
 			preferred, preferredRank = i, rank
 		}
 	}
@@ -173,8 +173,9 @@
 	return best
 }
 
-// mix64 is the finalizer of SplitMix64.
-func mix64(x uint64) uint64 {
+// Mix64 mixes the bits of a hash, for ranks by rendezvous hashing. It is the finalizer of
+// SplitMix64.
+func Mix64(x uint64) uint64 {
 	x ^= x >> 30
 	x *= 0xbf58476d1ce4e5b9
 	x ^= x >> 27
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -310,7 +310,7 @@
 func TestPrefixGoesToOneUpstreamUntilThatIsLoaded(t *testing.T) {
 	v := make(fixedView, 10)
 	for i := range v {
-		v[i] = Candidate{Key: mix64(uint64(i + 1)), Slots: 16, Limit: 16, FirstToken: time.Millisecond}
+		v[i] = Candidate{Key: Mix64(uint64(i + 1)), Slots: 16, Limit: 16, FirstToken: time.Millisecond}
 	}
 	random := rand.New(rand.NewPCG(1, 1))
 	q := &Query{Affinity: 42}
@@ -330,7 +330,7 @@
 	for _, n := range []int{10, 32, 100, 1700} {
 		v := make(fixedView, n)
 		for i := range v {
-			v[i] = Candidate{Key: mix64(uint64(i + 1)), Slots: 16, Limit: 16, Online: i % 8, FirstToken: 10 * time.Millisecond, Report: Report{Running: 9, Age: time.Second, Known: true}}
+			v[i] = Candidate{Key: Mix64(uint64(i + 1)), Slots: 16, Limit: 16, Online: i % 8, FirstToken: 10 * time.Millisecond, Report: Report{Running: 9, Age: time.Second, Known: true}}
 		}
 		for name, affinity := range map[string]uint64{"plain": 0, "prefix": 42} {
 			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
--- a/route/subset.go
+++ b/route/subset.go
@@ -20,7 +20,7 @@
 	}
 	list := make([]ranked, len(ids))
 	for i, id := range ids {
-		list[i] = ranked{mix64(xxhash.Sum64String(instanceID) ^ xxhash.Sum64String(id)), id}
+		list[i] = ranked{Mix64(xxhash.Sum64String(instanceID) ^ xxhash.Sum64String(id)), id}
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.id, b.id))
--- a/route/turn.go
+++ b/route/turn.go
@@ -43,7 +43,7 @@
 
 // precedes reports whether instance a comes before instance b at an upstream.
 func precedes(upstream, a, b uint64) bool {
-	x, y := mix64(upstream^a), mix64(upstream^b)
+	x, y := Mix64(upstream^a), Mix64(upstream^b)
 	return x > y || x == y && a > b
 }
 
