Review case 8: a worker that has left gets requests for another 2 s

Shows that machines in touch send new requests to a worker whose entry was removed over drain_ms before (DRAIN): after a silence of the connections to the store each machine keeps missing workers for 2 s from the return of its own feed on.

--- a/review/_standins2/main.go
+++ b/review/_standins2/main.go
@@ -10,7 +10,7 @@
 // cases are the scripts by the number of their folder. Each reports whether the rule was
 // broken.
 var cases = map[string]func(*world) (bool, error){
-	"config": caseConfig, "overdue": caseOverdue,
+	"config": caseConfig, "overdue": caseOverdue, "drain": caseDrain,
 }
 
 // main plays the case of its first argument and writes record.txt into the folder of its
