--- a/review/_standins2/case_crash.go
+++ b/review/_standins2/case_crash.go
@@ -86,6 +86,8 @@
 	stop    chan struct{}
 	// ran is when the process began to run a request last, in Unix nanoseconds.
 	ran atomic.Int64
+	// ended is when it finished a request last or was killed.
+	ended atomic.Int64
 }
 
 func (w *world) startWorkerProcess(n, slots int, chunked bool, first, interval time.Duration) (*process, error) {
@@ -110,6 +112,9 @@
 			if strings.HasPrefix(lines.Text(), "runs ") {
 				p.ran.Store(time.Now().UnixNano())
 			}
+			if strings.HasPrefix(lines.Text(), "finished ") {
+				p.ended.Store(time.Now().UnixNano())
+			}
 		}
 	}()
 	w.logf("worker %s: process %d at %s", p.id, p.command.Process.Pid, p.addr)
@@ -137,6 +142,7 @@
 	close(p.stop)
 	_ = p.command.Process.Kill()
 	_ = p.command.Wait()
+	p.ended.Store(time.Now().UnixNano())
 	p.w.logf("worker %s: killed", p.id)
 	time.AfterFunc(3*heartbeat, func() {
 		_, _ = p.w.rows.ApplyRows(context.Background(), storage.RowTransaction{Removes: []storage.RowKey{{Table: "servers", Key: p.id}}})
@@ -150,7 +156,7 @@
 	const prefix, events = "/pule252/", 50
 	w.configure(3, batchRoute("r-2", prefix, 2400000))
 	var workers []*process
-	for n := range 2 {
+	for n := range 6 {
 		p, err := w.startWorkerProcess(n+1, 4, false, 50*time.Millisecond, 20*time.Millisecond)
 		if err != nil {
 			return false, err
@@ -161,7 +167,7 @@
 	if err := w.startUp(2, 0, workerShape{}); err != nil {
 		return false, err
 	}
-	j := newJob(prefix, 20, events)
+	j := newJob(prefix, 60, events)
 	if !w.submit(w.instances[0], prefix, j) {
 		return false, errUnplayable
 	}
--- a/review/_standins2/case_flap.go
+++ b/review/_standins2/case_flap.go
@@ -10,52 +10,76 @@
 	flapPeriod = 1400 * time.Millisecond
 	flapTime   = 6800 * time.Millisecond
 	flaps      = 3
+	// flapPause is between the last crash and the start after which the worker stays up.
+	flapPause = 50 * time.Millisecond
 )
 
-// caseFlap lets the only worker of a service go down and up for a while and then stay up. A job
-// that was accepted at the beginning must be listed when the time to finish is over, since the
-// worker is sound and has nothing to do.
+// caseFlap lets one of seven workers go down and up for a while and then stay up. Long items of
+// an earlier job fill the six others, so that a second job is tried at that worker only. When the
+// time to finish is over, its items must be listed, since all workers are sound and have nothing
+// to do.
 func caseFlap(w *world) (bool, error) {
-	const prefix = "/pule252/"
+	const prefix, sound, slots = "/pule252/", 6, 4
 	w.configure(3, batchRoute("r-2", prefix, 2400000))
-	started := 0
-	start := func() (*process, error) {
-		started++
-		return w.startWorkerProcess(started, 8, true, 900*time.Millisecond, 50*time.Millisecond)
+	var running []*process
+	defer func() {
+		for _, p := range running {
+			_ = p.command.Process.Kill()
+		}
+	}()
+	start := func(first, interval time.Duration) (*process, error) {
+		p, err := w.startWorkerProcess(len(running)+1, slots, true, first, interval)
+		if err == nil {
+			running = append(running, p)
+		}
+		return p, err
 	}
-	p, err := start()
-	if err != nil {
-		return false, err
+	for range sound {
+		if _, err := start(100*time.Millisecond, 80*time.Millisecond); err != nil {
+			return false, err
+		}
 	}
-	defer func() { _ = p.command.Process.Kill() }()
 	if err := w.startUp(2, 0, workerShape{}); err != nil {
 		return false, err
 	}
-	j := newJob(prefix, 4, 20)
+	// 24 items of 22.5 s, with a first part of their own.
+	if !w.submit(w.instances[0], prefix, newJobOf("5d07b8", prefix, sound*slots, 280)) {
+		return false, errUnplayable
+	}
+	time.Sleep(time.Second)
+	p, err := start(900*time.Millisecond, 50*time.Millisecond)
+	if err != nil {
+		return false, err
+	}
+	j := newJob(prefix, slots, 20)
 	if !w.submit(w.instances[0], prefix, j) {
 		return false, errUnplayable
 	}
-	acceptedAt := time.Now()
+	begunAt := time.Now()
 	reader := w.newReader(j)
 	var reading sync.WaitGroup
 	stop := make(chan struct{})
 	reading.Go(func() { reader.run(stop) })
-	lastRun := p
 	if w.trouble {
-		for end := acceptedAt.Add(flaps * flapTime); time.Now().Before(end); {
-			time.Sleep(flapPeriod / 2)
+		for n := time.Duration(0); ; n++ {
+			time.Sleep(time.Until(begunAt.Add(n*flapPeriod + flapPeriod/2)))
 			p.crash()
-			time.Sleep(flapPeriod / 2)
-			if p.ran.Load() > 0 {
-				lastRun = p
+			up := (n + 1) * flapPeriod
+			last := up > flaps*flapTime
+			if last {
+				up = n*flapPeriod + flapPeriod/2 + flapPause
 			}
-			if p, err = start(); err != nil {
+			time.Sleep(time.Until(begunAt.Add(up)))
+			if p, err = start(900*time.Millisecond, 50*time.Millisecond); err != nil {
 				return false, err
 			}
+			if last {
+				break
+			}
 		}
-		w.logf("the worker stays up from now on")
+		w.logf("the worker stays up from now on, %.3f s after the first start", time.Since(begunAt).Seconds())
 	}
-	time.Sleep(time.Until(acceptedAt.Add(flaps*flapTime + 4*time.Second)))
+	time.Sleep(time.Until(begunAt.Add(flaps*flapTime + 5*time.Second)))
 	endAt := time.Now()
 	w.logf("traffic has ended, %d of %d results are read", reader.count(), len(j.items))
 	time.Sleep(time.Until(endAt.Add(finishTime)))
@@ -63,9 +87,12 @@
 	reading.Wait()
 	reader.readAll()
 	missing := len(j.items) - reader.count()
-	last := max(lastRun.ran.Load(), p.ran.Load())
+	var last int64
+	for _, p := range running {
+		last = max(last, p.ran.Load(), p.ended.Load())
+	}
 	idle := time.Since(time.Unix(0, last))
-	w.logf("%d of %d items are not listed; the last run of one began %.3f s ago", missing, len(j.items), idle.Seconds())
+	w.logf("%d of %d items are not listed; the workers began, ended or lost their last run %.3f s ago", missing, len(j.items), idle.Seconds())
 	// An item that failed at a worker in the last 20 s does not count.
-	return missing > 0 && idle > 20*time.Second+flapPeriod/2, nil
+	return missing > 0 && idle > 20*time.Second, nil
 }
--- a/review/_standins2/world.go
+++ b/review/_standins2/world.go
@@ -304,14 +304,17 @@
 }
 
 // newJob returns a job of items with so many events each.
-func newJob(prefix string, items, events int) *job {
+func newJob(prefix string, items, events int) *job { return newJobOf("9c2e41", prefix, items, events) }
+
+// newJobOf returns such a job whose items share a first part of their prompts.
+func newJobOf(part, prefix string, items, events int) *job {
 	j := &job{id: newID()}
 	var list []map[string]any
 	for range items {
 		id := newID()
 		j.items = append(j.items, id)
 		list = append(list, map[string]any{"id": id, "path": prefix + id[:6] + "/" + fmt.Sprint(events), "headers": map[string]string{"X-Model": "m",
-			"X-Token-Count": fmt.Sprintf("350,%d", events), "X-Prompt-Prefix": fmt.Sprintf("9c2e41:100,%s:250", id[:8])}, "body": []byte("item " + id), "tokens": 350 + events})
+			"X-Token-Count": fmt.Sprintf("350,%d", events), "X-Prompt-Prefix": fmt.Sprintf("%s:100,%s:250", part, id[:8])}, "body": []byte("item " + id), "tokens": 350 + events})
 	}
 	j.body, _ = json.Marshal(map[string]any{"requests": list})
 	return j
