--- a/review/_standins2/case_flap.go
+++ b/review/_standins2/case_flap.go
@@ -14,12 +14,12 @@
 	flapPause = 50 * time.Millisecond
 )
 
-// caseFlap lets one of seven workers go down and up for a while and then stay up. Long items of
-// an earlier job fill the six others, so that a second job is tried at that worker only. When the
+// caseFlap lets one of nine workers go down and up for a while and then stay up. Long items of
+// an earlier job fill the eight others, so that a second job is tried at that worker only. When the
 // time to finish is over, its items must be listed, since all workers are sound and have nothing
 // to do.
 func caseFlap(w *world) (bool, error) {
-	const prefix, sound, slots = "/pule252/", 6, 4
+	const prefix, sound, slots = "/pule252/", 8, 4
 	w.configure(3, batchRoute("r-2", prefix, 2400000))
 	var running []*process
 	defer func() {
@@ -42,7 +42,7 @@
 	if err := w.startUp(2, 0, workerShape{}); err != nil {
 		return false, err
 	}
-	// 24 items of 22.5 s, with a first part of their own.
+	// 32 items of 22.5 s, with a first part of their own.
 	if !w.submit(w.instances[0], prefix, newJobOf("5d07b8", prefix, sound*slots, 280)) {
 		return false, errUnplayable
 	}
