Judge TestSlowestIsGivenUp by a clock that stands still

The test gave its ordinary caller 1 ms and 500 bytes of progress and then measured the progress of all callers by the real clock.

The callers, the charges and the checks are the same as before; they now run in a bubble of testing/synctest, in which no time passes between opening a caller and its charge.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -41,23 +42,26 @@
 // TestSlowestIsGivenUp guards against refusals of callers that make progress while others hold
 // bytes without any.
 func TestSlowestIsGivenUp(t *testing.T) {
-	b := New(Limits{Bytes: 4 << 20})
-	slow := open(b, 10*time.Second, 1<<20)
-	quick := open(b, 100*time.Millisecond, 1<<20)
-	due := open(b, 20*time.Second, 10)
-	due.due = true
-	for _, c := range []*fakeCaller{slow, quick, due} {
-		if err := c.holder.Take(1 << 20); err != nil {
-			t.Fatal(err)
+	// The progress of the callers depends on the clock, which stands still in the bubble.
+	synctest.Test(t, func(t *testing.T) {
+		b := New(Limits{Bytes: 4 << 20})
+		slow := open(b, 10*time.Second, 1<<20)
+		quick := open(b, 100*time.Millisecond, 1<<20)
+		due := open(b, 20*time.Second, 10)
+		due.due = true
+		for _, c := range []*fakeCaller{slow, quick, due} {
+			if err := c.holder.Take(1 << 20); err != nil {
+				t.Fatal(err)
+			}
 		}
-	}
-	ordinary := open(b, time.Millisecond, 500)
-	if err := ordinary.holder.Take(1 << 20); err != nil {
-		t.Errorf("an ordinary caller was refused: %v", err)
-	}
-	if !slow.givenUp || quick.givenUp || due.givenUp {
-		t.Errorf("given up: slow %v, quick %v, due %v, want the slow one only", slow.givenUp, quick.givenUp, due.givenUp)
-	}
+		ordinary := open(b, time.Millisecond, 500)
+		if err := ordinary.holder.Take(1 << 20); err != nil {
+			t.Errorf("an ordinary caller was refused: %v", err)
+		}
+		if !slow.givenUp || quick.givenUp || due.givenUp {
+			t.Errorf("given up: slow %v, quick %v, due %v, want the slow one only", slow.givenUp, quick.givenUp, due.givenUp)
+		}
+	})
 }
 
 // TestOrderOfCallers guards against ordinary callers that are given up before those that have
