Give relayed answers in the random histories of jobs their length

The stand-in of a peer returned the answer of an httptest.ResponseRecorder, which has neither a length nor chunks. Since package link takes such an answer for one that was cut off, so every relayed call of the histories failed.

The stand-in now sets the length, as a server does.

--- a/job/history_machine_test.go
+++ b/job/history_machine_test.go
@@ -145,7 +145,15 @@
 	}) {
 		return nil, errors.New("the peer's answer was lost")
 	}
-	return recorder.Result(), nil
+	return answerOf(recorder), nil
+}
+
+// answerOf returns a recorded answer with its length, without which package link takes it for
+// one that was cut off.
+func answerOf(r *httptest.ResponseRecorder) *http.Response {
+	answer := r.Result()
+	answer.ContentLength = int64(r.Body.Len())
+	return answer
 }
 
 // end ends the process, after a hand-over if that is planned.
