Test processes against jobs and crowds at the ports beside the callers'

Clients that keep to no rules can still end a process: by submissions whose decoded form is many times their size, by jobs inside all limits that are accepted and held whole, by these jobs after a restart or a takeover, and by heads at the ports for endpoint queries and readiness checks. Nothing checked that.

They check that it lives, its memory and descriptors, that an ordinary request, an endpoint query and a readiness check are answered, and that accepted jobs and an ordinary one are complete once their items may end. Every crowd at the callers' port is now also checked for the other two answers.

--- a/scenario/hostile/crowd_test.go
+++ b/scenario/hostile/crowd_test.go
@@ -35,6 +35,12 @@
 // they have sent all or were closed, and for settleTime after that. The client with number i
 // is kinds[i%len(kinds)].
 func (p *process) bring(n int, kinds ...client) {
+	p.t.Helper()
+	p.bringTo(p.address, n, kinds...)
+}
+
+// bringTo is like bring for the listener at an address.
+func (p *process) bringTo(address string, n int, kinds ...client) {
 	p.t.Helper()
 	var group sync.WaitGroup
 	var mu sync.Mutex
@@ -46,7 +52,7 @@
 	})
 	for i := range n {
 		group.Go(func() {
-			conn, err := net.Dial("tcp4", p.address)
+			conn, err := net.Dial("tcp4", address)
 			if err != nil {
 				return
 			}
@@ -76,6 +82,8 @@
 func (p *process) check() {
 	p.t.Helper()
 	p.wantOrdinaryAnswer()
+	p.wantReady()
+	p.wantEndpoints()
 	p.sample()
 	p.wantWithinLimits()
 }
--- a/scenario/hostile/process_test.go
+++ b/scenario/hostile/process_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -16,100 +15,95 @@
 	"time"
 
 	"github.com/daisylb/daisylb/platform"
-	standin "github.com/daisylb/daisylb/standin/platform"
-	"github.com/daisylb/daisylb/storage"
-	"github.com/daisylb/daisylb/storage/memory"
 )
 
-// instanceIP is the loopback address of the process. No other test uses it, since the port
-// of the metrics is fixed.
-const instanceIP = "127.0.9.1"
+// firstIP is the loopback address of the first process of a test; the others follow. No other
+// test uses them, since the port of the metrics is fixed.
+const firstIP = "127.0.9.1"
 
-// limits are the limits of the process in one test.
+// limits are the limits of the processes in one test.
 type limits struct {
 	memoryMB       int64
 	maxDescriptors int
 	maxBodyBytes   int
 }
 
-// process is a daisylbd process on loopback addresses, with a store and an upstream in the
-// process of the test.
+// process is a daisylbd process on loopback addresses.
 type process struct {
-	t       *testing.T
-	limits  limits
-	address string
-	pid     int
+	t      *testing.T
+	world  *world
+	limits limits
+	// ip is the address of the machine. address is that for callers, the others those for
+	// endpoint queries and readiness checks.
+	ip, address, directory, readiness string
+	// settings is the path of the settings file.
+	settings string
+	cmd      *exec.Cmd
+	pid      int
 	// exited is closed when the process has ended.
 	exited chan struct{}
 	// mostDescriptors is the largest number of open descriptors that was seen.
 	mostDescriptors int
 }
 
-// document has a route for ordinary requests and for streams, with the limits of
-// docs/HARD-LOAD.md but for the bodies.
-const document = `{"version":3,"limits":{"max_header_bytes":16384,"max_body_bytes":%d,"header_timeout_ms":3000,"idle_timeout_ms":60000},"routes":[
- {"name":"r","hostname":"h","path_prefix":"/a/","kind":"safe","timeout_ms":60000,"target_latency_ms":60000,"max_attempts":1,"service":"s"},
- {"name":"e","hostname":"h","path_prefix":"/e/","kind":"streaming","timeout_ms":60000,"target_latency_ms":60000,"max_attempts":1,"service":"s"}]}`
-
-// start builds and runs a process and waits until it answers an ordinary request.
+// start builds and runs a process with a store and upstreams of its own, and waits until it
+// answers an ordinary request.
 func start(t *testing.T, l limits) *process {
 	t.Helper()
-	dir := t.TempDir()
-	program := filepath.Join(dir, "daisylbd")
-	if out, err := exec.Command("go", "build", "-o", program, "github.com/daisylb/daisylb/cmd/daisylbd").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v, %s", err, out)
-	}
-	rows := memory.NewRows()
-	store := httptest.NewServer(standin.NewRows(rows))
-	upstream := httptest.NewServer(http.HandlerFunc(serveUpstream))
-	t.Cleanup(func() {
-		store.CloseClientConnections()
-		store.Close()
-		upstream.CloseClientConnections()
-		upstream.Close()
-	})
-	put(t, rows, platform.OperatorTable, platform.DocumentKey, fmt.Sprintf(document, l.maxBodyBytes))
-	put(t, rows, platform.WorkerTable, "i-1", fmt.Sprintf(`{"service":"s","address":%q,"zone":"z","slots":1000,"state":"ready","born":1}`,
-		strings.TrimPrefix(upstream.URL, "http://")))
-	p := &process{t: t, limits: l, address: freeAddress(t), exited: make(chan struct{})}
-	path := filepath.Join(dir, "settings.json")
-	if err := os.WriteFile(path, p.settings(strings.TrimPrefix(store.URL, "http://")), 0o600); err != nil {
-		t.Fatal(err)
+	return newWorld(t, l.maxBodyBytes).start(firstIP, l)
+}
+
+// start runs a process on a machine and waits until it answers an ordinary request.
+func (w *world) start(ip string, l limits) *process {
+	w.t.Helper()
+	p := &process{t: w.t, world: w, limits: l, ip: ip, settings: filepath.Join(w.t.TempDir(), "settings.json")}
+	p.address, p.directory, p.readiness = p.freeAddress(), p.freeAddress(), p.freeAddress()
+	if err := os.WriteFile(p.settings, p.settingsText(), 0o600); err != nil {
+		w.t.Fatal(err)
 	}
-	log, err := os.Create(filepath.Join(dir, "log"))
+	p.run()
+	w.t.Cleanup(p.kill)
+	return p
+}
+
+// run starts the process and waits until it answers an ordinary request.
+func (p *process) run() {
+	p.t.Helper()
+	log, err := os.Create(p.settings + ".log")
 	if err != nil {
-		t.Fatal(err)
+		p.t.Fatal(err)
 	}
-	cmd := exec.Command(program)
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
+	cmd := exec.Command(p.world.program)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
+		p.t.Fatal(err)
 	}
-	p.pid = cmd.Process.Pid
-	go func() { _ = cmd.Wait(); close(p.exited) }()
-	t.Cleanup(func() {
-		_ = cmd.Process.Kill()
-		<-p.exited
-		_ = log.Close()
-	})
+	exited := make(chan struct{})
+	p.cmd, p.pid, p.exited = cmd, cmd.Process.Pid, exited
+	go func() { _ = cmd.Wait(); _ = log.Close(); close(exited) }()
 	p.wantOrdinaryAnswer()
-	return p
 }
 
-// settings returns the text of the settings file.
-func (p *process) settings(store string) []byte {
+// kill ends the process without notice.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+}
+
+// settingsText returns the text of the settings file.
+func (p *process) settingsText() []byte {
 	p.t.Helper()
-	_, port, _ := net.SplitHostPort(freeAddress(p.t))
+	_, port, _ := net.SplitHostPort(p.freeAddress())
 	first, _ := strconv.Atoi(port)
 	text, err := json.Marshal(map[string]any{
-		"node_name": "m", "ip": instanceIP, "zone": "z", "zones": map[string]string{"z": "r"},
-		"listen":       map[string]string{"front": p.address, "readiness": freeAddress(p.t), "directory": freeAddress(p.t)},
+		"node_name": "m-" + p.ip, "ip": p.ip, "zone": "z", "zones": map[string]string{"z": "r"},
+		"listen":       map[string]string{"front": p.address, "readiness": p.readiness, "directory": p.directory},
 		"port_range":   []int{first, first},
 		"heartbeat_ms": 500,
 		"limits":       map[string]any{"memory_mb": p.limits.memoryMB, "max_fds": p.limits.maxDescriptors},
-		"bounds":       map[string]any{"grace_s": 20, "drain_ms": 5000, "ttl_max_s": 5, "status_s": 60},
-		"provider":     map[string]any{"address": store, "writes_per_s": 1500, "reads_per_s": 6000, "row_bytes": 65536, "blob_bytes": 8 << 20},
+		"bounds":       map[string]any{"grace_s": 20, "drain_ms": 5000, "ttl_max_s": 5, "status_s": 600},
+		"provider":     map[string]any{"address": p.world.store, "writes_per_s": 1500, "reads_per_s": 6000, "row_bytes": 65536, "blob_bytes": 8 << 20},
 	})
 	if err != nil {
 		p.t.Fatal(err)
@@ -117,57 +111,17 @@
 	return text
 }
 
-func put(t *testing.T, rows *memory.Rows, table, key, value string) {
-	t.Helper()
-	row := storage.TableRow{RowKey: storage.RowKey{Table: table, Key: key}, Value: []byte(value)}
-	if _, err := rows.ApplyRows(t.Context(), storage.RowTransaction{Puts: []storage.TableRow{row}}); err != nil {
-		t.Fatal(err)
-	}
-}
-
-// freeAddress returns an address whose port is free for TCP.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", net.JoinHostPort(instanceIP, "0"))
+// freeAddress returns an address of the machine whose port is free for TCP.
+func (p *process) freeAddress() string {
+	p.t.Helper()
+	l, err := net.Listen("tcp4", net.JoinHostPort(p.ip, "0"))
 	if err != nil {
-		t.Fatal(err)
+		p.t.Fatal(err)
 	}
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
 }
 
-const (
-	// longEventBytes is just below the size up to which an event is passed on.
-	longEventBytes = 900 << 10
-	longEvents     = 16
-)
-
-// serveUpstream answers a request whose path contains "long" with long events, and one
-// whose path contains "plain" with a long body. Any other request gets a short answer.
-func serveUpstream(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
-	w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
-	w.Header().Set("X-Server-Stamp", "signed")
-	long := strings.Repeat("x", longEventBytes)
-	switch {
-	case strings.Contains(r.URL.Path, "long"):
-		w.Header().Set("Content-Type", "text/event-stream")
-		for n := range longEvents {
-			if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, long); err != nil {
-				return
-			}
-		}
-	case strings.Contains(r.URL.Path, "plain"):
-		for range longEvents {
-			if _, err := io.WriteString(w, long); err != nil {
-				return
-			}
-		}
-	default:
-		_, _ = io.WriteString(w, "ordinary")
-	}
-}
-
 const (
 	// answerTime is far longer than an ordinary request takes beside the crowd, and than the
 	// timeouts of the process for heads and requests.
