Decode the items of a job only if their number is within the limit

Callers saw resets: an instance ended for want of memory. One submission of 4 MB whose items were {} or numbers took 260 to 271 MB, 40 of 1 MB took 465 MB, and 40 with one item of very many headers 222 MB. DecodeItems decoded the whole list before it counted, so that 2 or 3 bytes became an item of some 70 in a list that doubles as it grows; encoding/json goes on after a value of a wrong type; and headers became a map at the submission. The charge was twice the body whatever it held.

The list is now cut into the texts of its items, which share the body's memory, and is refused if there are over 200. Each item is decoded by itself, so that the first wrong type ends the submission. Headers stay the text that was sent, of up to 64 KB, until the item runs; duplicate lists and headers are refused. What decoding can need is thereby bounded by twice the body and 512 bytes for each of 200 items, which is what is charged.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -27,8 +27,12 @@
 }
 
 // jobCopies is the number of copies of a submission or of results that exist beside the
-// original: the decoded or encoded text and a buffer of the JSON package.
-const jobCopies = 2
+// original: the decoded or encoded text and a buffer of the JSON package. decodedItemBytes is
+// for the items of the largest job, without their texts.
+const (
+	jobCopies        = 2
+	decodedItemBytes = platform.MaxJobItems * platform.MaxItemOverhead
+)
 
 // submit accepts the job in a request's body; the request id is the job's id.
 func (h *Handler) submit(w http.ResponseWriter, r *http.Request, route *contract.Route, account string, body []byte) error {
@@ -39,7 +43,7 @@
 	if id == "" {
 		return code.New(code.InvalidField, "the job has no request id")
 	}
-	if err := budget.FromContext(r.Context()).Take(jobCopies * int64(len(body))); err != nil {
+	if err := budget.FromContext(r.Context()).Take(jobCopies*int64(len(body)) + decodedItemBytes); err != nil {
 		return err
 	}
 	items, err := platform.DecodeItems(body)
--- a/hosted/build.go
+++ b/hosted/build.go
@@ -245,7 +245,7 @@
 // describeItem sets the fields of an item's request that its headers and the account of its
 // job define.
 func (i *Instance) describeItem(f *contract.ForwardRequest, it *job.Item, account string) {
-	platform.FillForwarding(f, it.Header)
+	platform.FillForwarding(f, platform.ItemHeader(it))
 	if d := i.document.Current(); account != "" || d != nil && d.Keys != nil {
 		platform.SetAccount(f, account)
 	}
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -242,7 +242,7 @@
 func items(ids ...string) []job.Item {
 	var list []job.Item
 	for _, id := range ids {
-		list = append(list, job.Item{ID: id, Path: "/lot/x", Body: []byte("body of " + id), Tokens: 100, Header: http.Header{}})
+		list = append(list, job.Item{ID: id, Path: "/lot/x", Body: []byte("body of " + id), Tokens: 100})
 	}
 	return list
 }
--- a/job/item.go
+++ b/job/item.go
@@ -1,13 +1,13 @@
 package job
 
-import "net/http"
-
 // Item is one request of a job.
 type Item struct {
 	ID string
 	// Path is the request target at the upstream.
-	Path   string
-	Header http.Header
+	Path string
+	// Header is the text of the headers, which Options.Describe reads. It is several times
+	// smaller than an http.Header.
+	Header []byte
 	Body   []byte
 	// Tokens is the number of tokens of the prompt and of the longest output
 	// together.
