Charge the callers of the directory and of readiness to budgets

Callers saw resets: some hundred clients with heads of legal size or without end at the port for endpoint queries, or that for readiness checks, took an instance to 281 MB of 144 and to 792 descriptors of 600. Both ports were served from bare listeners, without a budget or a limit of connections.

Both now have the charges, the limit of heads and the limit of connections of the port for requests, from budgets of their own: a sixteenth of the bytes each, and a sixteenth of the descriptors for callers. A crowd at one port thereby takes nothing from the others, and the platform's check gets its answer beside a crowd at any. The metrics daisylb_budget_* have a label for the port.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -37,6 +37,13 @@
 	// minConnectionShare is the least part of the descriptors that callers get where there
 	// are hardly more than the reserved ones.
 	minConnectionShare = 8
+	// portShare is the part of the limits, as a divisor, that a port beside that for requests
+	// has for itself, so that a crowd at one port does not keep callers from the others.
+	// portConnectionShare is larger: its requests need no descriptor for an upstream.
+	portShare           = 16
+	portConnectionShare = 8
+	// minPortBytes lets some connections be served at each port, however small the machine is.
+	minPortBytes = 512 << 10
 )
 
 // LimitsFor returns the limits for a machine with so much memory and so many descriptors.
@@ -49,6 +56,19 @@
 	return l
 }
 
+// Split divides the limits between the port for requests and other ports, which get equal
+// parts.
+func (l Limits) Split(ports int) (requests, port Limits) {
+	port = Limits{Bytes: l.Bytes / portShare}
+	requests = Limits{Bytes: l.Bytes - int64(ports)*port.Bytes}
+	port.Bytes = max(port.Bytes, minPortBytes)
+	if l.Connections > 0 {
+		port.Connections = max(l.Connections/portConnectionShare, 1)
+		requests.Connections = max(l.Connections-ports*port.Connections/descriptorsPerCaller, 1)
+	}
+	return requests, port
+}
+
 // CollectorLimit returns the memory limit in bytes for Go's collector on a machine with so
 // much memory.
 func CollectorLimit(memoryBytes int64) int64 { return memoryBytes / eighths * collectorShare }
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -265,3 +265,20 @@
 		h.End(0)
 	}
 }
+
+// TestPortsStayWithinTheLimitsTogether guards against ports whose parts exceed the machine's
+// memory or descriptors together.
+func TestPortsStayWithinTheLimitsTogether(t *testing.T) {
+	const ports = 2
+	for _, maxDescriptors := range []int{0, 1, 300, 400, 3075, 1 << 20} {
+		whole := LimitsFor(144<<20, maxDescriptors)
+		requests, port := whole.Split(ports)
+		if requests.Bytes+ports*port.Bytes > whole.Bytes || port.Bytes < 1<<20 {
+			t.Errorf("%d descriptors: %d bytes and %d a port, want at most %d together", maxDescriptors, requests.Bytes, port.Bytes, whole.Bytes)
+		}
+		used := descriptorsPerCaller*requests.Connections + ports*port.Connections
+		if whole.Connections > ports && used > descriptorsPerCaller*whole.Connections || (port.Connections > 0) != (maxDescriptors > 0) {
+			t.Errorf("%d descriptors: %d connections and %d a port, want %d at most", maxDescriptors, requests.Connections, port.Connections, whole.Connections)
+		}
+	}
+}
--- a/hosted/build.go
+++ b/hosted/build.go
@@ -280,8 +280,11 @@
 	i.connections = newConnections(i.callerIdleTimeout, i.log)
 	i.connections.budget, i.connections.headLimit = i.budget, i.callerHeadLimit
 	i.connections.configure(i.callerServer)
-	i.directoryServer = newServer(http.HandlerFunc(i.serveDirectory))
-	i.readinessServer = newServer(http.HandlerFunc(i.serveReadiness))
+	i.directory.server = newServer(http.HandlerFunc(i.serveDirectory))
+	i.readiness.server = newServer(http.HandlerFunc(i.serveReadiness))
+	for _, p := range []*port{&i.directory, &i.readiness} {
+		p.configure(i.callerHeadLimit, i.log)
+	}
 	mux := http.NewServeMux()
 	mux.Handle(relay.NewHandler(i.storeClient, i.relayStopping.Load))
 	i.relayServer = newServer(mux)
--- a/hosted/charges.go
+++ b/hosted/charges.go
@@ -58,8 +58,8 @@
 	}
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		// Without the bounds the connection works all the same.
-		_ = tcp.SetReadBuffer(socketBufferBytes)
-		_ = tcp.SetWriteBuffer(socketBufferBytes)
+		_ = tcp.SetReadBuffer(c.connections.socketBytes)
+		_ = tcp.SetWriteBuffer(c.connections.socketBytes)
 	}
 	c.holder = c.connections.budget.Open(c, time.Now())
 }
--- a/hosted/closing.go
+++ b/hosted/closing.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// lingerTime bounds the time for which a connection that was closed after an answer is
+// lingerTime bounds the time for which a caller's connection that was closed after an answer is
 // still read. net/http waits as long after an answer that came before the end of a body.
 const lingerTime = 500 * time.Millisecond
 
@@ -72,7 +72,7 @@
 // linger reads until the caller has closed its side. The connection counts as open until
 // then, so that a planned stop waits for it.
 func (c *callerConn) linger() {
-	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	_ = c.Conn.SetReadDeadline(time.Now().Add(c.connections.lingerTime))
 	_, _ = io.Copy(io.Discard, c.Conn)
 	_ = c.closeNow()
 }
--- a/hosted/connections.go
+++ b/hosted/connections.go
@@ -51,6 +51,10 @@
 	// head of the document in force, 0 if it sets none.
 	budget    *budget.Budget
 	headLimit func() int
+	// socketBytes bounds what the kernel holds in each direction of a connection, if there is
+	// a budget. lingerTime bounds the time for which a connection is read after its answer.
+	socketBytes int
+	lingerTime  time.Duration
 }
 
 const (
@@ -65,7 +69,7 @@
 )
 
 func newConnections(idleLimit func() time.Duration, log *zap.Logger) *connections {
-	c := &connections{idleLimit: idleLimit, log: log, open: map[*callerConn]struct{}{}, drained: make(chan struct{})}
+	c := &connections{idleLimit: idleLimit, log: log, open: map[*callerConn]struct{}{}, drained: make(chan struct{}), socketBytes: socketBufferBytes, lingerTime: lingerTime}
 	c.requests, c.cancelRequests = context.WithCancelCause(context.Background())
 	return c
 }
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -53,7 +53,7 @@
 	dispatcher   *upstream.Dispatcher
 	broadcast    *upstream.Broadcast
 	jobs         *job.Service
-	// budget is nil if the settings have no memory limit.
+	// budget is that of the port for requests, nil if the settings have no memory limit.
 	budget *budget.Budget
 	// quota is nil if the settings have no request quotas.
 	quota *quota.Limiter
@@ -67,12 +67,12 @@
 	// instanceAddresses holds the addresses of all other instances.
 	instanceAddresses atomic.Pointer[[]string]
 
-	callerServer    *http.Server
-	connections     *connections
-	directoryServer *http.Server
-	readinessServer *http.Server
-	metricsServer   *http.Server
-	relayServer     *http.Server
+	callerServer  *http.Server
+	connections   *connections
+	directory     port
+	readiness     port
+	metricsServer *http.Server
+	relayServer   *http.Server
 
 	// requestEnds is set in a planned stop once callers are told to move to other
 	// instances.
@@ -111,13 +111,8 @@
 			return nil, err
 		}
 	}
-	if memory := o.Settings.MemoryBytes; memory > 0 {
-		limits := budget.LimitsFor(memory, o.Settings.MaxDescriptors)
-		i.budget = budget.New(limits)
-		i.log.Info("budget for callers", zap.Int64("bytes", limits.Bytes), zap.Int("connections", limits.Connections))
-	}
+	i.buildBudgets()
 	i.registerMetrics(o.DroppedLines)
-	i.registerBudgetMetrics()
 	i.buildServers()
 	return i, nil
 }
@@ -204,17 +199,17 @@
 		return serve(i.callerServer, i.connections.listener(callers))
 	})
 	servers := map[*http.Server]string{
-		i.directoryServer: settings.DirectoryAddress,
-		i.readinessServer: settings.ReadinessAddress,
-		i.relayServer:     net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
-		i.metricsServer:   net.JoinHostPort(settings.IP, strconv.Itoa(metricsPort)),
+		i.directory.server: settings.DirectoryAddress,
+		i.readiness.server: settings.ReadinessAddress,
+		i.relayServer:      net.JoinHostPort(settings.IP, strconv.Itoa(settings.FirstPort)),
+		i.metricsServer:    net.JoinHostPort(settings.IP, strconv.Itoa(metricsPort)),
 	}
 	for server, address := range servers {
 		listener, err := net.Listen("tcp4", address)
 		if err != nil {
 			return err
 		}
-		group.Go(func() error { return serve(server, listener) })
+		group.Go(func() error { return serve(server, i.guard(server, listener)) })
 	}
 	select {
 	case <-ctx.Done():
--- a/hosted/metrics.go
+++ b/hosted/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/daisylb/daisylb/budget"
 	"github.com/daisylb/daisylb/feed"
 )
 
@@ -66,18 +67,15 @@
 	}
 }
 
-// registerBudgetMetrics registers what is held for callers, if there is a budget.
-func (i *Instance) registerBudgetMetrics() {
-	b := i.budget
-	if b == nil {
-		return
-	}
+// registerBudgetMetrics registers what is held for the callers of a port.
+func (i *Instance) registerBudgetMetrics(port string, b *budget.Budget) {
+	labels := prometheus.Labels{"port": port}
 	gauge := func(name, help string, value func() int64) {
-		i.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "daisylb_budget_" + name, Help: help},
+		i.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "daisylb_budget_" + name, Help: help, ConstLabels: labels},
 			func() float64 { return float64(value()) }))
 	}
 	counter := func(name, help string, value func() int64) {
-		i.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "daisylb_budget_" + name, Help: help},
+		i.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "daisylb_budget_" + name, Help: help, ConstLabels: labels},
 			func() float64 { return float64(value()) }))
 	}
 	gauge("held_bytes", "Estimated memory that is held for callers.", b.Used)
--- a/hosted/stop.go
+++ b/hosted/stop.go
@@ -84,8 +84,8 @@
 	}
 	i.finishRelayedCalls(deadline.Add(lastAnswerTime))
 	_ = i.callerServer.Close()
-	_ = i.directoryServer.Close()
-	_ = i.readinessServer.Close()
+	_ = i.directory.server.Close()
+	_ = i.readiness.server.Close()
 	_ = i.metricsServer.Close()
 	_ = i.relayServer.Close()
 }
