Let senders stop for half a second before an ordinary caller must go first

TestStoppedSenderIsRefusedForAnother sends seven bodies that stop just short of their end and an ordinary request right after each. Package budget puts a sender that stopped half a second ago before any ordinary one.

The test now waits for that half second before each request.

--- a/hosted/charges_test.go
+++ b/hosted/charges_test.go
@@ -13,6 +13,10 @@
 	"github.com/daisylb/daisylb/platform"
 )
 
+// stoppedTime is the time without any bytes after which a sender comes before one that needs the
+// whole time of a usual request (see package budget).
+const stoppedTime = 500 * time.Millisecond
+
 // scarceMemoryBytes is so little memory that a few bodies use up the part for callers, 3 MiB.
 const scarceMemoryBytes = 8 << 20
 
@@ -78,8 +82,10 @@
 		if n == 0 {
 			continue
 		}
-		// More of these make room necessary.
+		// More of these make room necessary. Each has stopped before the next request comes:
+		// one that sent its last byte a millisecond ago may as well be the quicker one.
 		s.dialAndSend(r, part)
+		time.Sleep(stoppedTime)
 	}
 	wantRefusal(t, stopped)
 	close(gate)
