Hold accepted jobs only as far as there is memory for them

Callers saw resets and lost jobs: an instance ended for want of memory by jobs inside all limits, and ended again after each restart, since it took up all its jobs whole. Items were held with their bodies until their results were listed, and each that waited had a goroutine, an attempt and a map of headers, some 13 KB.

What an instance holds for jobs is now bounded by bytes: a third of the budget for requests, half for the jobs that it runs and half for the items that run or wait for an upstream. A job for which there is no room is accepted without an owner, as after a hand-over, and any instance with room takes it over, in the order in which jobs lost their owners, client accounts in turn. A takeover takes the memory before it reads the store, so that neither a restart nor the loss of all other instances brings more than fits. Items start in turn between jobs. Bodies that were read for callers are cached up to 2 MB, not for 8 jobs of any size.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -142,6 +142,16 @@
 	return len(b.holders) < b.limits.Connections
 }
 
+// Background returns a holder for what is held for accepted work whose callers do not wait, such
+// as the items of jobs. It is never given up, and its user bounds what it takes: BackgroundBytes.
+func (b *Budget) Background() *Holder { return &Holder{budget: b} }
+
+// backgroundShare is the part of the bytes, as a divisor, that accepted work may take.
+const backgroundShare = 3
+
+// BackgroundBytes returns the most that the users of Background may hold together.
+func (b *Budget) BackgroundBytes() int64 { return b.limits.Bytes / backgroundShare }
+
 // connectionHeadroom is the part of the connections, as a divisor, that is kept free: ending
 // an idle connection takes a while.
 const connectionHeadroom = 8
--- a/hosted/build.go
+++ b/hosted/build.go
@@ -177,7 +177,7 @@
 
 // buildJobs builds the job service.
 func (i *Instance) buildJobs() error {
-	i.jobs = job.New(job.Options{
+	options := job.Options{
 		Store:      i.store,
 		Process:    i.id,
 		Forwarder:  i.dispatcher,
@@ -191,7 +191,11 @@
 			view := i.roster.View()
 			return job.Fleet{LivenessKnown: i.roster.UpToDate(), Alive: view.IDs, Isolated: i.roster.Isolated(), Replaced: view.Replaced}
 		},
-	})
+	}
+	if i.budget != nil {
+		options.MaxBytes, options.Hold = i.budget.BackgroundBytes(), i.budget.Background().Add
+	}
+	i.jobs = job.New(options)
 	return nil
 }
 
--- a/hosted/instance.go
+++ b/hosted/instance.go
@@ -106,12 +106,11 @@
 	i.peerGroups.Store(&[]upstream.PeerGroup{})
 	i.instanceAddresses.Store(&[]string{})
 	i.log = i.log.With(zap.String("instance", i.id))
-	for _, step := range []func() error{i.buildStore, i.buildRouting, i.buildQuarantine, i.buildDispatcher, i.buildRoster, i.buildQuota, i.buildJobs} {
+	for _, step := range []func() error{i.buildStore, i.buildRouting, i.buildQuarantine, i.buildDispatcher, i.buildRoster, i.buildQuota, i.buildBudgets, i.buildJobs} {
 		if err := step(); err != nil {
 			return nil, err
 		}
 	}
-	i.buildBudgets()
 	i.registerMetrics(o.DroppedLines)
 	i.buildServers()
 	return i, nil
--- a/hosted/port.go
+++ b/hosted/port.go
@@ -21,10 +21,10 @@
 
 // buildBudgets builds the budgets of the ports, if the settings have a memory limit. The ports
 // for peers and for metrics have none: only the fleet and its operator reach them.
-func (i *Instance) buildBudgets() {
+func (i *Instance) buildBudgets() error {
 	settings := i.settings.Load()
 	if settings.MemoryBytes <= 0 {
-		return
+		return nil
 	}
 	others := map[string]*port{"directory": &i.directory, "readiness": &i.readiness}
 	requests, other := budget.LimitsFor(settings.MemoryBytes, settings.MaxDescriptors).Split(len(others))
@@ -35,7 +35,9 @@
 		i.registerBudgetMetrics(name, p.budget)
 	}
 	i.log.Info("budget for callers", zap.Int64("bytes", requests.Bytes), zap.Int("connections", requests.Connections),
-		zap.Int64("other_port_bytes", other.Bytes), zap.Int("other_port_connections", other.Connections))
+		zap.Int64("other_port_bytes", other.Bytes), zap.Int("other_port_connections", other.Connections),
+		zap.Int64("job_bytes", i.budget.BackgroundBytes()))
+	return nil
 }
 
 // configure lets the server, which must not be serving yet, draw on the budget.
--- a/job/cache.go
+++ b/job/cache.go
@@ -84,15 +84,16 @@
 	return results
 }
 
-// bodyCache holds the items of the last maxCachedJobs jobs that were loaded. It is
+// bodyCache holds the items of the jobs that were loaded last, up to maxCachedBodyBytes. It is
 // guarded by the service's lock.
 type bodyCache struct {
 	jobs  map[string][]Item
 	order []string
+	bytes int64
 }
 
-// maxCachedJobs bounds the bodyCache. So many jobs of ordinary size are a few MB.
-const maxCachedJobs = 8
+// maxCachedBodyBytes is some ten jobs of ordinary size. A larger job is not cached.
+const maxCachedBodyBytes = 2 << 20
 
 func newBodyCache() *bodyCache { return &bodyCache{jobs: map[string][]Item{}} }
 
@@ -102,13 +103,14 @@
 }
 
 func (c *bodyCache) put(id string, items []Item) {
-	if _, ok := c.jobs[id]; ok {
+	size := loadedBytes(items)
+	if _, ok := c.jobs[id]; ok || size > maxCachedBodyBytes {
 		return
 	}
 	c.jobs[id] = items
 	c.order = append(c.order, id)
-	if len(c.order) > maxCachedJobs {
+	for c.bytes += size; c.bytes > maxCachedBodyBytes; c.order = c.order[1:] {
+		c.bytes -= loadedBytes(c.jobs[c.order[0]])
 		delete(c.jobs, c.order[0])
-		c.order = c.order[1:]
 	}
 }
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -43,6 +43,8 @@
 	resumedAfter map[string][]string
 	// releasedAt is when items whose id begins with "released" are no longer kept back.
 	releasedAt time.Time
+	// maxBytes is the memory for the items of an instance that is started; 0 means without limit.
+	maxBytes int64
 	// maxRunBytes is the largest size of the events that one run of an endless item
 	// has written.
 	maxRunBytes int
@@ -188,7 +190,7 @@
 	f.alive[process] = true
 	f.mu.Unlock()
 	m.Service = job.New(job.Options{
-		Store: m.store, Process: process, Forwarder: m, Retention: time.Hour, Log: zap.NewNop(),
+		Store: m.store, Process: process, Forwarder: m, Retention: time.Hour, Log: zap.NewNop(), MaxBytes: f.maxBytes,
 		Fleet: func() job.Fleet {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/job/history_machine_test.go
+++ b/job/history_machine_test.go
@@ -81,6 +81,7 @@
 	m.process, m.endedAt = fmt.Sprintf("%s/%d", m.name, m.starts), time.Time{}
 	m.service = job.New(job.Options{
 		Store: m.relayedStore(), Process: m.process, Forwarder: m, Retention: time.Hour, Log: zap.NewNop(),
+		MaxBytes:   h.maxBytes,
 		Fleet:      m.fleet,
 		Routing:    func() *contract.Routing { return routing },
 		RoutingAge: func() (time.Duration, bool) { return time.Since(startedAt), true },
--- a/job/history_test.go
+++ b/job/history_test.go
@@ -29,6 +29,8 @@
 	mu       sync.Mutex
 	random   *rand.Rand
 	machines []*machine
+	// maxBytes is the memory for the items of each process; 0 means without limit.
+	maxBytes int64
 	// lossShare is the share of writes whose answer is lost.
 	lossShare                float64
 	storeDown, upstreamsDown bool
@@ -344,23 +346,35 @@
 	const histories = 6
 	for seed := range uint64(histories) {
 		quota := []int64{0, 4000, 100000}[seed%3]
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				h := &history{t: t, random: rand.New(rand.NewPCG(seed, seed)), store: memory.NewRows(), accepted: map[string][]string{}, ended: map[string]bool{}, listed: map[string]map[int]listing{}}
-				h.route = contract.Route{Host: "h", Prefix: "/lot/", Kind: contract.RouteBatch, MaxAttempts: 3, MaxWaitingTokens: quota,
-					CompletionWindow: 18 * time.Second, GiveUpAfter: time.Minute, Split: []contract.WeightedService{{Service: "s", Weight: 1}}}
-				for i := range historyMachines {
-					h.machines = append(h.machines, &machine{history: h, name: "m" + strconv.Itoa(i), hidden: map[*machine]bool{}})
-				}
-				for _, m := range h.machines {
-					m.start()
-				}
-				h.run()
-				h.check()
-				for _, m := range h.machines {
-					m.end(false)
-				}
-			})
-		})
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { playHistory(t, seed, quota, 0) })
+	}
+}
+
+// TestJobsWithoutRoomAreListedInRandomHistories has processes whose memory holds a few jobs and
+// a few running items, so that jobs wait in the store.
+func TestJobsWithoutRoomAreListedInRandomHistories(t *testing.T) {
+	const histories, fewJobs = 4, 200 << 10
+	for seed := range uint64(histories) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { playHistory(t, seed, 0, fewJobs) })
 	}
 }
+
+// playHistory plays and checks a history with a quota of tokens and with limited memory.
+func playHistory(t *testing.T, seed uint64, quota, maxBytes int64) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &history{t: t, random: rand.New(rand.NewPCG(seed, seed)), store: memory.NewRows(), maxBytes: maxBytes, accepted: map[string][]string{}, ended: map[string]bool{}, listed: map[string]map[int]listing{}}
+		h.route = contract.Route{Host: "h", Prefix: "/lot/", Kind: contract.RouteBatch, MaxAttempts: 3, MaxWaitingTokens: quota,
+			CompletionWindow: 18 * time.Second, GiveUpAfter: time.Minute, Split: []contract.WeightedService{{Service: "s", Weight: 1}}}
+		for i := range historyMachines {
+			h.machines = append(h.machines, &machine{history: h, name: "m" + strconv.Itoa(i), hidden: map[*machine]bool{}})
+		}
+		for _, m := range h.machines {
+			m.start()
+		}
+		h.run()
+		h.check()
+		for _, m := range h.machines {
+			m.end(false)
+		}
+	})
+}
--- a/job/progress.go
+++ b/job/progress.go
@@ -71,7 +71,7 @@
 	return true
 }
 
-// collectProgress returns rows with the new text of the running items that have at
+// collectProgress returns rows with the new text of the unfinished items that have at
 // least minBytes of it, and marks that text as saved. The rows stay within the limits
 // of one transaction together with along, which are written in the same one.
 func (r *run) collectProgress(minBytes int, along []storage.TableRow) []storage.TableRow {
@@ -82,7 +82,7 @@
 	for _, row := range along {
 		size += len(row.Value) * 4 / 3
 	}
-	for index, c := range r.running {
+	for index, c := range r.unfinished {
 		for {
 			row, ok := c.progressRow(r.head.part, r.id, index, minBytes)
 			if !ok {
--- a/job/rows.go
+++ b/job/rows.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
@@ -44,6 +45,9 @@
 	Ahead int `json:"ahead,omitempty"`
 	// Tokens is the sum over the items that are not listed.
 	Tokens int64 `json:"tokens"`
+	// Bytes is the estimated memory of the job while an instance runs it, 0 if an older
+	// version accepted it.
+	Bytes int64 `json:"bytes,omitempty"`
 	// AcceptedMS is the store's clock when the job was accepted. GiveUpAfterMS is how
 	// long after that its items are run; later they are listed as failed.
 	AcceptedMS    int64 `json:"accepted_ms"`
@@ -56,6 +60,9 @@
 // open reports whether the job has items left to run.
 func (h *head) open() bool { return !h.Ended && h.Listed < h.Total }
 
+// loadedBytes returns the estimated memory of the job while an instance runs it.
+func (h *head) loadedBytes() int64 { return cmp.Or(h.Bytes, unknownJobBytes) }
+
 // giveUpAfter returns how long after its acceptance the items of the job are run.
 func (h *head) giveUpAfter() time.Duration { return time.Duration(h.GiveUpAfterMS) * time.Millisecond }
 
--- a/job/run.go
+++ b/job/run.go
@@ -41,13 +41,16 @@
 	expiresAt  time.Time
 	// unconfirmed has rows of progress whose write is not confirmed.
 	unconfirmed []storage.TableRow
+	// claim is what the job takes of Service.loaded, until its goroutines have ended.
+	claim      int64
+	goroutines sync.WaitGroup
 	// head is the state that this process wrote last. Only the goroutine of commitAll
 	// uses it.
 	head versionedHead
 
 	mu sync.Mutex
-	// running has the items without a result by their index. It is guarded by mu.
-	running map[int]*collector
+	// unfinished has the items without a result by their index. It is guarded by mu.
+	unfinished map[int]*collector
 }
 
 // itemResult is the result of the item with an index.
@@ -58,34 +61,44 @@
 
 // startRun starts the items of a job that are not listed, from the given progress. It
 // does nothing when this process does not own the job, or runs it already, or knows a
-// newer head. While the service stops, it leaves the job to other instances instead.
-func (s *Service) startRun(ctx context.Context, id string, v versionedHead, items []Item, progress map[int]itemProgress) {
-	if s.addRun(id, v, items, progress) {
+// newer head. While the service stops, it leaves the job to other instances instead. The claim
+// on Service.loaded is released when the run has ended, or at once if there is none.
+func (s *Service) startRun(ctx context.Context, id string, v versionedHead, items []Item, progress map[int]itemProgress, claim int64) {
+	r, stopping := s.addRun(id, v, items, progress, claim)
+	if r != nil {
 		return
 	}
+	s.loaded.release(claim)
+	if stopping {
+		s.leave(ctx, id, v)
+	}
+}
+
+// leave makes a job that this process owns and does not run one of all instances.
+func (s *Service) leave(ctx context.Context, id string, v versionedHead) {
 	next := v.head
 	next.Owner = ""
 	_, err := s.options.Store.ApplyRows(ctx, storage.RowTransaction{
 		Conditions: []storage.RowCondition{{RowKey: headKey(v.part, id), Version: v.version}},
 		Puts:       []storage.TableRow{headRow(v.part, id, &next)},
 	})
-	s.options.Log.Info("job left to others while stopping", zap.String("job", id), zap.Error(err))
+	s.options.Log.Info("job left to others", zap.String("job", id), zap.Error(err))
 }
 
-// addRun is like startRun, but reports false if the service stops and the job is to be
-// left to other instances.
-func (s *Service) addRun(id string, v versionedHead, items []Item, progress map[int]itemProgress) bool {
+// addRun is like startRun, but returns nil if there is no run to start. stopping is set if the
+// service stops and the job is to be left to other instances.
+func (s *Service) addRun(id string, v versionedHead, items []Item, progress map[int]itemProgress, claim int64) (r *run, stopping bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.updateHead(id, v)
 	if _, ok := s.owned[id]; ok || s.heads[id].version != v.version || !v.open() || v.Owner != s.options.Process {
-		return true
+		return nil, false
 	}
 	if s.stopping {
-		return false
+		return nil, true
 	}
 	ctx, cancel := context.WithCancel(s.runsCtx)
-	r := &run{
+	r = &run{
 		service:         s,
 		id:              id,
 		host:            v.Host,
@@ -97,7 +110,8 @@
 		handOverRequest: make(chan context.Context, 1),
 		handOverDone:    make(chan struct{}),
 		acceptedAt:      time.Now().Add(-s.age(&v.head)),
-		running:         map[int]*collector{},
+		claim:           claim,
+		unfinished:      map[int]*collector{},
 		head:            v,
 	}
 	r.expiresAt = r.acceptedAt.Add(v.giveUpAfter())
@@ -106,15 +120,32 @@
 		if slices.Contains(v.Done, i) {
 			continue
 		}
-		p := progress[i]
-		c := newCollector(p)
-		r.running[i] = c
+		r.unfinished[i] = newCollector(progress[i])
 	}
-	for i, c := range maps.Clone(r.running) {
-		s.runGoroutines.Go(func() { r.runItem(i, c) })
+	unfinished := maps.Clone(r.unfinished)
+	r.goroutines.Go(func() { r.runItems(unfinished) })
+	s.runGoroutines.Go(func() {
+		r.commitAll()
+		r.cancel()
+		r.goroutines.Wait()
+		s.loaded.release(r.claim)
+	})
+	return r, false
+}
+
+// runItems runs items in the order of their indexes, as many at a time as there is room for.
+func (r *run) runItems(items map[int]*collector) {
+	running := r.service.running
+	for _, i := range slices.Sorted(maps.Keys(items)) {
+		claim := running.claim(runningBytes(&r.items[i]))
+		if running.take(r.ctx, claim) != nil {
+			return
+		}
+		r.goroutines.Go(func() {
+			defer running.release(claim)
+			r.runItem(i, items[i])
+		})
 	}
-	s.runGoroutines.Go(func() { r.commitAll() })
-	return true
 }
 
 const (
@@ -257,7 +288,7 @@
 // finish passes the result of an item to commitAll.
 func (r *run) finish(index int, result Result) {
 	r.mu.Lock()
-	delete(r.running, index)
+	delete(r.unfinished, index)
 	r.mu.Unlock()
 	r.finished <- itemResult{index, result}
 }
--- a/job/service.go
+++ b/job/service.go
@@ -56,7 +56,13 @@
 	// Retention is how long after its acceptance a job stays readable. Complete and
 	// ended jobs are removed after twice that; 0 keeps them.
 	Retention time.Duration
-	Log       *zap.Logger
+	// MaxBytes is the largest estimated memory for the items of the jobs that this process
+	// runs; 0 means without limit. Jobs for which there is no room wait in the store until an
+	// instance has some.
+	MaxBytes int64
+	// Hold is called with each change of that memory. It may be nil.
+	Hold func(n int64)
+	Log  *zap.Logger
 }
 
 // Service accepts jobs, runs those that this process owns, and serves the results of
@@ -79,6 +85,9 @@
 	seenAlive map[string]bool
 	results   *resultCache
 	bodies    *bodyCache
+	// loaded bounds the jobs that this process runs, running those of their items that run
+	// or wait for an upstream.
+	loaded, running *allowance
 	// newestVersion is the newest version of the store that was read or written.
 	// clock is the store's clock as it was at clockReadAt.
 	newestVersion uint64
@@ -129,6 +138,8 @@
 		seenAlive: map[string]bool{},
 		results:   newResultCache(),
 		bodies:    newBodyCache(),
+		loaded:    newAllowance(o.MaxBytes/2, o.Hold),
+		running:   newAllowance(o.MaxBytes/2, o.Hold),
 	}
 	s.runsCtx, s.cancelRuns = context.WithCancel(context.Background())
 	s.connectivity.Store(newConnectivity(s.runsCtx))
@@ -305,6 +316,16 @@
 	s.runGoroutines.Wait()
 }
 
+// HeldBytes returns the estimated memory for the items of the jobs that this process runs.
+func (s *Service) HeldBytes() int64 { return s.loaded.held() + s.running.held() }
+
+// Waiting returns the number of jobs that no instance runs, as far as it is known here.
+func (s *Service) Waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.orphans)
+}
+
 // Owned returns the number of jobs that this process runs.
 func (s *Service) Owned() int {
 	s.mu.Lock()
--- a/job/submit.go
+++ b/job/submit.go
@@ -67,7 +67,8 @@
 var submitBackoff = retry.Backoff{Min: 80 * time.Millisecond, Max: 640 * time.Millisecond}
 
 // Submit accepts a job: its body is stored as an object and its head as a row before
-// Submit returns. A job that was accepted before is accepted again without a change.
+// Submit returns. If this process has no room for the job, any instance runs it that has. A job
+// that was accepted before is accepted again without a change.
 //
 // Errors: code.QuotaExceeded, StoreTooLarge, StoreUnavailable and StoreThrottled when
 // the job is not accepted and will not be; code.StoreUnknown when it may have been
@@ -194,18 +195,31 @@
 		Tokens:        sub.tokens(),
 		AcceptedMS:    now.Milliseconds(),
 		GiveUpAfterMS: sub.Route.GiveUpAfter.Milliseconds(),
-		Owner:         s.options.Process,
+		Bytes:         loadedBytes(sub.Items),
 	}
-	if s.isStopping() {
-		h.Owner = ""
+	claim := s.loaded.claim(h.Bytes)
+	taken := !s.isStopping() && s.loaded.tryTake(claim)
+	if taken {
+		h.Owner = s.options.Process
 	}
 	page, err := s.options.Store.ApplyRows(ctx, storage.RowTransaction{
 		Conditions: []storage.RowCondition{{RowKey: headKey(part, sub.ID)}},
 		Puts:       []storage.TableRow{headRow(part, sub.ID, &h)},
 	})
+	if err != nil && taken {
+		s.loaded.release(claim)
+	}
 	switch code.Of(err) {
 	case 0:
-		s.startRun(ctx, sub.ID, versionedHead{h, page.Version, part}, sub.Items, nil)
+		v := versionedHead{h, page.Version, part}
+		if taken {
+			s.startRun(ctx, sub.ID, v, sub.Items, nil, claim)
+			return nil
+		}
+		s.options.Log.Info("job waits for an instance with room", zap.String("job", sub.ID), zap.Int64("bytes", h.Bytes), zap.Int64("held_bytes", s.loaded.held()))
+		s.mu.Lock()
+		s.updateHead(sub.ID, v)
+		s.mu.Unlock()
 		return nil
 	case code.StoreUnknown:
 		a.maybeApplied = true
@@ -227,11 +241,14 @@
 		if decodeErr != nil {
 			return decodeErr
 		}
-		a.service.mu.Lock()
-		a.service.updateHead(r.Key, v)
-		a.service.mu.Unlock()
-		if v.Owner == a.service.options.Process {
-			a.service.startRun(ctx, r.Key, v, a.submission.Items, nil)
+		s := a.service
+		s.mu.Lock()
+		s.updateHead(r.Key, v)
+		s.mu.Unlock()
+		if claim := s.loaded.claim(v.loadedBytes()); v.Owner == s.options.Process && s.loaded.tryTake(claim) {
+			s.startRun(ctx, r.Key, v, a.submission.Items, nil, claim)
+		} else if v.Owner == s.options.Process {
+			s.leave(ctx, r.Key, v)
 		}
 		return nil
 	}
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -32,17 +33,30 @@
 )
 
 // takeOverOrphans takes over the jobs whose owner has handed them over or is not
-// alive.
+// alive, as far as there is room for them.
 func (s *Service) takeOverOrphans(ctx context.Context) {
-	for id, v := range s.dueTakeovers(time.Now()) {
-		s.takeOver(ctx, id, v)
+	for _, o := range s.dueTakeovers(time.Now()) {
+		claim := s.loaded.claim(o.loadedBytes())
+		if !s.loaded.tryTake(claim) {
+			return
+		}
+		if !s.takeOver(ctx, o.id, o.versionedHead, claim) {
+			s.loaded.release(claim)
+		}
 	}
 }
 
-// dueTakeovers returns the heads of the jobs that this instance takes over now, by id,
-// and updates the list of orphans. An instance without a document takes over none, since
-// it could not run them.
-func (s *Service) dueTakeovers(now time.Time) map[string]versionedHead {
+// orphan is a job without a living owner since some time.
+type orphan struct {
+	id string
+	versionedHead
+	since time.Time
+}
+
+// dueTakeovers returns the jobs that this instance takes over now, in their order, and updates
+// the list of orphans. An instance without a document takes over none, since it could not run
+// them.
+func (s *Service) dueTakeovers(now time.Time) []orphan {
 	fleet := s.options.Fleet()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -52,7 +66,7 @@
 	for process := range fleet.Alive {
 		s.seenAlive[process] = true
 	}
-	due := map[string]versionedHead{}
+	var due []orphan
 	for id, v := range s.heads {
 		if !v.open() {
 			continue
@@ -67,12 +81,32 @@
 			since = now
 		}
 		if now.Sub(since) >= s.takeoverDelay(id, v, fleet) {
-			due[id] = v
+			due = append(due, orphan{id, v, since})
 		}
 	}
+	s.sortOrphans(due)
 	return due
 }
 
+// sortOrphans puts the jobs that have waited for the longest first, and among those of
+// different client accounts those of the account with the fewest jobs before them. The lock is
+// held.
+func (s *Service) sortOrphans(due []orphan) {
+	slices.SortFunc(due, func(a, b orphan) int {
+		return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.AcceptedMS, b.AcceptedMS), cmp.Compare(a.id, b.id))
+	})
+	before := map[string]int{}
+	for _, r := range s.owned {
+		before[r.account]++
+	}
+	turns := make(map[string]int, len(due))
+	for i := range due {
+		turns[due[i].id] = before[due[i].Account]
+		before[due[i].Account]++
+	}
+	slices.SortStableFunc(due, func(a, b orphan) int { return cmp.Compare(turns[a.id], turns[b.id]) })
+}
+
 // takeoverDelay returns how long a job is left alone after its owner was found to be
 // not alive. An owner that has never been seen alive may just have started. A job of
 // this process that is not running may be one whose Submit is still waiting for the
@@ -97,21 +131,21 @@
 }
 
 // takeOver makes this process the owner of a job and runs the items that are not
-// listed. It does nothing if the head has changed since v: another instance may have
-// taken the job over.
-func (s *Service) takeOver(ctx context.Context, id string, v versionedHead) {
+// listed, which then holds the claim. It does nothing and reports false if the head has changed
+// since v: another instance may have taken the job over.
+func (s *Service) takeOver(ctx context.Context, id string, v versionedHead, claim int64) bool {
 	if s.headVersion(id) != v.version {
-		return
+		return false
 	}
 	items, err := s.loadItems(ctx, id)
 	if err != nil {
 		s.postpone(id, err)
-		return
+		return false
 	}
 	progress, err := s.loadProgress(ctx, v.part, id)
 	if err != nil {
 		s.postpone(id, err)
-		return
+		return false
 	}
 	next := v.head
 	next.Owner, next.Ahead = s.options.Process, 0
@@ -122,7 +156,8 @@
 	switch code.Of(err) {
 	case 0:
 		s.options.Log.Info("job taken over", zap.String("job", id), zap.String("from", v.Owner), zap.Int("listed", v.Listed), zap.Int("with_progress", len(progress)))
-		s.startRun(ctx, id, versionedHead{next, page.Version, v.part}, items, progress)
+		s.startRun(ctx, id, versionedHead{next, page.Version, v.part}, items, progress, claim)
+		return true
 	case code.StoreConflict:
 		s.updateHeads(page.Rows)
 		if s.headVersion(id) == v.version {
@@ -132,6 +167,7 @@
 	default:
 		s.postpone(id, err)
 	}
+	return false
 }
 
 // headVersion returns the version of the known head of a job, 0 if there is none.
