Let jobs without progress give way, and accounts take turns

What an instance holds for jobs is bounded, so that jobs which get nothing from an upstream (their service has none, their prompts are quarantined) would keep all others waiting until they expire, and an account with many jobs those of the others.

Among jobs that wait equally, those of the account whose last job began first go first.

--- a/job/run.go
+++ b/job/run.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -44,6 +45,10 @@
 	// claim is what the job takes of Service.loaded, until its goroutines have ended.
 	claim      int64
 	goroutines sync.WaitGroup
+	// progressAt is when an item last received something, in nanoseconds since 1970, or when
+	// the run began. started is the number of items that hold a claim on Service.running.
+	progressAt atomic.Int64
+	started    atomic.Int64
 	// head is the state that this process wrote last. Only the goroutine of commitAll
 	// uses it.
 	head versionedHead
@@ -115,12 +120,15 @@
 		head:            v,
 	}
 	r.expiresAt = r.acceptedAt.Add(v.giveUpAfter())
+	r.progressAt.Store(time.Now().UnixNano())
 	s.owned[id] = r
+	s.beganAt[r.account] = time.Now()
 	for i := range items {
 		if slices.Contains(v.Done, i) {
 			continue
 		}
 		r.unfinished[i] = newCollector(progress[i])
+		r.unfinished[i].progressAt = &r.progressAt
 	}
 	unfinished := maps.Clone(r.unfinished)
 	r.goroutines.Go(func() { r.runItems(unfinished) })
@@ -141,8 +149,10 @@
 		if running.take(r.ctx, claim) != nil {
 			return
 		}
+		r.started.Add(1)
 		r.goroutines.Go(func() {
 			defer running.release(claim)
+			defer r.started.Add(-1)
 			r.runItem(i, items[i])
 		})
 	}
@@ -289,6 +299,7 @@
 func (r *run) finish(index int, result Result) {
 	r.mu.Lock()
 	delete(r.unfinished, index)
+	r.progressAt.Store(time.Now().UnixNano())
 	r.mu.Unlock()
 	r.finished <- itemResult{index, result}
 }
@@ -312,6 +323,8 @@
 	unsaved       []eventEnd
 	savedFailures int
 	nextRow       int
+	// progressAt is that of the run; it may be nil.
+	progressAt *atomic.Int64
 	// restarted is set when the text was discarded. No more progress is written then,
 	// since it would not follow the rows that exist.
 	restarted bool
@@ -356,6 +369,9 @@
 
 // Write implements contract.ForwardSink.
 func (c *collector) Write(event []byte) error {
+	if c.progressAt != nil {
+		c.progressAt.Store(time.Now().UnixNano())
+	}
 	if c.status != http.StatusOK {
 		return nil
 	}
--- a/job/service.go
+++ b/job/service.go
@@ -81,6 +81,9 @@
 	// takeover it has a time in the near future, from which takeoverDelay counts
 	// again.
 	orphans map[string]time.Time
+	// beganAt has the time at which a job of a client account last began here, while jobs wait
+	// for room.
+	beganAt map[string]time.Time
 	// seenAlive has the processes that have been alive at some time.
 	seenAlive map[string]bool
 	results   *resultCache
@@ -88,6 +91,8 @@
 	// loaded bounds the jobs that this process runs, running those of their items that run
 	// or wait for an upstream.
 	loaded, running *allowance
+	// loadedFull is set while a job that is due here waits for room in loaded.
+	loadedFull atomic.Bool
 	// newestVersion is the newest version of the store that was read or written.
 	// clock is the store's clock as it was at clockReadAt.
 	newestVersion uint64
@@ -135,6 +140,7 @@
 		changed:   map[string]chan struct{}{},
 		owned:     map[string]*run{},
 		orphans:   map[string]time.Time{},
+		beganAt:   map[string]time.Time{},
 		seenAlive: map[string]bool{},
 		results:   newResultCache(),
 		bodies:    newBodyCache(),
@@ -154,6 +160,7 @@
 	wait.Go(func() { _ = s.follower.Run(ctx) })
 	wait.Go(func() { every(ctx, takeoverInterval, s.takeOverOrphans) })
 	wait.Go(func() { every(ctx, sweepInterval, s.sweep) })
+	wait.Go(func() { every(ctx, stallInterval, s.yieldStalled) })
 	wait.Go(func() { every(ctx, connectivityInterval, s.checkConnectivity) })
 	wait.Wait()
 	return nil
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -35,9 +35,12 @@
 // takeOverOrphans takes over the jobs whose owner has handed them over or is not
 // alive, as far as there is room for them.
 func (s *Service) takeOverOrphans(ctx context.Context) {
-	for _, o := range s.dueTakeovers(time.Now()) {
+	due := s.dueTakeovers(time.Now())
+	s.loadedFull.Store(false)
+	for _, o := range due {
 		claim := s.loaded.claim(o.loadedBytes())
 		if !s.loaded.tryTake(claim) {
+			s.loadedFull.Store(true)
 			return
 		}
 		if !s.takeOver(ctx, o.id, o.versionedHead, claim) {
@@ -84,13 +87,16 @@
 			due = append(due, orphan{id, v, since})
 		}
 	}
+	if len(due) == 0 {
+		clear(s.beganAt)
+	}
 	s.sortOrphans(due)
 	return due
 }
 
 // sortOrphans puts the jobs that have waited for the longest first, and among those of
-// different client accounts those of the account with the fewest jobs before them. The lock is
-// held.
+// different client accounts those of the account with the fewest jobs before them, and then of
+// that whose last job began first. The lock is held.
 func (s *Service) sortOrphans(due []orphan) {
 	slices.SortFunc(due, func(a, b orphan) int {
 		return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.AcceptedMS, b.AcceptedMS), cmp.Compare(a.id, b.id))
@@ -104,7 +110,9 @@
 		turns[due[i].id] = before[due[i].Account]
 		before[due[i].Account]++
 	}
-	slices.SortStableFunc(due, func(a, b orphan) int { return cmp.Compare(turns[a.id], turns[b.id]) })
+	slices.SortStableFunc(due, func(a, b orphan) int {
+		return cmp.Or(cmp.Compare(turns[a.id], turns[b.id]), s.beganAt[a.Account].Compare(s.beganAt[b.Account]))
+	})
 }
 
 // takeoverDelay returns how long a job is left alone after its owner was found to be
