Refuse jobs beyond what every instance can know of

Each instance holds the heads of all jobs that the store keeps, whoever runs them, and nothing bounded their number: the memory of a small instance grew with the submissions at all others, and an acceptance was promised whatever it was.

With client accounts, an account may have as much as is left free, so that one alone uses half and leaves room for others. The heads count towards the budget of the port for requests. Jobs that were accepted are answered as before when they come again.

TestJobsBeyondWhatIsKeptAreRefused did not hold before (nothing was refused). The tests of jobs in scenario/hostile and package job pass.

--- a/hosted/metrics.go
+++ b/hosted/metrics.go
@@ -35,6 +35,7 @@
 	gauge("jobs_owned", "Jobs whose items this instance runs.", func() float64 { return float64(i.jobs.Owned()) })
 	gauge("jobs_waiting", "Jobs that no instance runs, as far as this one knows.", func() float64 { return float64(i.jobs.Waiting()) })
 	gauge("job_held_bytes", "Estimated memory for the items of the jobs that this instance runs.", func() float64 { return float64(i.jobs.HeldBytes()) })
+	gauge("job_kept_bytes", "Estimated memory for what is known of all jobs that the store keeps.", func() float64 { return float64(i.jobs.KeptBytes()) })
 	gauge("prompt_parts_quarantined", "Parts of prompts that are kept from upstreams because they crash them.", func() float64 {
 		return float64(i.quarantine.Len())
 	})
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -45,6 +45,8 @@
 	releasedAt time.Time
 	// maxBytes is the memory for the items of an instance that is started; 0 means without limit.
 	maxBytes int64
+	// maxKeptBytes is the memory for the heads of all jobs; 0 means the default.
+	maxKeptBytes int64
 	// maxRunBytes is the largest size of the events that one run of an endless item
 	// has written.
 	maxRunBytes int
@@ -190,7 +192,7 @@
 	f.alive[process] = true
 	f.mu.Unlock()
 	m.Service = job.New(job.Options{
-		Store: m.store, Process: process, Forwarder: m, Retention: time.Hour, Log: zap.NewNop(), MaxBytes: f.maxBytes,
+		Store: m.store, Process: process, Forwarder: m, Retention: time.Hour, Log: zap.NewNop(), MaxBytes: f.maxBytes, MaxKeptBytes: f.maxKeptBytes,
 		Fleet: func() job.Fleet {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/job/memory.go
+++ b/job/memory.go
@@ -19,14 +19,11 @@
 }
 
 // newAllowance returns an allowance of so many bytes, or nil if that is not positive. onChange
-// is called with each change of what is held; it may be nil.
+// is called with each change of what is held.
 func newAllowance(limit int64, onChange func(n int64)) *allowance {
 	if limit <= 0 {
 		return nil
 	}
-	if onChange == nil {
-		onChange = func(int64) {}
-	}
 	return &allowance{limit: limit, free: semaphore.NewWeighted(limit), onChange: onChange}
 }
 
--- a/job/memory_test.go
+++ b/job/memory_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 )
 
@@ -101,3 +102,45 @@
 		}
 	})
 }
+
+// TestJobsBeyondWhatIsKeptAreRefused guards against more jobs than every instance can know of, and
+// against an account whose jobs leave no room for those of another.
+func TestJobsBeyondWhatIsKeptAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 0, nil)
+		defer f.close()
+		f.maxKeptBytes = 16 << 10
+		first, second := f.start("p0"), f.start("p1")
+		submit := func(m *instance, account string, n int) error {
+			sub := f.submission(account+strconv.Itoa(n), "short-"+account+strconv.Itoa(n))
+			sub.Account = account
+			return m.Submit(t.Context(), sub)
+		}
+		accepted := map[string]int{}
+		for n := range 40 {
+			for _, account := range []string{"a", "a", "b"} {
+				if n >= 20 || account == "a" {
+					err := submit(first, account, n)
+					if err == nil {
+						accepted[account] = max(accepted[account], n+1)
+					} else if e := code.From(err); e.Number != code.MemoryExhausted || e.Outcome != code.NotRun || e.RetryAfter == 0 {
+						t.Fatalf("job %d of %s: %v, want %d with a time to retry after", n, account, err, code.MemoryExhausted)
+					}
+				}
+			}
+		}
+		if accepted["a"] == 0 || accepted["a"] == 40 || accepted["b"] == 0 {
+			t.Errorf("up to %d and %d jobs accepted of 40 each, want some of both and not all", accepted["a"], accepted["b"])
+		}
+		time.Sleep(time.Second)
+		if err := submit(second, "a", 0); err != nil {
+			t.Errorf("an accepted job that comes again is refused: %v", err)
+		}
+		if err := submit(second, "a", 39); code.Of(err) != code.MemoryExhausted {
+			t.Errorf("another instance: %v, want number %d", err, code.MemoryExhausted)
+		}
+		if kept := second.KeptBytes(); kept > f.maxKeptBytes {
+			t.Errorf("%d bytes are kept, want at most %d", kept, f.maxKeptBytes)
+		}
+	})
+}
--- a/job/service.go
+++ b/job/service.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -61,11 +62,22 @@
 	// runs; 0 means without limit. Jobs for which there is no room wait in the store until an
 	// instance has some.
 	MaxBytes int64
-	// Hold is called with each change of that memory. It may be nil.
+	// MaxKeptBytes is the largest estimated memory for what each instance knows of all jobs that
+	// the store keeps; 0 means DefaultMaxKeptBytes. It must be the same at all instances. Jobs
+	// beyond it are refused.
+	MaxKeptBytes int64
+	// Hold is called with each change of these two. It may be nil, and must not block.
 	Hold func(n int64)
 	Log  *zap.Logger
 }
 
+// hold calls Hold if it is set.
+func (o *Options) hold(n int64) {
+	if o.Hold != nil {
+		o.Hold(n)
+	}
+}
+
 // Service accepts jobs, runs those that this process owns, and serves the results of
 // all. It is safe for concurrent use.
 type Service struct {
@@ -74,6 +86,7 @@
 
 	mu    sync.Mutex
 	heads map[string]versionedHead
+	kept  kept
 	// changed has a channel by job that is closed and removed when the head of the
 	// job changes.
 	changed map[string]chan struct{}
@@ -138,9 +151,11 @@
 
 // New returns a Service. Run must be running for as long as the Service is used.
 func New(o Options) *Service {
+	o.MaxKeptBytes = cmp.Or(o.MaxKeptBytes, DefaultMaxKeptBytes)
 	s := &Service{
 		options:   o,
 		heads:     map[string]versionedHead{},
+		kept:      kept{byAccount: map[string]int64{}},
 		changed:   map[string]chan struct{}{},
 		owned:     map[string]*run{},
 		orphans:   map[string]time.Time{},
@@ -148,8 +163,8 @@
 		seenAlive: map[string]bool{},
 		results:   newResultCache(),
 		bodies:    newBodyCache(),
-		loaded:    newAllowance(o.MaxBytes/2, o.Hold),
-		running:   newAllowance(o.MaxBytes/2, o.Hold),
+		loaded:    newAllowance(o.MaxBytes/2, o.hold),
+		running:   newAllowance(o.MaxBytes/2, o.hold),
 	}
 	s.runsCtx, s.cancelRuns = context.WithCancel(context.Background())
 	s.connectivity.Store(newConnectivity(s.runsCtx))
@@ -198,7 +213,7 @@
 	for _, r := range u.Rows {
 		s.newestVersion = max(s.newestVersion, r.Version)
 		if r.Removed {
-			delete(s.heads, r.Key)
+			s.dropHead(r.Key)
 			delete(s.orphans, r.Key)
 			s.results.drop(r.Key)
 			continue
@@ -219,7 +234,7 @@
 	if known, ok := s.heads[id]; ok && known.version >= v.version {
 		return
 	}
-	s.heads[id] = v.compact()
+	s.setHead(id, v)
 	s.newestVersion = max(s.newestVersion, v.version)
 	if v.Owner != "" || !v.open() {
 		delete(s.orphans, id)
--- a/job/submit.go
+++ b/job/submit.go
@@ -70,13 +70,16 @@
 // Submit returns. If this process has no room for the job, any instance runs it that has. A job
 // that was accepted before is accepted again without a change.
 //
-// Errors: code.QuotaExceeded, StoreTooLarge, StoreUnavailable and StoreThrottled when
+// Errors: code.QuotaExceeded, MemoryExhausted, StoreTooLarge, StoreUnavailable and StoreThrottled when
 // the job is not accepted and will not be; code.StoreUnknown when it may have been
 // accepted.
 func (s *Service) Submit(ctx context.Context, sub Submission) error {
 	if s.isKnown(sub.ID) {
 		return nil
 	}
+	if err := s.checkKept(&sub); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	a, startedAt := acceptance{service: s, submission: &sub}, time.Now()
