Bound what is read of jobs for callers

Callers saw resets: 300 clients that asked for results of 900 KB and did not read them took an instance to 244 MB of 144, and 300 that asked for bodies of 600 KB to 166 MB. A call for results read all results of the job from its position on, whatever it returned, and a call for a body read and decoded the whole job, each by itself and before anything was charged.

What is read from the store for callers now draws on memory of its own, by the sizes in the job's head, and a call that gets none within 1 s is refused with 2011. A call for results reads no further than it returns, and calls for bodies of a job share a read. Encoded results are charged four times their size, as the buffer of the JSON package doubles. The cache of results counts its entries and is sized by the memory of the instance, at most 16 MB as before.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -26,11 +26,13 @@
 	End(ctx context.Context, id string) error
 }
 
-// jobCopies is the number of copies of a submission or of results that exist beside the
-// original: the decoded or encoded text and a buffer of the JSON package. decodedItemBytes is
-// for the items of the largest job, without their texts.
+// submissionCopies is the number of copies of a submission that exist beside the original: the
+// decoded text and a buffer of the JSON package. resultCopies is that of results: the text, the
+// buffer of the JSON package before and after it grows, and what waits for the caller.
+// decodedItemBytes is for the items of the largest job, without their texts.
 const (
-	jobCopies        = 2
+	submissionCopies = 2
+	resultCopies     = 4
 	decodedItemBytes = platform.MaxJobItems * platform.MaxItemOverhead
 )
 
@@ -43,7 +45,7 @@
 	if id == "" {
 		return code.New(code.InvalidField, "the job has no request id")
 	}
-	if err := budget.FromContext(r.Context()).Take(jobCopies*int64(len(body)) + decodedItemBytes); err != nil {
+	if err := budget.FromContext(r.Context()).Take(submissionCopies*int64(len(body)) + decodedItemBytes); err != nil {
 		return err
 	}
 	items, err := platform.DecodeItems(body)
@@ -85,7 +87,7 @@
 	for _, result := range results {
 		size += len(result.Text)
 	}
-	if err := budget.FromContext(r.Context()).TakeAnswer(jobCopies * int64(size)); err != nil {
+	if err := budget.FromContext(r.Context()).TakeAnswer(resultCopies * int64(size)); err != nil {
 		return err
 	}
 	platform.WriteResults(w, total, call.After, results)
@@ -107,6 +109,9 @@
 	if err != nil {
 		return err
 	}
+	if err := budget.FromContext(r.Context()).TakeAnswer(int64(len(body))); err != nil {
+		return err
+	}
 	w.Header()["Content-Type"] = nil
 	_, _ = w.Write(body)
 	return nil
--- a/job/cache.go
+++ b/job/cache.go
@@ -1,11 +1,13 @@
 package job
 
 // resultCache holds the listed results of jobs, for each job a range of positions
-// without a gap, up to maxCacheBytes in all. It is guarded by the service's lock.
+// without a gap, up to its limit in all. It is guarded by the service's lock.
 type resultCache struct {
-	jobs  map[string]*cachedResults
-	order []string
-	bytes int
+	jobs     map[string]*cachedResults
+	order    []string
+	bytes    int64
+	limit    int64
+	onChange func(n int64)
 }
 
 // cachedResults are the results of one job from position first on.
@@ -17,7 +19,24 @@
 // maxCacheBytes is a small part of the memory of the smallest instance.
 const maxCacheBytes = 16 << 20
 
-func newResultCache() *resultCache { return &resultCache{jobs: map[string]*cachedResults{}} }
+// cachedResultBytes is the memory for a cached result beside its text.
+const cachedResultBytes = 128
+
+// newResultCache returns a cache of up to limit bytes if that is positive and below
+// maxCacheBytes. onChange is called with each change of its size.
+func newResultCache(limit int64, onChange func(n int64)) *resultCache {
+	if limit <= 0 || limit > maxCacheBytes {
+		limit = maxCacheBytes
+	}
+	return &resultCache{jobs: map[string]*cachedResults{}, limit: limit, onChange: onChange}
+}
+
+// change counts bytes of a result.
+func (c *resultCache) change(r *Result, sign int64) {
+	n := sign * int64(len(r.Text)+cachedResultBytes)
+	c.bytes += n
+	c.onChange(n)
+}
 
 // add appends the results that begin at position first, unless that leaves a gap
 // after the cached ones. It evicts the jobs that were added first while the cache is
@@ -36,10 +55,10 @@
 	for i, r := range results {
 		if first+i >= next {
 			j.results = append(j.results, r)
-			c.bytes += len(r.Text)
+			c.change(&r, 1)
 		}
 	}
-	for c.bytes > maxCacheBytes && len(c.order) > 1 {
+	for c.bytes > c.limit && len(c.order) > 1 {
 		c.drop(c.order[0])
 	}
 }
@@ -51,7 +70,7 @@
 		return
 	}
 	for _, r := range j.results {
-		c.bytes -= len(r.Text)
+		c.change(&r, -1)
 	}
 	delete(c.jobs, id)
 	for i, other := range c.order {
@@ -69,12 +88,12 @@
 	if !ok || after < j.first || after >= j.first+len(j.results) {
 		return nil
 	}
-	return c.limit(j.results[after-j.first:], maxBytes)
+	return limitText(j.results[after-j.first:], maxBytes)
 }
 
-// limit cuts results to a number of bytes of text. It keeps at least the first
+// limitText cuts results to a number of bytes of text. It keeps at least the first
 // result.
-func (c *resultCache) limit(results []Result, maxBytes int) []Result {
+func limitText(results []Result, maxBytes int) []Result {
 	for i, r := range results {
 		maxBytes -= len(r.Text)
 		if maxBytes < 0 && i > 0 {
--- a/job/commit.go
+++ b/job/commit.go
@@ -126,12 +126,18 @@
 		rows = append(rows, chunkRows(resultTable, r.head.part, r.id, first+i, f.result)...)
 		results = append(results, f.result)
 	}
+	listedBytes := r.head.ListedBytes
+	if first == 0 || listedBytes > 0 {
+		for _, row := range rows {
+			listedBytes += int64(len(row.Value))
+		}
+	}
 	rows, ok := r.writeAhead(rows)
 	if !ok {
 		return false
 	}
 	next := r.head.head
-	next.Done, next.Ahead = slices.Clone(next.Done), 0
+	next.Done, next.Ahead, next.ListedBytes = slices.Clone(next.Done), 0, listedBytes
 	for _, f := range batch {
 		next.Listed++
 		next.Done = append(next.Done, f.index)
--- a/job/read.go
+++ b/job/read.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,8 +21,8 @@
 // Results returns the number of items of a job and its results from a position on, at
 // least one if there is one. It waits up to wait for a result.
 //
-// Errors: code.JobUnknown, and code.StoreUnavailable when the store can't be read or when
-// there may be a result of which this instance has not learned yet.
+// Errors: code.JobUnknown, code.MemoryExhausted, and code.StoreUnavailable when the store can't
+// be read or when there may be a result of which this instance has not learned yet.
 func (s *Service) Results(ctx context.Context, id string, after int, wait time.Duration) (int, []Result, error) {
 	deadline := time.Now().Add(wait)
 	for {
@@ -30,7 +31,7 @@
 			return 0, nil, readError(err)
 		}
 		if after < v.Listed {
-			results, err := s.readResults(ctx, v.part, id, after, v.Listed)
+			results, err := s.readResults(ctx, id, after, &v)
 			return v.Total, results, readError(err)
 		}
 		if !v.open() {
@@ -59,9 +60,10 @@
 }
 
 // readError turns an error of the store into code.StoreUnavailable, so that the
-// reader retries. code.JobUnknown stays as it is.
+// reader retries. code.JobUnknown and code.MemoryExhausted stay as they are.
 func readError(err error) error {
-	if err == nil || code.Of(err) == code.JobUnknown {
+	switch code.Of(err) {
+	case 0, code.JobUnknown, code.MemoryExhausted:
 		return err
 	}
 	return code.Wrap(code.StoreUnavailable, err, "the store can't be read").WithRetryAfter(storeRetryAfter)
@@ -89,18 +91,70 @@
 
 // readResults returns the results of a job from a position on, from memory or from
 // the store.
-func (s *Service) readResults(ctx context.Context, part, id string, after, end int) ([]Result, error) {
+func (s *Service) readResults(ctx context.Context, id string, after int, v *versionedHead) ([]Result, error) {
 	s.mu.Lock()
 	cached := s.results.from(id, after, maxReadBytes)
 	s.mu.Unlock()
 	if len(cached) > 0 {
 		return cached, nil
 	}
-	page, err := storage.ReadRows(ctx, s.options.Store, resultTable, part, firstChunkKey(id, after), firstChunkKey(id, end))
+	release, err := s.takeForReading(ctx, readCopies*v.readBytes())
 	if err != nil {
 		return nil, err
 	}
-	numbers, values, err := joinChunks(page.Rows)
+	defer release()
+	rows, err := s.readResultRows(ctx, v.part, id, after, v.Listed)
+	if err != nil {
+		return nil, err
+	}
+	results, err := decodeResults(id, after, rows)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.results.add(id, after, results)
+	return limitText(results, maxReadBytes), nil
+}
+
+// readResultRows reads the rows of the results from a position on, up to an end: whole results,
+// at least one, and not many more than one call returns.
+func (s *Service) readResultRows(ctx context.Context, part, id string, after, end int) ([]storage.TableRow, error) {
+	var rows []storage.TableRow
+	from, to, size := firstChunkKey(id, after), firstChunkKey(id, end), 0
+	for {
+		page, err := s.options.Store.GetRows(ctx, resultTable, part, from, to)
+		if err != nil {
+			return nil, err
+		}
+		rows = append(rows, page.Rows...)
+		if !page.More || len(page.Rows) == 0 {
+			return rows, nil
+		}
+		for _, r := range page.Rows {
+			size += len(r.Value)
+		}
+		// The last result may go on in the next page.
+		if whole := beforeLastResult(rows); size > maxReadBytes && whole > 0 {
+			return rows[:whole], nil
+		}
+		from = storage.NextKey(rows)
+	}
+}
+
+// beforeLastResult returns the number of rows before those of the last result.
+func beforeLastResult(rows []storage.TableRow) int {
+	prefix := func(r *storage.TableRow) string { return r.Key[:strings.LastIndexByte(r.Key, '/')+1] }
+	n := len(rows)
+	for last := prefix(&rows[n-1]); n > 0 && prefix(&rows[n-1]) == last; {
+		n--
+	}
+	return n
+}
+
+// decodeResults decodes the results from a position on.
+func decodeResults(id string, after int, rows []storage.TableRow) ([]Result, error) {
+	numbers, values, err := joinChunks(rows)
 	if err != nil {
 		return nil, err
 	}
@@ -116,10 +170,39 @@
 	if len(results) == 0 {
 		return nil, code.New(code.StoreUnavailable, "the store has no result %d of job %q yet", after, id)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.results.add(id, after, results)
-	return s.results.limit(results, maxReadBytes), nil
+	return results, nil
+}
+
+const (
+	// readCopies is the number of copies of rows or of an object that exist while they are
+	// read: the encoded text, buffers that grow, and the decoded form.
+	readCopies = 4
+	// readWait is how long a call waits for memory to read from the store. readRetryAfter is
+	// short, since another instance may have some.
+	readWait       = time.Second
+	readRetryAfter = 100 * time.Millisecond
+)
+
+// readBytes returns the most that a call for results reads of the job.
+func (h *head) readBytes() int64 {
+	const most = maxReadBytes + maxItemTextBytes
+	if h.ListedBytes == 0 {
+		return most
+	}
+	return min(h.ListedBytes, most)
+}
+
+// takeForReading waits until there is memory for n bytes, which release gives back. Errors:
+// code.MemoryExhausted.
+func (s *Service) takeForReading(ctx context.Context, n int64) (release func(), err error) {
+	ctx, cancel := context.WithTimeout(ctx, readWait)
+	defer cancel()
+	claim := s.reading.claim(n)
+	if err := s.reading.take(ctx, claim); err != nil {
+		s.options.Log.Info("read refused, too many at once", zap.Int64("bytes", n), zap.Int64("held_bytes", s.reading.held()))
+		return nil, code.Wrap(code.MemoryExhausted, err, "too much is read from the store at once").WithRetryAfter(readRetryAfter).WithOutcome(code.NotRun)
+	}
+	return func() { s.reading.release(claim) }, nil
 }
 
 // firstChunkKey returns the key of the first chunk of the result at a position.
@@ -130,7 +213,8 @@
 
 // Body returns the body of an item of a job that was not ended.
 //
-// Errors: code.JobUnknown, and code.StoreUnavailable when the store can't be read.
+// Errors: code.JobUnknown, code.MemoryExhausted, and code.StoreUnavailable when the store can't
+// be read.
 func (s *Service) Body(ctx context.Context, id, item string) ([]byte, error) {
 	v, err := s.findHead(ctx, id)
 	if err != nil {
@@ -145,7 +229,7 @@
 	var items []Item
 	if r != nil {
 		items = r.items
-	} else if items, err = s.loadItems(ctx, id); err != nil {
+	} else if items, err = s.readItems(ctx, id, &v); err != nil {
 		return nil, readError(err)
 	}
 	for i := range items {
@@ -156,6 +240,33 @@
 	return nil, code.New(code.JobUnknown, "job %q has no item %q", id, item)
 }
 
+// readItems returns the items of a job that this process does not run. Calls at the same time
+// share a read.
+func (s *Service) readItems(ctx context.Context, id string, v *versionedHead) ([]Item, error) {
+	shared := s.itemReads.DoChan(id, func() (any, error) {
+		ctx, cancel := context.WithTimeout(s.runsCtx, itemReadTimeout)
+		defer cancel()
+		release, err := s.takeForReading(ctx, readCopies*v.loadedBytes())
+		if err != nil {
+			return nil, err
+		}
+		defer release()
+		return s.loadItems(ctx, id)
+	})
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case r := <-shared:
+		if r.Err != nil {
+			return nil, r.Err
+		}
+		return r.Val.([]Item), nil
+	}
+}
+
+// itemReadTimeout bounds a read that several callers share.
+const itemReadTimeout = 5 * time.Second
+
 // endTimeout bounds one call of End. endRetryInterval is the time between its attempts.
 const (
 	endTimeout       = 3 * time.Second
--- a/job/rows.go
+++ b/job/rows.go
@@ -48,6 +48,9 @@
 	// Bytes is the estimated memory of the job while an instance runs it, 0 if an older
 	// version accepted it.
 	Bytes int64 `json:"bytes,omitempty"`
+	// ListedBytes is the size of the rows of the listed results, 0 if an older version has
+	// listed some.
+	ListedBytes int64 `json:"listed_bytes,omitempty"`
 	// AcceptedMS is the store's clock when the job was accepted. GiveUpAfterMS is how
 	// long after that its items are run; later they are listed as failed.
 	AcceptedMS    int64 `json:"accepted_ms"`
--- a/job/service.go
+++ b/job/service.go
@@ -114,8 +114,10 @@
 	clockReadAt   time.Time
 	stopping      bool
 
-	// headReads are the reads of all heads for acceptances.
-	headReads singleflight.Group
+	// headReads are the reads of all heads for acceptances, itemReads those of the items of a
+	// job for callers. reading bounds what is read of results and items.
+	headReads, itemReads singleflight.Group
+	reading              *allowance
 
 	runGoroutines sync.WaitGroup
 	runsCtx       context.Context
@@ -161,10 +163,11 @@
 		orphans:   map[string]time.Time{},
 		beganAt:   map[string]time.Time{},
 		seenAlive: map[string]bool{},
-		results:   newResultCache(),
+		results:   newResultCache(o.MaxBytes/2, o.hold),
 		bodies:    newBodyCache(),
 		loaded:    newAllowance(o.MaxBytes/2, o.hold),
 		running:   newAllowance(o.MaxBytes/2, o.hold),
+		reading:   newAllowance(o.MaxBytes/4, o.hold),
 	}
 	s.runsCtx, s.cancelRuns = context.WithCancel(context.Background())
 	s.connectivity.Store(newConnectivity(s.runsCtx))
--- a/scenario/hostile/world_test.go
+++ b/scenario/hostile/world_test.go
@@ -81,14 +81,19 @@
 // eventInterval is short enough that a stream does not count as silent.
 const eventInterval = 250 * time.Millisecond
 
-// serveItem answers an item with one event a time until the gate is open, and then ends.
+// serveItem answers an item with one event a time until the gate is open, and then ends. The
+// events of one whose path contains "long" are long.
 func (w *world) serveItem(answer http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	answer.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 	answer.Header().Set("X-Server-Stamp", "signed")
 	answer.Header().Set("Content-Type", "text/event-stream")
+	text := "x"
+	if strings.Contains(r.URL.Path, "long") {
+		text = strings.Repeat(text, longEventBytes)
+	}
 	for n := 1; ; n++ {
-		_, _ = fmt.Fprintf(answer, "id: %d\ndata: x\n\n", n)
+		_, _ = fmt.Fprintf(answer, "id: %d\ndata: %s\n\n", n, text)
 		_ = http.NewResponseController(answer).Flush()
 		select {
 		case <-w.gate:
