Bound the texts of items that are not listed

Callers saw resets: 200 jobs of one item whose upstream sends 900 KB took an instance to 308 MB of 144, and 276 MB after a restart. What an upstream had sent for an item was held until its result was listed, up to 1 MB an item, whatever their number; a takeover read all stored progress of a job at once; and each job encoded its results at the same time.

An item now takes memory for the text that its tokens let expect before it begins, and more as its text outgrows that. If there is none, it gives back all and begins anew once there is memory for the longest text, so that no item waits while it holds what another needs. What it takes is held until its result is listed, also while the store is away. Stored progress is read page by page, and left out beyond a share of the memory. Results and progress that are written draw on memory of their own.

Failed before, hold now (MB of 144): TestLongTexts 308, 101; TestLongTextsAreTakenOver 276, 118.

--- a/job/commit.go
+++ b/job/commit.go
@@ -119,6 +119,11 @@
 // retries until the store has decided, and reports false when this process no longer
 // owns the job.
 func (r *run) commit(batch []itemResult) bool {
+	claim := r.service.storing.claim(storeCopies * textBytes(batch))
+	if r.service.storing.take(r.ctx, claim) != nil {
+		return false
+	}
+	defer r.service.storing.release(claim)
 	first := r.head.Listed
 	var rows []storage.TableRow
 	results := make([]Result, 0, len(batch))
@@ -150,10 +155,25 @@
 	r.service.results.add(r.id, first, results)
 	r.service.updateHead(r.id, r.head)
 	r.service.mu.Unlock()
+	for _, f := range batch {
+		r.collectors[f.index].release()
+	}
 	r.service.options.Log.Info("results listed", zap.String("job", r.id), zap.Int("first", first), zap.Int("count", len(batch)), zap.Uint64("version", r.head.version))
 	return true
 }
 
+// storeCopies is the number of copies of a text that exist while it is written to the store: the
+// encoded rows, and the transaction with them.
+const storeCopies = 4
+
+// textBytes returns the size of the texts of results.
+func textBytes(batch []itemResult) (n int64) {
+	for _, f := range batch {
+		n += int64(len(f.result.Text))
+	}
+	return n
+}
+
 // writeAhead writes rows of results that are not listed yet, until the rest fits into one
 // transaction with the next head, and returns the rest. Each transaction changes the head,
 // so that none takes effect after another instance has taken the job over. It reports false
--- a/job/memory.go
+++ b/job/memory.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math"
 	"sync/atomic"
 
 	"golang.org/x/sync/semaphore"
@@ -35,6 +36,14 @@
 	return min(n, a.limit)
 }
 
+// most returns the limit.
+func (a *allowance) most() int64 {
+	if a == nil {
+		return math.MaxInt64
+	}
+	return a.limit
+}
+
 // tryTake takes a claim if there is room for it beside those that wait.
 func (a *allowance) tryTake(claim int64) bool {
 	if a == nil {
@@ -96,6 +105,15 @@
 	// or waits for an upstream, itemHeaderBytes for each of its headers.
 	runningItemBytes = 16 << 10
 	itemHeaderBytes  = 384
+	// textCopies is the number of copies of a text that exist while it grows. tokenBytes is
+	// what is expected of a token, with the fields of its event; a text that turns out longer
+	// takes textClaimStep at a time, up to wholeTextBytes.
+	textCopies       = 2
+	tokenBytes       = 32
+	minExpectedBytes = 16 << 10
+	maxExpectedBytes = 256 << 10
+	textClaimStep    = 32 << 10
+	wholeTextBytes   = textCopies * maxItemTextBytes
 	// unknownJobBytes is for a job whose head does not say how large it is.
 	unknownJobBytes = 1 << 20
 )
@@ -110,8 +128,13 @@
 	return int64(n)
 }
 
+// expectedTextBytes returns the memory for the text that is expected of an item.
+func expectedTextBytes(it *Item) int64 {
+	return textCopies * min(max(it.Tokens*tokenBytes, minExpectedBytes), maxExpectedBytes)
+}
+
 // runningBytes returns the estimated memory of an item from its first attempt to its result,
-// beside what its job holds.
+// beside its text and what its job holds.
 func runningBytes(it *Item) int64 {
 	// A value with commas makes the number of headers too high.
 	headers := bytes.Count(it.Header, []byte{','}) + 1
--- a/job/progress.go
+++ b/job/progress.go
@@ -42,6 +42,31 @@
 	lastEvent string
 	failures  int
 	nextRow   int
+	// discarded is set if what is stored was not read, so that the item starts anew.
+	discarded bool
+}
+
+// storedProgress is the progress of the items of a job by their index. It is partial if there
+// was no memory for all of it.
+type storedProgress struct {
+	items   map[int]itemProgress
+	partial bool
+}
+
+// of returns the progress of an item.
+func (p *storedProgress) of(index int) itemProgress {
+	if item, ok := p.items[index]; ok {
+		return item
+	}
+	return itemProgress{discarded: p.partial}
+}
+
+// textBytes returns the size of the texts.
+func (p *storedProgress) textBytes() (n int64) {
+	for _, item := range p.items {
+		n += int64(len(item.text))
+	}
+	return n
 }
 
 // saveProgress writes the text that items have received since the last write. A write
@@ -49,6 +74,11 @@
 // still take effect. It reports false when this process does not own the job any
 // more.
 func (r *run) saveProgress() bool {
+	claim := r.service.storing.claim(storeCopies * r.unsavedBytes())
+	if r.service.storing.take(r.ctx, claim) != nil {
+		return false
+	}
+	defer r.service.storing.release(claim)
 	if len(r.unconfirmed) == 0 {
 		r.unconfirmed = r.collectProgress(minProgressBytes, nil)
 	}
@@ -71,6 +101,21 @@
 	return true
 }
 
+// unsavedBytes returns the size of the text that the next write of progress may have.
+func (r *run) unsavedBytes() (n int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, row := range r.unconfirmed {
+		n += int64(len(row.Value))
+	}
+	for _, c := range r.unfinished {
+		c.mu.Lock()
+		n += int64(c.text.Len() - c.savedBytes)
+		c.mu.Unlock()
+	}
+	return min(n, storage.MaxRowTransactionBytes)
+}
+
 // collectProgress returns rows with the new text of the unfinished items that have at
 // least minBytes of it, and marks that text as saved. The rows stay within the limits
 // of one transaction together with along, which are written in the same one.
@@ -147,19 +192,47 @@
 	}
 }
 
-// loadProgress returns the stored progress of the items of a job by their index.
-func (s *Service) loadProgress(ctx context.Context, part, id string) (map[int]itemProgress, error) {
-	page, err := storage.ReadRows(ctx, s.options.Store, progressTable, part, id+"/", id+"0")
-	if err != nil {
-		return nil, err
+// loadProgress returns the stored progress of the items of a job, and what it takes of
+// Service.loaded. Without enough memory, items start anew.
+func (s *Service) loadProgress(ctx context.Context, part, id string) (p storedProgress, claim int64, err error) {
+	p.items = map[int]itemProgress{}
+	for from := id + "/"; ; {
+		page, err := s.options.Store.GetRows(ctx, progressTable, part, from, id+"0")
+		if err != nil {
+			return storedProgress{}, 0, err
+		}
+		addProgress(p.items, page.Rows)
+		if p.textBytes() > s.loaded.most()/maxProgressShare {
+			p.partial = true
+			break
+		}
+		if !page.More {
+			break
+		}
+		from = storage.NextKey(page.Rows)
 	}
-	return joinProgress(page.Rows), nil
+	claim = s.loaded.claim(p.textBytes())
+	if p.partial || !s.loaded.tryTake(claim) {
+		s.options.Log.Info("no memory for the progress of a job, its items start anew", zap.String("job", id), zap.Int64("bytes", p.textBytes()))
+		return storedProgress{partial: true}, 0, nil
+	}
+	return p, claim, nil
 }
 
+// maxProgressShare is the part of the memory for the jobs that run here, as a divisor, that the
+// stored progress of a single one may take.
+const maxProgressShare = 4
+
 // joinProgress joins the chunks of each item, up to the first that does not follow
 // the one before it. Rows that are not progress are left out.
 func joinProgress(rows []storage.TableRow) map[int]itemProgress {
 	items := map[int]itemProgress{}
+	addProgress(items, rows)
+	return items
+}
+
+// addProgress is like joinProgress for rows that follow those that items were joined from.
+func addProgress(items map[int]itemProgress, rows []storage.TableRow) {
 	for _, r := range rows {
 		fields := strings.Split(r.Key, "/")
 		var index, number int
@@ -181,5 +254,4 @@
 		}
 		items[index] = item
 	}
-	return items
 }
--- a/job/service.go
+++ b/job/service.go
@@ -59,7 +59,7 @@
 	// ended jobs are removed after twice that; 0 keeps them.
 	Retention time.Duration
 	// MaxBytes is the largest estimated memory for the items of the jobs that this process
-	// runs; 0 means without limit. Jobs for which there is no room wait in the store until an
+	// runs, and for their results while they are read and written; 0 means without limit. Jobs for which there is no room wait in the store until an
 	// instance has some.
 	MaxBytes int64
 	// MaxKeptBytes is the largest estimated memory for what each instance knows of all jobs that
@@ -103,8 +103,8 @@
 	results   *resultCache
 	bodies    *bodyCache
 	// loaded bounds the jobs that this process runs, running those of their items that run
-	// or wait for an upstream.
-	loaded, running *allowance
+	// or wait for an upstream, and texts what their texts need beyond what was expected.
+	loaded, running, texts *allowance
 	// loadedFull is set while a job that is due here waits for room in loaded.
 	loadedFull atomic.Bool
 	// newestVersion is the newest version of the store that was read or written.
@@ -118,6 +118,8 @@
 	// job for callers. reading bounds what is read of results and items.
 	headReads, itemReads singleflight.Group
 	reading              *allowance
+	// storing bounds the results and the progress that are written at a time.
+	storing *allowance
 
 	runGoroutines sync.WaitGroup
 	runsCtx       context.Context
@@ -163,11 +165,13 @@
 		orphans:   map[string]time.Time{},
 		beganAt:   map[string]time.Time{},
 		seenAlive: map[string]bool{},
-		results:   newResultCache(o.MaxBytes/2, o.hold),
+		results:   newResultCache(o.MaxBytes/4, o.hold),
 		bodies:    newBodyCache(),
-		loaded:    newAllowance(o.MaxBytes/2, o.hold),
-		running:   newAllowance(o.MaxBytes/2, o.hold),
-		reading:   newAllowance(o.MaxBytes/4, o.hold),
+		loaded:    newAllowance(o.MaxBytes*3/8, o.hold),
+		running:   newAllowance(o.MaxBytes/4, o.hold),
+		texts:     newAllowance(o.MaxBytes/8, o.hold),
+		reading:   newAllowance(o.MaxBytes/8, o.hold),
+		storing:   newAllowance(o.MaxBytes/8, o.hold),
 	}
 	s.runsCtx, s.cancelRuns = context.WithCancel(context.Background())
 	s.connectivity.Store(newConnectivity(s.runsCtx))
@@ -346,7 +350,9 @@
 }
 
 // HeldBytes returns the estimated memory for the items of the jobs that this process runs.
-func (s *Service) HeldBytes() int64 { return s.loaded.held() + s.running.held() }
+func (s *Service) HeldBytes() int64 {
+	return s.loaded.held() + s.running.held() + s.texts.held() + s.reading.held() + s.storing.held()
+}
 
 // Waiting returns the number of jobs that no instance runs, as far as it is known here.
 func (s *Service) Waiting() int {
--- a/job/submit.go
+++ b/job/submit.go
@@ -216,7 +216,7 @@
 	case 0:
 		v := versionedHead{h, page.Version, part}
 		if taken {
-			s.startRun(ctx, sub.ID, v, sub.Items, nil, claim)
+			s.startRun(ctx, sub.ID, v, sub.Items, storedProgress{}, claim)
 			return nil
 		}
 		s.options.Log.Info("job waits for an instance with room", zap.String("job", sub.ID), zap.Int64("bytes", h.Bytes), zap.Int64("held_bytes", s.loaded.held()))
@@ -249,7 +249,7 @@
 		s.updateHead(r.Key, v)
 		s.mu.Unlock()
 		if claim := s.loaded.claim(v.loadedBytes()); v.Owner == s.options.Process && s.loaded.tryTake(claim) {
-			s.startRun(ctx, r.Key, v, a.submission.Items, nil, claim)
+			s.startRun(ctx, r.Key, v, a.submission.Items, storedProgress{}, claim)
 		} else if v.Owner == s.options.Process {
 			s.leave(ctx, r.Key, v)
 		}
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -150,7 +150,7 @@
 		s.postpone(id, err)
 		return false
 	}
-	progress, err := s.loadProgress(ctx, v.part, id)
+	progress, progressClaim, err := s.loadProgress(ctx, v.part, id)
 	if err != nil {
 		s.postpone(id, err)
 		return false
@@ -163,8 +163,8 @@
 	})
 	switch code.Of(err) {
 	case 0:
-		s.options.Log.Info("job taken over", zap.String("job", id), zap.String("from", v.Owner), zap.Int("listed", v.Listed), zap.Int("with_progress", len(progress)))
-		s.startRun(ctx, id, versionedHead{next, page.Version, v.part}, items, progress, claim)
+		s.options.Log.Info("job taken over", zap.String("job", id), zap.String("from", v.Owner), zap.Int("listed", v.Listed), zap.Int("with_progress", len(progress.items)))
+		s.startRun(ctx, id, versionedHead{next, page.Version, v.part}, items, progress, claim+progressClaim)
 		return true
 	case code.StoreConflict:
 		s.updateHeads(page.Rows)
@@ -175,6 +175,7 @@
 	default:
 		s.postpone(id, err)
 	}
+	s.loaded.release(progressClaim)
 	return false
 }
 
--- a/scenario/hostile/jobs_test.go
+++ b/scenario/hostile/jobs_test.go
@@ -234,6 +234,24 @@
 	p.checkJobs(accepted, maxItems)
 }
 
+// TestLongTexts guards against the end of a process by what upstreams have sent for items that
+// are not complete.
+func TestLongTexts(t *testing.T) {
+	p := start(t, smallest)
+	accepted := submitAll(200, strings.ReplaceAll(jobOf(1, 20, ""), "/j/i", "/j/long"), p)
+	p.checkJobs(accepted, 1)
+}
+
+// TestLongTextsAreTakenOver guards against the same by what a takeover reads of them.
+func TestLongTextsAreTakenOver(t *testing.T) {
+	p := start(t, smallest)
+	accepted := submitAll(40, strings.ReplaceAll(jobOf(5, 20, ""), "/j/i", "/j/long"), p)
+	time.Sleep(settleTime)
+	p.kill()
+	p.run()
+	p.checkJobs(accepted, 5)
+}
+
 // TestSubmissionsBesideVeryManyJobs guards against the end of a process by what it knows of each
 // job that is kept, and by what it reads of all of them for each submission.
 func TestSubmissionsBesideVeryManyJobs(t *testing.T) {
--- a/scenario/hostile/world_test.go
+++ b/scenario/hostile/world_test.go
@@ -82,7 +82,7 @@
 const eventInterval = 250 * time.Millisecond
 
 // serveItem answers an item with one event a time until the gate is open, and then ends. The
-// events of one whose path contains "long" are long.
+// first event of one whose path contains "long" is long.
 func (w *world) serveItem(answer http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
 	answer.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
@@ -95,6 +95,7 @@
 	for n := 1; ; n++ {
 		_, _ = fmt.Fprintf(answer, "id: %d\ndata: %s\n\n", n, text)
 		_ = http.NewResponseController(answer).Flush()
+		text = "x"
 		select {
 		case <-w.gate:
 			return
