Test a process against all crowds at once

Each crowd held for itself; nothing checked that the bounds hold together: jobs of many items, of large bodies and of long texts that wait, callers of bodies, slow senders and readers, heads of many lines, and crowds at the ports of the directory and of readiness.

--- a/scenario/hostile/jobs_test.go
+++ b/scenario/hostile/jobs_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -74,15 +75,19 @@
 	return submitAtOnce(jobClients, n, body, processes...)
 }
 
+// crowds counts the crowds, so that the ids of their jobs differ.
+var crowds atomic.Int64
+
 // submitAtOnce is like submitAll with a number of clients.
 func submitAtOnce(clients, n int, body string, processes ...*process) (accepted []string) {
+	name := fmt.Sprintf("crowd-%d", crowds.Add(1))
 	var mu sync.Mutex
 	var group sync.WaitGroup
 	next := make(chan int)
 	for range clients {
 		group.Go(func() {
 			for i := range next {
-				id := fmt.Sprintf("crowd-%d", i)
+				id := fmt.Sprintf("%s-%d", name, i)
 				if processes[i%len(processes)].submit(id, body) == http.StatusAccepted {
 					mu.Lock()
 					accepted = append(accepted, id)
--- a/scenario/hostile/process_test.go
+++ b/scenario/hostile/process_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -42,7 +43,9 @@
 	pid      int
 	// exited is closed when the process has ended.
 	exited chan struct{}
-	// mostDescriptors is the largest number of open descriptors that was seen.
+	// mostDescriptors is the largest number of open descriptors that was seen. It is guarded by
+	// mu.
+	mu              sync.Mutex
 	mostDescriptors int
 }
 
@@ -165,6 +168,8 @@
 func (p *process) sample() {
 	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.pid))
 	if err == nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
 		p.mostDescriptors = max(p.mostDescriptors, len(entries))
 	}
 }
--- a/scenario/hostile/readers_test.go
+++ b/scenario/hostile/readers_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 )
 
@@ -45,3 +46,28 @@
 		p.wantComplete(id, 1)
 	}
 }
+
+// TestAllCrowdsTogether guards against bounds that hold for each crowd and not for all at once.
+func TestAllCrowdsTogether(t *testing.T) {
+	p := start(t, smallest)
+	long := submitAll(20, strings.ReplaceAll(jobOf(3, 20, ""), "/j/i", "/j/long"), p)
+	many := submitAll(40, jobOf(maxItems, 20, ""), p)
+	large := submitAll(40, jobOf(1, jobBytes*3/4, ""), p)
+	size := smallest.maxBodyBytes
+	short := sendText(post("/a/x") + fmt.Sprintf("Content-Length: %d\r\n\r\n", size) + strings.Repeat("x", size-1))
+	kinds := append(readersOf(large, "/api/items/%s?id=0"), short, sendText(post("/a/x")+shortLines(headBytes)),
+		sendText(post("/e/long")+"X-Request-Id: slow\r\nContent-Length: 0\r\n\r\n"))
+	var group sync.WaitGroup
+	group.Go(func() { p.bringTo(p.directory, 200, crowdOfHeads("/api/resolve?name=h&region=r&zone=z")...) })
+	group.Go(func() { p.bringTo(p.readiness, 200, crowdOfHeads("/api/readyz")...) })
+	p.bring(600, kinds...)
+	group.Wait()
+	p.check()
+	p.submitOrdinary("ordinary")
+	p.world.openGate()
+	p.wantComplete("ordinary", ordinaryItems)
+	for id, items := range map[string]int{long[0]: 3, many[0]: maxItems, large[0]: 1} {
+		p.wantComplete(id, items)
+	}
+	p.check()
+}
