Count items without tokens towards the quota

Such an item now counts as the tokens of its body's text, and at least as one. Items with tokens count as before.

TestItemsWithoutTokensTakeOfTheQuota failed before (a third job of two items passed a quota of five).

--- a/job/commit.go
+++ b/job/commit.go
@@ -146,7 +146,8 @@
 	for _, f := range batch {
 		next.Listed++
 		next.Done = append(next.Done, f.index)
-		next.Tokens -= r.items[f.index].Tokens
+		// An older version may have counted less at the acceptance.
+		next.Tokens = max(next.Tokens-r.items[f.index].quotaTokens(), 0)
 	}
 	if !r.apply(r.ctx, &next, storage.RowTransaction{Puts: rows}) {
 		return false
--- a/job/memory_test.go
+++ b/job/memory_test.go
@@ -144,3 +144,31 @@
 		}
 	})
 }
+
+// TestItemsWithoutTokensTakeOfTheQuota guards against a quota that any number of jobs passes.
+func TestItemsWithoutTokensTakeOfTheQuota(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, func(r *contract.Route) { r.MaxWaitingTokens = 5 })
+		defer f.close()
+		submit := func(id string) error {
+			sub := f.submission(id, id+"-1", id+"-2")
+			for i := range sub.Items {
+				sub.Items[i].Tokens, sub.Items[i].Body = 0, nil
+			}
+			return f.instances[0].Submit(t.Context(), sub)
+		}
+		for _, id := range []string{"a", "b"} {
+			if err := submit(id); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := submit("c"); code.Of(err) != code.QuotaExceeded {
+			t.Errorf("a third job of two items of five: %v, want number %d", err, code.QuotaExceeded)
+		}
+		f.read(f.instances[0], "a")
+		f.read(f.instances[0], "b")
+		if err := submit("c"); err != nil {
+			t.Errorf("after the others: %v", err)
+		}
+	})
+}
--- a/job/submit.go
+++ b/job/submit.go
@@ -43,11 +43,11 @@
 // some thousand accounts share it with a probability of less than one in 10^12.
 const accountIDBytes = 8
 
-// tokens returns the sum over the items.
+// tokens returns what the items take of a quota.
 func (s *Submission) tokens() int64 {
 	var sum int64
 	for i := range s.Items {
-		sum += s.Items[i].Tokens
+		sum += s.Items[i].quotaTokens()
 	}
 	return sum
 }
