Serve reads and submissions after the hand-over of jobs

The reads that callers share ran in the context of the runs, which ends with the hand-over of a planned stop, while the instance still serves callers for seconds: bodies of other instances' jobs and submissions with a quota were refused then. They now run in the context of the first caller, which they may outlast.

TestCallersAreServedAfterTheHandOver fails without.

--- a/job/memory_test.go
+++ b/job/memory_test.go
@@ -145,6 +145,27 @@
 	})
 }
 
+// TestCallersAreServedAfterTheHandOver guards against calls that fail while an instance that has
+// handed its jobs over still serves callers.
+func TestCallersAreServedAfterTheHandOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, func(r *contract.Route) { r.MaxWaitingTokens = 10_000 })
+		defer f.close()
+		leaving, other := f.instances[0], f.instances[1]
+		if err := other.Submit(t.Context(), f.submission("j", "short-1")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		leaving.Stop(t.Context())
+		if _, err := leaving.Body(t.Context(), "j", "short-1"); err != nil {
+			t.Errorf("body of an item: %v", err)
+		}
+		if err := leaving.Submit(t.Context(), f.submission("k", "short-2")); err != nil {
+			t.Errorf("submission: %v", err)
+		}
+	})
+}
+
 // TestItemsWithoutTokensTakeOfTheQuota guards against a quota that any number of jobs passes.
 func TestItemsWithoutTokensTakeOfTheQuota(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/job/quota.go
+++ b/job/quota.go
@@ -144,7 +144,7 @@
 func (s *Service) readHeads(ctx context.Context) (heads map[string]versionedHead, oldest uint64, err error) {
 	shared := s.headReads.DoChan("", func() (any, error) {
 		// The read is not that of the first caller alone, and may outlast it.
-		ctx, cancel := context.WithTimeout(s.runsCtx, submitTimeout)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), submitTimeout)
 		defer cancel()
 		return s.readAllHeads(ctx)
 	})
--- a/job/read.go
+++ b/job/read.go
@@ -244,7 +244,7 @@
 // share a read.
 func (s *Service) readItems(ctx context.Context, id string, v *versionedHead) ([]Item, error) {
 	shared := s.itemReads.DoChan(id, func() (any, error) {
-		ctx, cancel := context.WithTimeout(s.runsCtx, itemReadTimeout)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), itemReadTimeout)
 		defer cancel()
 		release, err := s.takeForReading(ctx, readCopies*v.loadedBytes())
 		if err != nil {
