Bound the hand-over of jobs without progress, and judge them by the steady clock

The hand-over of a job without progress had no timeout, so that the check for others could wait for as long as the store is away, and it was judged by the time of day, which may step. A job whose acceptance found its head written by an earlier attempt was left to others if there was no room, also if this process had taken it up meanwhile.

--- a/job/collector.go
+++ b/job/collector.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
-	"time"
 
 	"github.com/daisylb/daisylb/contract"
 )
@@ -31,8 +29,8 @@
 	unsaved       []eventEnd
 	savedFailures int
 	nextRow       int
-	// progressAt is that of the run; it may be nil.
-	progressAt *atomic.Int64
+	// onEvent is called with each event; it may be nil.
+	onEvent func()
 	// claim is what the item takes of Service.running until its result is listed, textBytes the
 	// part of it for the text. grown is what the text takes of Service.texts beyond that.
 	service                 *Service
@@ -132,8 +130,8 @@
 
 // Write implements contract.ForwardSink.
 func (c *collector) Write(event []byte) error {
-	if c.progressAt != nil {
-		c.progressAt.Store(time.Now().UnixNano())
+	if c.onEvent != nil {
+		c.onEvent()
 	}
 	if c.status != http.StatusOK {
 		return nil
--- a/job/run.go
+++ b/job/run.go
@@ -43,8 +43,9 @@
 	// claim is what the job takes of Service.loaded, until its goroutines have ended.
 	claim      int64
 	goroutines sync.WaitGroup
-	// progressAt is when an item last received something, in nanoseconds since 1970, or when
-	// the run began. started is the number of items that hold a claim on Service.running.
+	// progressAt is the time from the start of the service until an item last received
+	// something or the run began, in nanoseconds. started is the number of items that run or
+	// wait for an upstream.
 	progressAt atomic.Int64
 	started    atomic.Int64
 	// head is the state that this process wrote last. Only the goroutine of commitAll
@@ -120,7 +121,7 @@
 		head:            v,
 	}
 	r.expiresAt = r.acceptedAt.Add(v.giveUpAfter())
-	r.progressAt.Store(time.Now().UnixNano())
+	r.progress()
 	s.owned[id] = r
 	s.beganAt[r.account] = time.Now()
 	for i := range items {
@@ -128,7 +129,7 @@
 			continue
 		}
 		r.unfinished[i] = newCollector(progress.of(i))
-		r.unfinished[i].progressAt = &r.progressAt
+		r.unfinished[i].onEvent = r.progress
 	}
 	r.collectors = maps.Clone(r.unfinished)
 	r.goroutines.Go(r.runItems)
@@ -144,6 +145,9 @@
 	return r, false
 }
 
+// progress records that an item has received something.
+func (r *run) progress() { r.progressAt.Store(int64(time.Since(r.service.startedAt))) }
+
 // runItems runs the items in the order of their indexes, as many at a time as there is room for.
 func (r *run) runItems() {
 	for _, i := range slices.Sorted(maps.Keys(r.collectors)) {
@@ -327,7 +331,7 @@
 func (r *run) finish(index int, result Result) {
 	r.mu.Lock()
 	delete(r.unfinished, index)
-	r.progressAt.Store(time.Now().UnixNano())
+	r.progress()
 	r.mu.Unlock()
 	r.finished <- itemResult{index, result}
 }
--- a/job/service.go
+++ b/job/service.go
@@ -59,14 +59,14 @@
 	// ended jobs are removed after twice that; 0 keeps them.
 	Retention time.Duration
 	// MaxBytes is the largest estimated memory for the items of the jobs that this process
-	// runs, and for their results while they are read and written; 0 means without limit. Jobs for which there is no room wait in the store until an
-	// instance has some.
+	// runs, and for their results while they are read and written; 0 means without limit.
+	// Jobs for which there is no room wait in the store until an instance has some.
 	MaxBytes int64
 	// MaxKeptBytes is the largest estimated memory for what each instance knows of all jobs that
 	// the store keeps; 0 means DefaultMaxKeptBytes. It must be the same at all instances. Jobs
 	// beyond it are refused.
 	MaxKeptBytes int64
-	// Hold is called with each change of these two. It may be nil, and must not block.
+	// Hold is called with each change of the memory that either bounds. It may be nil, and must not block.
 	Hold func(n int64)
 	Log  *zap.Logger
 }
@@ -81,8 +81,9 @@
 // Service accepts jobs, runs those that this process owns, and serves the results of
 // all. It is safe for concurrent use.
 type Service struct {
-	options  Options
-	follower *feed.Follower
+	options   Options
+	follower  *feed.Follower
+	startedAt time.Time
 
 	mu    sync.Mutex
 	heads map[string]versionedHead
@@ -158,6 +159,7 @@
 	o.MaxKeptBytes = cmp.Or(o.MaxKeptBytes, DefaultMaxKeptBytes)
 	s := &Service{
 		options:   o,
+		startedAt: time.Now(),
 		heads:     map[string]versionedHead{},
 		kept:      kept{byAccount: map[string]int64{}},
 		changed:   map[string]chan struct{}{},
--- a/job/stall.go
+++ b/job/stall.go
@@ -13,6 +13,9 @@
 	// stallTime is how long a job that gets nothing from an upstream keeps memory for which
 	// others wait. It is several times as long as a busy upstream needs for a first event.
 	stallTime = 10 * time.Second
+	// yieldTimeout bounds the hand-over of a job. If the store does not apply it by then, this
+	// process takes the job up again.
+	yieldTimeout = 3 * time.Second
 )
 
 // yieldStalled hands over the job that has made no progress for the longest, over stallTime, if
@@ -26,17 +29,19 @@
 	}
 	s.mu.Lock()
 	var stalled *run
-	oldest := time.Now().Add(-stallTime)
+	longest, now := stallTime, time.Since(s.startedAt)
 	for _, r := range s.owned {
-		if at := time.Unix(0, r.progressAt.Load()); at.Before(oldest) && (loading || r.started.Load() > 0) {
-			stalled, oldest = r, at
+		if idle := now - time.Duration(r.progressAt.Load()); idle > longest && (loading || r.started.Load() > 0) {
+			stalled, longest = r, idle
 		}
 	}
 	s.mu.Unlock()
 	if stalled == nil {
 		return
 	}
-	s.options.Log.Info("job without progress gives way to others", zap.String("job", stalled.id), zap.Time("progress_at", oldest),
+	s.options.Log.Info("job without progress gives way to others", zap.String("job", stalled.id), zap.Duration("without_progress", longest),
 		zap.Bool("jobs_wait", loading), zap.Bool("items_wait", running), zap.Int64("held_bytes", s.HeldBytes()))
+	ctx, cancel := context.WithTimeout(ctx, yieldTimeout)
+	defer cancel()
 	stalled.handOver(ctx)
 }
--- a/job/submit.go
+++ b/job/submit.go
@@ -248,16 +248,33 @@
 		s.mu.Lock()
 		s.updateHead(r.Key, v)
 		s.mu.Unlock()
-		if claim := s.loaded.claim(v.loadedBytes()); v.Owner == s.options.Process && s.loaded.tryTake(claim) {
-			s.startRun(ctx, r.Key, v, a.submission.Items, storedProgress{}, claim)
-		} else if v.Owner == s.options.Process {
-			s.leave(ctx, r.Key, v)
+		if v.Owner == s.options.Process && !s.runs(r.Key) {
+			a.runOrLeave(ctx, v)
 		}
 		return nil
 	}
 	return err
 }
 
+// runOrLeave runs the job, which this process owns, if there is room for it.
+func (a *acceptance) runOrLeave(ctx context.Context, v versionedHead) {
+	s, sub := a.service, a.submission
+	claim := s.loaded.claim(v.loadedBytes())
+	if s.loaded.tryTake(claim) {
+		s.startRun(ctx, sub.ID, v, sub.Items, storedProgress{}, claim)
+		return
+	}
+	s.leave(ctx, sub.ID, v)
+}
+
+// runs reports whether this process runs a job.
+func (s *Service) runs(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.owned[id]
+	return ok
+}
+
 func (s *Service) isStopping() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
