--- a/job/item.go
+++ b/job/item.go
@@ -14,17 +14,8 @@
 	Tokens int64
 }
 
-// bytesPerToken is about the length of a token of text.
-const bytesPerToken = 4
-
-// quotaTokens returns the tokens that the item takes of a quota: without a number those of its
-// body, and at least one.
-func (it *Item) quotaTokens() int64 {
-	if it.Tokens > 0 {
-		return it.Tokens
-	}
-	return int64(max(len(it.Body)/bytesPerToken, 1))
-}
+// quotaTokens returns the tokens that the item takes of a quota, at least one.
+func (it *Item) quotaTokens() int64 { return max(it.Tokens, 1) }
 
 // Result is the listed result of an item. Its position and content never change.
 type Result struct {
