Log the limit of a silent upstream and what it was derived from

"forwarding again" with the cause silent told neither how long the upstream had been waited for nor whether latencies were known, so that a limit from the due time could not be told from one from latencies. The line "upstream silent" has the silence, its limit, the medians and the times until the request is due and until its deadline.

--- a/upstream/forward_log.go
+++ b/upstream/forward_log.go
@@ -39,6 +39,27 @@
 	)
 }
 
+// logSilent logs that an attempt is ended because its upstream has been silent for too long,
+// with what the limit was derived from.
+func (d *Dispatcher) logSilent(granted *slot, call *contract.ForwardRequest, silent, limit time.Duration, begun bool) {
+	first, spacing := d.sched.medians(granted.pool)
+	fields := []zap.Field{
+		zap.String("request", call.RequestID),
+		zap.String("class", call.Class.String()),
+		zap.String("upstream", granted.target.id),
+		zap.Bool("begun", begun),
+		zap.Duration("silent", silent),
+		zap.Duration("limit", limit),
+		zap.Duration("median_first", first),
+		zap.Duration("median_spacing", spacing),
+		zap.Duration("left", time.Until(call.Deadline)),
+	}
+	if !call.Due.IsZero() {
+		fields = append(fields, zap.Duration("due_in", time.Until(call.Due)))
+	}
+	d.log.Info("upstream silent", fields...)
+}
+
 // accountField returns the account of a request, its priority and its share as one log
 // field, which adds nothing if it has no account.
 func (f *forwarding) accountField() zap.Field {
--- a/upstream/observe.go
+++ b/upstream/observe.go
@@ -116,6 +116,14 @@
 	return ok
 }
 
+// medians returns the median time to a first token and between tokens, 0 where none has been
+// observed.
+func (s *scheduler) medians(p *pool) (first, spacing time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return p.medianFirstToken, p.medianSpacing
+}
+
 // Limits of the time without a token after which an attempt is cancelled.
 const (
 	minTokenTimeout = 250 * time.Millisecond
--- a/upstream/silence.go
+++ b/upstream/silence.go
@@ -24,6 +24,9 @@
 	backlog *backlog
 	// end ends the attempt.
 	end func()
+	// report is called before the attempt is ended for a silence, with its length and the
+	// limit that it has reached; nil if nothing is to be reported.
+	report func(silent, limit time.Duration, begun bool)
 
 	timer *time.Timer
 	// interval is the time from a progress to the next check.
@@ -87,7 +90,8 @@
 	}
 	progress := time.Duration(s.progressNanos.Load())
 	last, begun := s.startedAt.Add(max(progress, time.Duration(s.heardNanos.Load()))), progress > 0
-	remaining := s.limit(last, begun) - time.Since(last)
+	silent, limit := time.Since(last), s.limit(last, begun)
+	remaining := limit - silent
 	switch {
 	case remaining > 0:
 		if s.backlog != nil {
@@ -99,6 +103,9 @@
 	case s.keep != nil && s.keep(begun):
 		s.timer.Reset(roomCheckInterval)
 	default:
+		if s.report != nil {
+			s.report(silent, limit, begun)
+		}
 		s.end()
 	}
 }
@@ -117,6 +124,7 @@
 	s := d.newSilenceTimer(granted)
 	s.backlog = &backlog{conn: c.countingConn}
 	call := f.call
+	s.report = func(silent, limit time.Duration, begun bool) { d.logSilent(granted, call, silent, limit, begun) }
 	if call.Class == contract.Batch {
 		// A batch request can go on at the same upstream: its connection may be dead
 		// although the upstream is not.
