Make a second attempt beside an item whose connection is silent

Their connections had gone silent before the first event, when the job was overdue.

Cause: the limit of a silence needed latencies of online requests, without which it was 40 s, and otherwise half of the time to the due time, or past that to the expiry of the job: 21 s. Behind the first event the limit was the same as long as no spacing was known, and 80 spacings afterwards.

An attempt without an event now gets a second one beside it after 4 s, or twice the time that first events take, of items too. The one that gets data first goes on, so that a slow upstream keeps its run. It goes elsewhere if there is a free slot, else to the same upstream on a new connection, which tells a dead connection from a slow upstream. Quarantined prompts and their trials get none. Behind an event the attempt is ended after 20 spacings, as online, or after 4 s if none is known, doubled with every silence in a row.

--- a/upstream/connection.go
+++ b/upstream/connection.go
@@ -24,6 +24,8 @@
 	stop    func() bool
 	// sent is closed when the goroutine that writes a large body has ended; nil without one.
 	sent chan struct{}
+	// response is the response if it was received before the attempt that reads it.
+	response *http.Response
 }
 
 const connectionBufferBytes = 4 << 10
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -29,8 +29,10 @@
 	failedRuns  int
 	refusals    int
 	unreachable int
-	// pauses counts the pauses since the last run.
-	pauses int
+	// pauses counts the pauses since the last run, silences the attempts since the last event
+	// that were ended because their upstreams were silent.
+	pauses   int
+	silences int
 	// dispatched is set when an upstream may have received the request.
 	dispatched bool
 	// isTrial is set while the call is a trial of a quarantined part of the prompt.
@@ -145,6 +147,9 @@
 			return nil
 		}
 		f.cause, f.targetStatus = causeOf(fail), d.sched.targetStatus(granted)
+		if f.cause == causeSilent {
+			f.silences++
+		}
 		var ctxErr error
 		if ctx.Err() != nil {
 			ctxErr = context.Cause(ctx)
@@ -345,17 +350,11 @@
 
 // forwardOnce makes one attempt. It returns nil if the answer is complete.
 func (d *Dispatcher) forwardOnce(ctx context.Context, granted *slot, f *forwarding) *failure {
-	if fail := d.sched.withheld(granted); fail != nil {
+	c, fail := d.connectOrContinue(granted, f)
+	if fail != nil {
 		return fail
 	}
-	c, err := d.dial(granted.ctx, granted.target.address)
-	if err != nil {
-		return &failure{err: code.Wrap(code.NoUpstream, err, "upstream %q can't be reached", granted.target.id), unreachable: true}
-	}
 	defer c.close()
-	if fail := d.sched.withheld(granted); fail != nil {
-		return fail
-	}
 	silence := d.newForwardSilenceTimer(ctx, granted, f, c)
 	silence.start()
 	defer silence.stop()
@@ -366,15 +365,9 @@
 	// upstream.
 	before := f.dispatched
 	f.dispatched = true
-	if err := c.send(f.call, header); err != nil {
-		return connectionFailure(granted, err)
-	}
-	if f.call.Stream {
-		granted.sentNanos.Store(int64(max(time.Since(granted.startedAt), 1)))
-	}
-	response, err := c.receive(f.call.Method)
-	if err != nil {
-		return connectionFailure(granted, err)
+	response, fail := d.exchange(granted, c, f.call, header)
+	if fail != nil {
+		return fail
 	}
 	// The body is not closed: that would read a chunked body to its end, which may never
 	// come. The connection is closed instead.
@@ -394,6 +387,55 @@
 	return d.copyBody(a)
 }
 
+// connect opens a connection to the upstream of a slot, unless the upstream is leaving.
+func (d *Dispatcher) connect(granted *slot) (*connection, *failure) {
+	if fail := d.sched.withheld(granted); fail != nil {
+		return nil, fail
+	}
+	c, err := d.dial(granted.ctx, granted.target.address)
+	if err != nil {
+		return nil, &failure{err: code.Wrap(code.NoUpstream, err, "upstream %q can't be reached", granted.target.id), unreachable: true}
+	}
+	if fail := d.sched.withheld(granted); fail != nil {
+		c.close()
+		return nil, fail
+	}
+	return c, nil
+}
+
+// connectOrContinue is like connect, but returns the connection of a standby whose answer has
+// begun. That answer begins with the first event, which must not follow events of another run.
+func (d *Dispatcher) connectOrContinue(granted *slot, f *forwarding) (*connection, *failure) {
+	c := granted.conn
+	granted.conn = nil
+	switch {
+	case c == nil:
+	case f.lastEventID == "" && !f.hasData:
+		return c, nil
+	default:
+		c.close()
+	}
+	return d.connect(granted)
+}
+
+// exchange sends a request and returns the response, unless it has been received before.
+func (d *Dispatcher) exchange(granted *slot, c *connection, call *contract.ForwardRequest, header http.Header) (*http.Response, *failure) {
+	if c.response != nil {
+		return c.response, nil
+	}
+	if err := c.send(call, header); err != nil {
+		return nil, connectionFailure(granted, err)
+	}
+	if call.Stream {
+		granted.sentNanos.Store(int64(max(time.Since(granted.startedAt), 1)))
+	}
+	response, err := c.receive(call.Method)
+	if err != nil {
+		return nil, connectionFailure(granted, err)
+	}
+	return response, nil
+}
+
 // recordLoad records the load that the headers of a response report.
 func (s *scheduler) recordLoad(t *target, h Head) {
 	if h.LoadKnown {
--- a/upstream/forward_response.go
+++ b/upstream/forward_response.go
@@ -208,6 +208,7 @@
 		}
 	}
 	a.slot.recordToken(now)
+	a.silences = 0
 	a.silence.progress(now)
 	a.lastEventAt = now
 	if a.slot.tokens.Load() == answeredEvents {
--- a/upstream/observe.go
+++ b/upstream/observe.go
@@ -28,10 +28,11 @@
 	if t.isLoadUncertain(now) {
 		s.serveQueues()
 	}
+	elapsed := now.Sub(g.startedAt)
 	if g.class == contract.Batch {
+		ps.batchFirstToken = ps.batchFirstToken.Observe(now, elapsed)
 		return
 	}
-	elapsed := now.Sub(g.startedAt)
 	t.firstToken = t.firstToken.Observe(now, elapsed)
 	t.lastFirstTokenAt = now
 	t.limit = t.limit.Observe(now, route.Sample{Observed: elapsed, Reference: ps.medianFirstToken, InFlight: t.online})
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -55,6 +55,8 @@
 	// medianSpacing that of their times between tokens.
 	medianFirstToken time.Duration
 	medianSpacing    time.Duration
+	// batchFirstToken is the average time to the first token of batch requests.
+	batchFirstToken route.Average
 	// hedgeQuantile is the quantile of the time to the first token after which a
 	// request is hedged.
 	hedgeQuantile route.Quantile
--- a/upstream/quarantine.go
+++ b/upstream/quarantine.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/daisylb/daisylb/code"
+	"github.com/daisylb/daisylb/contract"
 )
 
 // Quarantine keeps requests from upstreams that a part of their prompt would crash.
@@ -106,11 +107,19 @@
 		d.returnTrial(f)
 	}
 	f.isTrial = false
-	if fail == nil || !ran || f.answered || context.Cause(granted.ctx) != nil {
+	if fail != nil && !f.answered {
+		d.recordCrash(granted, f.call, f.promptParts, fail)
+	}
+}
+
+// recordCrash reports a failed attempt whose upstream closed the connection, of a request
+// that no upstream has begun to answer.
+func (d *Dispatcher) recordCrash(granted *slot, call *contract.ForwardRequest, parts []uint64, fail *failure) {
+	if d.options.Quarantine == nil || len(parts) == 0 || context.Cause(granted.ctx) != nil {
 		return
 	}
 	if cause := causeOf(fail); cause == causeClosed || cause == causeReset {
-		q.RecordCrash(f.promptParts, granted.target.id, granted.target.incarnation, f.call.RequestID)
+		d.options.Quarantine.RecordCrash(parts, granted.target.id, granted.target.incarnation, call.RequestID)
 	}
 }
 
--- a/upstream/resume.go
+++ b/upstream/resume.go
@@ -57,9 +57,12 @@
 // left. It reports false if there is none, or if the current attempt has ended.
 func (d *Dispatcher) takeNext(ctx context.Context, f *forwarding, silence *silenceTimer, silent *target, r request) bool {
 	next := d.sched.placeElsewhere(ctx, silent, r)
-	if next == nil {
-		return false
-	}
+	return next != nil && d.setNext(f, silence, next)
+}
+
+// setNext makes a slot that of the next attempt. It reports false if the current attempt has
+// ended.
+func (d *Dispatcher) setNext(f *forwarding, silence *silenceTimer, next *slot) bool {
 	if old := f.next.Swap(next); old != nil {
 		d.sched.discard(old)
 	}
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -305,6 +305,18 @@
 	return s.grant(ctx, &r, chosen, now)
 }
 
+// placeBeside grants a request a further slot of t, also if none is free. It returns nil if t
+// takes no new work.
+func (s *scheduler) placeBeside(ctx context.Context, t *target, r request) *slot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if !s.isCurrent(r.pool) || !s.fleet.hasInPool(r.pool.name, t) || s.checkLeaving(t) || !t.takesWork(now) {
+		return nil
+	}
+	return s.grant(ctx, &r, t, now)
+}
+
 // choose returns the target whose free slot a request should take, or nil if there is
 // none. The caller holds the lock.
 func (s *scheduler) choose(r *request, now time.Time) *target {
--- a/upstream/silence.go
+++ b/upstream/silence.go
@@ -20,6 +20,8 @@
 	// keep reports whether the attempt goes on for now although its upstream is silent;
 	// nil means that it never does.
 	keep func(begun bool) bool
+	// standbys are the attempts beside this one while it has made no progress; nil if there are none.
+	standbys *standbys
 	// backlog is what the reader of the attempt may not have read; nil if not known.
 	backlog *backlog
 	// end ends the attempt.
@@ -62,6 +64,9 @@
 
 // progress records that the upstream has made progress.
 func (s *silenceTimer) progress(now time.Time) {
+	if s.standbys != nil && s.progressNanos.Load() == 0 {
+		s.standbys.stop()
+	}
 	s.progressNanos.Store(int64(max(now.Sub(s.startedAt), 1)))
 	if s.backlog != nil {
 		s.backlog.reset()
@@ -81,6 +86,9 @@
 	if !s.stopped.Swap(true) {
 		s.timer.Stop()
 	}
+	if s.standbys != nil {
+		s.standbys.stop()
+	}
 }
 
 // check ends the attempt, or sets the timer to the next check.
@@ -126,12 +134,7 @@
 	call := f.call
 	s.report = func(silent, limit time.Duration, begun bool) { d.logSilent(granted, call, silent, limit, begun) }
 	if call.Class == contract.Batch {
-		// A batch request can go on at the same upstream: its connection may be dead
-		// although the upstream is not.
-		s.limit = func(last time.Time, begun bool) time.Duration {
-			limit := max(d.sched.tokenTimeout(granted, begun), minBatchSilenceLimit)
-			return min(limit, batchSilenceLimit(call, last))
-		}
+		d.watchBatch(ctx, s, granted, f)
 		return s
 	}
 	if !call.Repeatable || f.isLastAttempt() {
@@ -163,8 +166,59 @@
 	return s
 }
 
-// minBatchSilenceLimit is longer than a sound upstream pauses within an answer.
-const minBatchSilenceLimit = 2 * time.Second
+// watchBatch sets the limits of a batch attempt. A batch request can go on at the same
+// upstream: its connection may be dead although the upstream is not. An attempt that would be
+// repeated from the beginning gets a second one beside it. One behind the first event is ended,
+// since the next one goes on behind the last event.
+func (d *Dispatcher) watchBatch(ctx context.Context, s *silenceTimer, granted *slot, f *forwarding) {
+	call, silences := f.call, min(f.silences, maxSilenceDoublings)
+	s.limit = func(last time.Time, begun bool) time.Duration {
+		limit, observed := d.sched.batchSilence(granted, begun)
+		if !observed {
+			limit <<= silences
+		}
+		return min(limit, batchSilenceLimit(call, last))
+	}
+	if f.lastEventID != "" || f.hasData || f.isTrial {
+		return
+	}
+	s.standbys = d.newStandbys(ctx, granted, f)
+	s.keep = func(begun bool) bool {
+		if begun || time.Since(s.startedAt) > batchSilenceLimit(call, s.startedAt) {
+			return false
+		}
+		next := s.standbys.take(s.limit(time.Now(), false))
+		return next == nil || !d.setNext(f, s, next)
+	}
+}
+
+const (
+	// minBatchSilenceLimit is longer than a sound upstream pauses within an answer.
+	minBatchSilenceLimit = 2 * time.Second
+	// defaultBatchSilenceLimit applies while no latency has been observed, and to the time
+	// before the first event at least, which may include a wait in the upstream's own queue. It
+	// doubles with every silent attempt in a row, maxSilenceDoublings times at most.
+	defaultBatchSilenceLimit = 4 * time.Second
+	maxSilenceDoublings      = 2
+	// batchFirstTokenFactor is the limit in times to the first token.
+	batchFirstTokenFactor = 2
+)
+
+// batchSilence returns how long a batch attempt may wait for its first token, or for a further
+// one when it has begun, and whether that was observed rather than assumed.
+func (s *scheduler) batchSilence(g *slot, begun bool) (limit time.Duration, observed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := g.pool
+	if begun {
+		if p.medianSpacing == 0 {
+			return defaultBatchSilenceLimit, false
+		}
+		return max(tokenTimeoutSpacings*p.medianSpacing, minBatchSilenceLimit), true
+	}
+	first := max(p.medianFirstToken, p.batchFirstToken.Value)
+	return max(batchFirstTokenFactor*first, defaultBatchSilenceLimit), batchFirstTokenFactor*first > defaultBatchSilenceLimit
+}
 
 // batchSilenceLimit returns how long an upstream that has been silent since a time may
 // stay so: half of what is left until the result is due, or until the deadline when it
--- a/upstream/silence_test.go
+++ b/upstream/silence_test.go
@@ -1,10 +1,13 @@
 package upstream
 
 import (
+	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -13,6 +16,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/daisylb/daisylb/contract"
+	"github.com/daisylb/daisylb/quarantine"
 )
 
 // TestSilenceDoesNotEndTheLastAttempt has workers that pause in the middle of every
@@ -320,3 +324,202 @@
 		})
 	}
 }
+
+// finishTime is the shortest time in which accepted items have to be done once their
+// upstreams are sound and idle, on the deployments of the users.
+const finishTime = 18 * time.Second
+
+// silentAtFirst returns a script whose workers fall silent behind the first events of the
+// first n requests, and answer later ones after a while.
+func silentAtFirst(n int64, events, last int) script {
+	var requests atomic.Int64
+	return func(t testing.TB, w *scriptedWorker, c net.Conn, r *http.Request) {
+		if requests.Add(1) > n {
+			time.Sleep(700 * time.Millisecond)
+			eventsScript(last, endOfChunks)(t, w, c, r)
+			return
+		}
+		text := ""
+		if events > 0 {
+			text = streamHead(r, "")
+		}
+		for n := 1; n <= events; n++ {
+			text += chunk(event(n))
+		}
+		_, _ = c.Write([]byte(text))
+		_, _ = c.Read(make([]byte, 1))
+	}
+}
+
+// forwardItem calls Forward until an item is done, as a job does, and checks its text.
+func forwardItem(t *testing.T, d *Dispatcher, call *contract.ForwardRequest, last int) {
+	sink := &answerSink{}
+	for d.Forward(t.Context(), call, sink) != nil && time.Now().Before(call.Deadline) {
+		call.LastEventID = lastEventOf(sink)
+		call.ReceivedEvents = strings.Count(sink.body.String(), "id: ")
+		time.Sleep(100 * time.Millisecond)
+	}
+	if diff := cmp.Diff(eventsUpTo(last), sink.body.String()); diff != "" {
+		t.Errorf("item %s: %s", call.RequestID, diff)
+	}
+}
+
+// lastEventOf returns the id of the last event that a sink has received.
+func lastEventOf(s *answerSink) string {
+	text := s.body.String()
+	i := strings.LastIndex(text, "id: ")
+	if i < 0 {
+		return ""
+	}
+	id, _, _ := strings.Cut(text[i+len("id: "):], "\n")
+	return id
+}
+
+// TestItemsOnSilentConnectionsAreDoneInTime guards against waits for silent connections that
+// outlast the time to finish, whatever has been observed before and whenever the item is due.
+func TestItemsOnSilentConnectionsAreDoneInTime(t *testing.T) {
+	const last, items, window = 6, 2, 18 * time.Second
+	for _, workers := range []int{1, 3} {
+		for _, events := range []int{0, 1, 3} {
+			for _, times := range []int64{1, 2} {
+				for name, due := range map[string]time.Duration{"due soon": time.Second, "due later": window, "due in an hour": time.Hour, "overdue": -time.Second} {
+					t.Run(fmt.Sprintf("%d workers, silent after %d events, %d times, %s", workers, events, times, name), func(t *testing.T) {
+						synctest.Test(t, func(t *testing.T) {
+							silent := silentAtFirst(times*items, events, last)
+							scripts := make([]script, workers)
+							for i := range scripts {
+								scripts[i] = silent
+							}
+							dial, scripted, wait := pipeWorkers(scripts...)
+							d, logs := newLoggedForwarder(t, dial, scripted...)
+							stop := sweepRegularly(d)
+							begin := time.Now()
+							var running sync.WaitGroup
+							for i := range items {
+								running.Go(func() {
+									call := batchCall(fmt.Sprint("item", i), window)
+									call.Due, call.Deadline = begin.Add(due), begin.Add(max(due, 0)+42*time.Second)
+									forwardItem(t, d, call, last)
+								})
+							}
+							running.Wait()
+							if took := time.Since(begin); took > finishTime {
+								t.Errorf("the items took %v", took)
+							}
+							if n := logs.FilterMessage("sent").Len(); n < items {
+								t.Errorf("%d attempts", n)
+							}
+							stop()
+							wait.Wait()
+						})
+					})
+				}
+			}
+		}
+	}
+}
+
+// sweepRegularly updates the health of the upstreams as Dispatcher.Run does.
+func sweepRegularly(d *Dispatcher) (stop func()) {
+	stopped, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stopped:
+				return
+			case <-time.After(DefaultSweepInterval):
+				d.sched.sweep(time.Now())
+			}
+		}
+	}()
+	return func() { close(stopped); <-done }
+}
+
+// TestSlowUpstreamKeepsTheRunOfAnItem has sound upstreams that need long for a first event,
+// at an instance that has observed nothing yet.
+func TestSlowUpstreamKeepsTheRunOfAnItem(t *testing.T) {
+	const last, items = 6, 2
+	for _, workers := range []int{1, 3} {
+		for _, first := range []time.Duration{3 * time.Second, 6 * time.Second, 15 * time.Second} {
+			t.Run(fmt.Sprintf("%d workers, first event after %v", workers, first), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					var whole atomic.Int64
+					slow := func(_ testing.TB, _ *scriptedWorker, c net.Conn, r *http.Request) {
+						time.Sleep(first)
+						_, err := c.Write([]byte(streamHead(r, "")))
+						for n := 1; n <= last && err == nil; n++ {
+							_, err = c.Write([]byte(chunk(event(n))))
+							time.Sleep(10 * time.Millisecond)
+						}
+						if _, err = c.Write([]byte(endOfChunks)); err == nil {
+							whole.Add(1)
+						}
+					}
+					scripts := make([]script, workers)
+					for i := range scripts {
+						scripts[i] = slow
+					}
+					dial, scripted, wait := pipeWorkers(scripts...)
+					d, _ := newLoggedForwarder(t, dial, scripted...)
+					stop := sweepRegularly(d)
+					begin := time.Now()
+					var running sync.WaitGroup
+					for i := range items {
+						running.Go(func() { forwardItem(t, d, batchCall(fmt.Sprint("item", i), time.Hour), last) })
+					}
+					running.Wait()
+					if took := time.Since(begin); took > first+time.Second {
+						t.Errorf("the items took %v at upstreams that need %v", took, first)
+					}
+					stop()
+					wait.Wait()
+					if n := whole.Load(); n != items {
+						t.Errorf("%d whole runs of %d items", n, items)
+					}
+				})
+			})
+		}
+	}
+}
+
+// TestSecondAttemptIsNotMadeForPromptsHeldBack guards against second attempts that take a
+// quarantined prompt, or the trial of one, to a further upstream.
+func TestSecondAttemptIsNotMadeForPromptsHeldBack(t *testing.T) {
+	for name, isTrial := range map[string]bool{"quarantined while silent": false, "trial": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				q := quarantine.New(quarantine.Options{})
+				silent := silentAtFirst(math.MaxInt64, 0, 1)
+				dial, workers, wait := pipeWorkers(silent, silent)
+				d, logs := newLoggedForwarder(t, dial, workers...)
+				d.options.Quarantine = q
+				accuse := func() {
+					for k := range 3 {
+						q.RecordCrash(partKeys("s", []uint64{deadlyPart}), fmt.Sprint("u", k), 1, "r")
+						time.Sleep(200 * time.Millisecond)
+					}
+				}
+				if isTrial {
+					accuse()
+					time.Sleep(5 * time.Second)
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), defaultBatchSilenceLimit+2*time.Second)
+				call := batchCall("a", time.Hour)
+				call.PromptParts = []uint64{deadlyPart}
+				done := make(chan error)
+				go func() { done <- d.Forward(ctx, call, &answerSink{}) }()
+				time.Sleep(time.Second)
+				if !isTrial {
+					accuse()
+				}
+				<-done
+				cancel()
+				wait.Wait()
+				if n := workers[0].requestCount.Load() + workers[1].requestCount.Load(); n != 1 {
+					t.Errorf("the prompt reached upstreams %d times, want once; %v", n, logs.All())
+				}
+			})
+		})
+	}
+}
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -235,6 +235,8 @@
 	passedNanos atomic.Int64
 	passing     atomic.Bool
 	steady      steadyGap
+	// conn is the connection of an attempt that was a standby until its answer began.
+	conn *connection
 }
 
 // gapShift gives a new gap a weight of 1/4 in the moving average.
