Try quarantined prompts where it tells most, and soon after crashes end

A trial now takes a place at an upstream that has not failed since the first crash, before it is claimed; while these are full it is left to later requests, for 12 s. Crashes of quarantined parts are published, so that no instance takes them for unexplained.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -54,6 +54,8 @@
 	// returnedUntil is when a trial that no upstream ran can no longer be used.
 	returnedUntil time.Time
 	quarantined   bool
+	// quarantinedAt is when it became so, by the store's clock.
+	quarantinedAt time.Duration
 	// contested is what isContested reported when changedAt was contestedAt.
 	contested   bool
 	contestedAt time.Time
@@ -70,6 +72,28 @@
 	return countSeparate(times)
 }
 
+// hasCrashSince reports whether a crash at a time or later counts against the part.
+func (p *part) hasCrashSince(at time.Duration) bool {
+	for _, c := range p.crashes {
+		if c.At >= at && c.At > p.answeredAt {
+			return true
+		}
+	}
+	return false
+}
+
+// firstCrashAt returns the time of the first crash that counts against the part, by the
+// store's clock, or fallback if there is none.
+func (p *part) firstCrashAt(fallback time.Duration) time.Duration {
+	first := fallback
+	for _, c := range p.crashes {
+		if c.At > p.answeredAt {
+			first = min(first, c.At)
+		}
+	}
+	return first
+}
+
 // lastAt returns the time of the newest evidence or trial, by the store's clock.
 func (p *part) lastAt() time.Duration {
 	last := p.trial.At
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -107,53 +107,90 @@
 // Admit reports whether a request with these parts may be sent to an upstream. If it may
 // not, retryAfter is the time until the next trial of its part. If isTrial is set, the
 // request is a trial: it may be sent to one upstream, and the caller reports its end by
-// RecordCrash, RecordAnswer or, if no upstream ran it, ReturnTrial. Admit waits for the
-// store only if a trial is due, and at most for claimTimeout.
-func (l *List) Admit(ctx context.Context, parts []uint64) (admitted, isTrial bool, retryAfter time.Duration) {
+// RecordCrash, RecordAnswer or, if no upstream ran it, ReturnTrial.
+//
+// place is called before a trial is claimed, with the time of the first crash that counts
+// against the prompt and for how long the trial has been due. It reports whether the request
+// has a place at an upstream that tells enough; if not, the trial is left to a later request.
+// It may be nil. Admit waits for the store only if a trial is due, and at most for
+// claimTimeout.
+func (l *List) Admit(ctx context.Context, parts []uint64, place func(since time.Time, overdue time.Duration) bool) (admitted, isTrial bool, retryAfter time.Duration) {
 	quarantined := *l.quarantined.Load()
 	if len(quarantined) == 0 || !containsAny(parts, quarantined) {
 		return true, false, 0
 	}
-	claim, admitted, isTrial, retryAfter := l.decide(parts, time.Now())
-	if claim != nil {
-		isTrial = l.claimTrial(ctx, claim)
-		admitted = isTrial
-	}
-	if admitted {
-		return true, isTrial, 0
+	d := l.decide(parts, time.Now())
+	switch {
+	case d.admitted:
+		return true, false, 0
+	case !d.isTrial:
+		return false, false, max(d.retryAfter, minRetryAfter)
+	case place != nil && !place(d.since, d.overdue):
+		l.abandonTrial(d)
+		return false, false, minRetryAfter
 	}
-	return false, false, max(retryAfter, minRetryAfter)
+	isTrial = d.claim == nil || l.claimTrial(ctx, d.claim)
+	return isTrial, isTrial, minRetryAfter
 }
 
-// decide decides on a request. If its trial is due, it returns the claim that has to be
-// written first.
-func (l *List) decide(parts []uint64, now time.Time) (claim *trialClaim, admitted, isTrial bool, retryAfter time.Duration) {
+// decision is what is decided on a request.
+type decision struct {
+	admitted bool
+	// isTrial is set if the request may be a trial once claim is written; claim is nil if
+	// it takes the place of a trial that no upstream ran.
+	isTrial bool
+	claim   *trialClaim
+	held    []uint64
+	// since is the time of the first crash, overdue for how long the trial has been due.
+	since      time.Time
+	overdue    time.Duration
+	retryAfter time.Duration
+}
+
+// decide decides on a request.
+func (l *List) decide(parts []uint64, now time.Time) (d decision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var held []uint64
-	returned := true
+	returned, first := true, l.storeTime(now)
 	for _, id := range parts {
 		p, ok := l.parts[id]
 		if !ok || !p.quarantined {
 			continue
 		}
-		held = append(held, id)
+		d.held = append(d.held, id)
 		returned = returned && now.Before(p.returnedUntil)
+		first = p.firstCrashAt(first)
+	}
+	if len(d.held) == 0 {
+		d.admitted = true
+		return d
 	}
-	retryAfter = l.trialDueAt(held, now).Sub(now)
+	d.since = l.localTime(first)
+	d.retryAfter = l.trialDueAt(d.held, now).Sub(now)
+	d.overdue = max(-d.retryAfter, 0)
 	switch {
-	case len(held) == 0:
-		return nil, true, false, 0
 	case returned:
-		for _, id := range held {
+		d.isTrial = true
+		for _, id := range d.held {
 			l.parts[id].returnedUntil = time.Time{}
 		}
-		return nil, true, true, 0
-	case retryAfter <= 0 && !l.claiming:
-		claim = l.newTrialClaim(held, now)
-		l.claiming = claim != nil
+	case d.retryAfter <= 0 && !l.claiming:
+		d.claim = l.newTrialClaim(d.held, now)
+		d.isTrial = d.claim != nil
+		l.claiming = d.isTrial
 	}
-	return claim, false, false, retryAfter
+	return d
+}
+
+// abandonTrial leaves a trial that has no place to a later request.
+func (l *List) abandonTrial(d decision) {
+	if d.claim == nil {
+		l.ReturnTrial(d.held)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.claiming = false
 }
 
 func containsAny(parts []uint64, set map[uint64]bool) bool {
@@ -235,8 +272,8 @@
 		l.options.Log.Warn("invalid row of a crash ignored", zap.String("key", r.Key), zap.Error(err))
 		return false
 	}
-	l.recordUpstreamCrash(incarnation, next.At, l.storeTime(now))
-	if _, ok := p.crashes[incarnation]; !ok {
+	l.recordUpstreamCrash(upstreamCrash{incarnation: incarnation, at: next.At}, l.storeTime(now))
+	if known, ok := p.crashes[incarnation]; !ok || next.At > known.At {
 		p.changedAt = now
 	}
 	p.crashes[incarnation] = next
@@ -281,7 +318,7 @@
 		quarantined := n >= limit
 		if quarantined != p.quarantined {
 			l.logChange(id, p, n, quarantined)
-			p.quarantined = quarantined
+			p.quarantined, p.quarantinedAt = quarantined, l.storeTime(now)
 		}
 		if quarantined {
 			next[id] = true
@@ -315,5 +352,8 @@
 		zap.String("last_upstream", last.Upstream), zap.String("last_request", last.Request))
 }
 
+// localTime returns the local time of a reading of the store's clock.
+func (l *List) localTime(at time.Duration) time.Time { return l.startedAt.Add(at - l.clockOffset) }
+
 // storeTime returns the reading of the store's clock at a local time.
 func (l *List) storeTime(t time.Time) time.Duration { return t.Sub(l.startedAt) + l.clockOffset }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -63,7 +64,7 @@
 	evidence := crash{At: l.storeTime(now), Upstream: upstream, Request: request}
 	suspected, proven := l.suspects(parts, now)
 	incarnation := incarnationHash(upstream, startedMillis)
-	l.recordUpstreamCrash(incarnation, evidence.At, evidence.At)
+	l.recordUpstreamCrash(upstreamCrash{incarnation: incarnation, at: evidence.At}, evidence.At)
 	for _, id := range suspected {
 		own := ownCrash{partID: id, incarnation: incarnation, crash: evidence, seenAt: now}
 		if proven {
@@ -97,18 +98,24 @@
 	return parts, true
 }
 
-// suspect adds evidence of this instance and lets Run publish it, unless the part is
-// quarantined anyway. The caller holds the lock.
+// suspect adds evidence of this instance and lets Run publish it. Crashes of a part that is
+// quarantined are published, too, so that no instance takes them for unexplained ones. The
+// caller holds the lock.
 func (l *List) suspect(own ownCrash, now time.Time) {
 	p := l.part(own.partID)
 	if p == nil {
 		return
 	}
-	if _, ok := p.crashes[own.incarnation]; ok {
+	// A crash at an upstream that has crashed before counts as a later one only if it tells
+	// the end of a trial.
+	if known, ok := p.crashes[own.incarnation]; ok && (!p.quarantined || own.crash.At-known.At < crashSpacing) {
 		return
 	}
 	p.crashes[own.incarnation], p.changedAt = own.crash, now
-	if !p.quarantined && len(l.unpublished) < maxUnpublished {
+	l.unpublished = slices.DeleteFunc(l.unpublished, func(c ownCrash) bool {
+		return c.partID == own.partID && c.incarnation == own.incarnation
+	})
+	if len(l.unpublished) < maxUnpublished {
 		l.unpublished = append(l.unpublished, own)
 	}
 }
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -249,3 +249,43 @@
 		t.Errorf("%d of %d workers are used", len(users), workers)
 	}
 }
+
+// TestOnlyUnannouncedEndsOfWorkersAreReported guards against planned ends, and entries that
+// expired while the store was down, that pass for crashes.
+func TestOnlyUnannouncedEndsOfWorkersAreReported(t *testing.T) {
+	gone := func(id string) storage.TableRow {
+		return storage.TableRow{RowKey: storage.RowKey{Key: id}, Version: 9, Removed: true}
+	}
+	for name, c := range map[string]struct {
+		updates []feed.Update
+		want    []string
+	}{
+		"first read":                 {nil, nil},
+		"entry removed":              {[]feed.Update{{Rows: []storage.TableRow{gone("a")}}}, []string{"a/0"}},
+		"new start, same id":         {[]feed.Update{{Rows: []storage.TableRow{row("a", "again", 2)}}}, []string{"a/0"}},
+		"entry unchanged":            {[]feed.Update{{Rows: []storage.TableRow{row("a", "ready", 2)}}}, nil},
+		"removed while draining":     {[]feed.Update{{Rows: []storage.TableRow{row("a", "draining", 2)}}, {Rows: []storage.TableRow{gone("a")}}}, nil},
+		"new start while draining":   {[]feed.Update{{Rows: []storage.TableRow{row("a", "draining", 2)}}, {Rows: []storage.TableRow{row("a", "again", 3)}}}, nil},
+		"removed after an outage":    {[]feed.Update{{Recovered: true, Rows: []storage.TableRow{gone("a")}}}, nil},
+		"removed in a full read":     {[]feed.Update{{FullRead: true, Rows: []storage.TableRow{gone("a")}}}, nil},
+		"unknown entry removed":      {[]feed.Update{{Rows: []storage.TableRow{gone("z")}}}, nil},
+		"two at the same time":       {[]feed.Update{{Rows: []storage.TableRow{gone("a"), row("b", "again", 2)}}}, []string{"a/0", "b/0"}},
+		"not reported a second time": {[]feed.Update{{Rows: []storage.TableRow{gone("a")}}, {Rows: []storage.TableRow{row("c", "ready", 3)}}}, []string{"a/0"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorkers()
+				var got []string
+				w.Restarted = func(id string, startedMillis int64) { got = append(got, fmt.Sprint(id, "/", startedMillis)) }
+				w.Update(feed.Update{Rows: []storage.TableRow{row("a", "ready", 1), row("b", "ready", 1)}})
+				for _, u := range c.updates {
+					w.Update(u)
+				}
+				time.Sleep(2 * routing.ReregistrationGrace)
+				if diff := cmp.Diff(c.want, got); diff != "" {
+					t.Error(diff)
+				}
+			})
+		})
+	}
+}
--- a/routing/workers.go
+++ b/routing/workers.go
@@ -27,6 +27,9 @@
 	// after the first Update.
 	DataCentres map[string]string
 	Log         *zap.Logger
+	// Restarted is called, after the change is in force, for each worker that has ended or
+	// started anew without having been draining. It may be nil.
+	Restarted func(id string, startedMillis int64)
 
 	mu sync.Mutex
 	// self is the name of this instance. instances are the names by which the fleet
@@ -48,6 +51,8 @@
 	usedByCell atomic.Pointer[map[int]map[string]bool]
 	// loaded is set once the entries have been read.
 	loaded atomic.Bool
+	// restarted has the workers for Restarted.
+	restarted []contract.Worker
 }
 
 // Loaded reports whether the entries have been read.
@@ -59,8 +64,18 @@
 
 // Update applies changes of the workers' table.
 func (w *Workers) Update(u feed.Update) {
+	for _, worker := range w.update(u) {
+		if w.Restarted != nil {
+			w.Restarted(worker.ID, worker.StartedMillis)
+		}
+	}
+}
+
+// update applies changes and returns the workers for Restarted.
+func (w *Workers) update(u feed.Update) []contract.Worker {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.restarted = nil
 	now := time.Now()
 	if w.workers == nil {
 		w.workers = map[string]contract.Worker{}
@@ -89,6 +104,11 @@
 	if changed {
 		w.publish()
 	}
+	if u.FullRead || u.Recovered {
+		// An announcement may have been missed.
+		return nil
+	}
+	return w.restarted
 }
 
 // applyEntry adds or replaces a worker and reports whether the document changes. An
@@ -114,6 +134,9 @@
 	if !w.loaded.Load() {
 		return true
 	}
+	if ok && !prev.Draining && prev.StartedMillis != next.StartedMillis {
+		w.restarted = append(w.restarted, prev)
+	}
 	w.Log.Info("worker", zap.String("worker", id), zap.String("address", next.Address), zap.String("service", next.Service),
 		zap.Bool("draining", next.Draining), zap.Int64("started", next.StartedMillis))
 	return true
@@ -137,6 +160,9 @@
 	}
 	delete(w.workers, id)
 	w.Log.Info("worker gone", zap.String("worker", id))
+	if !prev.Draining {
+		w.restarted = append(w.restarted, prev)
+	}
 	return true
 }
 
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -268,6 +268,11 @@
 		d.sched.discard(granted)
 		return nil, err
 	}
+	if next := f.next.Swap(nil); next != nil {
+		// The request has become a trial, which has a place of its own.
+		d.sched.discard(granted)
+		granted = next
+	}
 	return granted, nil
 }
 
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -101,6 +101,8 @@
 	held map[*target]bool
 	// leftOut has the targets that are reported as not responding.
 	leftOut map[*target]bool
+	// steadySince is that of the request.
+	steadySince time.Time
 }
 
 func (v *targetView) Len() int         { return len(v.targets) }
@@ -109,6 +111,7 @@
 	c := v.targets[i].candidate(v.now, v.medianFirstToken)
 	c.Held = v.held[v.targets[i]]
 	c.Closed = c.Closed || v.leftOut[v.targets[i]]
+	c.Closed = c.Closed || !v.steadySince.IsZero() && !v.targets[i].isSteady(v.steadySince)
 	c.LoadUncertain = c.LoadUncertain && !v.isOnly
 	return c
 }
--- a/upstream/quarantine.go
+++ b/upstream/quarantine.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
@@ -16,8 +17,9 @@
 // block, while a trial is due.
 type Quarantine interface {
 	// Admit reports whether a request with these parts may be sent. If not, retryAfter
-	// is the time until one may be. If isTrial is set, it may be sent to one upstream.
-	Admit(ctx context.Context, parts []uint64) (admitted, isTrial bool, retryAfter time.Duration)
+	// is the time until one may be. If isTrial is set, it may be sent to one upstream. It
+	// is a trial only if place finds it one.
+	Admit(ctx context.Context, parts []uint64, place func(since time.Time, overdue time.Duration) bool) (admitted, isTrial bool, retryAfter time.Duration)
 	// Watch calls notify when one of the parts is quarantined, until stop is called.
 	Watch(parts []uint64, notify func()) (stop func())
 	// RecordCrash is called when an upstream has closed the connection of a request that
@@ -56,15 +58,63 @@
 	if d.options.Quarantine == nil || f.isTrial || f.answered {
 		return nil
 	}
-	admitted, isTrial, retryAfter := d.options.Quarantine.Admit(ctx, f.promptParts)
+	admitted, isTrial, retryAfter := d.options.Quarantine.Admit(ctx, f.promptParts, func(since time.Time, overdue time.Duration) bool {
+		return d.placeTrial(ctx, f, since, overdue)
+	})
 	f.isTrial = isTrial
 	if admitted {
 		return nil
 	}
+	d.discardNext(f)
 	f.cause = causeQuarantined
 	return f.quarantineError(retryAfter)
 }
 
+// maxTrialWait is how long a trial that is due may wait for an upstream that did not fail
+// lately, while these are full.
+const maxTrialWait = 12 * time.Second
+
+// placeTrial takes a slot for a trial at an upstream that has been up, without a failure, since
+// a time at which others crashed: whether it crashes, too, tells the prompt from upstreams that
+// crash by themselves. It reports false if these have no free slot. If there is no such upstream,
+// or the trial has waited for too long, any one will do.
+func (d *Dispatcher) placeTrial(ctx context.Context, f *forwarding, since time.Time, overdue time.Duration) bool {
+	next, steady := d.sched.placeSteady(ctx, f.request, since)
+	d.log.Info("place of a trial", zap.String("request", f.call.RequestID), zap.Duration("first_crash_ago", time.Since(since)),
+		zap.Duration("overdue", overdue), zap.Int("steady_upstreams", steady), zap.Bool("placed", next != nil))
+	if next != nil {
+		f.next.Store(next)
+		return true
+	}
+	return steady == 0 || overdue > maxTrialWait
+}
+
+// placeSteady grants a request a free slot of a target that has not failed since a time. It
+// returns nil if there is none, and the number of such targets.
+func (s *scheduler) placeSteady(ctx context.Context, r request, since time.Time) (granted *slot, steady int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.isCurrent(r.pool) {
+		return nil, 0
+	}
+	for _, t := range r.pool.open {
+		if t.isSteady(since) {
+			steady++
+		}
+	}
+	if steady == 0 {
+		return nil, 0
+	}
+	r.steadySince = since
+	return s.place(ctx, &r), steady
+}
+
+// isSteady reports whether this instance has known the target since a time, and has not seen
+// it fail.
+func (t *target) isSteady(since time.Time) bool {
+	return !t.createdAt.After(since) && !t.failedAt.After(since)
+}
+
 // quarantineError returns the error of a call whose prompt is quarantined.
 func (f *forwarding) quarantineError(retryAfter time.Duration) error {
 	const message = "a part of the prompt has crashed upstreams and is kept from them"
--- a/upstream/scheduler.go
+++ b/upstream/scheduler.go
@@ -49,8 +49,11 @@
 	// affinity is a hash of the beginning of the conversation, 0 if there is none.
 	affinity uint64
 	// avoid is the key of the upstream at which the request just failed.
-	avoid    uint64
-	deadline time.Time
+	avoid uint64
+	// steadySince excludes the upstreams that have failed since, or were not known then; the
+	// zero time excludes none.
+	steadySince time.Time
+	deadline    time.Time
 	// onlineWork orders the online requests of an account, batchWork the batch
 	// requests.
 	onlineWork route.OnlineWork
@@ -320,7 +323,7 @@
 // choose returns the target whose free slot a request should take, or nil if there is
 // none. The caller holds the lock.
 func (s *scheduler) choose(r *request, now time.Time) *target {
-	v := &targetView{targets: r.pool.open, now: now, medianFirstToken: r.pool.medianFirstToken, isOnly: len(r.pool.open) == 1}
+	v := &targetView{targets: r.pool.open, now: now, medianFirstToken: r.pool.medianFirstToken, isOnly: len(r.pool.open) == 1, steadySince: r.steadySince}
 	if s.isOverShare(r) && !r.pool.hasHeadroom(now) {
 		return nil
 	}
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -22,8 +22,10 @@
 	// incarnation is the upstream's start time in Unix milliseconds, which distinguishes
 	// upstreams that use the same id one after another; 0 if the id is not reused.
 	incarnation int64
-	config      atomic.Pointer[upstreamConfig]
-	report      atomic.Pointer[loadReport]
+	// createdAt is when this instance learned of the upstream.
+	createdAt time.Time
+	config    atomic.Pointer[upstreamConfig]
+	report    atomic.Pointer[loadReport]
 	// announcedLeaving is set once the upstream has announced in a response that it
 	// shuts down. It is never reset: the next start is another incarnation.
 	announcedLeaving atomic.Bool
@@ -92,7 +94,7 @@
 }
 
 func newTarget(id, address string) *target {
-	return &target{id: id, key: xxhash.Sum64String(id) | 1, address: address}
+	return &target{id: id, key: xxhash.Sum64String(id) | 1, address: address, createdAt: time.Now()}
 }
 
 func (t *target) setConfig(next *upstreamConfig) { t.config.Store(next) }
