Let jobs in quarantine give way sooner than those of silent upstreams

Callers whose job waits for memory that others hold waited behind each job whose prompts are quarantined for 10 s, the limit for a job without progress, although it is known at once that such a job gets nothing.

A job all of whose started items are held back now gives way after 3 s. A trial that runs counts as an attempt, so that it is not cut.

TestAcceptedItemsAreDoneSoonAfterWhatTheyWaitFor holds the other waits of a job; it passes before and after.

--- a/job/collector.go
+++ b/job/collector.go
@@ -29,6 +29,9 @@
 	unsaved       []eventEnd
 	savedFailures int
 	nextRow       int
+	// heldBack is set while the item counts in run.heldBack. Only the goroutine of the item
+	// uses it.
+	heldBack bool
 	// onEvent is called with each event; it may be nil.
 	onEvent func()
 	// claim is what the item takes of Service.running until its result is listed, textBytes the
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -43,6 +43,8 @@
 	resumedAfter map[string][]string
 	// releasedAt is when items whose id begins with "released" are no longer kept back.
 	releasedAt time.Time
+	// downUntil is when the upstream can be reached.
+	downUntil time.Time
 	// maxBytes is the memory for the items of an instance that is started; 0 means without limit.
 	maxBytes int64
 	// maxKeptBytes is the memory for the heads of all jobs; 0 means the default.
@@ -274,6 +276,8 @@
 		}
 	}
 	switch {
+	case time.Now().Before(f.downUntil):
+		return code.New(code.NoUpstream, "the upstream is down")
 	case strings.HasPrefix(c.RequestID, "poison"):
 		return sink.Begin(http.StatusUnprocessableEntity, nil)
 	case strings.HasPrefix(c.RequestID, "broken"):
--- a/job/run.go
+++ b/job/run.go
@@ -48,6 +48,9 @@
 	// wait for an upstream.
 	progressAt atomic.Int64
 	started    atomic.Int64
+	// heldBack is the number of items whose last attempt was refused, since their prompts are
+	// quarantined.
+	heldBack atomic.Int64
 	// head is the state that this process wrote last. Only the goroutine of commitAll
 	// uses it.
 	head versionedHead
@@ -159,6 +162,7 @@
 		r.goroutines.Go(func() {
 			defer r.started.Add(-1)
 			r.runItem(i, c)
+			r.setHeldBack(c, false)
 		})
 	}
 }
@@ -293,6 +297,7 @@
 	c.status = 0
 	ctx, cancel := r.service.whileConnected(r.ctx)
 	defer cancel()
+	r.setHeldBack(c, false)
 	err := r.service.options.Forwarder.Forward(ctx, f, c)
 	if errors.Is(err, errItemTextTooLarge) {
 		r.service.options.Log.Warn("item text over its limit, restarting the item", zap.String("job", r.id), zap.String("request", item.ID))
@@ -308,6 +313,7 @@
 	case errors.As(err, &statusErr):
 		c.status = statusErr.Status
 	case code.Of(err) == code.PromptQuarantined:
+		r.setHeldBack(c, true)
 		sleep(r.ctx, min(code.From(err).RetryAfter, maxQuarantinePause))
 		return false
 	case err != nil:
@@ -327,6 +333,20 @@
 	return false
 }
 
+// setHeldBack records whether the last attempt of an item was refused because its prompt is
+// quarantined.
+func (r *run) setHeldBack(c *collector, heldBack bool) {
+	if c.heldBack == heldBack {
+		return
+	}
+	c.heldBack = heldBack
+	if heldBack {
+		r.heldBack.Add(1)
+		return
+	}
+	r.heldBack.Add(-1)
+}
+
 // finish passes the result of an item to commitAll.
 func (r *run) finish(index int, result Result) {
 	r.mu.Lock()
--- a/job/stall.go
+++ b/job/stall.go
@@ -12,13 +12,16 @@
 	stallInterval = time.Second
 	// stallTime is how long a job that gets nothing from an upstream keeps memory for which
 	// others wait. It is several times as long as a busy upstream needs for a first event.
-	stallTime = 10 * time.Second
+	// heldBackTime is the same for a job whose items are all held back in quarantine: other jobs
+	// need not wait until it is clear that it gets nothing.
+	stallTime    = 10 * time.Second
+	heldBackTime = 3 * time.Second
 	// yieldTimeout bounds the hand-over of a job. If the store does not apply it by then, this
 	// process takes the job up again.
 	yieldTimeout = 3 * time.Second
 )
 
-// yieldStalled hands over the job that has made no progress for the longest, over stallTime, if
+// yieldStalled hands over the job that has made no progress for the longest, over its limit, if
 // another job or an item waits for the memory that it holds. Otherwise jobs whose service has no
 // upstream, or whose prompts are quarantined, would keep the jobs of others waiting until they
 // expire. The job is then the last of those that wait.
@@ -29,9 +32,9 @@
 	}
 	s.mu.Lock()
 	var stalled *run
-	longest, now := stallTime, time.Since(s.startedAt)
+	longest, now := time.Duration(0), time.Since(s.startedAt)
 	for _, r := range s.owned {
-		if idle := now - time.Duration(r.progressAt.Load()); idle > longest && (loading || r.started.Load() > 0) {
+		if idle := now - time.Duration(r.progressAt.Load()); idle > max(longest, r.stallTime()) && (loading || r.started.Load() > 0) {
 			stalled, longest = r, idle
 		}
 	}
@@ -45,3 +48,11 @@
 	defer cancel()
 	stalled.handOver(ctx)
 }
+
+// stallTime returns how long the run may be without progress while others wait for its memory.
+func (r *run) stallTime() time.Duration {
+	if n := r.started.Load(); n > 0 && r.heldBack.Load() >= n {
+		return heldBackTime
+	}
+	return stallTime
+}
