Ask for the rest of an item's answer that has no length

Cause: the end of such a connection between two events counted as the end of the answer, and so did that of a continuation before its first event.

An upstream is now asked for the rest with the last event's id. The answer is complete if that adds nothing and has a length or chunks, or its upstream still accepts connections, or if it is rejected with a 4xx. Online streams are as before.

--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -30,6 +30,9 @@
 	refused bool
 	// withheld means that nothing was sent because the upstream is leaving.
 	withheld bool
+	// unconfirmed means that the answer may be complete, and that another attempt, behind its
+	// last event, tells.
+	unconfirmed bool
 	// preempted means that the scheduler ended the attempt, either for online work or
 	// to migrate the stream to a faster upstream.
 	preempted bool
@@ -76,9 +79,12 @@
 		result = "failed"
 	}
 	cancelled := cause != nil && !errors.Is(cause, errStalled)
-	if f != nil && !f.final && !f.withheld && !cancelled {
+	if f != nil && !f.final && !f.withheld && !f.unconfirmed && !cancelled {
 		d.sched.recordFailure(granted.target, f)
 	}
+	if f != nil && f.unconfirmed {
+		result = "unconfirmed"
+	}
 	if f != nil && (cancelled || f.withheld) {
 		result = "cancelled"
 	}
--- a/upstream/cause.go
+++ b/upstream/cause.go
@@ -33,6 +33,7 @@
 	causeAnswerSize   failureCause = "answer_bytes"    // the answer is over its size limit
 	causeNotEvents    failureCause = "not_events"      // an event stream continues with text that is not an event
 	causeNoPosition   failureCause = "no_position"     // a resumed stream begins with data whose place is not known
+	causeNoLength     failureCause = "no_length"       // the answer has no length and may not be complete
 	causeMalformed    failureCause = "malformed"       // the response is not valid
 	// Causes at the caller or at this instance.
 	causeCallerGone failureCause = "caller_gone"
@@ -57,6 +58,7 @@
 	{errEventTooLong, causeEventSize},
 	{errNotEvents, causeNotEvents},
 	{errNoPosition, causeNoPosition},
+	{errNoLength, causeNoLength},
 	{errOtherRequest, causeOtherRequest},
 	{errUnsigned, causeUnsigned},
 	{errEncoded, causeEncoding},
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -51,6 +51,9 @@
 	unnumbered  bool
 	lastEventID string
 	events      int
+	// endedAfter is the last event behind which an upstream has ended an answer without a
+	// length to a batch request. The answer is complete if a further one ends there, too.
+	endedAfter string
 	// slotTime is the time for which earlier attempts held slots.
 	slotTime time.Duration
 	// upstreamID is the upstream of the current attempt, load what was known of it when
@@ -157,6 +160,9 @@
 		if ctxErr != nil {
 			return f.endError(ctxErr)
 		}
+		if f.isEndRejected(fail) {
+			return nil
+		}
 		if fail.final {
 			return fail.err
 		}
@@ -164,6 +170,11 @@
 			f.preemptions++
 			continue
 		}
+		if fail.unconfirmed {
+			d.log.Info("asking for the rest of an answer without a length", zap.String("request", f.call.RequestID),
+				zap.String("upstream", granted.target.id), zap.String("after_event", f.lastEventID), zap.Int("events", f.events))
+			continue
+		}
 		if fail.withheld {
 			d.log.Info("not sent", zap.String("request", f.call.RequestID), zap.String("upstream", granted.target.id), zap.Error(fail.err))
 			continue
--- a/upstream/forward_response.go
+++ b/upstream/forward_response.go
@@ -64,6 +64,7 @@
 	errOtherRequest = errors.New("the answer belongs to another request")
 	errUnsigned     = errors.New("the answer has no signature")
 	errEncoded      = errors.New("the answer is encoded")
+	errNoLength     = errors.New("the answer has no length")
 	errNoPosition   = errors.New("the first data of a resumed stream has no position")
 )
 
@@ -122,7 +123,7 @@
 	for {
 		e, err := events.next()
 		if errors.Is(err, io.EOF) {
-			fail := a.endEvents()
+			fail := d.endEvents(a)
 			if fail == nil && !endsWithConnection(a.response) {
 				d.recordAnswer(a.forwarding)
 			}
@@ -181,10 +182,15 @@
 }
 
 // endEvents ends a stream whose body has ended between events.
-func (a *forwardedAnswer) endEvents() *failure {
-	if a.lastEventID == "" && !a.hasData && endsWithConnection(a.response) {
-		// A worker that crashed before its first event looks the same.
-		return connectionFailure(a.slot, io.ErrUnexpectedEOF)
+func (d *Dispatcher) endEvents(a *forwardedAnswer) *failure {
+	if endsWithConnection(a.response) {
+		if a.lastEventID == "" && !a.hasData {
+			// A worker that crashed before its first event looks the same.
+			return connectionFailure(a.slot, io.ErrUnexpectedEOF)
+		}
+		if fail := d.confirmEnd(a); fail != nil {
+			return fail
+		}
 	}
 	if err := a.begin(); err != nil {
 		return callerGone(err)
@@ -192,6 +198,33 @@
 	return nil
 }
 
+// confirmEnd returns a failure if the end of a connection need not be that of the answer to a
+// batch request: a worker that crashed between two events looks the same, since its kernel closes
+// its connections. The answer is complete once an upstream was asked for the rest and has ended
+// another one without a further event, and has not crashed then.
+func (d *Dispatcher) confirmEnd(a *forwardedAnswer) *failure {
+	if a.call.Class != contract.Batch || a.lastEventID == "" {
+		return nil
+	}
+	if a.endedAfter != a.lastEventID {
+		a.endedAfter = a.lastEventID
+		return &failure{err: code.Wrap(code.UpstreamFailed, errNoLength, "after event %q upstream %q closed the connection", a.lastEventID, a.slot.target.id), unconfirmed: true}
+	}
+	c, err := d.dial(a.slot.ctx, a.slot.target.address)
+	if err != nil {
+		return connectionFailure(a.slot, io.ErrUnexpectedEOF)
+	}
+	c.close()
+	return nil
+}
+
+// isEndRejected reports whether an upstream that was asked for the rest of an answer has rejected
+// that, since there is none.
+func (f *forwarding) isEndRejected(fail *failure) bool {
+	var status *StatusError
+	return fail.final && f.endedAfter != "" && f.endedAfter == f.lastEventID && errors.As(fail.err, &status) && status.Status < http.StatusInternalServerError
+}
+
 // endsWithConnection reports whether only the end of its connection ends a response.
 func endsWithConnection(r *http.Response) bool {
 	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.Body != http.NoBody
