Close idle connections when a request got no response in its time

Cause: the feed left its silent connection after 2.7 s, and its next call took an idle one from the pool that was as silent, for another 2.7 s.

tcpconn.Transport closes a pool's idle connections when a request got no response in its time, of 1 s at least.

--- a/hosted/build.go
+++ b/hosted/build.go
@@ -21,6 +21,7 @@
 	"github.com/daisylb/daisylb/relay"
 	"github.com/daisylb/daisylb/roster"
 	"github.com/daisylb/daisylb/routing"
+	"github.com/daisylb/daisylb/tcpconn"
 	"github.com/daisylb/daisylb/upstream"
 )
 
@@ -30,14 +31,14 @@
 	i.store = relay.New(relay.Options{
 		Direct: i.storeClient,
 		Peers:  func() []string { return *i.instanceAddresses.Load() },
-		Client: &http.Client{Transport: &http.Transport{
+		Client: &http.Client{Transport: tcpconn.Transport{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: peerDialTimeout, KeepAlive: -1}).DialContext,
 			MaxIdleConnsPerHost: peerIdleConns,
 			IdleConnTimeout:     peerIdleTimeout,
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: maxHeaderBytes,
-		}},
+		}}},
 		Log: i.log,
 	})
 	return nil
--- a/storage/httpstore/httpstore.go
+++ b/storage/httpstore/httpstore.go
@@ -10,6 +10,7 @@
 
 	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/storage"
+	"github.com/daisylb/daisylb/tcpconn"
 )
 
 // Timeouts and limits of the connections to the platform.
@@ -65,7 +66,7 @@
 	transport := o.Transport
 	if transport == nil {
 		s.ownTransport = newTransport()
-		transport = s.ownTransport
+		transport = tcpconn.Transport{Transport: s.ownTransport}
 	}
 	s.client = &http.Client{Transport: transport}
 	return s, nil
