Drop workers that left while only this instance did not reach the store

Cause: the grace period for entries that expire during an outage of the store began with each recovery of this instance's own feed, whoever else could reach the store.

When all other workers have written their entries since the recovery, and at most one in eight is missing, or a single one, the missing ones have left and are dropped at once.

TestWorkerThatLeftWhileTheStoreWasNotReachedIsNotKept fails before in three of seven histories.

--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -289,3 +289,58 @@
 		})
 	}
 }
+
+// TestWorkerThatLeftWhileTheStoreWasNotReachedIsNotKept guards against a grace period, made for
+// outages of the store, for workers that left while this instance alone could not reach it.
+func TestWorkerThatLeftWhileTheStoreWasNotReachedIsNotKept(t *testing.T) {
+	rows := func(value string, version uint64, ids ...string) (all []storage.TableRow) {
+		for _, id := range ids {
+			all = append(all, row(id, value, version))
+		}
+		return all
+	}
+	others := []string{"b", "c", "d", "e"}
+	for name, c := range map[string]struct {
+		updates []feed.Update
+		want    []string
+	}{
+		"others have written": {[]feed.Update{
+			{Recovered: true, Rows: append(rows("ready", 3, others...), row("a", "", 2))},
+		}, others},
+		"others write soon after": {[]feed.Update{
+			{Recovered: true, Rows: append(rows("ready", 3, "b", "c"), row("a", "", 2))},
+			{Rows: rows("ready", 4, "d", "e")},
+		}, others},
+		"removal read after the recovery": {[]feed.Update{
+			{Recovered: true, Rows: rows("ready", 3, others...)},
+			{Rows: rows("", 4, "a")},
+		}, others},
+		"one has not written": {[]feed.Update{
+			{Recovered: true, Rows: append(rows("ready", 3, "b", "c", "d"), row("a", "", 2))},
+		}, append([]string{"a"}, others...)},
+		"written before the recovery only": {[]feed.Update{
+			{Rows: rows("ready", 2, others...)},
+			{Recovered: true, Rows: rows("", 3, "a")},
+		}, append([]string{"a"}, others...)},
+		"many missing": {[]feed.Update{
+			{Recovered: true, Rows: append(rows("ready", 3, "c", "d", "e"), rows("", 2, "a", "b")...)},
+		}, append([]string{"a"}, others...)},
+		"all missing": {[]feed.Update{
+			{Recovered: true, Rows: rows("", 2, append([]string{"a"}, others...)...)},
+		}, append([]string{"a"}, others...)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorkers()
+				w.Update(feed.Update{Rows: rows("ready", 1, append([]string{"a"}, others...)...)})
+				for _, u := range c.updates {
+					w.Update(u)
+				}
+				if diff := cmp.Diff(c.want, usable(w)); diff != "" {
+					t.Error(diff)
+				}
+				time.Sleep(2 * routing.ReregistrationGrace)
+			})
+		})
+	}
+}
--- a/routing/workers.go
+++ b/routing/workers.go
@@ -44,6 +44,8 @@
 	invalid map[string]bool
 	// recoveredAt is the time at which the store last became reachable again.
 	recoveredAt time.Time
+	// written has the workers whose entries have been written since then.
+	written map[string]bool
 	// current is the document for the dispatcher.
 	current atomic.Pointer[contract.Document]
 	// usedByCell holds the workers that the instances of a cell use, for each cell
@@ -83,7 +85,7 @@
 		w.invalid = map[string]bool{}
 	}
 	if u.Recovered {
-		w.recoveredAt = now
+		w.recoveredAt, w.written = now, map[string]bool{}
 		if len(w.missing) > 0 {
 			// The grace period begins anew, and its earlier timer has no effect.
 			time.AfterFunc(ReregistrationGrace, w.removeMissing)
@@ -97,6 +99,11 @@
 		}
 		changed = w.applyEntry(r.Key, r.Value) || changed
 	}
+	if len(w.missing) > 0 && w.storeWasUp() {
+		w.Log.Info("all other workers have written their entries, missing ones are gone", zap.Int("missing", len(w.missing)),
+			zap.Int("workers", len(w.workers)), zap.Duration("since_recovery", now.Sub(w.recoveredAt)))
+		changed = w.dropMissing() || changed
+	}
 	if !w.loaded.Swap(true) {
 		// At startup, one line is logged instead of one per entry.
 		w.Log.Info("workers read", zap.Int("workers", len(w.workers)), zap.Int("entries", len(u.Rows)))
@@ -116,6 +123,9 @@
 // is removed. w.mu must be held.
 func (w *Workers) applyEntry(id string, value []byte) bool {
 	delete(w.missing, id)
+	if w.written != nil {
+		w.written[id] = true
+	}
 	next, err := w.Decode(id, value)
 	prev, ok := w.workers[id]
 	if err != nil {
@@ -174,15 +184,41 @@
 	if time.Since(w.recoveredAt) < ReregistrationGrace {
 		return
 	}
+	if w.dropMissing() {
+		w.publish()
+	}
+}
+
+// dropMissing removes the workers whose entries are missing, and reports whether there are any.
+// w.mu must be held.
+func (w *Workers) dropMissing() bool {
 	for id := range w.missing {
 		delete(w.workers, id)
 		w.Log.Info("worker did not come back", zap.String("worker", id))
 	}
 	changed := len(w.missing) > 0
 	clear(w.missing)
-	if changed {
-		w.publish()
+	return changed
+}
+
+// maxMissingShare is the share of the workers, as a divisor, that may have left while the store
+// could not be reached from here only.
+const maxMissingShare = 8
+
+// storeWasUp reports whether entries are missing because their workers have left, while this
+// instance alone could not reach the store: all other workers have written theirs since, and few
+// have not. After an outage of the store, workers write their entries again at different times.
+// w.mu must be held.
+func (w *Workers) storeWasUp() bool {
+	if len(w.missing) > max(len(w.workers)/maxMissingShare, 1) || len(w.workers) == len(w.missing) {
+		return false
 	}
+	for id := range w.workers {
+		if _, ok := w.missing[id]; !ok && !w.written[id] {
+			return false
+		}
+	}
+	return true
 }
 
 // SetDataCentres sets the region of each data centre by name.
