Name ends of upstreams for what they are, and release a slot that a trial replaces

A newcomer would not expect workers that have ended under "Restarted". A trial that took a place while a second attempt had been answered would have kept that one's slot.

--- a/hosted/build.go
+++ b/hosted/build.go
@@ -50,7 +50,7 @@
 	i.document = &routing.Document{Key: platform.DocumentKey, Decode: platform.DecodeRouting, Log: i.log}
 	i.workers = &routing.Workers{
 		Decode: platform.DecodeWorker, DataCentres: i.settings.Load().Regions, Log: i.log,
-		Restarted: func(id string, startedMillis int64) { i.quarantine.RecordRestart(id, startedMillis) },
+		Ended: func(id string, startedMillis int64) { i.quarantine.RecordUpstreamEnd(id, startedMillis) },
 	}
 	i.documentFeed = feed.New(feed.Options{Rows: i.store, Table: platform.OperatorTable, Update: i.document.Update, Log: i.log})
 	i.workerFeed = feed.New(feed.Options{Rows: i.store, Table: platform.WorkerTable, Update: i.updateWorkers, Log: i.log})
--- a/quarantine/list_test.go
+++ b/quarantine/list_test.go
@@ -579,9 +579,9 @@
 	return timeToTrial(t, all[n%len(all)], time.Hour, deadly)
 }
 
-// TestRestartsOfOtherUpstreamsShortenTheWaitForATrial guards against a wait that grows with each
+// TestEndsOfOtherUpstreamsShortenTheWaitForATrial guards against a wait that grows with each
 // trial although upstreams also crash without the part.
-func TestRestartsOfOtherUpstreamsShortenTheWaitForATrial(t *testing.T) {
+func TestEndsOfOtherUpstreamsShortenTheWaitForATrial(t *testing.T) {
 	for name, c := range map[string]struct {
 		upstream func(k int) string
 		isShort  bool
@@ -597,8 +597,8 @@
 				crash(all, 3, deadly)
 				d := crashedTrials(t, all, 3, func(k int) {
 					for _, i := range all {
-						i.RecordRestart(c.upstream(k), 1)
-						i.RecordRestart(c.upstream(k), 1)
+						i.RecordUpstreamEnd(c.upstream(k), 1)
+						i.RecordUpstreamEnd(c.upstream(k), 1)
 					}
 				})
 				if isShort := d < 10*time.Second; isShort != c.isShort || d > 200*time.Second {
--- a/quarantine/unexplained.go
+++ b/quarantine/unexplained.go
@@ -27,8 +27,8 @@
 // recordUpstreamCrash remembers a crash for evidenceTTL, in the order of time. Reports of
 // the same crash by several instances, or about several parts, count once. The caller
 // holds the lock.
-func (l *List) recordUpstreamCrash(crash upstreamCrash, now time.Duration) {
-	at := crash.at
+func (l *List) recordUpstreamCrash(next upstreamCrash, now time.Duration) {
+	at := next.at
 	all := l.upstreamCrashes
 	firstAfter := func(t time.Duration) int {
 		n, _ := slices.BinarySearchFunc(all, t, func(c upstreamCrash, t time.Duration) int { return cmp.Compare(c.at, t) })
@@ -38,20 +38,20 @@
 		all = slices.Delete(all, 0, expired)
 	}
 	for n := firstAfter(at - crashSpacing); n < len(all) && all[n].at < at+crashSpacing; n++ {
-		if all[n].incarnation == crash.incarnation && all[n].unseen == crash.unseen {
+		if all[n].incarnation == next.incarnation && all[n].unseen == next.unseen {
 			l.upstreamCrashes = all
 			return
 		}
 	}
 	if now-at <= evidenceTTL && len(all) < maxUpstreamCrashes {
-		all = slices.Insert(all, firstAfter(at), crash)
+		all = slices.Insert(all, firstAfter(at), next)
 	}
 	l.upstreamCrashes = all
 }
 
-// RecordRestart records that an upstream has ended without an announcement, whatever its
-// requests. Ends that are known from a request before count once.
-func (l *List) RecordRestart(upstream string, startedMillis int64) {
+// RecordUpstreamEnd records that an incarnation of an upstream has ended without an
+// announcement, whatever its requests. One whose crash is known from a request counts once.
+func (l *List) RecordUpstreamEnd(upstream string, startedMillis int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	incarnation := incarnationHash(upstream, startedMillis)
--- a/routing/routing_test.go
+++ b/routing/routing_test.go
@@ -276,7 +276,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorkers()
 				var got []string
-				w.Restarted = func(id string, startedMillis int64) { got = append(got, fmt.Sprint(id, "/", startedMillis)) }
+				w.Ended = func(id string, startedMillis int64) { got = append(got, fmt.Sprint(id, "/", startedMillis)) }
 				w.Update(feed.Update{Rows: []storage.TableRow{row("a", "ready", 1), row("b", "ready", 1)}})
 				for _, u := range c.updates {
 					w.Update(u)
--- a/routing/workers.go
+++ b/routing/workers.go
@@ -27,9 +27,9 @@
 	// after the first Update.
 	DataCentres map[string]string
 	Log         *zap.Logger
-	// Restarted is called, after the change is in force, for each worker that has ended or
-	// started anew without having been draining. It may be nil.
-	Restarted func(id string, startedMillis int64)
+	// Ended is called, after the change is in force, for each incarnation of a worker that has
+	// ended without having been draining. It may be nil.
+	Ended func(id string, startedMillis int64)
 
 	mu sync.Mutex
 	// self is the name of this instance. instances are the names by which the fleet
@@ -44,7 +44,8 @@
 	invalid map[string]bool
 	// recoveredAt is the time at which the store last became reachable again.
 	recoveredAt time.Time
-	// written has the workers whose entries have been written since then.
+	// written has the workers whose entries have been written since then, while a grace period
+	// may last.
 	written map[string]bool
 	// current is the document for the dispatcher.
 	current atomic.Pointer[contract.Document]
@@ -53,8 +54,8 @@
 	usedByCell atomic.Pointer[map[int]map[string]bool]
 	// loaded is set once the entries have been read.
 	loaded atomic.Bool
-	// restarted has the workers for Restarted.
-	restarted []contract.Worker
+	// ended has the workers for Ended, while an update is applied.
+	ended []contract.Worker
 }
 
 // Loaded reports whether the entries have been read.
@@ -67,17 +68,17 @@
 // Update applies changes of the workers' table.
 func (w *Workers) Update(u feed.Update) {
 	for _, worker := range w.update(u) {
-		if w.Restarted != nil {
-			w.Restarted(worker.ID, worker.StartedMillis)
+		if w.Ended != nil {
+			w.Ended(worker.ID, worker.StartedMillis)
 		}
 	}
 }
 
-// update applies changes and returns the workers for Restarted.
+// update applies changes and returns the workers for Ended.
 func (w *Workers) update(u feed.Update) []contract.Worker {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.restarted = nil
+	w.ended = nil
 	now := time.Now()
 	if w.workers == nil {
 		w.workers = map[string]contract.Worker{}
@@ -91,6 +92,9 @@
 			time.AfterFunc(ReregistrationGrace, w.removeMissing)
 		}
 	}
+	if now.Sub(w.recoveredAt) > ReregistrationGrace {
+		w.written = nil
+	}
 	changed := !w.loaded.Load()
 	for _, r := range u.Rows {
 		if r.Removed {
@@ -115,7 +119,7 @@
 		// An announcement may have been missed.
 		return nil
 	}
-	return w.restarted
+	return w.ended
 }
 
 // applyEntry adds or replaces a worker and reports whether the document changes. An
@@ -145,7 +149,7 @@
 		return true
 	}
 	if ok && !prev.Draining && prev.StartedMillis != next.StartedMillis {
-		w.restarted = append(w.restarted, prev)
+		w.ended = append(w.ended, prev)
 	}
 	w.Log.Info("worker", zap.String("worker", id), zap.String("address", next.Address), zap.String("service", next.Service),
 		zap.Bool("draining", next.Draining), zap.Int64("started", next.StartedMillis))
@@ -171,7 +175,7 @@
 	delete(w.workers, id)
 	w.Log.Info("worker gone", zap.String("worker", id))
 	if !prev.Draining {
-		w.restarted = append(w.restarted, prev)
+		w.ended = append(w.ended, prev)
 	}
 	return true
 }
--- a/upstream/flapping_test.go
+++ b/upstream/flapping_test.go
@@ -89,7 +89,7 @@
 	u.StartedMillis = int64(n + 1)
 	f.change(func(upstreams map[string]contract.Upstream) { upstreams[id] = u })
 	if sameID && n > 0 {
-		f.quarantine.RecordRestart(id, int64(n))
+		f.quarantine.RecordUpstreamEnd(id, int64(n))
 	}
 	return id
 }
@@ -108,7 +108,7 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.change(func(upstreams map[string]contract.Upstream) { delete(upstreams, id) })
-		f.quarantine.RecordRestart(id, int64(n+1))
+		f.quarantine.RecordUpstreamEnd(id, int64(n+1))
 	})
 }
 
--- a/upstream/quarantine.go
+++ b/upstream/quarantine.go
@@ -83,7 +83,9 @@
 	d.log.Info("place of a trial", zap.String("request", f.call.RequestID), zap.Duration("first_crash_ago", time.Since(since)),
 		zap.Duration("overdue", overdue), zap.Int("steady_upstreams", steady), zap.Bool("placed", next != nil))
 	if next != nil {
-		f.next.Store(next)
+		if old := f.next.Swap(next); old != nil {
+			d.sched.discard(old)
+		}
 		return true
 	}
 	return steady == 0 || overdue > maxTrialWait
