--- a/routing/workers.go
+++ b/routing/workers.go
@@ -27,9 +27,9 @@
 	// after the first Update.
 	DataCentres map[string]string
 	Log         *zap.Logger
-	// Restarted is called, after the change is in force, for each worker that has ended or
-	// started anew without having been draining. It may be nil.
-	Restarted func(id string, startedMillis int64)
+	// Ended is called, after the change is in force, for each incarnation of a worker that has
+	// ended without having been draining. It may be nil.
+	Ended func(id string, startedMillis int64)
 
 	mu sync.Mutex
 	// self is the name of this instance. instances are the names by which the fleet
@@ -44,6 +44,9 @@
 	invalid map[string]bool
 	// recoveredAt is the time at which the store last became reachable again.
 	recoveredAt time.Time
+	// written has the workers whose entries have been written since then, while a grace period
+	// may last.
+	written map[string]bool
 	// current is the document for the dispatcher.
 	current atomic.Pointer[contract.Document]
 	// usedByCell holds the workers that the instances of a cell use, for each cell
@@ -51,8 +54,8 @@
 	usedByCell atomic.Pointer[map[int]map[string]bool]
 	// loaded is set once the entries have been read.
 	loaded atomic.Bool
-	// restarted has the workers for Restarted.
-	restarted []contract.Worker
+	// ended has the workers for Ended, while an update is applied.
+	ended []contract.Worker
 }
 
 // Loaded reports whether the entries have been read.
@@ -65,17 +68,17 @@
 // Update applies changes of the workers' table.
 func (w *Workers) Update(u feed.Update) {
 	for _, worker := range w.update(u) {
-		if w.Restarted != nil {
-			w.Restarted(worker.ID, worker.StartedMillis)
+		if w.Ended != nil {
+			w.Ended(worker.ID, worker.StartedMillis)
 		}
 	}
 }
 
-// update applies changes and returns the workers for Restarted.
+// update applies changes and returns the workers for Ended.
 func (w *Workers) update(u feed.Update) []contract.Worker {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.restarted = nil
+	w.ended = nil
 	now := time.Now()
 	if w.workers == nil {
 		w.workers = map[string]contract.Worker{}
@@ -83,12 +86,15 @@
 		w.invalid = map[string]bool{}
 	}
 	if u.Recovered {
-		w.recoveredAt = now
+		w.recoveredAt, w.written = now, map[string]bool{}
 		if len(w.missing) > 0 {
 			// The grace period begins anew, and its earlier timer has no effect.
 			time.AfterFunc(ReregistrationGrace, w.removeMissing)
 		}
 	}
+	if now.Sub(w.recoveredAt) > ReregistrationGrace {
+		w.written = nil
+	}
 	changed := !w.loaded.Load()
 	for _, r := range u.Rows {
 		if r.Removed {
@@ -97,6 +103,11 @@
 		}
 		changed = w.applyEntry(r.Key, r.Value) || changed
 	}
+	if len(w.missing) > 0 && w.storeWasUp() {
+		w.Log.Info("all other workers have written their entries, missing ones are gone", zap.Int("missing", len(w.missing)),
+			zap.Int("workers", len(w.workers)), zap.Duration("since_recovery", now.Sub(w.recoveredAt)))
+		changed = w.dropMissing() || changed
+	}
 	if !w.loaded.Swap(true) {
 		// At startup, one line is logged instead of one per entry.
 		w.Log.Info("workers read", zap.Int("workers", len(w.workers)), zap.Int("entries", len(u.Rows)))
@@ -108,7 +119,7 @@
 		// An announcement may have been missed.
 		return nil
 	}
-	return w.restarted
+	return w.ended
 }
 
 // applyEntry adds or replaces a worker and reports whether the document changes. An
@@ -116,6 +127,9 @@
 // is removed. w.mu must be held.
 func (w *Workers) applyEntry(id string, value []byte) bool {
 	delete(w.missing, id)
+	if w.written != nil {
+		w.written[id] = true
+	}
 	next, err := w.Decode(id, value)
 	prev, ok := w.workers[id]
 	if err != nil {
@@ -135,7 +149,7 @@
 		return true
 	}
 	if ok && !prev.Draining && prev.StartedMillis != next.StartedMillis {
-		w.restarted = append(w.restarted, prev)
+		w.ended = append(w.ended, prev)
 	}
 	w.Log.Info("worker", zap.String("worker", id), zap.String("address", next.Address), zap.String("service", next.Service),
 		zap.Bool("draining", next.Draining), zap.Int64("started", next.StartedMillis))
@@ -161,7 +175,7 @@
 	delete(w.workers, id)
 	w.Log.Info("worker gone", zap.String("worker", id))
 	if !prev.Draining {
-		w.restarted = append(w.restarted, prev)
+		w.ended = append(w.ended, prev)
 	}
 	return true
 }
@@ -174,15 +188,41 @@
 	if time.Since(w.recoveredAt) < ReregistrationGrace {
 		return
 	}
+	if w.dropMissing() {
+		w.publish()
+	}
+}
+
+// dropMissing removes the workers whose entries are missing, and reports whether there are any.
+// w.mu must be held.
+func (w *Workers) dropMissing() bool {
 	for id := range w.missing {
 		delete(w.workers, id)
 		w.Log.Info("worker did not come back", zap.String("worker", id))
 	}
 	changed := len(w.missing) > 0
 	clear(w.missing)
-	if changed {
-		w.publish()
+	return changed
+}
+
+// maxMissingShare is the share of the workers, as a divisor, that may have left while the store
+// could not be reached from here only.
+const maxMissingShare = 8
+
+// storeWasUp reports whether entries are missing because their workers have left, while this
+// instance alone could not reach the store: all other workers have written theirs since, and few
+// have not. After an outage of the store, workers write their entries again at different times.
+// w.mu must be held.
+func (w *Workers) storeWasUp() bool {
+	if len(w.missing) > max(len(w.workers)/maxMissingShare, 1) || len(w.workers) == len(w.missing) {
+		return false
+	}
+	for id := range w.workers {
+		if _, ok := w.missing[id]; !ok && !w.written[id] {
+			return false
+		}
 	}
+	return true
 }
 
 // SetDataCentres sets the region of each data centre by name.
