--- a/review/_standins3/client.go
+++ b/review/_standins3/client.go
@@ -57,9 +57,14 @@
 	return a
 }
 
-// submit sends a batch job, again after each failure, and returns its items once it is
-// accepted.
+// submit sends a batch job with short bodies.
 func (w *world) submit(d *daemon, prefix, id string, items int) ([]string, error) {
+	return w.submitSized(d, prefix, id, items, 0)
+}
+
+// submitSized sends a batch job whose items have bodies of a size at least, again after each
+// failure, and returns its items once it is accepted.
+func (w *world) submitSized(d *daemon, prefix, id string, items, bodyBytes int) ([]string, error) {
 	type item struct {
 		ID      string            `json:"id"`
 		Path    string            `json:"path"`
@@ -73,7 +78,7 @@
 		i := newID()
 		ids = append(ids, i)
 		list = append(list, item{i, prefix + i, map[string]string{"X-Model": "m", "X-Token-Count": "350,213", "X-Prompt-Prefix": "b2:100," + i[:8] + ":250"},
-			base64.StdEncoding.EncodeToString([]byte("prompt of " + i)), 563})
+			base64.StdEncoding.EncodeToString([]byte("prompt of " + i + strings.Repeat(".", bodyBytes))), 563})
 	}
 	body, err := json.Marshal(map[string]any{"requests": list})
 	if err != nil {
--- a/review/_standins3/world.go
+++ b/review/_standins3/world.go
@@ -37,6 +37,8 @@
 	rows    *memory.Rows
 	store   *storeServer
 	net     byte
+	// memoryMB is the memory of a daemon.
+	memoryMB int
 
 	recordMu   sync.Mutex
 	recordFile *os.File
@@ -57,7 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{trouble: trouble, dir: dir, rows: memory.NewRows(), recordFile: f, net: byte(os.Getpid()%200 + 20)}
+	w := &world{trouble: trouble, dir: dir, rows: memory.NewRows(), recordFile: f, net: byte(os.Getpid()%200 + 20), memoryMB: 314}
 	w.store = &storeServer{handler: platform.NewRows(w.rows)}
 	return w, nil
 }
@@ -222,7 +224,7 @@
 		"ip": d.ip, "zone": "z1", "region": "r", "zones": map[string]string{"z1": "r"},
 		"listen":     map[string]string{"front": d.front(), "readiness": d.readiness(), "directory": net.JoinHostPort(d.ip, "8164")},
 		"port_range": []int{7720, 7735}, "bootstrap": true, "heartbeat_ms": heartbeat.Milliseconds(),
-		"limits": map[string]any{"cpu_share": 0.8, "cpu_cores": 1, "memory_mb": 314, "max_fds": 8200},
+		"limits": map[string]any{"cpu_share": 0.8, "cpu_cores": 1, "memory_mb": w.memoryMB, "max_fds": 8200},
 		"bounds": map[string]any{"seed_lag_s": 3, "reuse_after_s": 2, "stable_window_ms": 3000, "ack_ms": 4000, "drain_ms": 2000, "grace_s": 8,
 			"lost_ms": 200, "config_apply_ms": 2000, "back_ms": 250, "outer_ms": 5000, "recover_s": 12, "finish_s": 18, "status_s": 120,
 			"cancel_ms": 3000, "settle_ms": 1000, "quota_overage": 0.1, "ttl_max_s": 5},
