--- a/review/_standins3/case_unframed.go
+++ b/review/_standins3/case_unframed.go
@@ -10,11 +10,11 @@
 
 func init() { cases["unframed"] = caseUnframed }
 
-// caseUnframed has six workers whose answers have no length and end with their connections. One
+// caseUnframed has nine workers whose answers have no length and end with their connections. One
 // of them crashes while it streams.
 func caseUnframed(w *world) error {
-	const events, requests = 60, 24
-	for n := range 6 {
+	const events, requests = 60, 36
+	for n := range 9 {
 		if _, err := w.startWorker(fmt.Sprintf("w%d", n+1), "-unframed", "-events", fmt.Sprint(events), "-gap", "30ms"); err != nil {
 			return err
 		}
--- a/review/_standins3/main.go
+++ b/review/_standins3/main.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 const (
@@ -37,6 +39,13 @@
 		return exitNotRun
 	}
 	defer w.close()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-stopped
+		w.close()
+		os.Exit(exitNotRun)
+	}()
 	w.record("case %s, trouble %v", name, w.trouble)
 	if err := cases[name](w); err != nil {
 		w.record("the case could not run: %v", err)
--- a/review/_standins3/worker.go
+++ b/review/_standins3/worker.go
@@ -14,7 +14,11 @@
 	"time"
 )
 
-const workerSlots = 8
+const (
+	workerSlots = 8
+	// idBytes is the length of an ordinary id. More of one is not repeated in an output.
+	idBytes = 16
+)
 
 // worker is a model worker by the users' pages.
 type worker struct {
@@ -23,6 +27,7 @@
 	gap      time.Duration
 	unframed bool
 	blank    int
+	quiet    bool
 	slots    chan struct{}
 
 	mu sync.Mutex
@@ -37,6 +42,7 @@
 	flags.DurationVar(&w.gap, "gap", 20*time.Millisecond, "time between two events")
 	flags.BoolVar(&w.unframed, "unframed", false, "answers end with their connections")
 	flags.IntVar(&w.blank, "blank", 0, "number of first events whose data is empty")
+	flags.BoolVar(&w.quiet, "quiet", false, "tell of no runs")
 	_ = flags.Parse(args)
 	l, err := net.Listen("tcp4", net.JoinHostPort(*ip, "0"))
 	if err != nil {
@@ -53,7 +59,7 @@
 	if n <= blank {
 		return ""
 	}
-	return fmt.Sprintf("%s-piece-%d", request, n)
+	return fmt.Sprintf("%s-piece-%d", request[:min(len(request), idBytes)], n)
 }
 
 // wholeText is the text of a whole answer: the data of all events, separated by line feeds.
@@ -66,6 +72,9 @@
 }
 
 func (w *worker) tell(run workerRun) {
+	if w.quiet {
+		return
+	}
 	run.At = time.Now().UnixMilli()
 	text, err := json.Marshal(run)
 	if err != nil {
@@ -108,7 +117,7 @@
 	run.Ended = true
 	defer func() { w.tell(run) }()
 	h.Set("Content-Type", "text/event-stream")
-	h.Set("X-Server-Stamp", w.id+"."+request)
+	h.Set("X-Server-Stamp", w.id+"."+request[:min(len(request), idBytes)])
 	out, flush, done := w.begin(rw)
 	defer done()
 	for n := after + 1; n <= w.events; n++ {
