--- a/review/_standins3/client.go
+++ b/review/_standins3/client.go
@@ -29,11 +29,16 @@
 
 // send sends a request to a daemon and reads the answer.
 func (w *world) send(d *daemon, method, path, id string, header map[string]string, body []byte, timeout time.Duration) answer {
+	return w.sendTo(d, hostName, method, path, id, header, body, timeout)
+}
+
+// sendTo is like send with a Host header.
+func (w *world) sendTo(d *daemon, host, method, path, id string, header map[string]string, body []byte, timeout time.Duration) answer {
 	r, err := http.NewRequest(method, "http://"+d.front()+path, bytes.NewReader(body))
 	if err != nil {
 		return answer{err: err}
 	}
-	r.Host = hostName
+	r.Host = host
 	if id != "" {
 		r.Header.Set("X-Request-Id", id)
 	}
--- a/review/_standins3/store.go
+++ b/review/_standins3/store.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -53,3 +54,38 @@
 	w.WriteHeader(answer.Code)
 	_, _ = w.Write(body)
 }
+
+const (
+	// maxRowBytes and maxCallBytes are `row_bytes` and the largest call of the pages.
+	maxRowBytes  = 65536
+	maxCallBytes = 1 << 20
+)
+
+// limitedRows is a store that refuses transactions over the limits of the pages: "`value` (base64
+// of at most `row_bytes`)", "A call holds at most 100 entries and at most 1 MB".
+type limitedRows struct{ next http.Handler }
+
+// ServeHTTP implements http.Handler.
+func (s *limitedRows) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/api/rows-tx" {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		var call struct {
+			Puts []struct {
+				Value []byte `json:"value"`
+			} `json:"puts"`
+		}
+		refused := json.Unmarshal(body, &call) != nil || len(body) > maxCallBytes
+		for _, p := range call.Puts {
+			refused = refused || len(p.Value) > maxRowBytes
+		}
+		if refused {
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	s.next.ServeHTTP(w, r)
+}
