--- a/review/_standins3/world.go
+++ b/review/_standins3/world.go
@@ -60,10 +60,31 @@
 		return nil, err
 	}
 	w := &world{trouble: trouble, dir: dir, rows: memory.NewRows(), recordFile: f, net: byte(os.Getpid()%200 + 20), memoryMB: 314}
+	for !w.hasFreePorts() {
+		w.net++
+		if w.net == 250 {
+			w.net = 20
+		}
+	}
 	w.store = &storeServer{handler: platform.NewRows(w.rows)}
 	return w, nil
 }
 
+// hasFreePorts reports whether the ports of the daemons are free at their addresses. The port of
+// the metrics is that of the deploy file; ports are the same on all machines.
+func (w *world) hasFreePorts() bool {
+	for n := range 2 {
+		for _, port := range []string{"8161", "8164", "8167", "7720", "9464"} {
+			l, err := net.Listen("tcp4", net.JoinHostPort(w.ip(10+n), port))
+			if err != nil {
+				return false
+			}
+			_ = l.Close()
+		}
+	}
+	return true
+}
+
 // record writes a line with the time into the record.
 func (w *world) record(format string, args ...any) {
 	w.recordMu.Lock()
