Log both versions when a takeover or an end meets a conflict

The logs said that a condition did not hold, and not which: a job that another instance had changed could not be told from one whose version was known wrongly.

One line now has the version of the condition, and the version, owner and state that the store has.

--- a/job/read.go
+++ b/job/read.go
@@ -311,6 +311,7 @@
 		Puts:       []storage.TableRow{headRow(v.part, id, &next)},
 	})
 	if code.Of(err) == code.StoreConflict {
+		s.logConflict("job not ended yet, its head has changed", id, v.version, page.Rows)
 		s.updateHeads(page.Rows)
 	}
 	if err == nil {
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -198,6 +198,7 @@
 		s.startRun(ctx, id, versionedHead{next, page.Version, v.part}, items, progress, claim+progressClaim)
 		return true
 	case code.StoreConflict:
+		s.logConflict("job not taken over, its head has changed", id, v.version, page.Rows)
 		s.updateHeads(page.Rows)
 		if s.headVersion(id) == v.version {
 			// The present head can't be read.
@@ -210,6 +211,19 @@
 	return false
 }
 
+// logConflict logs a conflict of a transaction that was conditioned on a version of the head of a
+// job, with the version and the owner that the store has.
+func (s *Service) logConflict(message, id string, condition uint64, rows []storage.TableRow) {
+	for _, r := range rows {
+		if r.Table != headTable || r.Key != id {
+			continue
+		}
+		present, err := decodeHead(r)
+		s.options.Log.Info(message, zap.String("job", id), zap.Uint64("condition", condition), zap.Uint64("store_version", r.Version),
+			zap.String("owner", present.Owner), zap.Bool("ended", present.Ended), zap.Error(err))
+	}
+}
+
 // headVersion returns the version of the known head of a job, 0 if there is none.
 func (s *Service) headVersion(id string) uint64 {
 	s.mu.Lock()
