Take the version of an own write from a read, not from the store's answer

In tests an end that another instance had acknowledged was undone, with all instances alive.

Cause: the answer to a transaction has the newest version of the store, which another writer may have raised since the transaction took effect. It was kept as the version of the rows written. Conditions on it failed again and again, since the head of the conflict was ignored as older; changes by other instances were ignored for the same reason; and where another instance had changed the head with just that version, the condition held and wrote over the change.

Ruled out: a change by another instance (none ran), a feed that doesn't bring the head (conflicts carry it too).

Change: a version is either one that was read or one that is only bounded, by the condition and the answer of an own write (job/version.go). A read above the condition is the own write or a later state and replaces it. Conditions are versions that were read: by the feed, or by a read of the head if that has not come yet. The same on related paths: commits, progress, rows written ahead, hand-over, takeover, end, jobs left to others, own reservations. The in-memory store answers with the newest version at the time of the answer.

TestAcceptanceMakesFewSequentialStoreCalls now sets the store's own answer time to 0, since its bound is for calls of 100 ms in all.

--- a/job/commit.go
+++ b/job/commit.go
@@ -159,7 +159,7 @@
 	for _, f := range batch {
 		r.collectors[f.index].release()
 	}
-	r.service.options.Log.Info("results listed", zap.String("job", r.id), zap.Int("first", first), zap.Int("count", len(batch)), zap.Uint64("version", r.head.version))
+	r.service.options.Log.Info("results listed", zap.String("job", r.id), zap.Int("first", first), zap.Int("count", len(batch)), zap.Uint64("version", r.head.version.newest()))
 	return true
 }
 
@@ -209,11 +209,10 @@
 	t.Puts = append(t.Puts, row)
 	backoff := minCommitBackoff
 	for ctx.Err() == nil {
-		t.Conditions = []storage.RowCondition{{RowKey: headKey(r.head.part, r.id), Version: r.head.version}}
-		page, err := r.service.options.Store.ApplyRows(ctx, t)
+		page, err := r.transact(ctx, t)
 		switch code.Of(err) {
 		case 0:
-			r.head = versionedHead{*next, page.Version, r.head.part}
+			r.head = versionedHead{*next, versionWritten(r.head.version.base, page.Version), r.head.part}
 			return true
 		case code.StoreConflict:
 			applied, retry := r.resolveConflict(page, next)
@@ -225,7 +224,7 @@
 		if backoff == minCommitBackoff {
 			// One line for each outage is enough. "results listed" follows when it is over.
 			r.service.options.Log.Info("commit not taken, trying on", zap.String("job", r.id), zap.Int("listed", next.Listed),
-				zap.Uint64("version", r.head.version), zap.Error(err))
+				zap.Uint64("version", r.head.version.newest()), zap.Error(err))
 		}
 		select {
 		case <-ctx.Done():
@@ -236,6 +235,36 @@
 	return false
 }
 
+// transact runs a transaction on condition that the head is the one that this process wrote
+// last. Errors: those of storage.Rows.
+func (r *run) transact(ctx context.Context, t storage.RowTransaction) (storage.RowPage, error) {
+	if err := r.confirmHead(ctx); err != nil {
+		return storage.RowPage{}, err
+	}
+	t.Conditions = []storage.RowCondition{{RowKey: headKey(r.head.part, r.id), Version: r.head.version.base}}
+	return r.service.options.Store.ApplyRows(ctx, t)
+}
+
+// confirmHead learns the version of the head that this process wrote last, from the feed or by
+// a read. Errors: code.StoreConflict when another process has changed the job, and those of a
+// read.
+func (r *run) confirmHead(ctx context.Context) error {
+	if r.head.version.known() {
+		return nil
+	}
+	current, err := r.service.confirmedHead(ctx, r.id, r.head.version)
+	switch {
+	case code.Of(err) == code.JobUnknown:
+		return code.Wrap(code.StoreConflict, err, "job %q was removed", r.id)
+	case err != nil:
+		return err
+	case !sameState(&current.head, &r.head.head):
+		return code.New(code.StoreConflict, "job %q was changed", r.id)
+	}
+	r.head.version = current.version
+	return nil
+}
+
 // resolveConflict decides what a conflict means from the rows that the store
 // returned: an earlier attempt took effect (applied), only the version of the head
 // differs from the known one (retry), or another process has changed the job. In the
@@ -263,7 +292,7 @@
 		r.service.updateHead(r.id, current)
 		r.service.mu.Unlock()
 	}
-	r.service.options.Log.Info("job changed by another instance", zap.String("job", r.id))
+	r.service.options.Log.Info("job changed by another instance", zap.String("job", r.id), zap.Uint64("condition", r.head.version.base))
 	r.detach()
 	return false, false
 }
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -74,6 +74,9 @@
 	// failWrites lets transactions fail, failChanges the reads of changes.
 	afterResults            func()
 	failWrites, failChanges atomic.Bool
+	// beforeAnswer, if set, is called between the effect of a transaction with rows to put and
+	// its answer, which has the newest version after that.
+	beforeAnswer func(t storage.RowTransaction)
 }
 
 func (s *instanceStore) RowChanges(ctx context.Context, table string, after uint64, wait time.Duration) (storage.RowPage, error) {
@@ -118,6 +121,14 @@
 	if s.afterResults != nil && err == nil && t.Puts[0].Table == "job_results" {
 		s.afterResults()
 	}
+	if s.beforeAnswer != nil && err == nil && len(t.Puts) > 0 {
+		s.beforeAnswer(t)
+		newest, readErr := s.Rows.GetRows(ctx, "jobs", "", "", "")
+		if readErr != nil {
+			return storage.RowPage{}, readErr
+		}
+		page.Version = newest.Version
+	}
 	return page, err
 }
 
@@ -171,6 +182,7 @@
 			CompletionWindow: 18 * time.Second, GiveUpAfter: time.Minute, Split: []contract.WeightedService{{Service: "s", Weight: 1}},
 		},
 	}
+	f.store.SetMaxResponseTime(10 * time.Millisecond)
 	if change != nil {
 		change(&f.route)
 	}
--- a/job/parts_test.go
+++ b/job/parts_test.go
@@ -339,6 +339,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := newFleet(t, 1, func(r *contract.Route) { r.MaxWaitingTokens = quota })
 			defer f.close()
+			f.store.SetMaxResponseTime(0)
 			f.instances[0].store.callLatency.Store(int64(100 * time.Millisecond))
 			startedAt := time.Now()
 			if err := f.instances[0].Submit(t.Context(), f.submission("j", "a", "b")); err != nil {
--- a/job/progress.go
+++ b/job/progress.go
@@ -85,10 +85,7 @@
 	if len(r.unconfirmed) == 0 {
 		return true
 	}
-	page, err := r.service.options.Store.ApplyRows(r.ctx, storage.RowTransaction{
-		Conditions: []storage.RowCondition{{RowKey: headKey(r.head.part, r.id), Version: r.head.version}},
-		Puts:       r.unconfirmed,
-	})
+	page, err := r.transact(r.ctx, storage.RowTransaction{Puts: r.unconfirmed})
 	switch code.Of(err) {
 	case 0:
 		r.unconfirmed = nil
--- a/job/quota.go
+++ b/job/quota.go
@@ -268,7 +268,12 @@
 	}
 	// The objects of rejected jobs would stay, so the body is stored only after a
 	// first check has passed.
-	if err := a.checkQuota(ctx, &u, max(a.reservationVersion, u.reservations.byJob[a.submission.ID].version)); err != nil {
+	before := uint64(math.MaxUint64)
+	if own, ok := u.reservations.byJob[a.submission.ID]; ok {
+		before = own.version
+	}
+	// Without the own reservation the reads are from before it was written.
+	if err := a.checkQuota(ctx, &u, before); err != nil {
 		return u, false, err
 	}
 	group.Go(func() (err error) {
@@ -290,7 +295,8 @@
 func (a *acceptance) reserveTokens(ctx context.Context) error {
 	s, sub := a.service, a.submission
 	now := s.now()
-	value, err := json.Marshal(reservation{Tokens: sub.tokens(), ReservedAtMS: now.Milliseconds()})
+	written := &reservation{Tokens: sub.tokens(), ReservedAtMS: now.Milliseconds()}
+	value, err := json.Marshal(written)
 	if err != nil {
 		return code.Wrap(code.Internal, err, "writing the reservation of job %q", sub.ID)
 	}
@@ -304,13 +310,13 @@
 		if condition.Version = agedReservation(page.Rows, condition.RowKey, now); condition.Version == 0 {
 			return nil
 		}
-		page, err = s.options.Store.ApplyRows(ctx, storage.RowTransaction{
+		_, err = s.options.Store.ApplyRows(ctx, storage.RowTransaction{
 			Conditions: []storage.RowCondition{condition},
 			Puts:       []storage.TableRow{{RowKey: condition.RowKey, Value: value}},
 		})
 	}
 	if err == nil {
-		a.reservationVersion = page.Version
+		a.reserved = written
 	}
 	return err
 }
@@ -338,21 +344,42 @@
 	}
 	s.options.Log.Info("job refused", zap.String("job", sub.ID), zap.Int64("tokens", sub.tokens()),
 		zap.Int64("waiting", waiting), zap.Int64("quota", sub.Route.MaxWaitingTokens), zap.Uint64("store_version", u.oldestVersion))
-	a.releaseReservation(ctx)
+	a.releaseReservation(ctx, u)
 	return code.New(code.QuotaExceeded, "%d tokens wait on the route, %d more are over %d", waiting, sub.tokens(), sub.Route.MaxWaitingTokens).WithRetryAfter(quotaRetryAfter)
 }
 
 // releaseReservation removes the reservation of a job that is rejected, if this
 // acceptance wrote it and no head may still be written.
-func (a *acceptance) releaseReservation(ctx context.Context) {
-	if a.reservationVersion == 0 || a.maybeApplied {
+func (a *acceptance) releaseReservation(ctx context.Context, u *quotaUsage) {
+	if a.reserved == nil || a.maybeApplied {
+		return
+	}
+	id, quota, store := a.submission.ID, a.submission.quota(), a.service.options.Store
+	key, present := reservationKey(quota, id), u.reservations.byJob[id]
+	if !a.wrote(present) {
+		// The reservations were read before it was written.
+		page, err := store.GetRows(ctx, key.Table, key.Part, key.Key, key.Key+"\x00")
+		if err != nil {
+			a.service.options.Log.Info("reservation not removed", zap.String("job", id), zap.Error(err))
+			return
+		}
+		present = a.service.decodeReservations(generationKey(quota).Key, page.Rows).byJob[id]
+	}
+	if !a.wrote(present) {
 		return
 	}
-	key := reservationKey(a.submission.quota(), a.submission.ID)
-	_, _ = a.service.options.Store.ApplyRows(ctx, storage.RowTransaction{
-		Conditions: []storage.RowCondition{{RowKey: key, Version: a.reservationVersion}},
+	_, err := store.ApplyRows(ctx, storage.RowTransaction{
+		Conditions: []storage.RowCondition{{RowKey: key, Version: present.version}},
 		Removes:    []storage.RowKey{key},
 	})
+	if err != nil {
+		a.service.options.Log.Info("reservation not removed", zap.String("job", id), zap.Uint64("condition", present.version), zap.Error(err))
+	}
+}
+
+// wrote reports whether a reservation that was read is the one that this acceptance wrote.
+func (a *acceptance) wrote(r reservation) bool {
+	return r.version != 0 && r.Tokens == a.reserved.Tokens && r.ReservedAtMS == a.reserved.ReservedAtMS
 }
 
 // dropStaleReservations removes a batch of stale reservations and writes the
--- a/job/read.go
+++ b/job/read.go
@@ -70,7 +70,7 @@
 }
 
 // waitForChange waits for a newer head of a job and reports whether there is one.
-func (s *Service) waitForChange(ctx context.Context, id string, version uint64, timeout time.Duration) bool {
+func (s *Service) waitForChange(ctx context.Context, id string, version rowVersion, timeout time.Duration) bool {
 	s.mu.Lock()
 	if s.heads[id].version != version {
 		s.mu.Unlock()
@@ -304,20 +304,11 @@
 	if err != nil || !v.open() {
 		return err
 	}
-	next := v.head
-	next.Ended = true
-	page, err := s.options.Store.ApplyRows(ctx, storage.RowTransaction{
-		Conditions: []storage.RowCondition{{RowKey: headKey(v.part, id), Version: v.version}},
-		Puts:       []storage.TableRow{headRow(v.part, id, &next)},
+	return s.changeHead(ctx, id, func(h *head) bool {
+		if !h.open() {
+			return false
+		}
+		h.Ended = true
+		return true
 	})
-	if code.Of(err) == code.StoreConflict {
-		s.logConflict("job not ended yet, its head has changed", id, v.version, page.Rows)
-		s.updateHeads(page.Rows)
-	}
-	if err == nil {
-		s.mu.Lock()
-		s.updateHead(id, versionedHead{next, page.Version, v.part})
-		s.mu.Unlock()
-	}
-	return err
 }
--- a/job/rows.go
+++ b/job/rows.go
@@ -69,11 +69,11 @@
 // giveUpAfter returns how long after its acceptance the items of the job are run.
 func (h *head) giveUpAfter() time.Duration { return time.Duration(h.GiveUpAfterMS) * time.Millisecond }
 
-// versionedHead is a head with the version of its row and the part that holds all
-// rows of the job.
+// versionedHead is a head with what is known of the version of its row, and the part that
+// holds all rows of the job.
 type versionedHead struct {
 	head
-	version uint64
+	version rowVersion
 	part    string
 }
 
@@ -108,7 +108,7 @@
 }
 
 func decodeHead(r storage.TableRow) (versionedHead, error) {
-	v := versionedHead{version: r.Version, part: r.Part}
+	v := versionedHead{version: versionRead(r.Version), part: r.Part}
 	if err := json.Unmarshal(r.Value, &v.head); err != nil {
 		return v, code.Wrap(code.Internal, err, "the head of job %q can't be read", r.Key)
 	}
--- a/job/run.go
+++ b/job/run.go
@@ -69,8 +69,8 @@
 }
 
 // startRun starts the items of a job that are not listed, from the given progress. It
-// does nothing when this process does not own the job, or runs it already, or knows a
-// newer head. While the service stops, it leaves the job to other instances instead. The claim
+// does nothing when this process runs the job already, or the newest known head says that it does
+// not own the job. While the service stops, it leaves the job to other instances instead. The claim
 // on Service.loaded is released when the run has ended, or at once if there is none.
 func (s *Service) startRun(ctx context.Context, id string, v versionedHead, items []Item, progress storedProgress, claim int64) {
 	r, stopping := s.addRun(id, v, items, progress, claim)
@@ -79,17 +79,16 @@
 	}
 	s.loaded.release(claim)
 	if stopping {
-		s.leave(ctx, id, v)
+		s.leave(ctx, id)
 	}
 }
 
 // leave makes a job that this process owns and does not run one of all instances.
-func (s *Service) leave(ctx context.Context, id string, v versionedHead) {
-	next := v.head
-	next.Owner = ""
-	_, err := s.options.Store.ApplyRows(ctx, storage.RowTransaction{
-		Conditions: []storage.RowCondition{{RowKey: headKey(v.part, id), Version: v.version}},
-		Puts:       []storage.TableRow{headRow(v.part, id, &next)},
+func (s *Service) leave(ctx context.Context, id string) {
+	err := s.changeHead(ctx, id, func(h *head) bool {
+		owned := h.open() && h.Owner == s.options.Process
+		h.Owner = ""
+		return owned
 	})
 	s.options.Log.Info("job left to others", zap.String("job", id), zap.Error(err))
 }
@@ -100,7 +99,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.updateHead(id, v)
-	if _, ok := s.owned[id]; ok || s.heads[id].version != v.version || !v.open() || v.Owner != s.options.Process {
+	// Another instance may have changed the head since v.
+	v = s.heads[id]
+	if _, ok := s.owned[id]; ok || !v.open() || v.Owner != s.options.Process {
 		return nil, false
 	}
 	if s.stopping {
--- a/job/service.go
+++ b/job/service.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/singleflight"
 
-	"github.com/daisylb/daisylb/code"
 	"github.com/daisylb/daisylb/contract"
 	"github.com/daisylb/daisylb/feed"
 	"github.com/daisylb/daisylb/storage"
@@ -238,40 +237,6 @@
 	}
 }
 
-// updateHead keeps a head if it is newer than the known one. It cancels the run of a
-// job that was ended or has another owner, and notifies those who wait for a change.
-// The lock is held.
-func (s *Service) updateHead(id string, v versionedHead) {
-	if known, ok := s.heads[id]; ok && known.version >= v.version {
-		return
-	}
-	s.setHead(id, v)
-	s.newestVersion = max(s.newestVersion, v.version)
-	if v.Owner != "" || !v.open() {
-		delete(s.orphans, id)
-	}
-	if r, ok := s.owned[id]; ok && (v.Ended || v.Owner != s.options.Process) {
-		s.options.Log.Info("job no longer owned by this process", zap.String("job", id), zap.Bool("ended", v.Ended), zap.String("owner", v.Owner))
-		r.cancel()
-		delete(s.owned, id)
-	}
-	if c, ok := s.changed[id]; ok {
-		close(c)
-		delete(s.changed, id)
-	}
-}
-
-// changeOf returns a channel that is closed when the head of a job changes. The lock
-// is held.
-func (s *Service) changeOf(id string) <-chan struct{} {
-	c, ok := s.changed[id]
-	if !ok {
-		c = make(chan struct{})
-		s.changed[id] = c
-	}
-	return c
-}
-
 // updateClock keeps the store's clock, unless it is 0 and so not known, or below the one
 // extrapolated from an earlier response: it is then a late response. The lock is held.
 func (s *Service) updateClock(now time.Duration) {
@@ -288,49 +253,6 @@
 	return s.clock + time.Since(s.clockReadAt) - time.Duration(h.AcceptedMS)*time.Millisecond
 }
 
-// findHead returns the head of a job. It reads it from the store when it is not known
-// here.
-//
-// Errors: code.JobUnknown, and those of the store.
-func (s *Service) findHead(ctx context.Context, id string) (versionedHead, error) {
-	s.mu.Lock()
-	v, ok := s.heads[id]
-	newestVersion := s.newestVersion
-	s.mu.Unlock()
-	if ok {
-		return v, nil
-	}
-	page, err := s.readHead(ctx, id)
-	if err != nil {
-		return v, err
-	}
-	if page.Version < newestVersion {
-		return v, code.New(code.StoreUnavailable, "the store answered from the past").WithRetryAfter(storeRetryAfter)
-	}
-	if len(page.Rows) == 0 {
-		return v, code.New(code.JobUnknown, "there is no job %q", id)
-	}
-	v, err = decodeHead(page.Rows[0])
-	if err != nil {
-		return v, err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.updateClock(page.Now)
-	s.updateHead(id, v)
-	return s.heads[id], nil
-}
-
-// readHead reads the head of a job from the store. The head of a job that a version
-// with a single part accepted is in the first part.
-func (s *Service) readHead(ctx context.Context, id string) (storage.RowPage, error) {
-	page, err := s.options.Store.GetRows(ctx, headTable, partOfNewJob(id), id, id+"\x00")
-	if err != nil || len(page.Rows) > 0 || partOfNewJob(id) == parts[0] {
-		return page, err
-	}
-	return s.options.Store.GetRows(ctx, headTable, parts[0], id, id+"\x00")
-}
-
 // storeRetryAfter is the time to retry after in errors of an unavailable store.
 const storeRetryAfter = time.Second
 
--- a/job/submit.go
+++ b/job/submit.go
@@ -115,9 +115,8 @@
 	submission *Submission
 	// bodyStored is set when the object with the body is stored.
 	bodyStored bool
-	// reservationVersion is the version of the reservation that this acceptance
-	// wrote, 0 if none.
-	reservationVersion uint64
+	// reserved is the reservation that this acceptance wrote, nil if none.
+	reserved *reservation
 	// maybeApplied is set when the transaction that writes the head may have taken
 	// effect or may still do so.
 	maybeApplied bool
@@ -214,7 +213,7 @@
 	}
 	switch code.Of(err) {
 	case 0:
-		v := versionedHead{h, page.Version, part}
+		v := versionedHead{h, versionWritten(0, page.Version), part}
 		if taken {
 			s.startRun(ctx, sub.ID, v, sub.Items, storedProgress{}, claim)
 			return nil
@@ -264,7 +263,7 @@
 		s.startRun(ctx, sub.ID, v, sub.Items, storedProgress{}, claim)
 		return
 	}
-	s.leave(ctx, sub.ID, v)
+	s.leave(ctx, sub.ID)
 }
 
 // runs reports whether this process runs a job.
--- a/job/takeover.go
+++ b/job/takeover.go
@@ -157,7 +157,7 @@
 		return ownJobGrace
 	case v.Owner == "" || s.seenAlive[v.Owner]:
 		return stagger
-	case fleet.Replaced != nil && fleet.Replaced(v.Owner, v.version):
+	case fleet.Replaced != nil && fleet.Replaced(v.Owner, v.version.newest()):
 		return stagger
 	}
 	return unknownOwnerGrace + stagger
@@ -176,6 +176,17 @@
 	if s.headVersion(id) != v.version {
 		return false
 	}
+	if !v.version.known() {
+		confirmed, err := s.confirmedHead(ctx, id, v.version)
+		if err != nil {
+			s.postpone(id, err)
+			return false
+		}
+		if confirmed.Owner != v.Owner || !confirmed.open() {
+			return false
+		}
+		v = confirmed
+	}
 	items, err := s.loadItems(ctx, id)
 	if err != nil {
 		s.postpone(id, err)
@@ -188,49 +199,20 @@
 	}
 	next := v.head
 	next.Owner, next.Ahead = s.options.Process, 0
-	page, err := s.options.Store.ApplyRows(ctx, storage.RowTransaction{
-		Conditions: []storage.RowCondition{{RowKey: headKey(v.part, id), Version: v.version}},
-		Puts:       []storage.TableRow{headRow(v.part, id, &next)},
-	})
-	switch code.Of(err) {
-	case 0:
+	taken, err := s.replaceHead(ctx, id, v, next)
+	if err == nil {
 		s.options.Log.Info("job taken over", zap.String("job", id), zap.String("from", v.Owner), zap.Int("listed", v.Listed), zap.Int("with_progress", len(progress.items)))
-		s.startRun(ctx, id, versionedHead{next, page.Version, v.part}, items, progress, claim+progressClaim)
+		s.startRun(ctx, id, taken, items, progress, claim+progressClaim)
 		return true
-	case code.StoreConflict:
-		s.logConflict("job not taken over, its head has changed", id, v.version, page.Rows)
-		s.updateHeads(page.Rows)
-		if s.headVersion(id) == v.version {
-			// The present head can't be read.
-			s.postpone(id, err)
-		}
-	default:
+	}
+	if code.Of(err) != code.StoreConflict || s.headVersion(id) == v.version {
+		// The store has failed, or the present head can't be read.
 		s.postpone(id, err)
 	}
 	s.loaded.release(progressClaim)
 	return false
 }
 
-// logConflict logs a conflict of a transaction that was conditioned on a version of the head of a
-// job, with the version and the owner that the store has.
-func (s *Service) logConflict(message, id string, condition uint64, rows []storage.TableRow) {
-	for _, r := range rows {
-		if r.Table != headTable || r.Key != id {
-			continue
-		}
-		present, err := decodeHead(r)
-		s.options.Log.Info(message, zap.String("job", id), zap.Uint64("condition", condition), zap.Uint64("store_version", r.Version),
-			zap.String("owner", present.Owner), zap.Bool("ended", present.Ended), zap.Error(err))
-	}
-}
-
-// headVersion returns the version of the known head of a job, 0 if there is none.
-func (s *Service) headVersion(id string) uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.heads[id].version
-}
-
 // postpone delays the next attempt of a takeover that failed, so that failing calls
 // add little load during an outage of the store.
 func (s *Service) postpone(id string, err error) {
@@ -240,20 +222,6 @@
 	s.options.Log.Info("job not taken over", zap.String("job", id), zap.Duration("retry_after", takeoverRetryInterval), zap.Error(err))
 }
 
-// updateHeads applies the heads among rows.
-func (s *Service) updateHeads(rows []storage.TableRow) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, r := range rows {
-		if r.Table != headTable || r.Removed || r.Version == 0 {
-			continue
-		}
-		if v, err := decodeHead(r); err == nil {
-			s.updateHead(r.Key, v)
-		}
-	}
-}
-
 // loadItems returns the items of a job, from memory or from its object.
 func (s *Service) loadItems(ctx context.Context, id string) ([]Item, error) {
 	s.mu.Lock()
--- a/storage/memory/rows.go
+++ b/storage/memory/rows.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -12,7 +13,9 @@
 	"github.com/daisylb/daisylb/storage"
 )
 
-// Rows is a storage.RowStore in memory. It is safe for concurrent use.
+// Rows is a storage.RowStore in memory. The response to a transaction has the newest version at
+// its own time: others may have taken effect since the transaction did. It is safe for concurrent
+// use.
 type Rows struct {
 	mu      sync.Mutex
 	rows    map[storage.RowKey]storage.TableRow
@@ -25,8 +28,10 @@
 	changed   chan struct{}
 	createdAt time.Time
 	faults    RowFaults
-	delayed   sync.WaitGroup
-	counts    RowCounts
+	// maxResponseTime is set by SetMaxResponseTime.
+	maxResponseTime time.Duration
+	delayed         sync.WaitGroup
+	counts          RowCounts
 }
 
 var _ storage.RowStore = (*Rows)(nil)
@@ -42,7 +47,7 @@
 	// EffectDelay is the time between a lost response and the effect of its transaction; 0
 	// means that the effect comes first.
 	EffectDelay time.Duration
-	// ResponseDelay is the time between the effect of a transaction and its response.
+	// ResponseDelay is added to the time between the effect of a transaction and its response.
 	ResponseDelay time.Duration
 	// FeedsStalled makes feeds return no changes.
 	FeedsStalled bool
@@ -79,6 +84,14 @@
 	s.notifyFeeds()
 }
 
+// SetMaxResponseTime sets the longest time between the effect of a transaction and its response,
+// which is drawn for each; the default is 0.
+func (s *Rows) SetMaxResponseTime(longest time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxResponseTime = longest
+}
+
 // Counts returns the counts so far.
 func (s *Rows) Counts() RowCounts {
 	s.mu.Lock()
@@ -142,12 +155,28 @@
 
 // ApplyRows implements storage.Rows.
 func (s *Rows) ApplyRows(_ context.Context, t storage.RowTransaction) (storage.RowPage, error) {
+	delay := s.responseDelay()
+	page, err := s.tryApply(t)
+	time.Sleep(delay)
+	if err == nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		page = s.emptyPage()
+	}
+	return page, err
+}
+
+// responseDelay returns the time between the effect of the next transaction and its response.
+func (s *Rows) responseDelay() time.Duration {
 	s.mu.Lock()
-	delay := s.faults.ResponseDelay
-	defer func() {
-		s.mu.Unlock()
-		time.Sleep(delay)
-	}()
+	defer s.mu.Unlock()
+	return s.faults.ResponseDelay + rand.N(s.maxResponseTime+1)
+}
+
+// tryApply runs a transaction, or fails as the faults say.
+func (s *Rows) tryApply(t storage.RowTransaction) (storage.RowPage, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err := s.checkAvailable(); err != nil {
 		return storage.RowPage{}, err
 	}
