Draw the time between a transaction's effect and its answer in histories and the soak

In the tests of hosted and of scenario/hostile and in the soak each answer now comes up to 10 or 20 ms after the effect, with the newest version at that time; histories of jobs take it at the end of the pause that they have.

--- a/hosted/instance_test.go
+++ b/hosted/instance_test.go
@@ -75,6 +75,7 @@
 
 func newTestPlatform(t *testing.T) *testPlatform {
 	s := &testPlatform{t: t, store: memory.NewRows(), worker: &fakeWorker{started: make(chan string, 8)}}
+	s.store.SetMaxResponseTime(10 * time.Millisecond)
 	s.storeServer = httptest.NewServer(standin.NewRows(s.store))
 	s.worker.Server = httptest.NewServer(s.worker)
 	t.Cleanup(func() { s.storeServer.CloseClientConnections(); s.storeServer.Close(); s.worker.Close() })
--- a/job/history_store_test.go
+++ b/job/history_store_test.go
@@ -79,6 +79,13 @@
 	if code.Of(err) == code.StoreUnknown {
 		return storage.RowPage{}, err
 	}
+	if err == nil {
+		newest, readErr := s.Rows.GetRows(context.Background(), "jobs", "", "", "")
+		if readErr != nil {
+			return storage.RowPage{}, readErr
+		}
+		page.Version = newest.Version
+	}
 	return page, err
 }
 
--- a/job/history_test.go
+++ b/job/history_test.go
@@ -38,6 +38,8 @@
 	accepted map[string][]string
 	ended    map[string]bool
 	refused  []string
+	// endKnown has the jobs whose end was confirmed.
+	endKnown map[string]bool
 	// storeDisturbedAt is the last time at which the store failed or lost answers.
 	storeDisturbedAt time.Time
 	// listed has, by job, the results that callers have read, by position.
@@ -52,6 +54,8 @@
 	// pause is the longest time between two jobs, items the largest number of their items.
 	pause time.Duration
 	items int
+	// machines is the number of machines.
+	machines int
 }
 
 // listing is a result that a caller has read first at a time.
@@ -197,26 +201,14 @@
 
 // isStored reports whether the store has the head of a job.
 func (h *history) isStored(id string) bool {
-	parts, err := h.store.RowParts(context.Background(), "jobs")
-	if err != nil {
-		h.t.Error(err)
-	}
-	for _, part := range parts {
-		page, err := h.store.GetRows(context.Background(), "jobs", part, id, id+"\x00")
-		if err != nil {
-			h.t.Error(err)
-		}
-		if len(page.Rows) > 0 {
-			return true
-		}
-	}
-	return false
+	_, ok := readStoredHead(h.t, h.store, id)
+	return ok
 }
 
 // useAccepted may end a job that was accepted, and then uses it as other callers do.
 func (h *history) useAccepted(sub job.Submission) {
 	if h.number(8) == 0 {
-		h.pause(0, 5*time.Second)
+		h.pause(0, time.Duration(h.number(2))*5*time.Second+1)
 		h.end(sub.ID)
 	}
 	h.pause(time.Second, 8*time.Second)
@@ -231,9 +223,11 @@
 func (h *history) end(id string) {
 	if s := h.reachable(); s != nil {
 		h.locked(func() bool { h.ended[id] = true; return true })
-		if err := s.End(context.Background(), id); code.Of(err) == code.JobUnknown {
+		err := s.End(context.Background(), id)
+		if code.Of(err) == code.JobUnknown {
 			h.t.Errorf("end of accepted job %s: %v", id, err)
 		}
+		h.locked(func() bool { h.endKnown[id] = h.endKnown[id] || err == nil; return true })
 	}
 }
 
@@ -327,6 +321,11 @@
 			h.t.Errorf("refused job %s has %d items, %v", id, total, err)
 		}
 	}
+	for id := range h.endKnown {
+		if head, _ := readStoredHead(h.t, h.store, id); h.endKnown[id] && !head.Ended && head.Listed < head.Total {
+			h.t.Errorf("job %s was ended, and is open", id)
+		}
+	}
 	for id, names := range h.accepted {
 		for _, m := range h.machines {
 			var all []job.Result
@@ -356,7 +355,7 @@
 	for seed := range uint64(histories) {
 		quota := []int64{0, 4000, 100000}[seed%3]
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			playHistory(t, seed, load{quota: quota, pause: 1500 * time.Millisecond, items: 15})
+			playHistory(t, seed, load{machines: historyMachines, quota: quota, pause: 1500 * time.Millisecond, items: 15})
 		})
 	}
 }
@@ -367,7 +366,18 @@
 	const histories = 6
 	for seed := range uint64(histories) {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			playHistory(t, seed, load{maxBytes: oneJob, pause: 8 * time.Second, items: 4})
+			playHistory(t, seed, load{machines: historyMachines, maxBytes: oneJob, pause: 8 * time.Second, items: 4})
+		})
+	}
+}
+
+// TestOneMachineListsItsJobsInRandomHistories has no other machine that would run what the only
+// one does not.
+func TestOneMachineListsItsJobsInRandomHistories(t *testing.T) {
+	const histories = 6
+	for seed := range uint64(histories) {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			playHistory(t, seed, load{machines: 1, maxBytes: oneJob, pause: 5 * time.Second, items: 1})
 		})
 	}
 }
@@ -375,10 +385,10 @@
 // playHistory plays and checks a history.
 func playHistory(t *testing.T, seed uint64, l load) {
 	synctest.Test(t, func(t *testing.T) {
-		h := &history{t: t, random: rand.New(rand.NewPCG(seed, seed)), store: memory.NewRows(), load: l, accepted: map[string][]string{}, ended: map[string]bool{}, listed: map[string]map[int]listing{}}
+		h := &history{t: t, random: rand.New(rand.NewPCG(seed, seed)), store: memory.NewRows(), load: l, accepted: map[string][]string{}, ended: map[string]bool{}, endKnown: map[string]bool{}, listed: map[string]map[int]listing{}}
 		h.route = contract.Route{Host: "h", Prefix: "/lot/", Kind: contract.RouteBatch, MaxAttempts: 3, MaxWaitingTokens: l.quota,
 			CompletionWindow: 18 * time.Second, GiveUpAfter: time.Minute, Split: []contract.WeightedService{{Service: "s", Weight: 1}}}
-		for i := range historyMachines {
+		for i := range l.machines {
 			h.machines = append(h.machines, &machine{history: h, name: "m" + strconv.Itoa(i), hidden: map[*machine]bool{}})
 		}
 		for _, m := range h.machines {
--- a/scenario/hostile/world_test.go
+++ b/scenario/hostile/world_test.go
@@ -43,6 +43,7 @@
 func newWorld(t *testing.T, maxBodyBytes int) *world {
 	t.Helper()
 	w := &world{t: t, program: filepath.Join(t.TempDir(), "daisylbd"), rows: memory.NewRows(), gate: make(chan struct{})}
+	w.rows.SetMaxResponseTime(10 * time.Millisecond)
 	w.openGate = sync.OnceFunc(func() { close(w.gate) })
 	if out, err := exec.Command("go", "build", "-o", w.program, "github.com/daisylb/daisylb/cmd/daisylbd").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v, %s", err, out)
--- a/soak/caller.go
+++ b/soak/caller.go
@@ -212,8 +212,8 @@
 }
 
 // runJob submits a job until it is accepted and reads its results. The first submission
-// is sent to the given address. About one job in five is cancelled after its first
-// results.
+// is sent to the given address. About one job in five is cancelled, every other of them at once
+// and the rest after their first results.
 func (c *callerPool) runJob(ctx context.Context, n int, random *rand.Rand, first string) {
 	j := &Job{ID: fmt.Sprintf("j%d", n), SubmittedAt: time.Now()}
 	type item struct {
@@ -238,6 +238,10 @@
 	for address := first; ctx.Err() == nil && !c.submit(j, body, address); address = c.anyAddress() {
 		wait(ctx, readInterval)
 	}
+	if willCancel && n%2 == 0 && ctx.Err() == nil {
+		c.cancelJob(ctx, j, random)
+		return
+	}
 	for after := 0; ctx.Err() == nil && after < len(j.Items); wait(ctx, readInterval) {
 		from := after
 		if random.IntN(4) == 0 {
@@ -333,16 +337,19 @@
 	c.history.update(func() { j.Cancelling = true })
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		address := c.instances[random.IntN(len(c.instances))].callerAddress()
-		response, err := c.client.Do(c.newRequest(callCtx, http.MethodDelete, address, "/api/lots/"+j.ID, j.ID, nil))
+		call := CancelCall{Instance: c.instances[random.IntN(len(c.instances))].callerAddress(), SentAt: time.Now()}
+		response, err := c.client.Do(c.newRequest(callCtx, http.MethodDelete, call.Instance, "/api/lots/"+j.ID, j.ID, nil))
 		if err == nil {
+			call.Status = response.StatusCode
 			_ = response.Body.Close()
 		}
 		cancel()
-		if err == nil && response.StatusCode == http.StatusOK {
-			c.history.update(func() { j.CancelledAt = time.Now() })
+		call.DoneAt = time.Now()
+		if call.Status == http.StatusOK {
+			c.history.update(func() { j.CancelledAt = call.DoneAt })
 			return
 		}
+		c.history.update(func() { j.RefusedCancels = append(j.RefusedCancels, call) })
 		wait(ctx, readInterval)
 	}
 	// A cancellation that was sent but not acknowledged may or may not have
--- a/soak/check.go
+++ b/soak/check.go
@@ -46,6 +46,7 @@
 	"job known":         jobKnown,
 	"refused jobs":      refusedJobs,
 	"ended jobs":        endedJobs,
+	"refused cancels":   refusedCancels,
 	"draining":          draining,
 	"document in force": documentInForce,
 	"planned stop":      plannedStop,
@@ -309,6 +310,19 @@
 	return found
 }
 
+// refusedCancels finds calls to cancel an accepted job that an instance in touch did not
+// acknowledge.
+func refusedCancels(h *History) (found []Violation) {
+	for _, j := range h.Jobs {
+		for _, c := range j.RefusedCancels {
+			if h.inTouch(c.Instance, c.SentAt, c.DoneAt) {
+				found = append(found, Violation{ID: j.ID, Detail: fmt.Sprintf("its end was answered %d by %s after %v", c.Status, c.Instance, c.DoneAt.Sub(c.SentAt))})
+			}
+		}
+	}
+	return found
+}
+
 // draining finds requests that started at a worker later than drainBound after
 // it was marked as draining.
 func draining(h *History) (found []Violation) {
--- a/soak/check_test.go
+++ b/soak/check_test.go
@@ -237,6 +237,9 @@
 		"ended jobs": {func(h *History) {
 			h.Runs = append(h.Runs, WorkerRun{Request: "i3", Worker: "v", StartedAt: after(6 * time.Second), Unchanged: true})
 		}},
+		"refused cancels": {func(h *History) {
+			h.Jobs["e"].RefusedCancels = []CancelCall{{Instance: "a", SentAt: after(time.Second), DoneAt: after(2 * time.Second), Status: 502}}
+		}},
 		"draining": {func(h *History) { h.Runs[4].Worker, h.Runs[4].StartedAt = "w", after(6*time.Second) }},
 		"document in force": {func(h *History) { h.Probes[1].Service = "" }, func(h *History) { h.Probes[1].Service = "t" }, func(h *History) {
 			h.Changes[0].Service = ""
--- a/soak/history.go
+++ b/soak/history.go
@@ -70,6 +70,15 @@
 	Cancelling bool
 	// CancelledAt is when the cancellation was acknowledged.
 	CancelledAt time.Time
+	// RefusedCancels are the calls that did not acknowledge it.
+	RefusedCancels []CancelCall
+}
+
+// CancelCall is a call to cancel a job, with status 0 if there was no answer.
+type CancelCall struct {
+	Instance       string
+	SentAt, DoneAt time.Time
+	Status         int
 }
 
 // Result is an item in the results of a job.
--- a/soak/store.go
+++ b/soak/store.go
@@ -57,8 +57,12 @@
 	queuedTokens int64
 }
 
+// maxResponseTime is the longest time between the effect of a transaction and its response.
+const maxResponseTime = 20 * time.Millisecond
+
 func newStore(h *History) *store {
 	rows := memory.NewRows()
+	rows.SetMaxResponseTime(maxResponseTime)
 	return &store{rows: rows, handler: platform.NewRows(rows), history: h}
 }
 
