Keep the host of the route in the head of a job, not that of the request

Cause, the first of two: the head of a job held the Host header as it came, up to 16 KB, six times as much in JSON. The head fitted into a row of the store when the job was accepted, and no longer with its list of done items.

Change: the head holds the host of the route, bounded by the operator's document; the pages want items sent with it. Heads are written without HTML escapes, so that those of older versions fit.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	s := job.Submission{ID: job.IDOf(account, id), Route: route, Account: account, Host: r.Host, Items: items, Raw: body}
+	s := job.Submission{ID: job.IDOf(account, id), Route: route, Account: account, Items: items, Raw: body}
 	if err := h.options.Jobs.Submit(r.Context(), s); err != nil {
 		return err
 	}
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -267,7 +267,7 @@
 
 func (f *fleet) submission(id string, names ...string) job.Submission {
 	route := f.route
-	return job.Submission{ID: id, Route: &route, Host: "h", Items: items(names...), Raw: []byte(strings.Join(names, " "))}
+	return job.Submission{ID: id, Route: &route, Items: items(names...), Raw: []byte(strings.Join(names, " "))}
 }
 
 // Forward acts as the upstream: an item is a stream of events. An item whose id
--- a/job/history_test.go
+++ b/job/history_test.go
@@ -175,7 +175,7 @@
 
 // submit submits a job until it is accepted, as a caller does.
 func (h *history) submit(id string, names []string) {
-	sub := job.Submission{ID: id, Route: &h.route, Host: "h", Items: items(names...), Raw: []byte(strings.Join(names, " "))}
+	sub := job.Submission{ID: id, Route: &h.route, Items: items(names...), Raw: []byte(strings.Join(names, " "))}
 	const attempts = 6
 	refused := true
 	for range attempts {
--- a/job/rows.go
+++ b/job/rows.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -30,7 +31,8 @@
 
 // head is the state of a job. Every change of the job writes it.
 type head struct {
-	// Route is the id of the route, Host the host that the submission named.
+	// Route is the id of the route, Host its host. Older versions kept the host that the caller
+	// had named, of any length.
 	Route string `json:"route"`
 	Host  string `json:"host"`
 	// Account is the client account that the job belongs to, "" if there was none.
@@ -116,11 +118,14 @@
 }
 
 func headRow(part, id string, h *head) storage.TableRow {
-	value, err := json.Marshal(h)
-	if err != nil {
+	var value bytes.Buffer
+	encoder := json.NewEncoder(&value)
+	// Escaped, the host of an older version may take six times as much.
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(h); err != nil {
 		panic(err) // Every field of the type can be encoded.
 	}
-	return storage.TableRow{RowKey: headKey(part, id), Value: value}
+	return storage.TableRow{RowKey: headKey(part, id), Value: bytes.TrimSpace(value.Bytes())}
 }
 
 // chunkBytes is the most that one row holds of a value.
--- a/job/submit.go
+++ b/job/submit.go
@@ -22,7 +22,6 @@
 	Route *contract.Route
 	// Account is the client account that the job belongs to, "" if the deployment has none.
 	Account string
-	Host    string
 	Items   []Item
 	// Raw is the request body that Items were decoded from.
 	Raw []byte
@@ -192,7 +191,7 @@
 	h := head{
 		Route:         sub.Route.ID(),
 		Account:       sub.Account,
-		Host:          sub.Host,
+		Host:          sub.Route.Host,
 		Total:         len(sub.Items),
 		Tokens:        sub.tokens(),
 		AcceptedMS:    now.Milliseconds(),
--- a/standin/platform/rows.go
+++ b/standin/platform/rows.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -60,8 +61,34 @@
 	return storage.RowKey{Table: r.Table, Part: r.Part, Key: r.Key}
 }
 
-// maxPageRows is the maximum number of rows in one response.
-const maxPageRows = 500
+// Limits of the published protocol.
+const (
+	// maxPageRows and maxPageBytes are the maximum number of rows and size of one response.
+	maxPageRows  = 500
+	maxPageBytes = 1 << 20
+	// maxCallBytes is the maximum size of a transaction, maxValueBytes that of a row's value
+	// and maxNameBytes that of its table, part and key.
+	maxCallBytes  = 1 << 20
+	maxValueBytes = 64 << 10
+	maxNameBytes  = 200
+)
+
+// limitPage cuts a page to a number of rows and to maxPageBytes, with at least one row.
+func limitPage(page *storage.RowPage, limit int) {
+	size := 0
+	for n, r := range page.Rows {
+		// base64 adds a third.
+		if size += len(r.Value)*4/3 + len(r.Key); n > 0 && size > maxPageBytes || n == limit {
+			page.Rows, page.More = page.Rows[:n], true
+			return
+		}
+	}
+}
+
+// tooLarge reports whether a row is over the limits.
+func (r publishedRow) tooLarge() bool {
+	return len(r.Value) > maxValueBytes || max(len(r.Table), len(r.Part), len(r.Key)) > maxNameBytes
+}
 
 func (h *rowsHandler) get(w http.ResponseWriter, r *http.Request) {
 	page, err := h.store.GetRows(r.Context(), r.FormValue("table"), r.FormValue("part"), r.FormValue("from"), r.FormValue("to"))
@@ -69,18 +96,25 @@
 	if n, convErr := strconv.Atoi(r.FormValue("limit")); convErr == nil && n > 0 {
 		limit = min(n, maxPageRows)
 	}
-	if len(page.Rows) > limit {
-		page.Rows, page.More = page.Rows[:limit], true
-	}
+	limitPage(&page, limit)
 	writePage(w, page, err)
 }
 
 func (h *rowsHandler) apply(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCallBytes))
+	if err != nil {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
 	var p publishedTransaction
-	if err := json.NewDecoder(r.Body).Decode(&p); err != nil {
+	if err := json.Unmarshal(body, &p); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if slices.ContainsFunc(slices.Concat(p.Conditions, p.Puts, p.Removes), publishedRow.tooLarge) {
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+		return
+	}
 	if len(p.Conditions)+len(p.Puts)+len(p.Removes) > storage.MaxRowWrites {
 		w.WriteHeader(http.StatusBadRequest)
 		return
