End the run of a job whose rows the store refuses for their size

Cause: a commit repeated each transaction that did not conflict, also one that is refused for its size and always will be. Meanwhile the run kept the memory for which other jobs wait, and could not give way, which is a write as well.

Change: such a run ends with an error in the log and gives its memory back; the job is taken up again after a minute, since another version or limit may take its rows.

--- a/job/commit.go
+++ b/job/commit.go
@@ -22,6 +22,9 @@
 	maxCommitBackoff = 600 * time.Millisecond
 	// maxCommitResults keeps a transaction under the store's limit of entries.
 	maxCommitResults = 12
+	// refusedRetryInterval is the time until a job whose rows the store refuses for their size
+	// is taken up again. Another version, or another limit of the store, may take them.
+	refusedRetryInterval = time.Minute
 )
 
 // commitAll lists results as they arrive and writes progress in between, until all
@@ -203,7 +206,8 @@
 }
 
 // apply writes the next head together with the rows of t. It retries until the store
-// has decided or ctx ends, and reports whether the next head is in force.
+// has decided or ctx ends, and reports whether the next head is in force. If the store refuses
+// the rows for their size, it ends the run.
 func (r *run) apply(ctx context.Context, next *head, t storage.RowTransaction) bool {
 	row := headRow(r.head.part, r.id, next)
 	t.Puts = append(t.Puts, row)
@@ -220,6 +224,9 @@
 				return applied
 			}
 			continue
+		case code.StoreTooLarge:
+			r.giveUp(err)
+			return false
 		}
 		if backoff == minCommitBackoff {
 			// One line for each outage is enough. "results listed" follows when it is over.
@@ -235,6 +242,17 @@
 	return false
 }
 
+// giveUp ends the run of a job whose rows the store refuses for their size, since the same rows
+// would be refused again. What the job holds is free for others meanwhile.
+func (r *run) giveUp(err error) {
+	r.service.options.Log.Error("job given up for a while, the store refuses its rows", zap.String("job", r.id), zap.Int("listed", r.head.Listed),
+		zap.Int("items", r.head.Total), zap.Duration("retry_after", refusedRetryInterval), zap.Error(err))
+	r.detach()
+	r.service.mu.Lock()
+	defer r.service.mu.Unlock()
+	r.service.orphans[r.id] = time.Now().Add(refusedRetryInterval)
+}
+
 // transact runs a transaction on condition that the head is the one that this process wrote
 // last. Errors: those of storage.Rows.
 func (r *run) transact(ctx context.Context, t storage.RowTransaction) (storage.RowPage, error) {
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -77,6 +78,14 @@
 	// beforeAnswer, if set, is called between the effect of a transaction with rows to put and
 	// its answer, which has the newest version after that.
 	beforeAnswer func(t storage.RowTransaction)
+	// refusedJob is a job whose results are refused for their size.
+	refusedJob string
+}
+
+func (s *instanceStore) isRefused(t storage.RowTransaction) bool {
+	return s.refusedJob != "" && slices.ContainsFunc(t.Puts, func(r storage.TableRow) bool {
+		return r.Table == "job_results" && strings.HasPrefix(r.Key, s.refusedJob+"/")
+	})
 }
 
 func (s *instanceStore) RowChanges(ctx context.Context, table string, after uint64, wait time.Duration) (storage.RowPage, error) {
@@ -111,7 +120,7 @@
 	if s.beforeCall != nil && len(t.Puts) == 1 && t.Puts[0].Table == "job_gates" {
 		s.beforeCall("reserve")
 	}
-	if !t.WithinLimits() {
+	if !t.WithinLimits() || s.isRefused(t) {
 		return storage.RowPage{}, code.New(code.StoreTooLarge, "the transaction is over a limit")
 	}
 	if s.failWrites.Load() {
--- a/job/memory_test.go
+++ b/job/memory_test.go
@@ -193,3 +193,26 @@
 		}
 	})
 }
+
+// TestJobsAreDoneBesideOneThatTheStoreRefuses guards against a job that repeats a refused commit
+// without end and keeps the memory for which all others wait.
+func TestJobsAreDoneBesideOneThatTheStoreRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 0, nil)
+		defer f.close()
+		f.maxBytes = oneJob
+		m := f.start("p0")
+		m.store.refusedJob = "refused"
+		for _, id := range []string{"refused", "j"} {
+			if err := m.Submit(t.Context(), f.submission(id, id+"-a")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		f.wantDoneIn(t, finishTime, "j", "j-a")
+		time.Sleep(20 * time.Second)
+		f.wantRuns(map[string]int{"refused-a": 1, "j-a": 1})
+		if m.store.refusedJob = ""; m.HeldBytes() != 0 {
+			t.Errorf("%d bytes are held", m.HeldBytes())
+		}
+	})
+}
