Hash ids of jobs that can't be a part of keys

What callers would have seen: a job with the id "j" was answered with a result of another job with the id "j/00000", if both are in one part of the store. Ids near the limit of a key were refused, or accepted on routes without a quota and never listed; ids that are not UTF-8 were refused with 503.

Cause: the id that a caller chooses is a part of the keys of rows, which a slash structures and whose length the store limits.

Change: job.IDOf hashes ids with a slash, of over 128 bytes, or that are not UTF-8.

--- a/job/account_test.go
+++ b/job/account_test.go
@@ -1,6 +1,7 @@
 package job_test
 
 import (
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,3 +45,27 @@
 		}
 	})
 }
+
+// TestIDsNeverReachIntoRowsOfOtherJobs guards against results of another job, whose id looks like
+// the key of a result.
+func TestIDsNeverReachIntoRowsOfOtherJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2, nil)
+		defer f.close()
+		jobs := map[string][]string{}
+		// Some of them are in the same part.
+		for i := range 12 {
+			id := "j" + strconv.Itoa(i)
+			jobs[id], jobs[id+"/00000"] = []string{"poison-a" + id, "b" + id}, []string{"poison-c" + id, "d" + id}
+		}
+		for id, names := range jobs {
+			if err := f.instances[0].Submit(t.Context(), f.submission(job.IDOf("", id), names...)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(2 * itemEvents * eventTime)
+		for id, names := range jobs {
+			wantAll(t, f.read(f.instances[1], job.IDOf("", id))[1:], names[1])
+		}
+	})
+}
--- a/job/rows.go
+++ b/job/rows.go
@@ -133,7 +133,10 @@
 
 // chunkKeyFormat is the key of a chunk of a result or of progress: the id of the job,
 // the position of the result or the index of the item, and the number of the chunk.
-const chunkKeyFormat = "%s/%05d/%03d"
+const chunkKeyFormat = "%s" + keySeparator + "%05d" + keySeparator + "%03d"
+
+// keySeparator separates the id of a job from the rest of a key.
+const keySeparator = "/"
 
 // chunkRows encodes a value and splits it into as many rows as it needs.
 func chunkRows(table, part, id string, n int, value any) []storage.TableRow {
--- a/job/submit.go
+++ b/job/submit.go
@@ -4,7 +4,9 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"strings"
 	"time"
+	"unicode/utf8"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -29,8 +31,12 @@
 
 // IDOf returns the id under which a job of an account is kept. Ids that callers choose are
 // unique within their account only, and a job must not be found by another account. Without
-// an account it is the caller's id.
+// an account it is the caller's id. Ids that can't be a part of the keys of rows are hashed.
 func IDOf(account, id string) string {
+	if len(id) > maxIDBytes || strings.Contains(id, keySeparator) || !utf8.ValidString(id) {
+		sum := sha256.Sum256([]byte(id))
+		id = hex.EncodeToString(sum[:])
+	}
 	if account == "" {
 		return id
 	}
@@ -38,6 +44,9 @@
 	return id + "@" + hex.EncodeToString(sum[:accountIDBytes])
 }
 
+// maxIDBytes keeps all keys with the id of a job below the limit of a store, 200 bytes.
+const maxIDBytes = 128
+
 // accountIDBytes is the number of bytes of an account's hash in the ids of its jobs: two of
 // some thousand accounts share it with a probability of less than one in 10^12.
 const accountIDBytes = 8
