Refuse jobs for now, not for good, while the store has no room

What callers would have seen: while the store answers writes with 507, jobs are refused with 413, after which they are not sent again.

Cause: the client of the store took 507 for a call that is too large.

Change: a result of its own, 4008 store_full, with status 503 and a time to retry after. It is no reason to go through other instances, since the store has decided.

--- a/code/table.go
+++ b/code/table.go
@@ -65,6 +65,7 @@
 	StoreNotFound    Number = 4005
 	StoreTooLarge    Number = 4006
 	StoreHistoryGone Number = 4007
+	StoreFull        Number = 4008
 )
 
 // Results of settings and configuration changes.
@@ -185,6 +186,7 @@
 	register(StoreNotFound, "store_not_found", http.StatusNotFound, NotRun, "The object does not exist.", "Check the reference.")
 	register(StoreTooLarge, "store_too_large", http.StatusRequestEntityTooLarge, NotRun, "A value or transaction is over the store's limit.", "Split the operation.")
 	register(StoreHistoryGone, "store_history_gone", http.StatusGone, NotRun, "The store no longer has the changes after the version asked for.", "Read the table anew and follow it from there.")
+	register(StoreFull, "store_full", http.StatusServiceUnavailable, NotRun, "The platform's store has no room left.", "Retry after the hint. The operator makes room, or waits until old jobs are removed.")
 }
 
 func registerConfig() {
--- a/job/fleet_test.go
+++ b/job/fleet_test.go
@@ -75,6 +75,8 @@
 	// failWrites lets transactions fail, failChanges the reads of changes.
 	afterResults            func()
 	failWrites, failChanges atomic.Bool
+	// full lets the write of objects fail for want of room.
+	full atomic.Bool
 	// beforeAnswer, if set, is called between the effect of a transaction with rows to put and
 	// its answer, which has the newest version after that.
 	beforeAnswer func(t storage.RowTransaction)
@@ -143,6 +145,9 @@
 
 func (s *instanceStore) PutBlob(ctx context.Context, name string, body []byte) error {
 	time.Sleep(time.Duration(s.blobLatency.Load() + s.callLatency.Load()))
+	if s.full.Load() {
+		return code.New(code.StoreFull, "there is no room")
+	}
 	if s.failBlobs.Load() {
 		return code.New(code.StoreUnavailable, "no objects are stored")
 	}
--- a/job/memory_test.go
+++ b/job/memory_test.go
@@ -216,3 +216,25 @@
 		}
 	})
 }
+
+// TestJobIsRefusedForNowWhileTheStoreIsFull guards against jobs that are refused for good, as too
+// large, while the store has no room.
+func TestJobIsRefusedForNowWhileTheStoreIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, nil)
+		defer f.close()
+		f.instances[0].store.full.Store(true)
+		startedAt := time.Now()
+		err := f.instances[0].Submit(t.Context(), f.submission("j", "a"))
+		if e := code.From(err); e.Number != code.StoreFull || e.Outcome != code.NotRun || e.RetryAfter == 0 {
+			t.Errorf("got %v, retry after %v", err, code.From(err).RetryAfter)
+		}
+		if took := time.Since(startedAt); took > 100*time.Millisecond {
+			t.Errorf("refused after %v", took)
+		}
+		f.instances[0].store.full.Store(false)
+		if err := f.instances[0].Submit(t.Context(), f.submission("j", "a")); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/job/submit.go
+++ b/job/submit.go
@@ -78,7 +78,7 @@
 // Submit returns. If this process has no room for the job, any instance runs it that has. A job
 // that was accepted before is accepted again without a change.
 //
-// Errors: code.QuotaExceeded, MemoryExhausted, StoreTooLarge, StoreUnavailable and StoreThrottled when
+// Errors: code.QuotaExceeded, MemoryExhausted, StoreTooLarge, StoreFull, StoreUnavailable and StoreThrottled when
 // the job is not accepted and will not be; code.StoreUnknown when it may have been
 // accepted.
 func (s *Service) Submit(ctx context.Context, sub Submission) error {
@@ -99,7 +99,7 @@
 			s.options.Log.Info("job accepted", zap.String("job", sub.ID), zap.Int("items", len(sub.Items)), zap.Int64("tokens", sub.tokens()),
 				zap.Int64("took", time.Since(startedAt).Milliseconds()), zap.Int("tries", attempts+1))
 			return nil
-		case code.QuotaExceeded, code.StoreTooLarge:
+		case code.QuotaExceeded, code.StoreTooLarge, code.StoreFull:
 			return a.rejection(err)
 		}
 		if submitBackoff.Sleep(ctx, attempts) != nil {
--- a/relay/store.go
+++ b/relay/store.go
@@ -245,7 +245,7 @@
 // repeated.
 func readError(err error) error {
 	switch code.Of(err) {
-	case 0, code.StoreConflict, code.StoreNotFound, code.StoreHistoryGone, code.StoreTooLarge:
+	case 0, code.StoreConflict, code.StoreNotFound, code.StoreHistoryGone, code.StoreTooLarge, code.StoreFull:
 		return err
 	}
 	return code.Wrap(code.StoreUnavailable, err, "the store can't be reached through a peer")
@@ -256,7 +256,7 @@
 // made the call although its response was lost.
 func writeError(err error) error {
 	switch code.Of(err) {
-	case 0, code.StoreConflict, code.StoreTooLarge, code.StoreUnavailable, code.StoreThrottled:
+	case 0, code.StoreConflict, code.StoreTooLarge, code.StoreFull, code.StoreUnavailable, code.StoreThrottled:
 		return err
 	}
 	return code.Wrap(code.StoreUnknown, err, "the answer of a peer was lost")
--- a/storage/rows.go
+++ b/storage/rows.go
@@ -94,7 +94,7 @@
 // Errors: code.StoreUnavailable and code.StoreThrottled when the operation did not
 // take effect; code.StoreUnknown when a transaction may have taken effect or may
 // still do so; code.StoreConflict when a condition did not hold;
-// code.StoreTooLarge when a transaction is over a limit;
+// code.StoreTooLarge when a transaction is over a limit; code.StoreFull when the store has no room;
 // code.StoreHistoryGone when a feed cannot be continued and the table has to be
 // read again.
 type Rows interface {
