Count the ids of items as memory of results

Cause: the cache of results counted the text of each result and 128 bytes, and not the id of its item. Ids of any length stayed until the job was removed. Responses and commits left it out as well.

Change: the size of a result is that of its text and its id, in the cache, pages, responses, commits and the memory of running items.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -85,7 +85,7 @@
 	}
 	size := 0
 	for _, result := range results {
-		size += len(result.Text)
+		size += result.Bytes()
 	}
 	if err := budget.FromContext(r.Context()).TakeAnswer(resultCopies * int64(size)); err != nil {
 		return err
--- a/job/cache.go
+++ b/job/cache.go
@@ -19,7 +19,7 @@
 // maxCacheBytes is a small part of the memory of the smallest instance.
 const maxCacheBytes = 16 << 20
 
-// cachedResultBytes is the memory for a cached result beside its text.
+// cachedResultBytes is the memory for a cached result beside its texts.
 const cachedResultBytes = 128
 
 // newResultCache returns a cache of up to limit bytes if that is positive and below
@@ -33,7 +33,7 @@
 
 // change counts bytes of a result.
 func (c *resultCache) change(r *Result, sign int64) {
-	n := sign * int64(len(r.Text)+cachedResultBytes)
+	n := sign * int64(r.Bytes()+cachedResultBytes)
 	c.bytes += n
 	c.onChange(n)
 }
@@ -81,21 +81,19 @@
 	}
 }
 
-// from returns the cached results from a position on, up to a number of bytes of
-// text.
+// from returns the cached results from a position on, up to a number of bytes.
 func (c *resultCache) from(id string, after, maxBytes int) []Result {
 	j, ok := c.jobs[id]
 	if !ok || after < j.first || after >= j.first+len(j.results) {
 		return nil
 	}
-	return limitText(j.results[after-j.first:], maxBytes)
+	return limitBytes(j.results[after-j.first:], maxBytes)
 }
 
-// limitText cuts results to a number of bytes of text. It keeps at least the first
-// result.
-func limitText(results []Result, maxBytes int) []Result {
+// limitBytes cuts results to a number of bytes. It keeps at least the first result.
+func limitBytes(results []Result, maxBytes int) []Result {
 	for i, r := range results {
-		maxBytes -= len(r.Text)
+		maxBytes -= r.Bytes()
 		if maxBytes < 0 && i > 0 {
 			return results[:i]
 		}
--- a/job/commit.go
+++ b/job/commit.go
@@ -88,7 +88,7 @@
 func (r *run) batchSize(pending []itemResult) int {
 	size, n := 0, 0
 	for _, f := range pending {
-		size += len(f.result.Text)*5/4 + 256
+		size += f.result.Bytes()*5/4 + 256
 		if n > 0 && (size > storage.MaxRowTransactionBytes/2 || n == maxCommitResults) {
 			break
 		}
@@ -122,7 +122,7 @@
 // retries until the store has decided, and reports false when this process no longer
 // owns the job.
 func (r *run) commit(batch []itemResult) bool {
-	claim := r.service.storing.claim(storeCopies * textBytes(batch))
+	claim := r.service.storing.claim(storeCopies * resultBytes(batch))
 	if r.service.storing.take(r.ctx, claim) != nil {
 		return false
 	}
@@ -166,14 +166,14 @@
 	return true
 }
 
-// storeCopies is the number of copies of a text that exist while it is written to the store: the
+// storeCopies is the number of copies of a result that exist while it is written to the store: the
 // encoded rows, and the transaction with them.
 const storeCopies = 4
 
-// textBytes returns the size of the texts of results.
-func textBytes(batch []itemResult) (n int64) {
+// resultBytes returns the size of results.
+func resultBytes(batch []itemResult) (n int64) {
 	for _, f := range batch {
-		n += int64(len(f.result.Text))
+		n += int64(f.result.Bytes())
 	}
 	return n
 }
--- a/job/item.go
+++ b/job/item.go
@@ -24,3 +24,6 @@
 	// Text is the data of all events of the answer in order, separated by line feeds.
 	Text string `json:"text,omitempty"`
 }
+
+// Bytes returns the size of the texts of the result, the id of its item included.
+func (r *Result) Bytes() int { return len(r.Item) + len(r.Text) }
--- a/job/memory.go
+++ b/job/memory.go
@@ -148,5 +148,5 @@
 func runningBytes(it *Item) int64 {
 	// A value with commas makes the number of headers too high.
 	headers := bytes.Count(it.Header, []byte{','}) + 1
-	return int64(runningItemBytes + 2*len(it.Header) + itemHeaderBytes*headers)
+	return int64(runningItemBytes + 2*(len(it.ID)+len(it.Header)) + itemHeaderBytes*headers)
 }
--- a/job/read.go
+++ b/job/read.go
@@ -14,7 +14,7 @@
 	"github.com/daisylb/daisylb/storage"
 )
 
-// maxReadBytes bounds the text in one response, unless its first result alone is
+// maxReadBytes bounds the results in one response, unless its first result alone is
 // longer.
 const maxReadBytes = 900 << 10
 
@@ -114,7 +114,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.results.add(id, after, results)
-	return limitText(results, maxReadBytes), nil
+	return limitBytes(results, maxReadBytes), nil
 }
 
 // readResultRows reads the rows of the results from a position on, up to an end: whole results,
