--- a/job/quota.go
+++ b/job/quota.go
@@ -268,11 +268,11 @@
 	}
 	// The objects of rejected jobs would stay, so the body is stored only after a
 	// first check has passed.
+	// If the own reservation is not among those that were read, all of them are earlier.
 	before := uint64(math.MaxUint64)
 	if own, ok := u.reservations.byJob[a.submission.ID]; ok {
 		before = own.version
 	}
-	// Without the own reservation the reads are from before it was written.
 	if err := a.checkQuota(ctx, &u, before); err != nil {
 		return u, false, err
 	}
@@ -354,29 +354,31 @@
 	if a.reserved == nil || a.maybeApplied {
 		return
 	}
-	id, quota, store := a.submission.ID, a.submission.quota(), a.service.options.Store
-	key, present := reservationKey(quota, id), u.reservations.byJob[id]
+	id, s := a.submission.ID, a.service
+	present, err := u.reservations.byJob[id], error(nil)
 	if !a.wrote(present) {
 		// The reservations were read before it was written.
-		page, err := store.GetRows(ctx, key.Table, key.Part, key.Key, key.Key+"\x00")
-		if err != nil {
-			a.service.options.Log.Info("reservation not removed", zap.String("job", id), zap.Error(err))
-			return
-		}
-		present = a.service.decodeReservations(generationKey(quota).Key, page.Rows).byJob[id]
+		present, err = s.readReservation(ctx, a.submission.quota(), id)
 	}
-	if !a.wrote(present) {
-		return
+	if err == nil && a.wrote(present) {
+		key := reservationKey(a.submission.quota(), id)
+		_, err = s.options.Store.ApplyRows(ctx, storage.RowTransaction{
+			Conditions: []storage.RowCondition{{RowKey: key, Version: present.version}},
+			Removes:    []storage.RowKey{key},
+		})
 	}
-	_, err := store.ApplyRows(ctx, storage.RowTransaction{
-		Conditions: []storage.RowCondition{{RowKey: key, Version: present.version}},
-		Removes:    []storage.RowKey{key},
-	})
 	if err != nil {
-		a.service.options.Log.Info("reservation not removed", zap.String("job", id), zap.Uint64("condition", present.version), zap.Error(err))
+		s.options.Log.Info("reservation not removed", zap.String("job", id), zap.Uint64("condition", present.version), zap.Error(err))
 	}
 }
 
+// readReservation reads the reservation of a job, the zero value if there is none.
+func (s *Service) readReservation(ctx context.Context, quota, id string) (reservation, error) {
+	key := reservationKey(quota, id)
+	page, err := s.options.Store.GetRows(ctx, key.Table, key.Part, key.Key, key.Key+"\x00")
+	return s.decodeReservations(generationKey(quota).Key, page.Rows).byJob[id], err
+}
+
 // wrote reports whether a reservation that was read is the one that this acceptance wrote.
 func (a *acceptance) wrote(r reservation) bool {
 	return r.version != 0 && r.Tokens == a.reserved.Tokens && r.ReservedAtMS == a.reserved.ReservedAtMS
