--- a/job/document_test.go
+++ b/job/document_test.go
@@ -81,6 +81,8 @@
 		f := newFleet(t, 1, nil)
 		defer f.close()
 		m := f.instances[0]
+		// The item may begin before the route is removed.
+		f.downUntil = time.Now().Add(time.Second)
 		if err := m.Submit(t.Context(), f.submission("j", "a")); err != nil {
 			t.Fatal(err)
 		}
